Lay out the project: schema, contracts between parts, checks

The contracts between the parts of a node come first, so that the parts can be written beside each other: clients of the platform and of backend servers, dispatch, admission, told state, peers and the callers' routes, all with typed outcomes. One command runs formatter, linter, the check of generated code, the build and the tests.

--- /dev/null
+++ b/source/observability/event_log.ts
@@ -0,0 +1,68 @@
+import winston from "winston";
+import {
+  EVENT_CATALOGUE,
+  type EventFields,
+  type EventName,
+} from "./event_catalogue.ts";
+import type { EventLevel } from "./event_definition.ts";
+
+/** Writes numbered log events. */
+export interface EventLog {
+  /** Writes one event of the catalogue with its fields. */
+  emit<Name extends EventName>(name: Name, fields: EventFields<Name>): void;
+}
+
+/** How a process logs. */
+export interface EventLogOptions {
+  /** Name written into each line. */
+  readonly source: string;
+  readonly level: EventLevel;
+}
+
+/**
+ * Creates a log that writes JSON lines to the standard error stream.
+ * @param options - The log's source and lowest level.
+ * @example
+ * ```ts
+ * const log = createEventLog({ source: "node-1", level: "info" });
+ * log.emit("nodeStopped", { reason: "SIGTERM" });
+ * ```
+ */
+export function createEventLog(options: EventLogOptions): EventLog {
+  const logger = winston.createLogger({
+    level: options.level,
+    format: winston.format.combine(
+      winston.format.timestamp(),
+      winston.format.json(),
+    ),
+    defaultMeta: { source: options.source },
+    transports: [
+      new winston.transports.Console({
+        stderrLevels: ["error", "warn", "info", "debug"],
+      }),
+    ],
+  });
+  return {
+    emit(name, fields): void {
+      const { number, level, message } = EVENT_CATALOGUE[name];
+      logger.log({ level, message, number, event: name, ...fields });
+    },
+  };
+}
+
+/** One event kept by a recording log. */
+export interface RecordedEvent {
+  readonly name: EventName;
+  readonly fields: Readonly<Record<string, string | number | boolean>>;
+}
+
+/** Keeps events in memory, for tests. */
+export class RecordingEventLog implements EventLog {
+  /** The events so far. */
+  readonly events: RecordedEvent[] = [];
+
+  /** Keeps one event. */
+  emit<Name extends EventName>(name: Name, fields: EventFields<Name>): void {
+    this.events.push({ name, fields });
+  }
+}
--- /dev/null
+++ b/source/observability/events/node_events.ts
@@ -0,0 +1,23 @@
+import { defineEvent } from "../event_definition.ts";
+
+/** Events numbered 1000 to 1999. */
+export const NODE_EVENTS = {
+  nodeStarted: defineEvent(1001, {
+    level: "info",
+    message: "Node started",
+    action: "",
+    fields: ["address", "peerAddress"],
+  }),
+  nodeStopped: defineEvent(1002, {
+    level: "info",
+    message: "Node stopped",
+    action: "",
+    fields: ["reason"],
+  }),
+  invariantBroken: defineEvent(1003, {
+    level: "error",
+    message: "An invariant was broken; the process stops",
+    action: "Report the event with its stack as a fault of the program",
+    fields: ["detail"],
+  }),
+} as const;
--- /dev/null
+++ b/source/platform/orders_client.ts
@@ -0,0 +1,30 @@
+import type { PlatformOutcome } from "./platform_outcome.ts";
+
+/** Price tier of a backend server; a cheap one can be reclaimed at a few seconds' notice. */
+export type Tier = "steady" | "cheap";
+
+/** An order that starts or stops backend servers. */
+export interface ServerOrder {
+  readonly idempotencyKey: string;
+  readonly fencingNumber: number;
+  readonly operation: "start" | "stop";
+  readonly service: string;
+  readonly failureDomain: string;
+  readonly tier: Tier;
+  /** Address of the server to stop; empty for a start. */
+  readonly server: string;
+}
+
+/** What became of an order. */
+export type OrderResult =
+  | { readonly kind: "accepted"; readonly server: string }
+  /** The tier has no capacity in the failure domain now. */
+  | { readonly kind: "noCapacity" }
+  /** The platform has seen a higher fencing number. */
+  | { readonly kind: "fenced"; readonly highest: number };
+
+/** The platform's interface that orders backend servers by failure domain. */
+export interface OrdersClient {
+  /** Places an order; the same idempotency key returns the first result. */
+  place(order: ServerOrder): Promise<PlatformOutcome<OrderResult>>;
+}
--- /dev/null
+++ b/source/programs/snipepath_node.ts
@@ -0,0 +1,1 @@
+console.log("snipepath-node");
--- /dev/null
+++ b/source/utilities/invariant.ts
@@ -0,0 +1,21 @@
+/** Raised when the program's own state contradicts itself; the process stops. */
+export class BrokenInvariantError extends Error {
+  override readonly name = "BrokenInvariantError";
+}
+
+/**
+ * Asserts that the program's own state is consistent.
+ * @param condition - What must hold.
+ * @param message - What was wrong, with the values.
+ * @throws {BrokenInvariantError} When the condition is false.
+ * @example
+ * ```ts
+ * invariant(delivered <= wanted, `Delivered ${delivered} of ${wanted}`);
+ * ```
+ */
+export function invariant(
+  condition: boolean,
+  message: string,
+): asserts condition {
+  if (!condition) throw new BrokenInvariantError(message);
+}
--- /dev/null
+++ b/source/utilities/system_clock.ts
@@ -0,0 +1,40 @@
+import { performance } from "node:perf_hooks";
+import type { Clock } from "./clock.ts";
+
+/**
+ * Clock of the operating system.
+ * @example
+ * ```ts
+ * const clock = new SystemClock();
+ * await clock.sleep(100);
+ * ```
+ */
+export class SystemClock implements Clock {
+  /** Returns milliseconds since the process started. */
+  monotonic(): number {
+    return performance.now();
+  }
+
+  /** Returns milliseconds since the Unix epoch. */
+  wall(): number {
+    return Date.now();
+  }
+
+  /**
+   * Waits for a duration.
+   * @param milliseconds - The duration.
+   * @param signal - Ends the wait early when aborted.
+   */
+  sleep(milliseconds: number, signal?: AbortSignal): Promise<void> {
+    if (signal?.aborted) return Promise.resolve();
+    return new Promise((resolve) => {
+      const timer = setTimeout(finish, milliseconds);
+      signal?.addEventListener("abort", finish, { once: true });
+      function finish(): void {
+        clearTimeout(timer);
+        signal?.removeEventListener("abort", finish);
+        resolve();
+      }
+    });
+  }
+}
