--- /dev/null
+++ b/source/backends/completion_event.ts
@@ -0,0 +1,97 @@
+import type { EngineTokens, EngineUsage } from "./engine_client.ts";
+
+/** One event of a streamed completion. */
+export interface CompletionEvent {
+  readonly requestIdentifier: string;
+  readonly tokens: EngineTokens;
+  /** Present in the last event. */
+  readonly finish?: {
+    readonly reason: string;
+    readonly usage: EngineUsage;
+  };
+}
+
+/**
+ * Parses the data of one server-sent event of an engine.
+ * @param data - The data.
+ * @returns The event; undefined when a field is absent or of the wrong type.
+ * @example
+ * ```ts
+ * const event = parseCompletionEvent(data);
+ * ```
+ */
+export function parseCompletionEvent(
+  data: string,
+): CompletionEvent | undefined {
+  const parsed = parseRecord(data);
+  const choice = asRecord(asArray(parsed?.["choices"])?.[0]);
+  if (parsed === undefined || choice === undefined) return undefined;
+  const requestIdentifier = parsed["request_id"];
+  const text = choice["text"];
+  const weightVersion = parsed["weight_version"];
+  const tokens = parsed["tokens"];
+  if (typeof requestIdentifier !== "string" || typeof text !== "string") {
+    return undefined;
+  }
+  if (!isCount(weightVersion) || !isCount(tokens)) return undefined;
+  const event = { requestIdentifier, tokens: { text, tokens, weightVersion } };
+  const reason = choice["finish_reason"];
+  if (reason === null || reason === undefined) return event;
+  const usage = parseUsage(parsed["usage"]);
+  if (typeof reason !== "string" || usage === undefined) return undefined;
+  return { ...event, finish: { reason, usage } };
+}
+
+/**
+ * Parses a JSON object.
+ * @param text - The text.
+ * @returns The object; undefined when the text is no JSON object.
+ * @example
+ * ```ts
+ * const record = parseRecord('{"a":1}');
+ * ```
+ */
+export function parseRecord(
+  text: string,
+): Readonly<Record<string, unknown>> | undefined {
+  try {
+    return asRecord(JSON.parse(text));
+  } catch {
+    return undefined;
+  }
+}
+
+/**
+ * Tells whether a value is a whole number that is not negative.
+ * @param value - Any value.
+ * @example
+ * ```ts
+ * isCount(3); // true
+ * ```
+ */
+export function isCount(value: unknown): value is number {
+  return Number.isSafeInteger(value) && (value as number) >= 0;
+}
+
+function parseUsage(value: unknown): EngineUsage | undefined {
+  const usage = asRecord(value);
+  const promptTokens = usage?.["prompt_tokens"];
+  const generatedTokens = usage?.["completion_tokens"];
+  const cachedTokens = usage?.["cached_tokens"];
+  if (!isCount(promptTokens) || !isCount(generatedTokens)) return undefined;
+  if (!isCount(cachedTokens)) return undefined;
+  return { promptTokens, generatedTokens, cachedTokens };
+}
+
+function asArray(value: unknown): ReadonlyArray<unknown> | undefined {
+  return Array.isArray(value) ? value : undefined;
+}
+
+function asRecord(
+  value: unknown,
+): Readonly<Record<string, unknown>> | undefined {
+  if (typeof value !== "object" || value === null || Array.isArray(value)) {
+    return undefined;
+  }
+  return value as Readonly<Record<string, unknown>>;
+}
--- a/source/backends/engine_client.ts
+++ b/source/backends/engine_client.ts
@@ -1,6 +1,8 @@
 /** A completion as a model engine takes it. */
 export interface EngineRequest {
   readonly requestIdentifier: string;
+  /** Name of the model; "default" when absent. */
+  readonly model?: string;
   readonly prompt: string;
   readonly maximumTokens: number;
   /** Smaller runs first. */
@@ -87,6 +89,8 @@
     request: EngineRequest,
     options: ExchangeOptions & {
       readonly onTokens: (tokens: EngineTokens) => void;
+      /** Whether to use no connection that served another request. */
+      readonly newConnection?: boolean;
     },
   ): Promise<EngineOutcome>;
   /** Reads the reported load; undefined when the engine did not answer. */
--- /dev/null
+++ b/source/backends/prefix_digest.ts
@@ -0,0 +1,50 @@
+import xxhash from "xxhash-wasm";
+
+const BLOCK_CHARACTERS = 64;
+const MAXIMUM_BLOCKS = 64;
+
+const { h64ToString } = await xxhash();
+
+/**
+ * Returns the digests under which an engine names the cached prefixes of a prompt.
+ *
+ * Each digest covers the salt and all blocks up to its own, so equal prompts of two
+ * organisations have no digest in common.
+ * @param salt - The cache salt of the organisation.
+ * @param prompt - The prompt.
+ * @returns One digest for each whole block, shortest prefix first.
+ * @example
+ * ```ts
+ * const digests = digestPrefixes("school-3", prompt);
+ * ```
+ */
+export function digestPrefixes(
+  salt: string,
+  prompt: string,
+): ReadonlyArray<string> {
+  const blocks = Math.floor(prompt.length / BLOCK_CHARACTERS);
+  const digests: string[] = [];
+  let previous = h64ToString(salt);
+  for (let block = 0; block < Math.min(blocks, MAXIMUM_BLOCKS); block += 1) {
+    const start = block * BLOCK_CHARACTERS;
+    const text = prompt.slice(start, start + BLOCK_CHARACTERS);
+    previous = h64ToString(`${previous}${text}`);
+    digests.push(previous);
+  }
+  return digests;
+}
+
+/** Tokens of one digested block, at about four characters a token. */
+export const TOKENS_OF_A_BLOCK = BLOCK_CHARACTERS / 4;
+
+/**
+ * Estimates the tokens of a prompt.
+ * @param prompt - The prompt.
+ * @example
+ * ```ts
+ * estimatePromptTokens("12345"); // 2
+ * ```
+ */
+export function estimatePromptTokens(prompt: string): number {
+  return Math.ceil(prompt.length / 4);
+}
--- /dev/null
+++ b/source/backends/read_text.ts
@@ -0,0 +1,31 @@
+import type { ExchangeAnswer } from "./http_exchange.ts";
+
+const MAXIMUM_TEXT_BYTES = 4 * 1024 * 1024;
+
+/**
+ * Reads the whole body of an answer as text.
+ * @param answer - The answer.
+ * @returns The text; undefined when the body was cut or is too large.
+ * @example
+ * ```ts
+ * const text = await readText(answer);
+ * ```
+ */
+export async function readText(
+  answer: ExchangeAnswer,
+): Promise<string | undefined> {
+  const chunks: Buffer[] = [];
+  let size = 0;
+  try {
+    for await (const chunk of answer.body) {
+      size += chunk.length;
+      if (size > MAXIMUM_TEXT_BYTES) return undefined;
+      chunks.push(chunk);
+    }
+  } catch {
+    return undefined;
+  } finally {
+    answer.abandon();
+  }
+  return Buffer.concat(chunks).toString("utf8");
+}
--- /dev/null
+++ b/source/backends/silence_watch.ts
@@ -0,0 +1,54 @@
+import type { Clock } from "../utilities/clock.ts";
+
+/** What a silence watch needs. */
+export interface SilenceWatchOptions {
+  readonly clock: Clock;
+  readonly silenceMilliseconds: number;
+  /** Called once when nothing was heard for too long. */
+  readonly onSilent: () => void;
+}
+
+/**
+ * Notices that a connection has gone silent.
+ * @example
+ * ```ts
+ * const watch = new SilenceWatch({ clock, silenceMilliseconds: 5000, onSilent });
+ * watch.touch();
+ * watch.stop();
+ * ```
+ */
+export class SilenceWatch {
+  readonly #options: SilenceWatchOptions;
+  readonly #stopped = new AbortController();
+  #heardAt: number;
+
+  /** @param options - The bound and what to do past it. */
+  constructor(options: SilenceWatchOptions) {
+    this.#options = options;
+    this.#heardAt = options.clock.monotonic();
+    void this.#run();
+  }
+
+  /** Notes that a byte went through. */
+  touch(): void {
+    this.#heardAt = this.#options.clock.monotonic();
+  }
+
+  /** Ends the watch. */
+  stop(): void {
+    this.#stopped.abort();
+  }
+
+  async #run(): Promise<void> {
+    const { clock, silenceMilliseconds, onSilent } = this.#options;
+    const stopped = this.#stopped.signal;
+    while (!stopped.aborted) {
+      const idle = clock.monotonic() - this.#heardAt;
+      if (idle >= silenceMilliseconds) {
+        onSilent();
+        return;
+      }
+      await clock.sleep(silenceMilliseconds - idle, stopped);
+    }
+  }
+}
--- /dev/null
+++ b/stand_ins/engine/completion_body.ts
@@ -0,0 +1,35 @@
+import { parseRecord } from "../../source/backends/completion_event.ts";
+
+/** A completion as it comes over HTTP. */
+export interface CompletionBody {
+  readonly prompt: string;
+  readonly maximumTokens: number;
+  readonly priority: number;
+  readonly cacheSalt: string;
+  readonly resumeText: string;
+}
+
+/**
+ * Parses the body of a completion.
+ * @param text - JSON text.
+ * @returns The completion; undefined when a field is absent or of the wrong type.
+ * @example
+ * ```ts
+ * const body = parseCompletionBody(text);
+ * ```
+ */
+export function parseCompletionBody(text: string): CompletionBody | undefined {
+  const record = parseRecord(text);
+  if (record === undefined) return undefined;
+  const { prompt, priority } = record;
+  const maximumTokens = record["max_tokens"];
+  if (typeof prompt !== "string" || record["stream"] !== true) return undefined;
+  if (!Number.isSafeInteger(maximumTokens)) return undefined;
+  return {
+    prompt,
+    maximumTokens: maximumTokens as number,
+    priority: typeof priority === "number" ? priority : 0,
+    cacheSalt: String(record["cache_salt"] ?? ""),
+    resumeText: String(record["resume_text"] ?? ""),
+  };
+}
--- /dev/null
+++ b/stand_ins/engine/lagging_value.ts
@@ -0,0 +1,52 @@
+import type { Clock } from "../../source/utilities/clock.ts";
+
+const MAXIMUM_SAMPLE_MILLISECONDS = 100;
+
+/** What a lagging value needs. */
+export interface LaggingValueOptions<Value> {
+  readonly clock: Clock;
+  readonly lagMilliseconds: number;
+  readonly read: () => Value;
+}
+
+/** Shows a value as it was some time ago. */
+export class LaggingValue<Value> {
+  readonly #options: LaggingValueOptions<Value>;
+  #samples: { readonly at: number; readonly value: Value }[] = [];
+
+  /** @param options - The value and its lag. */
+  constructor(options: LaggingValueOptions<Value>) {
+    this.#options = options;
+    this.#sample();
+  }
+
+  /** Samples the value until stopped. */
+  async run(stopping: AbortSignal): Promise<void> {
+    const { clock, lagMilliseconds } = this.#options;
+    if (lagMilliseconds === 0) return;
+    const pause = Math.min(lagMilliseconds, MAXIMUM_SAMPLE_MILLISECONDS);
+    while (!stopping.aborted) {
+      await clock.sleep(pause, stopping);
+      this.#sample();
+    }
+  }
+
+  /** Returns the newest sample that is old enough. */
+  get(): Value {
+    const { lagMilliseconds, clock, read } = this.#options;
+    if (lagMilliseconds === 0) return read();
+    const newest = clock.monotonic() - lagMilliseconds;
+    const index = this.#samples.findLastIndex(({ at }) => at <= newest);
+    if (index > 0) this.#samples.splice(0, index);
+    return this.#samples[0]?.value ?? read();
+  }
+
+  #sample(): void {
+    const { clock, read, lagMilliseconds } = this.#options;
+    const now = clock.monotonic();
+    this.#samples.push({ at: now, value: read() });
+    const oldest = now - 2 * lagMilliseconds - MAXIMUM_SAMPLE_MILLISECONDS;
+    const first = this.#samples.findIndex(({ at }) => at >= oldest);
+    if (first > 1) this.#samples.splice(0, first - 1);
+  }
+}
