Add the dispatcher with baseline routing policies and the plain client

Completions are retried on another engine under a budget for each class; a plain call that may not be repeated goes out once on a new connection.

--- a/source/backends/engine_client.ts
+++ b/source/backends/engine_client.ts
@@ -79,6 +79,8 @@
   readonly signal: AbortSignal;
   /** Closes the connection when no byte came for so long. */
   readonly silenceMilliseconds: number;
+  /** Asked in the tick in which the first byte would leave; false ends the exchange as `notRun`. */
+  readonly mayStart?: () => boolean;
 }
 
 /** The published interface of model engines. */
--- a/source/backends/http_exchange.ts
+++ b/source/backends/http_exchange.ts
@@ -71,7 +71,7 @@
   readonly #signal: AbortSignal;
   readonly #cut = new AbortController();
   readonly #watch: SilenceWatch;
-  readonly #note: SendNote = { started: false };
+  readonly #note: SendNote;
   readonly #cancel = (): void => this.#end("Cancelled");
 
   constructor(
@@ -82,6 +82,8 @@
     this.#context = context;
     this.#request = request;
     this.#signal = options.signal;
+    const mayStart = options.mayStart ?? ((): boolean => true);
+    this.#note = { started: false, mayStart };
     this.#watch = new SilenceWatch({
       clock: context.clock,
       silenceMilliseconds: options.silenceMilliseconds,
@@ -128,10 +130,13 @@
   }
 
   async *#relay(body: Readable): AsyncGenerator<Buffer> {
+    this.#watch.pause();
     for await (const chunk of body.iterator({ destroyOnReturn: false })) {
-      this.#watch.touch();
+      this.#watch.resume();
       yield chunk as Buffer;
+      this.#watch.pause();
     }
+    this.#watch.resume();
   }
 
   // A request that waits for its connection does not notice the signal by itself.
@@ -157,8 +162,9 @@
   async *#readBody(body: Readable): AsyncGenerator<Buffer> {
     try {
       for await (const chunk of body) {
-        this.#watch.touch();
+        this.#watch.pause();
         yield chunk as Buffer;
+        this.#watch.resume();
       }
     } finally {
       this.#finish();
--- a/source/backends/send_noting_handler.ts
+++ b/source/backends/send_noting_handler.ts
@@ -4,6 +4,8 @@
 export interface SendNote {
   /** True from just before the first byte is handed to a socket. */
   started: boolean;
+  /** Asked in the tick in which the first byte would leave. */
+  readonly mayStart: () => boolean;
 }
 
 /** Options of a request whose sending is noted. */
@@ -48,6 +50,10 @@
       controller.abort(new Error("A request must not be sent twice"));
       return;
     }
+    if (!this.#note.mayStart()) {
+      controller.abort(new Error("Server may not get new work"));
+      return;
+    }
     this.#inner.onRequestStart?.(controller, context);
     this.#note.started = !controller.aborted;
   }
--- a/source/backends/silence_watch.ts
+++ b/source/backends/silence_watch.ts
@@ -21,6 +21,7 @@
   readonly #options: SilenceWatchOptions;
   readonly #stopped = new AbortController();
   #heardAt: number;
+  #paused = false;
 
   /** @param options - The bound and what to do past it. */
   constructor(options: SilenceWatchOptions) {
@@ -34,6 +35,17 @@
     this.#heardAt = this.#options.clock.monotonic();
   }
 
+  /** Counts no silence until resumed, such as while the other side is not read. */
+  pause(): void {
+    this.#paused = true;
+  }
+
+  /** Counts silence from now on. */
+  resume(): void {
+    this.#paused = false;
+    this.touch();
+  }
+
   /** Ends the watch. */
   stop(): void {
     this.#stopped.abort();
@@ -43,6 +55,7 @@
     const { clock, silenceMilliseconds, onSilent } = this.#options;
     const stopped = this.#stopped.signal;
     while (!stopped.aborted) {
+      if (this.#paused) this.touch();
       const idle = clock.monotonic() - this.#heardAt;
       if (idle >= silenceMilliseconds) {
         onSilent();
--- /dev/null
+++ b/source/dispatch/dispatch_tools.ts
@@ -0,0 +1,14 @@
+import type { DispatcherOptions } from "./dispatcher_options.ts";
+import type { RetryBudget } from "./retry_budget.ts";
+import type { ServerSelector } from "./server_selector.ts";
+import type { ServerExperience } from "../routing/server_experience.ts";
+import type { RetryAdvisor } from "./retry_advisor.ts";
+
+/** What all runs of a dispatcher share. */
+export interface DispatchTools {
+  readonly options: DispatcherOptions;
+  readonly selector: ServerSelector;
+  readonly experience: ServerExperience;
+  readonly budget: RetryBudget;
+  readonly advisor: RetryAdvisor;
+}
--- /dev/null
+++ b/source/dispatch/dispatcher_options.ts
@@ -0,0 +1,17 @@
+import type { BackendServerView } from "../backends/backend_server_state.ts";
+import type { EngineClient } from "../backends/engine_client.ts";
+import type { PlainClient } from "../backends/plain_client.ts";
+import type { ConfigurationView } from "../membership/configuration_view.ts";
+import type { NodeContext } from "../node/node_context.ts";
+import type { RoutingPolicyName } from "../routing/routing_policy.ts";
+
+/** What a dispatcher needs. */
+export interface DispatcherOptions {
+  readonly context: NodeContext;
+  readonly servers: BackendServerView;
+  readonly engines: EngineClient;
+  readonly plainServices: PlainClient;
+  readonly configuration: ConfigurationView;
+  /** The settings' policy when absent. */
+  readonly routingPolicy?: RoutingPolicyName;
+}
--- /dev/null
+++ b/source/dispatch/plain_run.ts
@@ -0,0 +1,181 @@
+import type {
+  ExchangeAnswer,
+  ExchangeFailure,
+} from "../backends/http_exchange.ts";
+import type { Placement, RoutingChoice } from "../routing/routing_policy.ts";
+import { invariant } from "../utilities/invariant.ts";
+import type { DispatchTools } from "./dispatch_tools.ts";
+import type {
+  DispatchRefusal,
+  PlainOutcome,
+  PlainWork,
+  RefusalReason,
+} from "./dispatcher.ts";
+import { type PlainBody, takePlainBody } from "./plain_body.ts";
+import { relayAnswer } from "./relay_answer.ts";
+import { RunBounds } from "./run_bounds.ts";
+
+const MAXIMUM_ATTEMPTS = 4;
+
+/** Runs one plain call. */
+export class PlainRun {
+  readonly #work: PlainWork;
+  readonly #tools: DispatchTools;
+  readonly #bounds: RunBounds;
+  readonly #placement: Placement;
+  readonly #tried: string[] = [];
+  #unknownAttempts = 0;
+
+  /**
+   * @param work - The call.
+   * @param tools - What all runs share.
+   */
+  constructor(work: PlainWork, tools: DispatchTools) {
+    this.#work = work;
+    this.#tools = tools;
+    this.#bounds = new RunBounds(work, tools.options.context.clock);
+    this.#placement = toPlacement(work);
+  }
+
+  /** Runs to the end. */
+  async run(): Promise<PlainOutcome> {
+    this.#tools.budget.noteFirstTry(this.#work.classOfWork);
+    const outcome = await this.#attemptAll();
+    this.#bounds.close();
+    return outcome;
+  }
+
+  async #attemptAll(): Promise<PlainOutcome> {
+    const body = await takePlainBody(this.#work.request);
+    if (body === undefined) return this.#refuse("cancelled", "Caller has gone");
+    for (let attempt = 1;; attempt += 1) {
+      const stopped = this.#bounds.reason;
+      if (stopped !== undefined) return this.#refuse(stopped, "Gave up");
+      const choice = this.#select();
+      if (choice === undefined) {
+        return this.#refuse(
+          "noCapacity",
+          "No backend server may take the call",
+        );
+      }
+      const outcome = await this.#attempt(choice, body);
+      if (outcome.kind === "finished" || outcome.kind === "cut") return outcome;
+      if (outcome.kind === "unknown") this.#unknownAttempts += 1;
+      const refusal = await this.#prepareRetry(attempt, outcome, body);
+      if (refusal !== undefined) return refusal;
+    }
+  }
+
+  #select(): RoutingChoice | undefined {
+    return this.#tools.selector.select({
+      placement: this.#placement,
+      minimumWeightVersion: 0,
+      avoid: [],
+      tried: this.#tried,
+    });
+  }
+
+  async #attempt(
+    choice: RoutingChoice,
+    body: PlainBody,
+  ): Promise<PlainOutcome | ExchangeFailure> {
+    const { options, experience } = this.#tools;
+    const { clock } = options.context;
+    const { address } = choice.server;
+    const startedAt = clock.monotonic();
+    const dispatch = experience.start(address, startedAt);
+    this.#tried.push(address);
+    const answer = await this.#open(address, body);
+    const outcome = answer.kind === "answered"
+      ? await this.#relay(answer, address)
+      : answer;
+    experience.end(dispatch);
+    const cause = outcome.kind === "finished" ? "generation" : "retry";
+    this.#work.ledger.add(cause, clock.monotonic() - startedAt);
+    return outcome;
+  }
+
+  #open(
+    address: string,
+    body: PlainBody,
+  ): Promise<ExchangeAnswer | ExchangeFailure> {
+    const work = this.#work;
+    const { context, servers, plainServices } = this.#tools.options;
+    invariant(
+      work.repeatable || this.#unknownAttempts === 0,
+      "A call that may not be repeated was about to run again",
+    );
+    return plainServices.open(address, {
+      requestIdentifier: work.requestIdentifier,
+      method: work.request.method ?? "GET",
+      path: work.path,
+      headers: work.request.headers,
+      ...(body.content === undefined ? {} : { body: body.content }),
+      newConnection: !work.repeatable || this.#tried.length > 1,
+    }, {
+      signal: this.#bounds.signal,
+      silenceMilliseconds: context.settings.silenceMilliseconds,
+      mayStart: () => servers.isAvailable(address),
+    });
+  }
+
+  async #relay(answer: ExchangeAnswer, server: string): Promise<PlainOutcome> {
+    const { response } = this.#work;
+    const relayed = await relayAnswer(answer, response, this.#bounds.signal);
+    if (relayed.kind === "cut") return relayed;
+    return { kind: "finished", status: answer.status, server };
+  }
+
+  async #prepareRetry(
+    attempt: number,
+    failure: ExchangeFailure | DispatchRefusal,
+    body: PlainBody,
+  ): Promise<DispatchRefusal | undefined> {
+    const detail = "reason" in failure ? failure.reason : "";
+    const stopped = this.#bounds.reason;
+    if (stopped !== undefined) return this.#refuse(stopped, detail);
+    if (attempt >= MAXIMUM_ATTEMPTS || !this.#mayRetry(failure, body)) {
+      return this.#refuse("backendFailure", detail);
+    }
+    const { budget, advisor, options } = this.#tools;
+    if (!budget.takeRetry(this.#work.classOfWork)) {
+      return this.#refuse("retryBudget", detail);
+    }
+    const remaining = this.#bounds.remaining();
+    const backoff = advisor.backoffMilliseconds(attempt, remaining);
+    await options.context.clock.sleep(backoff, this.#bounds.signal);
+    this.#work.ledger.add("retry", backoff);
+    return undefined;
+  }
+
+  #mayRetry(
+    failure: ExchangeFailure | DispatchRefusal,
+    body: PlainBody,
+  ): boolean {
+    if (failure.kind === "notRun") return true;
+    return this.#work.repeatable && body.replayable;
+  }
+
+  #refuse(reason: RefusalReason, detail: string): DispatchRefusal {
+    return {
+      kind: this.#unknownAttempts > 0 ? "unknown" : "notRun",
+      reason,
+      detail,
+      retryAfterMilliseconds: this.#tools.advisor.retryAfterMilliseconds(
+        this.#work.service,
+      ),
+    };
+  }
+}
+
+function toPlacement(work: PlainWork): Placement {
+  const { service, organisation, classOfWork } = work;
+  return {
+    service,
+    organisation,
+    classOfWork,
+    prefixDigests: [],
+    promptTokens: 0,
+    maximumTokens: 0,
+  };
+}
--- /dev/null
+++ b/source/dispatch/transcript.ts
@@ -0,0 +1,58 @@
+import type { EngineTokens } from "../backends/engine_client.ts";
+import { invariant } from "../utilities/invariant.ts";
+import type { Stretch } from "./dispatcher.ts";
+
+/** Text of a completion with the weight versions that made it. */
+export class Transcript {
+  #text = "";
+  #tokens = 0;
+  #stretches: Stretch[] = [];
+
+  /** The text so far. */
+  get text(): string {
+    return this.#text;
+  }
+
+  /** Number of tokens so far. */
+  get tokens(): number {
+    return this.#tokens;
+  }
+
+  /** Tokens in a row of one version each. */
+  get stretches(): ReadonlyArray<Stretch> {
+    return this.#stretches;
+  }
+
+  /** Adds tokens at the end. */
+  add(added: EngineTokens): void {
+    this.#text += added.text;
+    this.#tokens += added.tokens;
+    const last = this.#stretches.at(-1);
+    const { weightVersion, tokens } = added;
+    if (last?.weightVersion === weightVersion) {
+      const joined = { weightVersion, tokens: last.tokens + tokens };
+      this.#stretches[this.#stretches.length - 1] = joined;
+    } else {
+      this.#stretches.push({ weightVersion, tokens });
+    }
+    this.#check();
+  }
+
+  /** Forgets everything, so that the completion can be run anew. */
+  clear(): void {
+    this.#text = "";
+    this.#tokens = 0;
+    this.#stretches = [];
+  }
+
+  #check(): void {
+    const sum = this.#stretches.reduce(
+      (total, { tokens }) => total + tokens,
+      0,
+    );
+    invariant(
+      sum === this.#tokens,
+      `Stretches cover ${sum} of ${this.#tokens} tokens`,
+    );
+  }
+}
--- /dev/null
+++ b/source/routing/rendezvous.ts
@@ -0,0 +1,48 @@
+import xxhash from "xxhash-wasm";
+import type { BackendServerState } from "../backends/backend_server_state.ts";
+import type {
+  Placement,
+  RoutingChoice,
+  RoutingPolicy,
+} from "./routing_policy.ts";
+
+const PREFIX_BLOCKS_OF_AFFINITY = 4;
+
+const { h32 } = await xxhash();
+
+/** Baseline: takes the server with the highest hash of server, organisation and prefix. */
+export class Rendezvous implements RoutingPolicy {
+  /** Chooses a server by the placement alone. */
+  choose(
+    candidates: ReadonlyArray<BackendServerState>,
+    placement: Placement,
+  ): RoutingChoice {
+    return { server: rankByRendezvous(candidates, placement)[0]! };
+  }
+}
+
+/**
+ * Orders servers by the hash of server, organisation and the start of the prompt.
+ * @param candidates - The servers.
+ * @param placement - The work.
+ * @returns The servers, the one that should serve equal prefixes first.
+ * @example
+ * ```ts
+ * const [first] = rankByRendezvous(servers, placement);
+ * ```
+ */
+export function rankByRendezvous(
+  candidates: ReadonlyArray<BackendServerState>,
+  placement: Placement,
+): ReadonlyArray<BackendServerState> {
+  const key = affinityKey(placement);
+  return candidates
+    .map((server) => ({ server, score: h32(`${server.address}\n${key}`) }))
+    .sort((left, right) => right.score - left.score)
+    .map(({ server }) => server);
+}
+
+function affinityKey(placement: Placement): string {
+  const digests = placement.prefixDigests.slice(0, PREFIX_BLOCKS_OF_AFFINITY);
+  return `${placement.organisation}\n${digests.at(-1) ?? ""}`;
+}
--- /dev/null
+++ b/stand_ins/dispatch/dispatch_bench.ts
@@ -0,0 +1,155 @@
+import { create } from "@bufbuild/protobuf";
+import { NodeSettingsSchema } from "../../generated/snipepath/v1/settings_pb.ts";
+import type { ConfigurationRecord } from "../../generated/snipepath/v1/records_pb.ts";
+import { HttpEngineClient } from "../../source/backends/http_engine_client.ts";
+import { HttpPlainClient } from "../../source/backends/http_plain_client.ts";
+import {
+  createDispatcher,
+  type NodeDispatcher,
+} from "../../source/dispatch/create_dispatcher.ts";
+import type { CompletionWork, Work } from "../../source/dispatch/dispatcher.ts";
+import type { NodeContext } from "../../source/node/node_context.ts";
+import type {
+  Cause,
+  CauseLedger,
+  LedgerEntry,
+} from "../../source/observability/cause_ledger.ts";
+import { RecordingEventLog } from "../../source/observability/event_log.ts";
+import { NO_METRICS } from "../../source/observability/metrics.ts";
+import type { Platform } from "../../source/platform/platform.ts";
+import type { RoutingPolicyName } from "../../source/routing/routing_policy.ts";
+import type { Clock } from "../../source/utilities/clock.ts";
+import { createRandomSource } from "../../source/utilities/random_source.ts";
+import { SystemClock } from "../../source/utilities/system_clock.ts";
+import { StaticServerView } from "./static_server_view.ts";
+
+/** How a dispatch bench is set up. */
+export interface DispatchBenchOptions {
+  readonly seed?: number;
+  readonly clock?: Clock;
+  readonly silenceMilliseconds?: number;
+  readonly failureDomain?: string;
+  readonly policy?: RoutingPolicyName;
+}
+
+/** A dispatcher with real clients and a view that is set by hand. */
+export interface DispatchBench {
+  readonly dispatcher: NodeDispatcher;
+  readonly servers: StaticServerView;
+  readonly engines: HttpEngineClient;
+  readonly context: NodeContext;
+  /** Returns work with a far deadline. */
+  work(given?: Partial<Work>): Work;
+  /** Returns a completion with a far deadline. */
+  completion(given?: Partial<CompletionWork>): CompletionWork;
+  close(): Promise<void>;
+}
+
+const FAR_DEADLINE_MILLISECONDS = 60_000;
+
+/**
+ * Sets up a dispatcher for tests and measurements.
+ * @param options - Seed, clock and bounds.
+ * @example
+ * ```ts
+ * const bench = createDispatchBench({ seed: 1 });
+ * await bench.dispatcher.runCompletion(bench.completion());
+ * ```
+ */
+export function createDispatchBench(
+  options: DispatchBenchOptions = {},
+): DispatchBench {
+  const context = createTestContext(options);
+  const servers = new StaticServerView();
+  const engines = new HttpEngineClient({ clock: context.clock });
+  const plainServices = new HttpPlainClient({ clock: context.clock });
+  const dispatcher = createDispatcher({
+    context,
+    servers,
+    engines,
+    plainServices,
+    configuration: NO_CONFIGURATION,
+    routingPolicy: options.policy ?? "leastOutstanding",
+  });
+  const work = createWorkFactory(context);
+  return {
+    dispatcher,
+    servers,
+    engines,
+    context,
+    work,
+    completion: (given = {}) => ({
+      ...work(given),
+      prompt: "one two three",
+      maximumTokens: 8,
+      minimumWeightVersion: 0,
+      ...given,
+    }),
+    close: async () => {
+      await engines.close();
+      await plainServices.close();
+    },
+  };
+}
+
+/** Ledger entry that keeps what was added. */
+export class RecordingLedgerEntry implements LedgerEntry {
+  /** Milliseconds by cause. */
+  readonly causes: Partial<Record<Cause, number>> = {};
+
+  /** Adds time. */
+  add(cause: Cause, milliseconds: number): void {
+    this.causes[cause] = (this.causes[cause] ?? 0) + milliseconds;
+  }
+
+  /** Does nothing. */
+  close(): void {}
+}
+
+const NO_LEDGER: CauseLedger = {
+  open: () => new RecordingLedgerEntry(),
+  explain: () => ({ causes: {}, subjects: 0, targetsMissed: 0 }),
+};
+
+const NO_CONFIGURATION = {
+  current: (): ConfigurationRecord | undefined => undefined,
+  adopt: (): void => {},
+  watch: () => (): void => {},
+};
+
+function createTestContext(options: DispatchBenchOptions): NodeContext {
+  return {
+    settings: create(NodeSettingsSchema, {
+      node: "node-1",
+      failureDomain: options.failureDomain ?? "cluj-a",
+      silenceMilliseconds: options.silenceMilliseconds ?? 5_000,
+    }),
+    nodeStart: "start-1",
+    clock: options.clock ?? new SystemClock(),
+    random: createRandomSource(options.seed ?? 1),
+    log: new RecordingEventLog(),
+    metrics: NO_METRICS,
+    platform: {} as Platform,
+    ledger: NO_LEDGER,
+    stopping: new AbortController().signal,
+  };
+}
+
+function createWorkFactory(
+  context: NodeContext,
+): (given?: Partial<Work>) => Work {
+  let count = 0;
+  return (given = {}) => {
+    count += 1;
+    return {
+      requestIdentifier: `request-${count}`,
+      service: "dot-models",
+      classOfWork: "lookups",
+      organisation: "school-3",
+      deadline: context.clock.monotonic() + FAR_DEADLINE_MILLISECONDS,
+      ledger: new RecordingLedgerEntry(),
+      signal: new AbortController().signal,
+      ...given,
+    };
+  };
+}
