Check settings and declarations, naming field and line

Settings come from one schema and one table of definitions; every problem is told at once. A declaration is read by the schema's own descriptor, so a new field needs no new parser, and each fault names its line and what would be right.

--- /dev/null
+++ b/source/declarations/declaration_document.ts
@@ -0,0 +1,77 @@
+import { fromJson, type JsonValue } from "@bufbuild/protobuf";
+import { LineCounter, parseDocument } from "yaml";
+import {
+  type Declaration,
+  DeclarationSchema,
+} from "../../generated/snipepath/v1/declaration_pb.ts";
+import { checkDeclaration } from "./check_declaration.ts";
+import { readMessage } from "./read_message.ts";
+
+const MAXIMUM_FAULTS_OF_SYNTAX = 20;
+
+/** A fault of a declaration, with its place in the file. */
+export interface LocatedFault {
+  /** Counted from 1. */
+  readonly line: number;
+  /** Such as "routes[2].service"; empty for a fault of syntax. */
+  readonly field: string;
+  readonly problem: string;
+  readonly remedy: string;
+}
+
+/** A declaration, or everything that is wrong with its text. */
+export type DeclarationOutcome =
+  | { readonly kind: "ok"; readonly declaration: Declaration }
+  | { readonly kind: "invalid"; readonly faults: ReadonlyArray<LocatedFault> };
+
+/**
+ * Parses and checks a declaration.
+ * @param text - YAML text.
+ * @returns The declaration, or all faults in the order of their lines.
+ * @example
+ * ```ts
+ * const outcome = parseDeclaration("organisations:\n- name: school-3\n");
+ * ```
+ */
+export function parseDeclaration(text: string): DeclarationOutcome {
+  const lineCounter = new LineCounter();
+  const document = parseDocument(text, { lineCounter, uniqueKeys: true });
+  if (document.errors.length > 0) {
+    const faults = document.errors.slice(0, MAXIMUM_FAULTS_OF_SYNTAX)
+      .map((error) => ({
+        line: error.linePos?.[0].line ?? 1,
+        field: "",
+        problem: error.message.split("\n")[0] ?? "Not YAML",
+        remedy: "Correct the YAML syntax",
+      }));
+    return { kind: "invalid", faults };
+  }
+  const reading = readMessage(document.contents, {
+    message: DeclarationSchema,
+    toLine: (offset) => lineCounter.linePos(offset).line,
+  });
+  if (reading.faults.length > 0) return invalid(reading.faults);
+  const declaration = fromJson(DeclarationSchema, reading.json as JsonValue);
+  const faults = checkDeclaration(declaration).map((fault) => ({
+    line: findLine(reading.lines, fault.field),
+    field: fault.field,
+    problem: fault.problem,
+    remedy: fault.remedy,
+  }));
+  return faults.length > 0 ? invalid(faults) : { kind: "ok", declaration };
+}
+
+function invalid(faults: ReadonlyArray<LocatedFault>): DeclarationOutcome {
+  const ordered = [...faults].sort((left, right) => left.line - right.line);
+  return { kind: "invalid", faults: ordered };
+}
+
+function findLine(lines: ReadonlyMap<string, number>, field: string): number {
+  let path = field;
+  while (path !== "") {
+    const line = lines.get(path);
+    if (line !== undefined) return line;
+    path = path.replace(/(\.?[^.[]+|\[\d+\])$/, "");
+  }
+  return 1;
+}
--- /dev/null
+++ b/source/settings/node_setting_definitions.ts
@@ -0,0 +1,154 @@
+import type { SettingDefinition, SettingName } from "./setting_definition.ts";
+
+const LONGEST_MILLISECONDS = 86_400_000;
+
+/** All settings of a node. */
+export const NODE_SETTING_DEFINITIONS: Readonly<
+  Record<SettingName, SettingDefinition>
+> = {
+  node: {
+    kind: "text",
+    description: "Name of this node, unique among live nodes",
+    fallback: undefined,
+  },
+  failureDomain: {
+    kind: "text",
+    description: "Failure domain in which this node runs",
+    fallback: undefined,
+  },
+  region: {
+    kind: "text",
+    description: "Region in which this node runs",
+    fallback: "default",
+  },
+  callerAddress: {
+    kind: "address",
+    description: "HOST:PORT on which callers are served",
+    fallback: undefined,
+  },
+  peerAddress: {
+    kind: "address",
+    description: "HOST:PORT on which peers and operators are served",
+    fallback: undefined,
+  },
+  platformAddress: {
+    kind: "url",
+    description: "http://HOST:PORT of the platform's services",
+    fallback: undefined,
+  },
+  peerSecret: {
+    kind: "text",
+    description:
+      "Secret that peers and operators show; empty only on loopback addresses",
+    fallback: "",
+    isSecret: true,
+  },
+  leaseMilliseconds: milliseconds("How long a lease lasts", 6000, 100),
+  orderDeadlineMilliseconds: milliseconds(
+    "How long an order may be under way before it is given up",
+    2000,
+    50,
+  ),
+  usageWindowMilliseconds: milliseconds(
+    "Length of a usage window",
+    60_000,
+    200,
+  ),
+  heartbeatMilliseconds: milliseconds(
+    "Time between heartbeats on a peer stream",
+    500,
+    10,
+  ),
+  silenceMilliseconds: milliseconds(
+    "Silence after which a connection is closed and replaced",
+    2500,
+    30,
+  ),
+  keyFreshnessMilliseconds: milliseconds(
+    "Age of the knowledge about keys past which keyed requests are refused",
+    8000,
+    100,
+  ),
+  addressKeepMilliseconds: milliseconds(
+    "How long callers may keep the answer about addresses",
+    5000,
+    0,
+  ),
+  drainMilliseconds: milliseconds(
+    "How long a leaving node waits for running requests",
+    60_000,
+    0,
+  ),
+  metricsAddress: {
+    kind: "optionalAddress",
+    description: "HOST:PORT of a statsd receiver; empty for none",
+    fallback: "",
+  },
+  logLevel: choice("Lowest level of the events that are logged", "info", [
+    "error",
+    "warn",
+    "info",
+    "debug",
+  ]),
+  routingPolicy: choice("How backend servers are chosen", "expectedFinish", [
+    "roundRobin",
+    "leastOutstanding",
+    "rendezvous",
+    "expectedFinish",
+  ]),
+  admissionPolicy: choice("In which order requests start", "slackFair", [
+    "fifo",
+    "perNodeFair",
+    "slackFair",
+  ]),
+  stepTailPolicy: choice("What is done about stragglers", "hedgedTail", [
+    "none",
+    "hedgedTail",
+  ]),
+  spendPolicy: choice(
+    "How backend servers are bought",
+    "domainLossBound",
+    ["allSteady", "cheapFirst", "domainLossBound"],
+  ),
+  controlEnabled: {
+    kind: "boolean",
+    description: "Whether this node competes for leases",
+    fallback: "true",
+  },
+  peerStreams: {
+    kind: "count",
+    description: "Long-lived streams that this node opens to peers",
+    fallback: "6",
+    minimum: 1,
+    maximum: 32,
+  },
+  randomSeed: {
+    kind: "count",
+    description: "Seed of the random numbers; 0 takes one from the system",
+    fallback: "0",
+    minimum: 0,
+    maximum: 0xffff_ffff,
+  },
+};
+
+function milliseconds(
+  description: string,
+  fallback: number,
+  minimum: number,
+): SettingDefinition {
+  return {
+    kind: "milliseconds",
+    description: `${description}, in milliseconds`,
+    fallback: String(fallback),
+    minimum,
+    maximum: LONGEST_MILLISECONDS,
+  };
+}
+
+function choice(
+  description: string,
+  fallback: string,
+  choices: ReadonlyArray<string>,
+): SettingDefinition {
+  return { kind: "choice", description, fallback, choices };
+}
