--- /dev/null
+++ b/source/observability/memory_cause_ledger.ts
@@ -0,0 +1,131 @@
+import { LRUCache } from "lru-cache";
+import type { Clock } from "../utilities/clock.ts";
+import type {
+  Cause,
+  CauseLedger,
+  LedgerAnswer,
+  LedgerEntry,
+  LedgerQuery,
+  LedgerSubject,
+} from "./cause_ledger.ts";
+import type { Metrics } from "./metrics.ts";
+
+const MAXIMUM_ENTRIES = 5_000;
+
+interface ClosedEntry {
+  readonly subject: LedgerSubject;
+  readonly causes: ReadonlyMap<Cause, number>;
+  readonly missed: boolean;
+  readonly closedAt: number;
+}
+
+type Matcher = (subject: LedgerSubject, identifier: string) => boolean;
+
+const MATCHERS: Readonly<Record<LedgerQuery["subject"], Matcher>> = {
+  request: (subject, identifier) =>
+    subject.kind === "request" && subject.identifier === identifier,
+  step: (subject, identifier) =>
+    subject.kind === "step" && subject.identifier === identifier,
+  organisation: (subject, identifier) => subject.organisation === identifier,
+  service: (subject, identifier) => subject.service === identifier,
+  all: () => true,
+};
+
+/** What a ledger needs. */
+export interface MemoryCauseLedgerOptions {
+  readonly clock: Clock;
+  readonly metrics: Metrics;
+  /** Number of closed entries kept. */
+  readonly maximumEntries?: number;
+}
+
+/**
+ * Ledger that keeps its newest closed entries in memory.
+ * @example
+ * ```ts
+ * const entry = ledger.open(subject);
+ * entry.add("queue", 12);
+ * entry.close(false);
+ * ```
+ */
+export class MemoryCauseLedger implements CauseLedger {
+  readonly #clock: Clock;
+  readonly #metrics: Metrics;
+  readonly #closed: LRUCache<string, ClosedEntry>;
+
+  /** @param options - What the ledger needs. */
+  constructor(options: MemoryCauseLedgerOptions) {
+    this.#clock = options.clock;
+    this.#metrics = options.metrics;
+    this.#closed = new LRUCache({
+      max: options.maximumEntries ?? MAXIMUM_ENTRIES,
+    });
+  }
+
+  /** Opens an entry. */
+  open(subject: LedgerSubject): LedgerEntry {
+    const causes = new Map<Cause, number>();
+    let isClosed = false;
+    return {
+      add: (cause, milliseconds): void => {
+        if (isClosed || !(milliseconds > 0)) return;
+        causes.set(cause, (causes.get(cause) ?? 0) + milliseconds);
+      },
+      close: (missed): void => {
+        if (isClosed) return;
+        isClosed = true;
+        this.#keep({
+          subject,
+          causes,
+          missed,
+          closedAt: this.#clock.monotonic(),
+        });
+      },
+    };
+  }
+
+  /** Sums the entries that a query meets. */
+  explain(query: LedgerQuery): LedgerAnswer {
+    const oldest = this.#clock.monotonic() - query.withinMilliseconds;
+    const matches = MATCHERS[query.subject];
+    const met = [...this.#closed.values()].filter((entry) =>
+      entry.closedAt >= oldest && matches(entry.subject, query.identifier)
+    );
+    const missed = met.filter((entry) => entry.missed);
+    return {
+      causes: sumCauses(missed.length > 0 ? missed : met),
+      subjects: met.length,
+      targetsMissed: missed.length,
+    };
+  }
+
+  #keep(entry: ClosedEntry): void {
+    const { kind, identifier, organisation, classOfWork } = entry.subject;
+    this.#closed.set(`${kind}/${identifier}`, entry);
+    for (const [cause, milliseconds] of entry.causes) {
+      this.#metrics.histogram(`${kind}.cause.milliseconds`, milliseconds, {
+        cause,
+        organisation,
+        class: classOfWork,
+      });
+    }
+    if (entry.missed) {
+      this.#metrics.count(`${kind}.target_missed`, {
+        organisation,
+        class: classOfWork,
+      });
+    }
+  }
+}
+
+function sumCauses(
+  entries: ReadonlyArray<ClosedEntry>,
+): Readonly<Partial<Record<Cause, number>>> {
+  const sums: Partial<Record<Cause, number>> = {};
+  for (const entry of entries) {
+    for (const [cause, milliseconds] of entry.causes) {
+      sums[cause] = (sums[cause] ?? 0) + milliseconds;
+    }
+  }
+  return sums;
+}
