--- /dev/null
+++ b/source/command/command_context.ts
@@ -0,0 +1,55 @@
+import { array, flag, multioption, option, string, type Type } from "cmd-ts";
+import type { Clock } from "../utilities/clock.ts";
+import type { CommandOutput } from "./command_output.ts";
+import type { OperatorClient } from "./operator_client.ts";
+
+/** What every command works with. */
+export interface CommandContext {
+  readonly client: OperatorClient;
+  readonly output: CommandOutput;
+  readonly clock: Clock;
+  /** Whether the result is written as JSON. */
+  readonly isJson: boolean;
+}
+
+const HOST_AND_PORT = /^[^\s/]+:\d{1,5}$/;
+const ADDRESSES_VARIABLE = "SNIPEPATH_OPERATOR_NODES";
+const SECRET_VARIABLE = "SNIPEPATH_OPERATOR_SECRET";
+
+const addressType: Type<string, string> = {
+  from(text): Promise<string> {
+    if (HOST_AND_PORT.test(text)) return Promise.resolve(text);
+    return Promise.reject(new Error(`"${text}" is not HOST:PORT`));
+  },
+  displayName: "HOST:PORT",
+};
+
+/** Options that every command which asks nodes takes. */
+export const NODE_OPTIONS = {
+  nodes: multioption({
+    long: "node",
+    type: array(addressType),
+    description:
+      `Peer address of a node; may be given several times [env: ${ADDRESSES_VARIABLE}, separated by commas]`,
+  }),
+  secret: option({
+    long: "secret",
+    type: string,
+    description: "Secret that the nodes' --peer-secret states",
+    defaultValue: () => process.env[SECRET_VARIABLE] ?? "",
+  }),
+  json: flag({ long: "json", description: "Write the result as JSON" }),
+};
+
+/**
+ * Returns the nodes to ask: those of the command line, else those of the environment.
+ * @param given - Addresses of the command line.
+ */
+export function chooseAddresses(
+  given: ReadonlyArray<string>,
+): ReadonlyArray<string> {
+  if (given.length > 0) return given;
+  const variable = process.env[ADDRESSES_VARIABLE] ?? "";
+  return variable.split(",").map((each) => each.trim())
+    .filter((each) => each !== "");
+}
--- /dev/null
+++ b/source/command/command_output.ts
@@ -0,0 +1,52 @@
+/** Where a command writes. */
+export interface CommandOutput {
+  /** Writes a line of the result to the standard output. */
+  line(text: string): void;
+  /** Writes a line of progress or a problem to the standard error stream. */
+  note(text: string): void;
+}
+
+/** Output of the process. */
+export const PROCESS_OUTPUT: CommandOutput = {
+  line(text): void {
+    process.stdout.write(text + "\n");
+  },
+  note(text): void {
+    process.stderr.write(text + "\n");
+  },
+};
+
+/**
+ * Formats rows as a table with aligned columns.
+ * @param headings - The columns' headings.
+ * @param rows - The cells, as many in a row as there are headings.
+ * @example
+ * ```ts
+ * formatTable(["node", "state"], [["node-1", "live"]]);
+ * ```
+ */
+export function formatTable(
+  headings: ReadonlyArray<string>,
+  rows: ReadonlyArray<ReadonlyArray<string>>,
+): string {
+  const lines = [headings, ...rows];
+  const widths = headings.map((_, column) =>
+    Math.max(...lines.map((line) => (line[column] ?? "").length))
+  );
+  return lines.map((line) =>
+    line.map((cell, column) => cell.padEnd(widths[column] ?? 0)).join("  ")
+      .trimEnd()
+  ).join("\n");
+}
+
+/**
+ * Formats a value as JSON, with 64-bit integers as text.
+ * @param value - The value.
+ */
+export function formatJson(value: unknown): string {
+  return JSON.stringify(
+    value,
+    (_, part: unknown) => typeof part === "bigint" ? part.toString() : part,
+    2,
+  );
+}
--- /dev/null
+++ b/source/command/drain_command.ts
@@ -0,0 +1,38 @@
+import type { CommandContext } from "./command_context.ts";
+import { EXIT_STATUS, type ExitStatus } from "./exit_status.ts";
+
+/**
+ * Makes a node leave: callers are sent elsewhere, running requests end in peace.
+ * @param context - What the command works with.
+ * @param node - Name of the node.
+ */
+export async function runDrain(
+  context: CommandContext,
+  node: string,
+): Promise<ExitStatus> {
+  const status = await context.client.call((each) => each.getStatus({}));
+  if (status.kind === "unavailable") {
+    context.output.note(`No node answered: ${status.reason}`);
+    return EXIT_STATUS.unavailable;
+  }
+  const found = status.value.nodes.find((each) => each.node === node);
+  if (found === undefined) {
+    const names = status.value.nodes.map((each) => each.node).join(", ");
+    context.output.note(`No node "${node}"; live nodes are ${names}`);
+    return EXIT_STATUS.invalid;
+  }
+  const answer = await context.client.callNode(
+    found.address,
+    (each) => each.drain({ node }),
+  );
+  if (answer.kind === "unavailable") {
+    context.output.note(
+      `${node} did not answer (${answer.reason}); look at \`snipepath status\` and run the command again`,
+    );
+    return EXIT_STATUS.unavailable;
+  }
+  context.output.line(
+    `${node} is leaving; ${answer.value.runningRequests} requests are running there`,
+  );
+  return EXIT_STATUS.done;
+}
--- /dev/null
+++ b/source/command/explain_command.ts
@@ -0,0 +1,125 @@
+import type { ExplainResponse } from "../../generated/snipepath/v1/operator_pb.ts";
+import type { CommandContext } from "./command_context.ts";
+import { formatJson, formatTable } from "./command_output.ts";
+import { EXIT_STATUS, type ExitStatus } from "./exit_status.ts";
+
+const PERMILLE = 1000;
+const ORDINARY_CAUSE = "generation";
+
+/** What is explained. */
+export interface ExplainOptions {
+  readonly subject: string;
+  readonly identifier: string;
+  readonly withinSeconds: number;
+}
+
+/** Time by cause over all nodes that answered. */
+export interface Explanation {
+  readonly causes: ReadonlyArray<
+    { readonly cause: string; readonly milliseconds: number }
+  >;
+  readonly subjects: number;
+  readonly targetsMissed: number;
+  /** Cause with the largest share, generation aside; empty when there is none. */
+  readonly condition: string;
+  /** Nodes that did not answer. */
+  readonly silentNodes: ReadonlyArray<string>;
+}
+
+/**
+ * Names the condition behind missed targets, over the ledgers of all nodes.
+ * @param context - What the command works with.
+ * @param options - What is explained.
+ */
+export async function runExplain(
+  context: CommandContext,
+  options: ExplainOptions,
+): Promise<ExitStatus> {
+  const status = await context.client.call((node) => node.getStatus({}));
+  if (status.kind === "unavailable") {
+    context.output.note(`No node answered: ${status.reason}`);
+    return EXIT_STATUS.unavailable;
+  }
+  const addresses = status.value.nodes.map((node) => node.address);
+  const answers = await Promise.all(
+    addresses.map((address) => askNode(context, address, options)),
+  );
+  const explanation = combineExplanations(
+    answers.filter((answer) => answer !== undefined),
+    addresses.filter((_, index) => answers[index] === undefined),
+  );
+  context.output.line(
+    context.isJson ? formatJson(explanation) : formatExplanation(explanation),
+  );
+  return EXIT_STATUS.done;
+}
+
+async function askNode(
+  context: CommandContext,
+  address: string,
+  options: ExplainOptions,
+): Promise<ExplainResponse | undefined> {
+  const since = context.clock.wall() - options.withinSeconds * 1000;
+  const answer = await context.client.callNode(address, (node) =>
+    node.explain({
+      subject: options.subject,
+      identifier: options.identifier,
+      sinceUnixMilliseconds: BigInt(Math.floor(since)),
+    }));
+  return answer.kind === "ok" ? answer.value : undefined;
+}
+
+/**
+ * Sums the answers of several nodes.
+ * @param answers - The answers.
+ * @param silentNodes - Nodes that did not answer.
+ */
+export function combineExplanations(
+  answers: ReadonlyArray<ExplainResponse>,
+  silentNodes: ReadonlyArray<string>,
+): Explanation {
+  const sums = new Map<string, number>();
+  for (const share of answers.flatMap((answer) => answer.causes)) {
+    const sum = sums.get(share.cause) ?? 0;
+    sums.set(share.cause, sum + Number(share.milliseconds));
+  }
+  const causes = [...sums].map(([cause, milliseconds]) => ({
+    cause,
+    milliseconds,
+  })).sort((left, right) => right.milliseconds - left.milliseconds);
+  const condition = causes.find((each) => each.cause !== ORDINARY_CAUSE);
+  return {
+    causes,
+    subjects: sumOf(answers, (answer) => answer.subjects),
+    targetsMissed: sumOf(answers, (answer) => answer.targetsMissed),
+    condition: condition?.cause ?? "",
+    silentNodes,
+  };
+}
+
+function sumOf(
+  answers: ReadonlyArray<ExplainResponse>,
+  pick: (answer: ExplainResponse) => number,
+): number {
+  return answers.reduce((sum, answer) => sum + pick(answer), 0);
+}
+
+function formatExplanation(explanation: Explanation): string {
+  const total = explanation.causes.reduce(
+    (sum, each) => sum + each.milliseconds,
+    0,
+  );
+  const table = formatTable(
+    ["condition", "time", "share"],
+    explanation.causes.map((each) => [
+      each.cause,
+      `${each.milliseconds} ms`,
+      `${Math.round(PERMILLE * each.milliseconds / Math.max(total, 1)) / 10} %`,
+    ]),
+  );
+  const silent = explanation.silentNodes.length === 0
+    ? ""
+    : `\nNo answer from ${explanation.silentNodes.join(", ")}`;
+  return `${explanation.targetsMissed} of ${explanation.subjects} missed their target` +
+    `\nCondition: ${explanation.condition || "none"}\n${table}${silent}`;
+}
--- /dev/null
+++ b/source/command/key_commands.ts
@@ -0,0 +1,99 @@
+import type { CommandContext } from "./command_context.ts";
+import { formatJson } from "./command_output.ts";
+import { EXIT_STATUS, type ExitStatus } from "./exit_status.ts";
+
+/** Which key is given. */
+export interface GiveKeyOptions {
+  readonly organisation: string;
+  readonly isTrainer: boolean;
+}
+
+/**
+ * Gives a key and shows it this once.
+ * @param context - What the command works with.
+ * @param options - Which key is given.
+ */
+export async function runGiveKey(
+  context: CommandContext,
+  options: GiveKeyOptions,
+): Promise<ExitStatus> {
+  const answer = await context.client.callOnce((node) =>
+    node.giveKey({
+      organisation: options.organisation,
+      trainer: options.isTrainer,
+    })
+  );
+  if (answer.kind === "unavailable") {
+    context.output.note(
+      `No answer (${answer.reason}); a key that nobody has seen may have been given. ` +
+        "Run the command again; the other key can't be used without its secret",
+    );
+    return EXIT_STATUS.unavailable;
+  }
+  const { outcome, keyIdentifier } = answer.value;
+  if (outcome.case === "invalid") {
+    context.output.note(`${outcome.value.problem}. ${outcome.value.remedy}.`);
+    return EXIT_STATUS.invalid;
+  }
+  if (outcome.case !== "key") {
+    context.output.note(
+      `The platform's table did not answer (${
+        outcome.value?.reason ?? "no outcome"
+      }); try again later`,
+    );
+    return EXIT_STATUS.unavailable;
+  }
+  context.output.line(
+    context.isJson
+      ? formatJson({ key: outcome.value, keyIdentifier })
+      : outcome.value,
+  );
+  context.output.note(
+    `Key ${keyIdentifier} given to ${options.organisation}; it is not shown again`,
+  );
+  return EXIT_STATUS.done;
+}
+
+/**
+ * Withdraws a key and shows which nodes confirmed.
+ * @param context - What the command works with.
+ * @param keyIdentifier - The part of the key between its first and last underscore.
+ */
+export async function runWithdrawKey(
+  context: CommandContext,
+  keyIdentifier: string,
+): Promise<ExitStatus> {
+  const answer = await context.client.call((node) =>
+    node.withdrawKey({ keyIdentifier })
+  );
+  if (answer.kind === "unavailable") {
+    context.output.note(
+      `No node answered (${answer.reason}); the key may still work. Run the command again`,
+    );
+    return EXIT_STATUS.unavailable;
+  }
+  const { confirmedNodes, silentNodes, saved, streamsCut } = answer.value;
+  if (context.isJson) {
+    context.output.line(
+      formatJson({ confirmedNodes, silentNodes, saved, streamsCut }),
+    );
+  } else {
+    context.output.line(`Confirmed by ${confirmedNodes.join(", ") || "none"}`);
+    context.output.line(`Streams cut: ${streamsCut}`);
+    if (silentNodes.length > 0) {
+      context.output.line(
+        `Silent: ${
+          silentNodes.join(", ")
+        }; they refuse every key once their knowledge is older than --key-freshness-milliseconds`,
+      );
+    }
+    if (!saved) {
+      context.output.line(
+        "Not in the platform's table yet; the nodes keep trying to save it",
+      );
+    }
+  }
+  return silentNodes.length === 0 && saved
+    ? EXIT_STATUS.done
+    : EXIT_STATUS.lagging;
+}
--- /dev/null
+++ b/source/command/load_declaration_file.ts
@@ -0,0 +1,48 @@
+import { readFile } from "node:fs/promises";
+import type { Declaration } from "../../generated/snipepath/v1/declaration_pb.ts";
+import {
+  type LocatedFault,
+  parseDeclaration,
+} from "../declarations/declaration_document.ts";
+import { type CommandOutput, formatJson } from "./command_output.ts";
+
+/** Where a declaration's faults are written. */
+export interface LoadDeclarationOptions {
+  readonly output: CommandOutput;
+  readonly isJson: boolean;
+}
+
+/**
+ * Loads and checks a declaration, and writes every fault of it.
+ * @param path - The file's path.
+ * @param options - Where faults are written.
+ * @returns The declaration; undefined when the file is missing or at fault.
+ */
+export async function loadDeclarationFile(
+  path: string,
+  options: LoadDeclarationOptions,
+): Promise<Declaration | undefined> {
+  const text = await readFile(path, "utf8").catch((error: Error) => error);
+  if (typeof text !== "string") {
+    options.output.note(`Can't read ${path}: ${text.message}`);
+    return undefined;
+  }
+  const outcome = parseDeclaration(text);
+  if (outcome.kind === "ok") return outcome.declaration;
+  if (options.isJson) {
+    options.output.line(formatJson({ faults: outcome.faults }));
+  } else {
+    for (const fault of outcome.faults) {
+      options.output.line(`${path}:${fault.line}: ${formatFault(fault)}`);
+    }
+  }
+  options.output.note(
+    `${outcome.faults.length} faults in ${path}; nothing was changed`,
+  );
+  return undefined;
+}
+
+function formatFault(fault: LocatedFault): string {
+  const field = fault.field === "" ? "" : `${fault.field}: `;
+  return `${field}${fault.problem}. ${fault.remedy}.`;
+}
