--- a/source/programs/snipepath.ts
+++ b/source/programs/snipepath.ts
@@ -7,7 +7,7 @@
   option,
   optional,
   positional,
-  run,
+  runSafely,
   string,
   subcommands,
 } from "cmd-ts";
@@ -246,4 +246,12 @@
   },
 });
 
-void run(binary(program), process.argv);
+async function main(): Promise<void> {
+  const outcome = await runSafely(binary(program), process.argv);
+  if (outcome._tag === "ok") return;
+  const { message, exitCode, into } = outcome.error.config;
+  process[into].write(message + "\n");
+  process.exitCode = exitCode === 0 ? EXIT_STATUS.done : EXIT_STATUS.usage;
+}
+
+void main();
