--- /dev/null
+++ b/source/operators/operator_service.ts
@@ -0,0 +1,205 @@
+import { create } from "@bufbuild/protobuf";
+import type { ConnectRouter, ServiceImpl } from "@connectrpc/connect";
+import {
+  type ApplyConfigurationRequest,
+  ApplyConfigurationResponseSchema,
+  type ExplainRequest,
+  ExplainResponseSchema,
+  type GiveKeyRequest,
+  GiveKeyResponseSchema,
+  OperatorService,
+  type WithdrawKeyRequest,
+  WithdrawKeyResponseSchema,
+} from "../../generated/snipepath/v1/operator_pb.ts";
+import { checkDeclaration } from "../declarations/check_declaration.ts";
+import type { ConfigurationView } from "../membership/configuration_view.ts";
+import type { NodeContext } from "../node/node_context.ts";
+import type { LedgerQuery } from "../observability/cause_ledger.ts";
+import type { ConfigurationWriter } from "./configuration_writer.ts";
+import type { KeyIssuer } from "./key_issuer.ts";
+import { readStatus, type StatusSources } from "./read_status.ts";
+
+type Implementation = ServiceImpl<typeof OperatorService>;
+type Method<Name extends keyof Implementation> = Implementation[Name];
+
+const PERMILLE = 1000;
+const MAXIMUM_HISTORY = 200;
+const ORDINARY_CAUSE = "generation";
+const SUBJECTS: ReadonlyArray<LedgerQuery["subject"]> = [
+  "request",
+  "step",
+  "organisation",
+  "service",
+  "all",
+];
+
+/** What the operators' service works with. */
+export interface OperatorServiceOptions extends StatusSources {
+  readonly context: NodeContext;
+  readonly configuration: ConfigurationView;
+  readonly writer: ConfigurationWriter;
+  readonly keys: KeyIssuer;
+  /** Starts leaving; returns the number of running requests. */
+  readonly startDrain: () => number;
+}
+
+/**
+ * Adds the operators' service to a node's peer server.
+ * @param router - The server's router.
+ * @param options - What the service works with.
+ * @example
+ * ```ts
+ * startPeerServer({ registerRoutes: [(router) => addOperatorService(router, options)] });
+ * ```
+ */
+export function addOperatorService(
+  router: ConnectRouter,
+  options: OperatorServiceOptions,
+): void {
+  router.service(OperatorService, {
+    getConfiguration: () => {
+      const record = options.configuration.current();
+      return record === undefined ? {} : { record };
+    },
+    applyConfiguration: createApply(options),
+    getHistory: async (request) => {
+      const maximum = Math.min(request.maximum || 1, MAXIMUM_HISTORY);
+      return { records: [...await options.writer.history(maximum)] };
+    },
+    getStatus: () => readStatus(options),
+    giveKey: createGiveKey(options),
+    withdrawKey: createWithdrawKey(options),
+    drain: () => ({
+      node: options.context.settings.node,
+      runningRequests: options.startDrain(),
+    }),
+    explain: createExplain(options),
+  });
+}
+
+function createApply(
+  options: OperatorServiceOptions,
+): Method<"applyConfiguration"> {
+  return async (request: ApplyConfigurationRequest) => {
+    const { declaration } = request;
+    if (declaration === undefined) {
+      return respondInvalid([{
+        field: "declaration",
+        problem: "Missing",
+        remedy: "Send a declaration",
+      }]);
+    }
+    const faults = checkDeclaration(declaration);
+    if (faults.length > 0) return respondInvalid(faults);
+    const outcome = await options.writer.apply(declaration, {
+      expectedRevision: Number(request.expectedRevision),
+      note: request.note,
+    });
+    if (outcome.kind !== "unavailable") {
+      return create(ApplyConfigurationResponseSchema, {
+        outcome: { case: outcome.kind, value: outcome.record },
+      });
+    }
+    const { reason, unknown } = outcome;
+    return create(ApplyConfigurationResponseSchema, {
+      outcome: { case: "unavailable", value: { reason, unknown } },
+    });
+  };
+}
+
+function respondInvalid(
+  faults: ReadonlyArray<
+    {
+      readonly field: string;
+      readonly problem: string;
+      readonly remedy: string;
+    }
+  >,
+): ReturnType<typeof create<typeof ApplyConfigurationResponseSchema>> {
+  return create(ApplyConfigurationResponseSchema, {
+    outcome: {
+      case: "invalid",
+      value: {
+        faults: faults.map(({ field, problem, remedy }) => ({
+          field,
+          problem,
+          remedy,
+        })),
+      },
+    },
+  });
+}
+
+function createGiveKey(options: OperatorServiceOptions): Method<"giveKey"> {
+  return async (request: GiveKeyRequest) => {
+    const organisations = options.configuration.current()?.declaration
+      ?.organisations ?? [];
+    if (!organisations.some((each) => each.name === request.organisation)) {
+      return create(GiveKeyResponseSchema, {
+        outcome: {
+          case: "invalid",
+          value: {
+            field: "organisation",
+            problem: `"${request.organisation}" is not declared`,
+            remedy: "Declare the organisation and apply the declaration first",
+          },
+        },
+      });
+    }
+    const outcome = await options.keys.give({
+      organisation: request.organisation,
+      trainer: request.trainer,
+    });
+    if (outcome.kind === "given") {
+      return create(GiveKeyResponseSchema, {
+        outcome: { case: "key", value: outcome.key },
+        keyIdentifier: outcome.keyIdentifier,
+      });
+    }
+    return create(GiveKeyResponseSchema, {
+      outcome: {
+        case: "unavailable",
+        value: { reason: outcome.reason, unknown: false },
+      },
+    });
+  };
+}
+
+function createWithdrawKey(
+  options: OperatorServiceOptions,
+): Method<"withdrawKey"> {
+  return async (request: WithdrawKeyRequest) => {
+    const outcome = await options.keys.withdraw(request.keyIdentifier);
+    return create(WithdrawKeyResponseSchema, {
+      confirmedNodes: [...outcome.confirmed],
+      silentNodes: [...outcome.silent],
+      saved: outcome.saved,
+      streamsCut: outcome.streamsCut,
+    });
+  };
+}
+
+function createExplain(options: OperatorServiceOptions): Method<"explain"> {
+  return (request: ExplainRequest) => {
+    const { clock, ledger } = options.context;
+    const subject = SUBJECTS.find((each) => each === request.subject) ?? "all";
+    const answer = ledger.explain({
+      subject,
+      identifier: request.identifier,
+      withinMilliseconds: clock.wall() - Number(request.sinceUnixMilliseconds),
+    });
+    const causes = Object.entries(answer.causes)
+      .sort(([, left], [, right]) => right - left);
+    const total = causes.reduce((sum, [, time]) => sum + time, 0);
+    return create(ExplainResponseSchema, {
+      causes: causes.map(([cause, time]) => ({
+        cause,
+        milliseconds: BigInt(Math.round(time)),
+        sharePermille: Math.round(PERMILLE * time / Math.max(total, 1)),
+      })),
+      subjects: answer.subjects,
+      targetsMissed: answer.targetsMissed,
+      condition: causes.find(([cause]) => cause !== ORDINARY_CAUSE)?.[0] ?? "",
+    });
+  };
+}
