--- /dev/null
+++ b/scripts/write_pages.mjs
@@ -0,0 +1,7 @@
+// Writes the pages that are generated from the built program.
+import { writeFileSync } from "node:fs";
+import { GENERATED_PAGES } from "../build/source/pages/generated_pages.js";
+
+for (const [path, format] of Object.entries(GENERATED_PAGES)) {
+  writeFileSync(path, format());
+}
