--- /dev/null
+++ b/source/platform/http_orders_client.ts
@@ -0,0 +1,44 @@
+import type {
+  OrderResult,
+  OrdersClient,
+  ServerOrder,
+} from "./orders_client.ts";
+import { asObject, type JsonObject, readAnswer } from "./platform_answer.ts";
+import type { PlatformConnection } from "./platform_connection.ts";
+import type { PlatformOutcome } from "./platform_outcome.ts";
+
+type ResultReader = (result: JsonObject) => OrderResult | undefined;
+
+const RESULT_READERS: Readonly<Record<string, ResultReader>> = {
+  accepted: ({ server }) =>
+    typeof server === "string" ? { kind: "accepted", server } : undefined,
+  noCapacity: () => ({ kind: "noCapacity" }),
+  fenced: ({ highest }) =>
+    typeof highest === "number" ? { kind: "fenced", highest } : undefined,
+};
+
+/** Orders of backend servers over HTTP and JSON. */
+export class HttpOrdersClient implements OrdersClient {
+  readonly #connection: PlatformConnection;
+
+  /** @param connection - Connections to the platform. */
+  constructor(connection: PlatformConnection) {
+    this.#connection = connection;
+  }
+
+  /** Places an order; the same idempotency key returns the first result. */
+  async place(order: ServerOrder): Promise<PlatformOutcome<OrderResult>> {
+    const outcome = await this.#connection.call({
+      method: "POST",
+      path: "/orders",
+      body: JSON.stringify(order),
+    });
+    return readAnswer(outcome, readResult);
+  }
+}
+
+function readResult(json: unknown): OrderResult | undefined {
+  const result = asObject(json);
+  if (result === undefined) return undefined;
+  return RESULT_READERS[String(result["kind"])]?.(result);
+}
--- /dev/null
+++ b/source/platform/http_usage_report_client.ts
@@ -0,0 +1,37 @@
+import { asObject, readAnswer } from "./platform_answer.ts";
+import type { PlatformConnection } from "./platform_connection.ts";
+import type { PlatformOutcome } from "./platform_outcome.ts";
+import type {
+  UsageReport,
+  UsageReportClient,
+  UsageReportResult,
+} from "./usage_report_client.ts";
+
+/** Usage reports over HTTP and JSON. */
+export class HttpUsageReportClient implements UsageReportClient {
+  readonly #connection: PlatformConnection;
+
+  /** @param connection - Connections to the platform. */
+  constructor(connection: PlatformConnection) {
+    this.#connection = connection;
+  }
+
+  /** Sends the report of a window. */
+  async report(
+    report: UsageReport,
+  ): Promise<PlatformOutcome<UsageReportResult>> {
+    const outcome = await this.#connection.call({
+      method: "POST",
+      path: "/usage-reports",
+      body: JSON.stringify(report),
+    });
+    return readAnswer(outcome, readResult);
+  }
+}
+
+function readResult(json: unknown): UsageReportResult | undefined {
+  const result = asObject(json);
+  if (result?.["kind"] === "accepted") return { kind: "accepted" };
+  if (result?.["kind"] !== "contradiction") return undefined;
+  return { kind: "contradiction", detail: String(result["detail"]) };
+}
--- /dev/null
+++ b/source/platform/platform_answer.ts
@@ -0,0 +1,83 @@
+import type { PlatformHttpAnswer } from "./platform_connection.ts";
+import type { PlatformFailure, PlatformOutcome } from "./platform_outcome.ts";
+
+const REFUSED_STATUSES: ReadonlySet<number> = new Set([
+  400,
+  401,
+  403,
+  405,
+  413,
+  429,
+  503,
+]);
+
+/** Reads a parsed JSON value; undefined when its shape is wrong. */
+export type AnswerReader<Value> = (json: unknown) => Value | undefined;
+
+/** An object of a JSON answer. */
+export type JsonObject = Readonly<Record<string, unknown>>;
+
+/**
+ * Reads the value of an answer with status 200.
+ * @param outcome - The call's outcome.
+ * @param read - Reads the JSON body.
+ * @returns The value; `notRun` when the platform refused, else `unknown`.
+ * @example
+ * ```ts
+ * const rows = readAnswer(outcome, (json) => isRows(json) ? json : undefined);
+ * ```
+ */
+export function readAnswer<Value>(
+  outcome: PlatformOutcome<PlatformHttpAnswer>,
+  read: AnswerReader<Value>,
+): PlatformOutcome<Value> {
+  if (outcome.kind !== "ok") return outcome;
+  if (outcome.value.status !== 200) return toFailure(outcome.value);
+  return readJson(outcome.value, read);
+}
+
+/** Reads an answer's JSON body whatever its status. */
+export function readJson<Value>(
+  answer: PlatformHttpAnswer,
+  read: AnswerReader<Value>,
+): PlatformOutcome<Value> {
+  const value = read(parse(answer.body));
+  if (value === undefined) {
+    return { kind: "unknown", reason: "The answer's body is malformed" };
+  }
+  return { kind: "ok", value };
+}
+
+/** Tells what an answer with an unexpected status means for the call. */
+export function toFailure(answer: PlatformHttpAnswer): PlatformFailure {
+  const reason = `The platform answered with status ${answer.status}`;
+  const kind = REFUSED_STATUSES.has(answer.status) ? "notRun" : "unknown";
+  return { kind, reason };
+}
+
+/** Returns a value as an object; undefined when it is none. */
+export function asObject(json: unknown): JsonObject | undefined {
+  const isObject = typeof json === "object" && json !== null &&
+    !Array.isArray(json);
+  return isObject ? json as JsonObject : undefined;
+}
+
+/** Reads each entry of an array; undefined when one is malformed. */
+export function readArray<Value>(
+  json: unknown,
+  read: AnswerReader<Value>,
+): ReadonlyArray<Value> | undefined {
+  if (!Array.isArray(json)) return undefined;
+  const values = json.map(read);
+  return values.every((value) => value !== undefined)
+    ? values as Value[]
+    : undefined;
+}
+
+function parse(body: Buffer): unknown {
+  try {
+    return JSON.parse(body.toString());
+  } catch {
+    return undefined;
+  }
+}
