--- /dev/null
+++ b/experiments/deployment/child_process.ts
@@ -0,0 +1,116 @@
+import { type ChildProcess, spawn } from "node:child_process";
+import { once } from "node:events";
+import { createWriteStream } from "node:fs";
+import { createInterface } from "node:readline";
+
+const START_TIMEOUT_MILLISECONDS = 20_000;
+const KEPT_LINES = 40;
+
+/** How a process is started. */
+export interface StartOptions {
+  readonly name: string;
+  /** Path of the program's file. */
+  readonly program: string;
+  readonly arguments: ReadonlyArray<string>;
+  /** File for the log; none keeps only the newest lines. */
+  readonly logFile?: string;
+  /** Text at the start of the line that tells readiness. */
+  readonly readyPrefix: string;
+}
+
+/** A process of a deployment. */
+export interface RunningProcess {
+  readonly name: string;
+  readonly child: ChildProcess;
+  /** The rest of the line that told readiness. */
+  readonly ready: string;
+  /** Newest lines of its log. */
+  readonly lines: ReadonlyArray<string>;
+  /** Ends it with a signal and waits until it has ended; returns its exit status. */
+  end(signal: NodeJS.Signals): Promise<number | null>;
+}
+
+/**
+ * Starts a process and waits until it tells that it is ready.
+ * @param options - How it is started.
+ * @throws When it ends or stays silent before it is ready.
+ * @example
+ * ```ts
+ * const platform = await startProcess({
+ *   name: "platform",
+ *   program: "build/bin/snipepath-stand-in.cjs",
+ *   arguments: ["platform"],
+ *   readyPrefix: "listening ",
+ * });
+ * ```
+ */
+export async function startProcess(
+  options: StartOptions,
+): Promise<RunningProcess> {
+  const child = spawn(process.execPath, [
+    "--enable-source-maps",
+    options.program,
+    ...options.arguments,
+  ], { stdio: ["ignore", "pipe", "pipe"] });
+  const lines: string[] = [];
+  keepLines(child, lines, options.logFile);
+  const ended = once(child, "exit");
+  const ready = await waitForReadiness(child, options, lines);
+  return {
+    name: options.name,
+    child,
+    ready,
+    lines,
+    end: async (signal) => {
+      child.kill(signal);
+      await ended;
+      return child.exitCode;
+    },
+  };
+}
+
+function keepLines(
+  child: ChildProcess,
+  lines: string[],
+  logFile: string | undefined,
+): void {
+  const file = logFile === undefined
+    ? undefined
+    : createWriteStream(logFile, { flags: "a" });
+  if (child.stderr === null) return;
+  createInterface({ input: child.stderr }).on("line", (line) => {
+    file?.write(line + "\n");
+    lines.push(line);
+    if (lines.length > KEPT_LINES) lines.shift();
+  });
+  child.once("close", () => file?.end());
+}
+
+function waitForReadiness(
+  child: ChildProcess,
+  options: StartOptions,
+  lines: ReadonlyArray<string>,
+): Promise<string> {
+  return new Promise((resolve, reject) => {
+    function fail(reason: string): void {
+      child.kill("SIGKILL");
+      reject(new Error(`${options.name} ${reason}\n${lines.join("\n")}`));
+    }
+    const timer = setTimeout(
+      () => fail("was not ready in time"),
+      START_TIMEOUT_MILLISECONDS,
+    );
+    function onExit(status: number | null): void {
+      clearTimeout(timer);
+      fail(`ended with status ${status}`);
+    }
+    child.once("exit", onExit);
+    if (child.stdout === null) return;
+    createInterface({ input: child.stdout }).on("line", (line) => {
+      if (!line.startsWith(options.readyPrefix)) return;
+      clearTimeout(timer);
+      child.off("exit", onExit);
+      resolve(line.slice(options.readyPrefix.length));
+    });
+  });
+}
--- /dev/null
+++ b/experiments/deployment/deployment.ts
@@ -0,0 +1,256 @@
+import { spawn } from "node:child_process";
+import { createServer } from "node:net";
+import { once } from "node:events";
+import { type RunningProcess, startProcess } from "./child_process.ts";
+import type { DeploymentLayout } from "./layout.ts";
+
+const STAND_IN_PROGRAM = "build/bin/snipepath-stand-in.cjs";
+const NODE_PROGRAM = "build/bin/snipepath-node.cjs";
+const COMMAND_PROGRAM = "build/bin/snipepath.cjs";
+const LISTENING = "listening ";
+
+/** How a deployment is started. */
+export interface DeploymentOptions {
+  readonly layout: DeploymentLayout;
+  readonly nodes: number;
+  /** Flags of every node, besides names and addresses. */
+  readonly nodeFlags?: ReadonlyArray<string>;
+  /** Flags of every engine. */
+  readonly engineFlags?: ReadonlyArray<string>;
+  /** Flags of the platform's stand-in. */
+  readonly platformFlags?: ReadonlyArray<string>;
+  /** Folder for the logs; none keeps only the newest lines in memory. */
+  readonly logFolder?: string;
+}
+
+/** A running backend server. */
+export interface RunningServer {
+  readonly address: string;
+  readonly service: string;
+  readonly failureDomain: string;
+  process: RunningProcess;
+}
+
+/** A running node. */
+export interface RunningNode {
+  readonly name: string;
+  readonly failureDomain: string;
+  readonly callerAddress: string;
+  readonly peerAddress: string;
+  process: RunningProcess;
+}
+
+/** What a finished command wrote. */
+export interface CommandResult {
+  readonly status: number | null;
+  readonly output: string;
+}
+
+/**
+ * A deployment on loopback, each part a process of its own.
+ * @example
+ * ```ts
+ * const deployment = await Deployment.start({ layout: LAYOUTS.atbr, nodes: 3 });
+ * await deployment.runCommand(["status"]);
+ * await deployment.stop();
+ * ```
+ */
+export class Deployment {
+  readonly #options: DeploymentOptions;
+  /** The platform's stand-in. */
+  readonly platform: RunningProcess;
+  /** Backend servers, which live until `stop`. */
+  readonly servers: RunningServer[] = [];
+  /** Nodes by their order of start. */
+  readonly nodes: RunningNode[] = [];
+
+  private constructor(options: DeploymentOptions, platform: RunningProcess) {
+    this.#options = options;
+    this.platform = platform;
+  }
+
+  /**
+   * Starts platform, backend servers and nodes.
+   * @param options - How the deployment is started.
+   */
+  static async start(options: DeploymentOptions): Promise<Deployment> {
+    const platform = await startProcess({
+      name: "platform",
+      program: STAND_IN_PROGRAM,
+      arguments: ["platform", ...options.platformFlags ?? []],
+      readyPrefix: LISTENING,
+      ...logFileOf(options, "platform"),
+    });
+    const deployment = new Deployment(options, platform);
+    try {
+      await deployment.#startServers();
+      await Promise.all(
+        Array.from(
+          { length: options.nodes },
+          (_, index) => deployment.startNode(index),
+        ),
+      );
+    } catch (error) {
+      await deployment.stop();
+      throw error;
+    }
+    deployment.nodes.sort((left, right) => left.name.localeCompare(right.name));
+    return deployment;
+  }
+
+  /** HOST:PORT of the platform. */
+  get platformAddress(): string {
+    return this.platform.ready;
+  }
+
+  /**
+   * Starts one node; an index that was used before gets the same name and new addresses.
+   * @param index - The node's index.
+   */
+  async startNode(index: number): Promise<RunningNode> {
+    const { layout, nodeFlags } = this.#options;
+    const name = `node-${index + 1}`;
+    const failureDomain = pick(layout.failureDomains, index);
+    const callerAddress = await findFreeAddress();
+    const peerAddress = await findFreeAddress();
+    const process = await startProcess({
+      name,
+      program: NODE_PROGRAM,
+      arguments: [
+        `--node=${name}`,
+        `--failure-domain=${failureDomain}`,
+        `--region=${layout.region}`,
+        `--caller-address=${callerAddress}`,
+        `--peer-address=${peerAddress}`,
+        `--platform-address=http://${this.platformAddress}`,
+        ...nodeFlags ?? [],
+      ],
+      readyPrefix: LISTENING,
+      ...logFileOf(this.#options, name),
+    });
+    const node = { name, failureDomain, callerAddress, peerAddress, process };
+    const position = this.nodes.findIndex((each) => each.name === name);
+    if (position >= 0) this.nodes[position] = node;
+    else this.nodes.push(node);
+    return node;
+  }
+
+  /**
+   * Runs the operators' command against all nodes.
+   * @param commandArguments - Its arguments.
+   */
+  async runCommand(
+    commandArguments: ReadonlyArray<string>,
+  ): Promise<CommandResult> {
+    const child = spawn(process.execPath, [
+      COMMAND_PROGRAM,
+      ...commandArguments,
+    ], {
+      env: {
+        ...process.env,
+        SNIPEPATH_OPERATOR_NODES: this.nodes.map((node) => node.peerAddress)
+          .join(","),
+      },
+      stdio: ["ignore", "pipe", "pipe"],
+    });
+    let output = "";
+    let problems = "";
+    child.stdout.on("data", (chunk) => output += String(chunk));
+    child.stderr.on("data", (chunk) => problems += String(chunk));
+    await once(child, "close");
+    if (child.exitCode !== 0) output += problems;
+    return { status: child.exitCode, output };
+  }
+
+  /** Ends every process. */
+  async stop(): Promise<void> {
+    const processes = [
+      ...this.nodes.map((node) => node.process),
+      ...this.servers.map((server) => server.process),
+      this.platform,
+    ];
+    await Promise.all(processes.map((each) => each.end("SIGKILL")));
+  }
+
+  async #startServers(): Promise<void> {
+    const { layout } = this.#options;
+    const wanted = layout.services.flatMap((service) =>
+      Array.from({ length: service.servers }, (_, index) => ({
+        service,
+        failureDomain: pick(layout.failureDomains, index),
+        name: `${service.name}-${index + 1}`,
+      }))
+    );
+    await Promise.all(wanted.map(async ({ service, failureDomain, name }) => {
+      const isModel = service.kind === "model";
+      const process = await startProcess({
+        name,
+        program: STAND_IN_PROGRAM,
+        arguments: isModel
+          ? [
+            "engine",
+            `--weight-store=http://${this.platformAddress}`,
+            ...this.#options.engineFlags ?? [],
+          ]
+          : ["plain"],
+        readyPrefix: LISTENING,
+        ...logFileOf(this.#options, name),
+      });
+      this.servers.push({
+        address: process.ready,
+        service: service.name,
+        failureDomain,
+        process,
+      });
+      await this.#registerServer(process.ready, service.name, failureDomain);
+    }));
+  }
+
+  async #registerServer(
+    address: string,
+    service: string,
+    failureDomain: string,
+  ): Promise<void> {
+    const answer = await fetch(`http://${this.platformAddress}/instances`, {
+      method: "POST",
+      headers: { "content-type": "application/json" },
+      body: JSON.stringify({
+        kind: "backendServer",
+        name: address,
+        address,
+        failureDomain,
+        service,
+        tier: "steady",
+        leaving: false,
+        microsPerHour: 1_000_000,
+        permanent: true,
+      }),
+    });
+    if (!answer.ok) throw new Error(`Can't register ${address}`);
+    await answer.arrayBuffer();
+  }
+}
+
+function pick(values: ReadonlyArray<string>, index: number): string {
+  return values[index % values.length] ?? "";
+}
+
+function logFileOf(
+  options: DeploymentOptions,
+  name: string,
+): { readonly logFile?: string } {
+  return options.logFolder === undefined
+    ? {}
+    : { logFile: `${options.logFolder}/${name}.log` };
+}
+
+async function findFreeAddress(): Promise<string> {
+  const server = createServer();
+  server.listen(0, "127.0.0.1");
+  await once(server, "listening");
+  const address = server.address();
+  const port = typeof address === "object" ? address?.port ?? 0 : 0;
+  server.close();
+  await once(server, "close");
+  return `127.0.0.1:${port}`;
+}
--- /dev/null
+++ b/experiments/deployment/layout.ts
@@ -0,0 +1,55 @@
+/** A service of a layout. */
+export interface ServiceLayout {
+  readonly name: string;
+  readonly kind: "model" | "plain";
+  readonly servers: number;
+}
+
+/** What a deployment consists of. */
+export interface DeploymentLayout {
+  readonly name: "atbr" | "otjiwarongo";
+  readonly region: string;
+  readonly failureDomains: ReadonlyArray<string>;
+  /** One way, between failure domains, in milliseconds. */
+  readonly latencyMilliseconds: number;
+  readonly services: ReadonlyArray<ServiceLayout>;
+  /** Path of the declaration. */
+  readonly declaration: string;
+  readonly trainer: string;
+  readonly trainerOrganisation: string;
+  readonly organisations: ReadonlyArray<string>;
+}
+
+/** The users' deployments. */
+export const LAYOUTS: Readonly<
+  Record<DeploymentLayout["name"], DeploymentLayout>
+> = {
+  atbr: {
+    name: "atbr",
+    region: "ro-nord",
+    failureDomains: ["cluj-a", "iasi-b", "suceava-c"],
+    latencyMilliseconds: 1.5,
+    services: [
+      { name: "dot-models", kind: "model", servers: 6 },
+      { name: "comenzi-app", kind: "plain", servers: 3 },
+    ],
+    declaration: "declarations/atbr.yaml",
+    trainer: "contraction",
+    trainerOrganisation: "atbr-cluj",
+    organisations: ["atbr-cluj", "atbr-iasi", "school-suceava"],
+  },
+  otjiwarongo: {
+    name: "otjiwarongo",
+    region: "otj",
+    failureDomains: ["otj-central", "otj-north", "otj-east"],
+    latencyMilliseconds: 1,
+    services: [
+      { name: "assist-lm", kind: "model", servers: 6 },
+      { name: "device-registry", kind: "plain", servers: 6 },
+    ],
+    declaration: "declarations/otjiwarongo.yaml",
+    trainer: "assistant",
+    trainerOrganisation: "library-central",
+    organisations: ["library-central", "library-north", "schools-east"],
+  },
+};
--- a/source/command/operator_client.ts
+++ b/source/command/operator_client.ts
@@ -3,6 +3,7 @@
   Code,
   ConnectError,
   createClient,
+  type Transport,
 } from "@connectrpc/connect";
 import { createGrpcTransport } from "@connectrpc/connect-node";
 import { OperatorService } from "../../generated/snipepath/v1/operator_pb.ts";
@@ -25,6 +26,8 @@
   readonly secret: string;
   /** Milliseconds until a node counts as silent. */
   readonly timeoutMilliseconds?: number;
+  /** Connects to a node; by default over HTTP/2. */
+  readonly connect?: (address: string) => Transport;
 }
 
 /** Makes one call with a node's client. */
@@ -115,7 +118,14 @@
   #clientOf(address: string): OperatorServiceClient {
     const known = this.#clients.get(address);
     if (known !== undefined) return known;
-    const transport = createGrpcTransport({
+    const connect = this.#options.connect ?? ((to) => this.#connect(to));
+    const client = createClient(OperatorService, connect(address));
+    this.#clients.set(address, client);
+    return client;
+  }
+
+  #connect(address: string): Transport {
+    return createGrpcTransport({
       baseUrl: `http://${address}`,
       defaultTimeoutMs: this.#options.timeoutMilliseconds ??
         CALL_TIMEOUT_MILLISECONDS,
@@ -125,8 +135,5 @@
         return next(request);
       }],
     });
-    const client = createClient(OperatorService, transport);
-    this.#clients.set(address, client);
-    return client;
   }
 }
