Add the step service and the trainers' routes, first form

Cause: trainers need to publish versions, submit steps, pull samples and cancel. Change: manifests written once by compare-and-set, samples merged in any order, pulls by a cursor that carries what the trainer holds, staleness checked in the tick of hand-over, takeover by any node. Not tested yet.

--- /dev/null
+++ b/source/entry/trainer_handlers.ts
@@ -0,0 +1,248 @@
+import type { ServerResponse } from "node:http";
+import type { Trainer } from "../../generated/snipepath/v1/declaration_pb.ts";
+import type { Sample } from "../../generated/snipepath/v1/records_pb.ts";
+import type { PullAnswer } from "../steps/step_pull.ts";
+import type { StepRefusal } from "../steps/step_refusal.ts";
+import type { StepService } from "../steps/step_service.ts";
+import type { EntryExchange, EntryRoute } from "./entry_handler.ts";
+import { type Refusal, sendRefusal } from "./refusal.ts";
+import {
+  checkPublication,
+  checkPull,
+  checkStep,
+  readJsonBody,
+} from "./trainer_handlers_input.ts";
+
+/** What the trainers' routes need. */
+export interface TrainerRoutesOptions {
+  readonly steps: StepService;
+}
+
+type TrainerHandler = (
+  exchange: EntryExchange,
+  trainer: Trainer,
+) => Promise<void>;
+
+/**
+ * Creates the routes of the trainers' interface.
+ * @param options - The step service.
+ * @example
+ * ```ts
+ * const routes = createTrainerRoutes({ steps });
+ * ```
+ */
+export function createTrainerRoutes(
+  options: TrainerRoutesOptions,
+): ReadonlyArray<EntryRoute> {
+  const { steps } = options;
+  return [
+    toRoute(
+      steps,
+      "POST",
+      "/weights",
+      (exchange, trainer) => publishWeights(steps, exchange, trainer),
+    ),
+    toRoute(
+      steps,
+      "POST",
+      "/steps",
+      (exchange, trainer) => submitStep(steps, exchange, trainer),
+    ),
+    toRoute(
+      steps,
+      "GET",
+      "/steps/:step/samples",
+      (exchange) => pullSamples(steps, exchange),
+    ),
+    toRoute(
+      steps,
+      "DELETE",
+      "/steps/:step",
+      (exchange) => cancelStep(steps, exchange),
+    ),
+  ];
+}
+
+function toRoute(
+  steps: StepService,
+  method: EntryRoute["method"],
+  path: string,
+  handler: TrainerHandler,
+): EntryRoute {
+  return {
+    method,
+    path: `/v1/trainers/:trainer${path}`,
+    authentication: "trainerKey",
+    handler: async (exchange): Promise<void> => {
+      const name = getParameter(exchange, "trainer");
+      const trainer = steps.getTrainer(name);
+      const refusal = checkTrainer(name, exchange, trainer);
+      if (trainer === undefined || refusal !== undefined) {
+        sendRefusal(exchange.response, refusal ?? refuseUnknown(name));
+        return;
+      }
+      await handler(exchange, trainer);
+    },
+  };
+}
+
+function checkTrainer(
+  name: string,
+  exchange: EntryExchange,
+  trainer: Trainer | undefined,
+): Refusal | undefined {
+  const { caller } = exchange;
+  if (!caller.isTrainer) {
+    return refuseForbidden("The key is not one of a trainer");
+  }
+  if (trainer === undefined) return refuseUnknown(name);
+  if (trainer.organisation === caller.organisation) return undefined;
+  return refuseForbidden(`Trainer ${name} belongs to another organisation`);
+}
+
+function refuseUnknown(name: string): Refusal {
+  return {
+    error: "notFound",
+    message: `No trainer is declared by the name ${name}`,
+    ran: "notRun",
+    field: "trainer",
+  };
+}
+
+function refuseForbidden(message: string): Refusal {
+  return { error: "forbidden", message, ran: "notRun", field: "trainer" };
+}
+
+async function publishWeights(
+  steps: StepService,
+  exchange: EntryExchange,
+  trainer: Trainer,
+): Promise<void> {
+  const { response } = exchange;
+  const body = await readJsonBody(exchange.request);
+  if (body.kind === "refused") return sendRefusal(response, body.refusal);
+  const input = checkPublication(body.value);
+  if (input.kind === "refused") return sendRefusal(response, input.refusal);
+  const outcome = await steps.publish({
+    trainer: trainer.name,
+    service: trainer.service,
+    ...input.value,
+  });
+  if (outcome.kind === "refused") return sendStepRefusal(response, outcome);
+  sendJson(response, {
+    trainer: trainer.name,
+    version: outcome.version,
+    confirmed: outcome.confirmed,
+    silent: outcome.silent,
+  });
+}
+
+async function submitStep(
+  steps: StepService,
+  exchange: EntryExchange,
+  trainer: Trainer,
+): Promise<void> {
+  const { response } = exchange;
+  const body = await readJsonBody(exchange.request);
+  if (body.kind === "refused") return sendRefusal(response, body.refusal);
+  const input = checkStep(body.value);
+  if (input.kind === "refused") return sendRefusal(response, input.refusal);
+  const submission = { trainer: trainer.name, ...input.value };
+  const outcome = await steps.submit(submission, trainer);
+  if (outcome.kind === "refused") return sendStepRefusal(response, outcome);
+  const { manifest } = outcome;
+  sendJson(response, {
+    trainer: manifest.trainer,
+    step: manifest.step,
+    epoch: manifest.epoch,
+    stalenessBound: manifest.stalenessBoundVersions,
+    cursor: outcome.cursor,
+    isNew: outcome.isNew,
+  });
+}
+
+async function pullSamples(
+  steps: StepService,
+  exchange: EntryExchange,
+): Promise<void> {
+  const { response, signal } = exchange;
+  const input = checkPull(exchange.url.searchParams);
+  if (input.kind === "refused") return sendRefusal(response, input.refusal);
+  const name = {
+    trainer: getParameter(exchange, "trainer"),
+    step: getParameter(exchange, "step"),
+  };
+  const refusal = await steps.pull(
+    { ...name, ...input.value, signal },
+    (answer) => sendJson(response, toPullBody(answer)),
+  );
+  if (refusal !== undefined) return sendStepRefusal(response, refusal);
+  if (response.writableEnded || response.destroyed) return;
+  sendRefusal(response, {
+    error: "keyWithdrawn",
+    message: "The key was withdrawn during the pull",
+    ran: "notRun",
+  });
+}
+
+async function cancelStep(
+  steps: StepService,
+  exchange: EntryExchange,
+): Promise<void> {
+  const outcome = await steps.cancel({
+    trainer: getParameter(exchange, "trainer"),
+    step: getParameter(exchange, "step"),
+  });
+  if (outcome.kind === "refused") {
+    return sendStepRefusal(exchange.response, outcome);
+  }
+  const { trainer, step, epoch } = outcome.manifest;
+  sendJson(exchange.response, { trainer, step, epoch, cancelled: true });
+}
+
+function toPullBody(answer: PullAnswer): unknown {
+  const { manifest } = answer;
+  return {
+    trainer: manifest.trainer,
+    step: manifest.step,
+    epoch: manifest.epoch,
+    samples: answer.samples.map(toSampleBody),
+    cursor: answer.cursor,
+    newestVersion: answer.newestVersion,
+    held: answer.held,
+    wanted: answer.wanted,
+    isWhole: answer.held === answer.wanted,
+  };
+}
+
+function toSampleBody(sample: Sample): unknown {
+  return {
+    index: sample.index,
+    group: sample.group,
+    text: sample.text,
+    finishReason: sample.finishReason,
+    stretches: sample.stretches.map((stretch) => ({
+      weightVersion: Number(stretch.weightVersion),
+      tokens: stretch.tokens,
+    })),
+  };
+}
+
+function sendJson(response: ServerResponse, body: unknown): void {
+  if (response.destroyed) return;
+  response.statusCode = 200;
+  response.setHeader("content-type", "application/json");
+  response.end(JSON.stringify(body) + "\n");
+}
+
+function sendStepRefusal(
+  response: ServerResponse,
+  refusal: StepRefusal,
+): void {
+  const { kind: _kind, ...content } = refusal;
+  sendRefusal(response, content);
+}
+
+function getParameter(exchange: EntryExchange, name: string): string {
+  return exchange.parameters[name] ?? "";
+}
--- /dev/null
+++ b/source/steps/step_plan.ts
@@ -0,0 +1,65 @@
+import type {
+  SampleGroup,
+  StepManifest,
+} from "../../generated/snipepath/v1/records_pb.ts";
+
+/** One sample that a step asks for. */
+export interface PlannedSample {
+  /** Position in the step; groups follow each other. */
+  readonly index: number;
+  readonly group: number;
+  readonly prompt: string;
+  readonly maximumTokens: number;
+}
+
+/**
+ * Counts the samples that a step asks for.
+ * @param manifest - The step.
+ * @example
+ * ```ts
+ * countSamples(manifest); // 2048
+ * ```
+ */
+export function countSamples(manifest: StepManifest): number {
+  return manifest.groups.reduce((sum, group) => sum + group.samples, 0);
+}
+
+/**
+ * Lists the samples of a step in the order of their indices.
+ * @param manifest - The step.
+ * @example
+ * ```ts
+ * const [first] = planSamples(manifest);
+ * ```
+ */
+export function planSamples(
+  manifest: StepManifest,
+): ReadonlyArray<PlannedSample> {
+  return manifest.groups.flatMap(repeatGroup)
+    .map((sample, index) => ({ ...sample, index }));
+}
+
+function repeatGroup(
+  group: SampleGroup,
+  position: number,
+): ReadonlyArray<Omit<PlannedSample, "index">> {
+  return Array.from({ length: group.samples }, () => ({
+    group: position,
+    prompt: group.prompt,
+    maximumTokens: group.maximumTokens,
+  }));
+}
+
+/**
+ * Sums the largest numbers of tokens that the samples may have.
+ * @param plan - The samples.
+ * @example
+ * ```ts
+ * const tokens = countPlannedTokens(planSamples(manifest));
+ * ```
+ */
+export function countPlannedTokens(
+  plan: ReadonlyArray<PlannedSample>,
+): number {
+  return plan.reduce((sum, sample) => sum + sample.maximumTokens, 0);
+}
--- /dev/null
+++ b/source/steps/step_service.ts
@@ -0,0 +1,295 @@
+import { create } from "@bufbuild/protobuf";
+import {
+  type ConfirmWeightVersionRequest,
+  type FetchSamplesRequest,
+  type FetchSamplesResponse,
+  FetchSamplesResponseSchema,
+  StepFactSchema,
+  type StoreSamplesRequest,
+} from "../../generated/snipepath/v1/peer_pb.ts";
+import type { Trainer } from "../../generated/snipepath/v1/declaration_pb.ts";
+import {
+  type StepManifest,
+  StepManifestSchema,
+} from "../../generated/snipepath/v1/records_pb.ts";
+import type { PeerHandlers } from "../membership/peer_directory.ts";
+import type { HeldStep } from "./held_step.ts";
+import { SampleArchive } from "./sample_archive.ts";
+import { SampleBitmap } from "./sample_bitmap.ts";
+import { createFirstCursor, encodeCursor } from "./step_cursor.ts";
+import { StepDirectory, type StepName } from "./step_directory.ts";
+import { StepFetcher } from "./step_fetcher.ts";
+import { StepManifests, toStepKey } from "./step_manifests.ts";
+import { StepOwnership } from "./step_ownership.ts";
+import { type PullAnswer, type PullRequest, StepPull } from "./step_pull.ts";
+import type { StepRefusal } from "./step_refusal.ts";
+import type { StepServiceOptions } from "./step_service_options.ts";
+import { type Publication, WeightPublisher } from "./weight_publisher.ts";
+import { type PublishedVersion, WeightVersions } from "./weight_versions.ts";
+
+/** A step as a trainer submits it. */
+export interface StepSubmission extends StepName {
+  readonly groups: ReadonlyArray<{
+    readonly prompt: string;
+    readonly samples: number;
+    readonly maximumTokens: number;
+  }>;
+  /** Overrides the bound that the trainer's declaration gives; only a smaller one does. */
+  readonly stalenessBound?: number;
+}
+
+/** A step that was accepted. */
+export interface AcceptedStep {
+  readonly kind: "accepted";
+  readonly manifest: StepManifest;
+  /** Cursor for the first pull. */
+  readonly cursor: string;
+  readonly isNew: boolean;
+}
+
+/** A step that was cancelled. */
+export interface CancelledStep {
+  readonly kind: "cancelled";
+  readonly manifest: StepManifest;
+}
+
+const DEFAULT_DEADLINE_SECONDS = 1380;
+
+/**
+ * Runs the steps of trainers: accepts them, has their samples run, and hands these over.
+ * @example
+ * ```ts
+ * const steps = new StepService({ context, configuration, told, peers, admission, dispatcher });
+ * void steps.run();
+ * ```
+ */
+export class StepService {
+  /** Newest weight versions of all trainers. */
+  readonly versions: WeightVersions;
+  readonly #options: StepServiceOptions;
+  readonly #manifests: StepManifests;
+  readonly #directory: StepDirectory;
+  readonly #ownership: StepOwnership;
+  readonly #pull: StepPull;
+  readonly #publisher: WeightPublisher;
+  #submissions = 0;
+
+  /** @param options - What the service is built from. */
+  constructor(options: StepServiceOptions) {
+    const { context, told, peers } = options;
+    const { clock, platform, settings, nodeStart } = context;
+    this.#options = options;
+    this.#manifests = new StepManifests(platform.table);
+    this.versions = new WeightVersions({ clock, table: platform.table, told });
+    const { versions } = this;
+    const archive = new SampleArchive(platform.objects, nodeStart);
+    this.#directory = new StepDirectory({
+      node: settings.node,
+      nodeStart,
+      clock,
+      manifests: this.#manifests,
+      peers,
+      told,
+    });
+    const directory = this.#directory;
+    const fetcher = new StepFetcher({ clock, directory, archive, versions });
+    this.#ownership = new StepOwnership({
+      ...options,
+      directory,
+      fetcher,
+      archive,
+      versions,
+    });
+    this.#pull = new StepPull({
+      clock,
+      directory,
+      fetcher,
+      versions,
+      onWhole: (step) => this.#tellEnded(step, "whole"),
+    });
+    this.#publisher = new WeightPublisher({
+      clock,
+      table: platform.table,
+      peers,
+      versions,
+    });
+  }
+
+  /** What this node does when peers ask it directly. */
+  get handlers(): Pick<
+    PeerHandlers,
+    "onWeightVersion" | "onStoreSamples" | "onFetchSamples"
+  > {
+    return {
+      onWeightVersion: (request) => this.#learnVersion(request),
+      onStoreSamples: (request) => this.#storeSamples(request),
+      onFetchSamples: (request) => this.#fetchSamples(request),
+    };
+  }
+
+  /** Returns the declared trainer of a name. */
+  getTrainer(name: string): Trainer | undefined {
+    return this.#options.configuration.current()?.declaration?.trainers
+      .find((trainer) => trainer.name === name);
+  }
+
+  /** Publishes a weight version. */
+  async publish(
+    published: PublishedVersion,
+  ): Promise<Publication | StepRefusal> {
+    const outcome = await this.#publisher.publish(published);
+    if (outcome.kind === "published") {
+      this.#options.context.log.emit("weightVersionPublished", {
+        trainer: published.trainer,
+        version: published.version,
+        confirmedPeers: outcome.confirmed.length,
+        silentPeers: outcome.silent.length,
+      });
+    }
+    return outcome;
+  }
+
+  /**
+   * Accepts a step; the same step may be submitted again.
+   * @param submission - The step.
+   * @param trainer - The declared trainer.
+   */
+  async submit(
+    submission: StepSubmission,
+    trainer: Trainer,
+  ): Promise<AcceptedStep | StepRefusal> {
+    const outcome = await this.#manifests.submit(
+      this.#toManifest(submission, trainer),
+    );
+    if (outcome.kind === "refused") return outcome;
+    const { manifest, isNew } = outcome;
+    const step = this.#directory.learn(manifest);
+    if (isNew || manifest.owner === this.#options.context.settings.node) {
+      await this.#ownership.accept(step);
+    }
+    const cursor = encodeCursor(manifest, createFirstCursor(manifest));
+    return { kind: "accepted", manifest, cursor, isNew };
+  }
+
+  /**
+   * Answers a pull.
+   * @param request - The pull.
+   * @param send - Sends the answer, in the tick in which the staleness bound was checked.
+   * @returns A refusal when nothing was sent.
+   */
+  pull(
+    request: PullRequest,
+    send: (answer: PullAnswer) => void,
+  ): Promise<StepRefusal | undefined> {
+    return this.#pull.answer(request, send);
+  }
+
+  /** Cancels a step; a cancelled one may be cancelled again. */
+  async cancel(name: StepName): Promise<CancelledStep | StepRefusal> {
+    const outcome = await this.#manifests.cancel(name.trainer, name.step);
+    if (outcome.kind === "refused") return outcome;
+    const step = this.#directory.learn(outcome.manifest);
+    this.#tellEnded(step, "cancelled");
+    return { kind: "cancelled", manifest: outcome.manifest };
+  }
+
+  /** Looks after owned and held steps until the process stops. */
+  async run(): Promise<void> {
+    const { stopping } = this.#options.context;
+    await Promise.all([
+      this.versions.run(stopping),
+      this.#ownership.run(stopping),
+    ]);
+  }
+
+  /** Leaves owned steps to other nodes before a shutdown; pulls are still answered. */
+  leave(): Promise<void> {
+    return this.#ownership.leave();
+  }
+
+  #toManifest(submission: StepSubmission, trainer: Trainer): StepManifest {
+    const { context } = this.#options;
+    this.#submissions += 1;
+    return create(StepManifestSchema, {
+      trainer: submission.trainer,
+      step: submission.step,
+      groups: submission.groups.map((group) => ({
+        prompt: group.prompt,
+        samples: group.samples,
+        maximumTokens: group.maximumTokens,
+      })),
+      stalenessBoundVersions: Math.min(
+        submission.stalenessBound ?? trainer.stalenessBoundVersions,
+        trainer.stalenessBoundVersions,
+      ),
+      epoch: `${context.nodeStart}-${this.#submissions}`,
+      owner: context.settings.node,
+      organisation: trainer.organisation,
+      service: trainer.service,
+      submittedAtUnixMilliseconds: BigInt(Math.floor(context.clock.wall())),
+      deadlineSeconds: trainer.stepDeadlineSeconds || DEFAULT_DEADLINE_SECONDS,
+    });
+  }
+
+  #tellEnded(step: HeldStep, reason: string): void {
+    const { manifest } = step;
+    this.#options.told.tell(
+      "step",
+      toStepKey(manifest.trainer, manifest.step),
+      create(StepFactSchema, {
+        epoch: manifest.epoch,
+        wanted: step.plan.length,
+        finished: step.finished,
+        ended: true,
+      }),
+    );
+    this.#ownership.end(step, reason);
+  }
+
+  #learnVersion(request: ConfirmWeightVersionRequest): void {
+    this.versions.learn({
+      trainer: request.trainer,
+      service: request.service,
+      version: Number(request.version),
+      location: request.location,
+    });
+  }
+
+  #storeSamples(request: StoreSamplesRequest): void {
+    if (request.manifest !== undefined) {
+      this.#directory.learn(request.manifest);
+    }
+    const step = this.#directory.get(request);
+    if (step === undefined || step.manifest.epoch !== request.epoch) return;
+    for (const sample of request.samples) step.offer(sample, { settled: true });
+    this.#ownership.tell(step);
+  }
+
+  #fetchSamples(request: FetchSamplesRequest): FetchSamplesResponse {
+    const newestVersion = BigInt(this.versions.newest(request.trainer));
+    const step = this.#directory.get(request);
+    if (step === undefined) {
+      return create(FetchSamplesResponseSchema, { newestVersion });
+    }
+    const { manifest } = step;
+    const isOther = request.epoch !== "" && request.epoch !== manifest.epoch;
+    const unwanted = SampleBitmap.fromBytes(step.plan.length, request.held);
+    if (isOther || step.hasEnded) {
+      return create(FetchSamplesResponseSchema, { manifest, newestVersion });
+    }
+    if (request.heldByTrainer && unwanted !== undefined) {
+      step.noteHeldByTrainer(unwanted);
+    }
+    const samples = step.ready({
+      held: unwanted ?? SampleBitmap.empty(step.plan.length),
+      maximum: request.maximum === 0 ? step.plan.length : request.maximum,
+      newestVersion: Number(newestVersion),
+      boundVersions: manifest.stalenessBoundVersions,
+    });
+    return create(FetchSamplesResponseSchema, {
+      manifest,
+      newestVersion,
+      samples: [...samples],
+    });
+  }
+}
