--- /dev/null
+++ b/experiments/demo/demo.ts
@@ -0,0 +1,206 @@
+import { AddressBook } from "../clients/address_book.ts";
+import { call } from "../clients/call.ts";
+import { TrainerClient } from "../clients/trainer_client.ts";
+import { Deployment } from "../deployment/deployment.ts";
+import { LAYOUTS } from "../deployment/layout.ts";
+import { judgeSamples } from "./judge_samples.ts";
+
+const NODES = 3;
+const GROUPS = 8;
+const SAMPLES_OF_A_GROUP = 8;
+const TOKENS_OF_A_SAMPLE = 64;
+const STALENESS_BOUND = 2;
+const STEP_LIMIT_MILLISECONDS = 45_000;
+const CALL_TRIES = 20;
+const RETRY_MILLISECONDS = 200;
+const PAUSE_BETWEEN_CALLS_MILLISECONDS = 40;
+const FIRST_CHANGE_MILLISECONDS = 700;
+const KILL_MILLISECONDS = 1500;
+const SECOND_CHANGE_MILLISECONDS = 2500;
+
+interface Traffic {
+  answered: number;
+  lost: number;
+}
+
+async function main(): Promise<number> {
+  const layout = LAYOUTS.atbr;
+  console.log(`Starting ${layout.name} with ${NODES} nodes`);
+  const deployment = await Deployment.start({
+    layout,
+    nodes: NODES,
+    engineFlags: ["--tokens-per-second=40", "--batch-slots=8"],
+    ...(process.env["DEMO_LOGS"] === undefined
+      ? {}
+      : { logFolder: process.env["DEMO_LOGS"] }),
+  });
+  try {
+    return await runDemo(deployment);
+  } finally {
+    await deployment.stop();
+  }
+}
+
+async function runDemo(deployment: Deployment): Promise<number> {
+  const layout = LAYOUTS.atbr;
+  await runOrFail(deployment, ["apply", layout.declaration]);
+  const organisation = layout.trainerOrganisation;
+  const key = await runOrFail(deployment, ["key", "give", organisation]);
+  const trainerKey = await runOrFail(
+    deployment,
+    ["key", "give", organisation, "--trainer"],
+  );
+  const seeds = deployment.nodes.map((node) => node.callerAddress);
+  const trainer = new TrainerClient({
+    trainer: layout.trainer,
+    key: trainerKey,
+    addresses: new AddressBook({ seeds, failureDomain: "cluj-a" }),
+  });
+  if (!await trainer.publish(1)) throw new Error("Version 1 was not accepted");
+  const traffic: Traffic = { answered: 0, lost: 0 };
+  const stopping = new AbortController();
+  const callers = ["cluj-a", "iasi-b", "suceava-c"].map((failureDomain) =>
+    runCaller({ seeds, failureDomain, key, traffic, signal: stopping.signal })
+  );
+  const disturbances = disturb(deployment, trainer);
+  const step = await trainer.runStep(
+    "step-1",
+    Array.from({ length: GROUPS }, (_, index) => ({
+      prompt: `Write line ${index} of the page in contracted braille`,
+      samples: SAMPLES_OF_A_GROUP,
+      maximumTokens: TOKENS_OF_A_SAMPLE,
+    })),
+    STEP_LIMIT_MILLISECONDS,
+  );
+  await disturbances;
+  stopping.abort();
+  await Promise.all(callers);
+  return report(traffic, step, deployment);
+}
+
+function report(
+  traffic: Traffic,
+  step: Awaited<ReturnType<TrainerClient["runStep"]>>,
+  deployment: Deployment,
+): number {
+  const verdict = judgeSamples(step.samples, {
+    wanted: GROUPS * SAMPLES_OF_A_GROUP,
+    stalenessBound: STALENESS_BOUND,
+  });
+  const lost = verdict.missing + traffic.lost;
+  const versions = new Set(
+    step.samples.flatMap((sample) =>
+      sample.stretches.map((stretch) => stretch.weightVersion)
+    ),
+  );
+  console.log(
+    `The step took ${Math.round(step.milliseconds)} ms; weight versions ${
+      [...versions].sort().join(", ")
+    }; on the way ${JSON.stringify(step.troubles)}`,
+  );
+  const isGood = lost === 0 && verdict.doubled === 0 && verdict.tooOld === 0 &&
+    traffic.answered > 0;
+  if (!isGood) {
+    for (const node of deployment.nodes) {
+      console.log(`${node.name}:\n${node.process.lines.join("\n")}`);
+    }
+  }
+  console.log(
+    `demo: ${traffic.answered} requests answered, ${verdict.delivered} samples delivered, ` +
+      `${lost} lost, ${verdict.doubled} doubled, ${verdict.tooOld} too old`,
+  );
+  return isGood ? 0 : 1;
+}
+
+async function disturb(
+  deployment: Deployment,
+  trainer: TrainerClient,
+): Promise<void> {
+  await sleep(FIRST_CHANGE_MILLISECONDS);
+  if (!await trainer.publish(2)) throw new Error("Version 2 was not accepted");
+  await sleep(KILL_MILLISECONDS - FIRST_CHANGE_MILLISECONDS);
+  const victim = deployment.nodes[0];
+  console.log(`Killing ${victim?.name}`);
+  await victim?.process.end("SIGKILL");
+  await sleep(SECOND_CHANGE_MILLISECONDS - KILL_MILLISECONDS);
+  if (!await trainer.publish(3)) throw new Error("Version 3 was not accepted");
+}
+
+interface CallerOptions {
+  readonly seeds: ReadonlyArray<string>;
+  readonly failureDomain: string;
+  readonly key: string;
+  readonly traffic: Traffic;
+  readonly signal: AbortSignal;
+}
+
+async function runCaller(options: CallerOptions): Promise<void> {
+  const addresses = new AddressBook(options);
+  for (let number = 0; !options.signal.aborted; number += 1) {
+    const isCompletion = number % 3 === 0;
+    const isAnswered = await repeatCall(addresses, {
+      key: isCompletion || number % 3 === 1 ? options.key : undefined,
+      ...(isCompletion
+        ? {
+          method: "POST" as const,
+          path: "/v1/completions",
+          body: {
+            model: "dot-models",
+            class: "interactive",
+            prompt: `Spell word ${number} from ${options.failureDomain}`,
+            max_tokens: 8,
+          },
+        }
+        : {
+          method: "GET" as const,
+          path: number % 3 === 1
+            ? `/orders/${options.failureDomain}-${number}`
+            : `/orders/status/${number}`,
+        }),
+    });
+    if (isAnswered) options.traffic.answered += 1;
+    else options.traffic.lost += 1;
+    await sleep(PAUSE_BETWEEN_CALLS_MILLISECONDS);
+  }
+}
+
+async function repeatCall(
+  addresses: AddressBook,
+  wanted: Omit<Parameters<typeof call>[0], "address">,
+): Promise<boolean> {
+  let lastTrouble = "";
+  for (let attempt = 0; attempt < CALL_TRIES; attempt += 1) {
+    const address = await addresses.choose();
+    const outcome = await call({ ...wanted, address });
+    if (outcome.kind === "answer" && outcome.status === 200) return true;
+    lastTrouble = outcome.kind === "lost"
+      ? outcome.reason
+      : `${outcome.status} ${outcome.text}`;
+    addresses.avoid(address);
+    await sleep(RETRY_MILLISECONDS);
+  }
+  console.log(`No answer to ${wanted.method} ${wanted.path}: ${lastTrouble}`);
+  return false;
+}
+
+async function runOrFail(
+  deployment: Deployment,
+  commandArguments: ReadonlyArray<string>,
+): Promise<string> {
+  const result = await deployment.runCommand(commandArguments);
+  if (result.status !== 0) {
+    throw new Error(
+      `snipepath ${commandArguments.join(" ")}: ${result.output}`,
+    );
+  }
+  return result.output.trim();
+}
+
+function sleep(milliseconds: number): Promise<void> {
+  return new Promise((resolve) => setTimeout(resolve, milliseconds));
+}
+
+main().then((status) => process.exit(status), (error) => {
+  console.error(String(error));
+  process.exit(1);
+});
