Serve callers: addresses, completions, plain services and keys

Cause: the path of a request needs its first part, from the caller's socket to admission and dispatch. Ruled out: copying headers and deleting the key later (a later reader could still see it), and masking keys in bodies (it would change a caller's data without a word).

--- /dev/null
+++ b/source/entry/address_route.ts
@@ -0,0 +1,89 @@
+import type { PeerDirectory } from "../membership/peer_directory.ts";
+import type { ToldState } from "../membership/told_state.ts";
+import type { NodeContext } from "../node/node_context.ts";
+import { type ListedNode, orderAddresses } from "./address_order.ts";
+import type { EntryExchange, EntryRoute } from "./entry_handler.ts";
+import { sendRefusal } from "./refusal.ts";
+
+const FAILURE_DOMAIN_PATTERN = /^[A-Za-z0-9._-]{1,64}$/;
+
+/** What the address answers are made from. */
+export interface AddressRouteOptions {
+  readonly context: NodeContext;
+  readonly peers: Pick<PeerDirectory, "peers">;
+  readonly told: Pick<ToldState, "facts">;
+  /** Returns this node's address for callers, as HOST:PORT. */
+  readonly ownAddress: () => string;
+  /** Returns whether this node is shutting down. */
+  readonly isLeaving: () => boolean;
+}
+
+/**
+ * Creates the route that tells callers which nodes to use.
+ * @param options - The node and its peers.
+ * @example
+ * ```ts
+ * const routes = [createAddressRoute({ context, peers, told, ownAddress, isLeaving })];
+ * ```
+ */
+export function createAddressRoute(options: AddressRouteOptions): EntryRoute {
+  return {
+    method: "GET",
+    path: "/v1/addresses",
+    authentication: "none",
+    handler: (exchange) => answerAddresses(exchange, options),
+  };
+}
+
+async function answerAddresses(
+  exchange: EntryExchange,
+  options: AddressRouteOptions,
+): Promise<void> {
+  const { response, url } = exchange;
+  const failureDomain = url.searchParams.get("failure_domain") ?? "";
+  if (failureDomain !== "" && !FAILURE_DOMAIN_PATTERN.test(failureDomain)) {
+    return sendRefusal(response, {
+      error: "invalidRequest",
+      message: "The failure domain must be a name",
+      ran: "notRun",
+      field: "failure_domain",
+    });
+  }
+  const { settings, random } = options.context;
+  const ordered = orderAddresses(listNodes(options), { failureDomain, random });
+  const keepSeconds = settings.addressKeepMilliseconds / 1000;
+  response.setHeader("content-type", "application/json");
+  response.setHeader("cache-control", `max-age=${Math.floor(keepSeconds)}`);
+  const addresses = ordered.map(({ node, address, failureDomain }) => ({
+    node,
+    address,
+    failureDomain,
+  }));
+  response.end(JSON.stringify({ addresses, keepSeconds }) + "\n");
+}
+
+function listNodes(options: AddressRouteOptions): ReadonlyArray<ListedNode> {
+  const { settings } = options.context;
+  const loads = new Map(
+    options.told.facts("node").map((
+      fact,
+    ) => [fact.key, fact.value.loadPermille]),
+  );
+  const own: ListedNode = {
+    node: settings.node,
+    address: options.ownAddress(),
+    failureDomain: settings.failureDomain,
+    leaving: options.isLeaving(),
+    loadPermille: loads.get(settings.node) ?? 0,
+  };
+  const others = options.peers.peers()
+    .filter((peer) => peer.node !== settings.node && peer.callerAddress !== "")
+    .map((peer): ListedNode => ({
+      node: peer.node,
+      address: peer.callerAddress,
+      failureDomain: peer.failureDomain,
+      leaving: peer.leaving,
+      loadPermille: loads.get(peer.node) ?? 0,
+    }));
+  return [own, ...others];
+}
--- /dev/null
+++ b/source/entry/completion_route.ts
@@ -0,0 +1,182 @@
+import type {
+  CompletionOutcome,
+  FinishedCompletion,
+  Work,
+} from "../dispatch/dispatcher.ts";
+import type { AnswerIdentity } from "./completion_answer.ts";
+import { CompletionStream, sendWholeCompletion } from "./completion_answer.ts";
+import {
+  type CompletionRequest,
+  parseCompletion,
+} from "./completion_request.ts";
+import {
+  type DeclaredWork,
+  findCompletionWork,
+  findDeadline,
+} from "./declared_work.ts";
+import type { EntryExchange, EntryRoute } from "./entry_handler.ts";
+import { type Refusal, sendRefusal, toRefusal } from "./refusal.ts";
+import { readJsonBody } from "./request_body.ts";
+import {
+  type ServedAmount,
+  serveWork,
+  type WorkHandlerOptions,
+} from "./served_work.ts";
+
+const CHARACTERS_PER_TOKEN = 4;
+
+interface Completion {
+  readonly request: CompletionRequest;
+  readonly declared: DeclaredWork;
+  readonly deadlineMilliseconds: number;
+}
+
+/**
+ * Creates the route that serves completions of model engines.
+ * @param options - The parts of the node.
+ * @example
+ * ```ts
+ * const routes = [createCompletionRoute({ context, configuration, admission, dispatcher, usage })];
+ * ```
+ */
+export function createCompletionRoute(options: WorkHandlerOptions): EntryRoute {
+  return {
+    method: "POST",
+    path: "/v1/completions",
+    authentication: "optionalKey",
+    handler: (exchange) => handleCompletion(exchange, options),
+  };
+}
+
+async function handleCompletion(
+  exchange: EntryExchange,
+  options: WorkHandlerOptions,
+): Promise<void> {
+  const { request, response, signal } = exchange;
+  const body = await readJsonBody(request, { signal });
+  if (body.kind === "gone") return;
+  if (body.kind === "refused") return sendRefusal(response, body.refusal);
+  const completion = plan(exchange, options, body.value);
+  if ("error" in completion) return sendRefusal(response, completion);
+  await serve(exchange, options, completion);
+}
+
+function plan(
+  exchange: EntryExchange,
+  options: WorkHandlerOptions,
+  body: unknown,
+): Completion | Refusal {
+  const parsed = parseCompletion(body);
+  if (parsed.kind === "refused") return parsed.refusal;
+  const declaration = options.configuration.current()?.declaration;
+  if (declaration === undefined) return NO_CONFIGURATION;
+  const { model, classOfWork } = parsed.request;
+  const { caller } = exchange;
+  const declared = findCompletionWork(declaration, {
+    model,
+    classOfWork,
+    caller,
+  });
+  if ("error" in declared) return declared;
+  const deadline = findDeadline(
+    declared.classOfWork,
+    exchange.request.headers["x-deadline-milliseconds"],
+  );
+  if (deadline.kind === "refused") return deadline.refusal;
+  const deadlineMilliseconds = deadline.milliseconds;
+  return { request: parsed.request, declared, deadlineMilliseconds };
+}
+
+async function serve(
+  exchange: EntryExchange,
+  options: WorkHandlerOptions,
+  completion: Completion,
+): Promise<void> {
+  const { response } = exchange;
+  const { request } = completion;
+  const identity: AnswerIdentity = {
+    requestIdentifier: exchange.requestIdentifier,
+    model: request.model,
+    created: Math.floor(options.context.clock.wall() / 1000),
+  };
+  const stream = request.stream
+    ? new CompletionStream(response, identity)
+    : undefined;
+  const promptTokens = Math.ceil(request.prompt.length / CHARACTERS_PER_TOKEN);
+  const outcome = await serveWork<CompletionOutcome>(options, {
+    exchange,
+    declared: completion.declared,
+    deadlineMilliseconds: completion.deadlineMilliseconds,
+    expectedTokens: promptTokens + request.maximumTokens,
+    run: (work) => run(options, work, { request, stream }),
+  });
+  if (outcome.kind === "finished") {
+    recordUsage(exchange, options, outcome);
+    if (stream !== undefined) return stream.end(outcome);
+    return sendWholeCompletion(response, identity, outcome);
+  }
+  recordPartialUsage(exchange, options, stream);
+  sendRefusal(response, toRefusal(outcome));
+}
+
+async function run(
+  options: WorkHandlerOptions,
+  work: Work,
+  parts: {
+    readonly request: CompletionRequest;
+    readonly stream: CompletionStream | undefined;
+  },
+): Promise<ServedAmount<CompletionOutcome>> {
+  const { request, stream } = parts;
+  let streamed = 0;
+  const outcome = await options.dispatcher.runCompletion({
+    ...work,
+    prompt: request.prompt,
+    maximumTokens: request.maximumTokens,
+    minimumWeightVersion: 0,
+    ...(stream === undefined ? {} : {
+      onTokens: (tokens) => {
+        streamed += tokens.tokens;
+        stream.write(tokens);
+      },
+    }),
+  });
+  const tokens = outcome.kind === "finished"
+    ? outcome.usage.promptTokens + outcome.usage.generatedTokens
+    : streamed;
+  return { outcome, tokens };
+}
+
+function recordUsage(
+  exchange: EntryExchange,
+  options: WorkHandlerOptions,
+  completion: FinishedCompletion,
+): void {
+  options.usage.record(exchange.caller.organisation, {
+    requests: 1,
+    promptTokens: completion.usage.promptTokens,
+    generatedTokens: completion.usage.generatedTokens,
+  });
+}
+
+// A caller that left a running stream pays for the tokens it got; an answer that the system cut is free.
+function recordPartialUsage(
+  exchange: EntryExchange,
+  options: WorkHandlerOptions,
+  stream: CompletionStream | undefined,
+): void {
+  if (stream === undefined || stream.tokens === 0) return;
+  if (exchange.signal.reason !== "callerGone") return;
+  options.usage.record(exchange.caller.organisation, {
+    requests: 1,
+    promptTokens: 0,
+    generatedTokens: stream.tokens,
+  });
+}
+
+const NO_CONFIGURATION: Refusal = {
+  error: "platformUnavailable",
+  message: "This node has no configuration yet",
+  ran: "notRun",
+  retryAfterMilliseconds: 1000,
+};
--- a/source/entry/entry_handler.ts
+++ b/source/entry/entry_handler.ts
@@ -27,8 +27,8 @@
 /** Serves one exchange; must end the response or destroy it. */
 export type EntryHandler = (exchange: EntryExchange) => Promise<void>;
 
-/** What a route demands of its callers. */
-export type Authentication = "none" | "key" | "trainerKey";
+/** What a route demands of its callers; with `optionalKey` a key that is shown must be valid. */
+export type Authentication = "none" | "key" | "trainerKey" | "optionalKey";
 
 /** One route of the callers' interface. */
 export interface EntryRoute {
--- /dev/null
+++ b/source/entry/entry_server.ts
@@ -0,0 +1,360 @@
+import { createServer, type Server, type ServerResponse } from "node:http";
+import { type AddressInfo, Server as NetServer } from "node:net";
+import type { KeyDirectory } from "../keys/key_directory.ts";
+import { OPEN_CALLER } from "../keys/key_resolution.ts";
+import type { NodeContext } from "../node/node_context.ts";
+import { BrokenInvariantError } from "../utilities/invariant.ts";
+import type {
+  Authentication,
+  Caller,
+  EntryExchange,
+  EntryHandler,
+  EntryRoute,
+} from "./entry_handler.ts";
+import {
+  cutExchange,
+  ExchangeRegistry,
+  type RunningExchange,
+} from "./exchange_registry.ts";
+import { GuardedRequest } from "./guarded_request.ts";
+import { type Refusal, sendRefusal } from "./refusal.ts";
+import { RouteTable } from "./route_table.ts";
+import { type ShownKey, takeShownKey } from "./shown_key.ts";
+
+const HEADERS_TIMEOUT_MILLISECONDS = 10_000;
+const KEEP_ALIVE_MILLISECONDS = 5000;
+const MAXIMUM_HEADER_BYTES = 16_384;
+const WATCH_INTERVAL_MILLISECONDS = 200;
+
+/** What serves a path that is not of the fixed interface. */
+export interface DeclaredRoute {
+  readonly authentication: Authentication;
+  readonly handler: EntryHandler;
+}
+
+/** What the entry server works with. */
+export interface EntryServerOptions {
+  readonly context: NodeContext;
+  readonly keys: KeyDirectory;
+  /** The routes of the fixed interface. */
+  readonly routes: ReadonlyArray<EntryRoute>;
+  /** Finds what serves any other path; undefined for nothing. */
+  readonly findDeclared: (path: string) => DeclaredRoute | undefined;
+}
+
+/** How long a shutdown took, and whether it cut anything. */
+export interface DrainReport {
+  readonly cut: number;
+  readonly milliseconds: number;
+}
+
+type ServePhase = "serving" | "leaving" | "closed";
+
+/**
+ * Serves callers over HTTP.
+ * @example
+ * ```ts
+ * const server = new EntryServer({ context, keys, routes, findDeclared });
+ * const address = await server.listen();
+ * await server.drain();
+ * ```
+ */
+export class EntryServer {
+  readonly #context: NodeContext;
+  readonly #keys: KeyDirectory;
+  readonly #routes: RouteTable;
+  readonly #findDeclared: (path: string) => DeclaredRoute | undefined;
+  readonly #registry = new ExchangeRegistry();
+  readonly #server: Server<typeof GuardedRequest>;
+  #phase: ServePhase = "serving";
+  #sequence = 0;
+
+  /** @param options - The node, its keys and its routes. */
+  constructor(options: EntryServerOptions) {
+    this.#context = options.context;
+    this.#keys = options.keys;
+    this.#routes = new RouteTable(options.routes);
+    this.#findDeclared = options.findDeclared;
+    this.#server = createServer({
+      IncomingMessage: GuardedRequest,
+      maxHeaderSize: MAXIMUM_HEADER_BYTES,
+      headersTimeout: HEADERS_TIMEOUT_MILLISECONDS,
+      keepAliveTimeout: KEEP_ALIVE_MILLISECONDS,
+      requestTimeout: 0,
+    });
+    this.#server.on("request", (request, response) => {
+      this.#serve(request, response).catch((error) => this.#stopOn(error));
+    });
+    this.#keys.watchWithdrawals((identifier) =>
+      this.#registry.cutKey(identifier)
+    );
+  }
+
+  /** Returns the number of running exchanges. */
+  get runningExchanges(): number {
+    return this.#registry.size;
+  }
+
+  /** Returns whether a shutdown has begun. */
+  get isLeaving(): boolean {
+    return this.#phase !== "serving";
+  }
+
+  /** Begins to serve at the settings' caller address; returns the address, with the port that was bound. */
+  async listen(): Promise<string> {
+    const wanted = this.#context.settings.callerAddress;
+    const separator = wanted.lastIndexOf(":");
+    const host = wanted.slice(0, separator);
+    await new Promise<void>((resolve, reject) => {
+      this.#server.once("error", reject);
+      this.#server.listen(Number(wanted.slice(separator + 1)), host, resolve);
+    });
+    const { port } = this.#server.address() as AddressInfo;
+    const address = `${host}:${port}`;
+    this.#context.log.emit("entryListening", { address });
+    return address;
+  }
+
+  /** Cuts keyed exchanges once the keys' freshness bound has passed, until the node stops. */
+  async run(): Promise<void> {
+    const { clock, stopping } = this.#context;
+    while (!stopping.aborted && this.#phase !== "closed") {
+      this.cutStaleExchanges();
+      await clock.sleep(WATCH_INTERVAL_MILLISECONDS, stopping);
+    }
+  }
+
+  /** Cuts keyed exchanges if the view of keys is not fresh now. */
+  cutStaleExchanges(): void {
+    if (this.#keys.isFresh()) return;
+    const cut = this.#registry.cutKeyed("staleKeys");
+    if (cut > 0) this.#context.log.emit("keysStale", { cut });
+  }
+
+  /**
+   * Ends serving without cutting a request that ends within the drain time. Before the call, the
+   * node must have told that it is leaving.
+   */
+  async drain(): Promise<DrainReport> {
+    const { clock, settings, log } = this.#context;
+    const startedAt = clock.monotonic();
+    this.#phase = "leaving";
+    log.emit("entryDraining", { running: this.#registry.size });
+    const keptAddresses = settings.addressKeepMilliseconds * 1.5;
+    await clock.sleep(Math.max(keptAddresses, KEEP_ALIVE_MILLISECONDS + 1000));
+    NetServer.prototype.close.call(this.#server);
+    const deadline = clock.monotonic() + settings.drainMilliseconds;
+    while (this.#registry.size > 0 && clock.monotonic() < deadline) {
+      await clock.sleep(WATCH_INTERVAL_MILLISECONDS / 10);
+    }
+    const cut = this.#registry.cutEvery("leaving");
+    await this.close();
+    const milliseconds = Math.round(clock.monotonic() - startedAt);
+    log.emit("entryDrained", { cut, milliseconds });
+    return { cut, milliseconds };
+  }
+
+  /** Stops serving at once; running exchanges are cut. */
+  async close(): Promise<void> {
+    this.#phase = "closed";
+    this.#registry.cutEvery("leaving");
+    await new Promise<void>((resolve) => {
+      this.#server.close(() => resolve());
+      this.#server.closeIdleConnections();
+      setTimeout(() => this.#server.closeAllConnections(), 500).unref();
+    });
+  }
+
+  async #serve(
+    request: GuardedRequest,
+    response: ServerResponse,
+  ): Promise<void> {
+    const arrivedAt = this.#context.clock.monotonic();
+    const requestIdentifier = this.#nextIdentifier();
+    response.on("error", () => {});
+    request.on("error", () => {});
+    response.setHeader("x-request-id", requestIdentifier);
+    if (this.isLeaving) response.setHeader("connection", "close");
+    const url = parseUrl(request.url ?? "");
+    if (url === undefined) return refuse(request, response, INVALID_URL);
+    const shown = takeShownKey(request);
+    if (shown.kind === "invalid") {
+      const { message, field } = shown;
+      const refusal = { error: "invalidRequest", message, field } as const;
+      return refuse(request, response, { ...refusal, ran: "notRun" });
+    }
+    const target = this.#findTarget(request.method ?? "", url.pathname);
+    if ("error" in target) return refuse(request, response, target);
+    const caller = await this.#authenticate(shown, target.authentication);
+    if ("error" in caller) return refuse(request, response, caller);
+    await this.#run(target.handler, {
+      requestIdentifier,
+      caller,
+      url,
+      parameters: target.parameters,
+      request,
+      response,
+      arrivedAt,
+    });
+  }
+
+  #findTarget(
+    method: string,
+    path: string,
+  ): (DeclaredRoute & Pick<EntryExchange, "parameters">) | Refusal {
+    const match = this.#routes.find(method, path);
+    if (match.kind === "found") {
+      const { authentication, handler } = match.route;
+      return { authentication, handler, parameters: match.parameters };
+    }
+    const declared = this.#findDeclared(path);
+    if (declared !== undefined) return { ...declared, parameters: {} };
+    if (match.kind === "unknown") return UNKNOWN_ROUTE;
+    const message = `The path takes only ${match.allowed}`;
+    return {
+      error: "methodNotAllowed",
+      message,
+      ran: "notRun",
+      field: "method",
+    };
+  }
+
+  async #authenticate(
+    shown: ShownKey,
+    authentication: Authentication,
+  ): Promise<Caller | Refusal> {
+    if (authentication === "none") return OPEN_CALLER;
+    if (shown.kind !== "shown") {
+      return authentication === "optionalKey" ? OPEN_CALLER : KEY_MISSING;
+    }
+    const resolution = await this.#keys.resolve(shown.key);
+    if (resolution.kind === "refused") {
+      const { error, message, retryAfterMilliseconds } = resolution;
+      return { error, message, ran: "notRun", retryAfterMilliseconds };
+    }
+    const { caller } = resolution;
+    if (authentication === "trainerKey" && !caller.isTrainer) {
+      return NO_TRAINER_KEY;
+    }
+    return caller;
+  }
+
+  async #run(
+    handler: EntryHandler,
+    parts: Omit<EntryExchange, "signal">,
+  ): Promise<void> {
+    const controller = new AbortController();
+    const { response } = parts;
+    const request = parts.request as GuardedRequest;
+    const { keyIdentifier } = parts.caller;
+    const running = { keyIdentifier, response, controller };
+    this.#registry.add(running);
+    this.#guardBody(request, running);
+    response.on("close", () => {
+      if (!response.writableFinished) cutExchange(running, "callerGone");
+    });
+    if (response.destroyed) cutExchange(running, "callerGone");
+    if (keyIdentifier !== "" && this.#keys.isWithdrawn(keyIdentifier)) {
+      cutExchange(running, "keyWithdrawn");
+    }
+    try {
+      const { signal } = controller;
+      if (!signal.aborted) await handler({ ...parts, signal });
+      if (!response.writableEnded) sendRefusal(response, HANDLER_FAILED);
+    } catch (error) {
+      if (error instanceof BrokenInvariantError) throw error;
+      this.#noteFailure(parts.requestIdentifier, error);
+      sendRefusal(response, HANDLER_FAILED);
+    } finally {
+      await finished(response);
+      this.#registry.remove(running);
+      request.resume();
+    }
+  }
+
+  #guardBody(request: GuardedRequest, running: RunningExchange): void {
+    request.onBodyFault = (fault) => cutExchange(running, fault);
+    if (request.bodyFault !== undefined) {
+      cutExchange(running, request.bodyFault);
+    }
+  }
+
+  #noteFailure(request: string, error: unknown): void {
+    const detail = error instanceof Error ? error.message : String(error);
+    this.#context.log.emit("handlerFailed", { request, detail });
+  }
+
+  #nextIdentifier(): string {
+    this.#sequence += 1;
+    return `${this.#context.nodeStart}-${this.#sequence.toString(36)}`;
+  }
+
+  // A broken invariant must stop the process, not only this exchange.
+  #stopOn(error: unknown): void {
+    queueMicrotask(() => {
+      throw error;
+    });
+  }
+}
+
+function parseUrl(text: string): URL | undefined {
+  if (!text.startsWith("/")) return undefined;
+  try {
+    return new URL(`http://entry${text}`);
+  } catch {
+    return undefined;
+  }
+}
+
+function refuse(
+  request: GuardedRequest,
+  response: ServerResponse,
+  refusal: Refusal,
+): void {
+  if (!request.complete) response.setHeader("connection", "close");
+  sendRefusal(response, refusal);
+  request.resume();
+}
+
+// Waits until the answer has been handed to the kernel or the connection has gone.
+function finished(response: ServerResponse): Promise<void> {
+  if (response.writableFinished || response.destroyed) return Promise.resolve();
+  return new Promise((resolve) => {
+    response.once("finish", resolve);
+    response.once("close", resolve);
+  });
+}
+
+const INVALID_URL: Refusal = {
+  error: "invalidRequest",
+  message: "The path can't be read",
+  ran: "notRun",
+  field: "path",
+};
+
+const UNKNOWN_ROUTE: Refusal = {
+  error: "unknownRoute",
+  message: "No route has this path",
+  ran: "notRun",
+  field: "path",
+};
+
+const KEY_MISSING: Refusal = {
+  error: "keyMissing",
+  message: "No key was shown; send the header authorization: Bearer KEY",
+  ran: "notRun",
+  field: "header authorization",
+};
+
+const NO_TRAINER_KEY: Refusal = {
+  error: "forbidden",
+  message: "The key may not use the trainers' interface",
+  ran: "notRun",
+  field: "header authorization",
+};
+
+const HANDLER_FAILED: Refusal = {
+  error: "backendFailure",
+  message: "The node failed to serve the request",
+  ran: "unknown",
+};
--- a/source/entry/refusal.ts
+++ b/source/entry/refusal.ts
@@ -49,7 +49,8 @@
 };
 
 /**
- * Ends a response with a typed refusal; a response whose head has gone is cut instead.
+ * Ends a response with a typed refusal; a response whose head has gone is cut instead, and an ended
+ * one is left alone.
  * @param response - The response to end.
  * @param refusal - The refusal.
  * @example
@@ -58,6 +59,7 @@
  * ```
  */
 export function sendRefusal(response: ServerResponse, refusal: Refusal): void {
+  if (response.writableEnded) return;
   if (response.headersSent) {
     response.destroy();
     return;
--- /dev/null
+++ b/source/entry/request_body.ts
@@ -0,0 +1,96 @@
+import { Buffer } from "node:buffer";
+import type { IncomingMessage } from "node:http";
+import type { Refusal } from "./refusal.ts";
+
+const MAXIMUM_JSON_BYTES = 1_048_576;
+const JSON_TYPE_PATTERN = /^application\/json\s*(;|$)/i;
+
+/** A JSON body, or why there is none. */
+export type JsonBody =
+  | { readonly kind: "read"; readonly value: unknown; readonly text: string }
+  | { readonly kind: "refused"; readonly refusal: Refusal }
+  /** The caller has gone, or the exchange was cut. */
+  | { readonly kind: "gone" };
+
+/** How a JSON body is read. */
+export interface JsonBodyOptions {
+  readonly signal: AbortSignal;
+  readonly maximumBytes?: number;
+}
+
+/**
+ * Reads a request's whole body as JSON.
+ * @param request - The request.
+ * @param options - The exchange's signal and the largest body in bytes.
+ * @returns The value, or a refusal `tooLarge` or `invalidRequest`.
+ * @example
+ * ```ts
+ * const body = await readJsonBody(exchange.request, { signal: exchange.signal });
+ * if (body.kind === "refused") return sendRefusal(exchange.response, body.refusal);
+ * ```
+ */
+export async function readJsonBody(
+  request: IncomingMessage,
+  options: JsonBodyOptions,
+): Promise<JsonBody> {
+  const maximum = options.maximumBytes ?? MAXIMUM_JSON_BYTES;
+  const type = request.headers["content-type"] ?? "application/json";
+  if (!JSON_TYPE_PATTERN.test(type)) {
+    return refuse("invalidRequest", {
+      message: `The content type must be application/json, not ${type}`,
+      field: "header content-type",
+    });
+  }
+  if (Number(request.headers["content-length"] ?? 0) > maximum) {
+    return tooLarge(maximum);
+  }
+  const bytes = await readBytes(request, maximum, options.signal);
+  if (bytes === "tooLarge") return tooLarge(maximum);
+  if (bytes === "gone") return { kind: "gone" };
+  return parseJson(bytes);
+}
+
+function readBytes(
+  request: IncomingMessage,
+  maximum: number,
+  signal: AbortSignal,
+): Promise<Buffer | "tooLarge" | "gone"> {
+  return new Promise((resolve) => {
+    if (signal.aborted) return resolve("gone");
+    const chunks: Buffer[] = [];
+    let size = 0;
+    request.on("data", (chunk: Buffer) => {
+      size += chunk.length;
+      if (size <= maximum) chunks.push(chunk);
+      else resolve("tooLarge");
+    });
+    request.on("end", () => resolve(Buffer.concat(chunks)));
+    request.on("error", () => resolve("gone"));
+    request.on("close", () => resolve("gone"));
+    signal.addEventListener("abort", () => resolve("gone"), { once: true });
+  });
+}
+
+function parseJson(bytes: Buffer): JsonBody {
+  const text = bytes.toString("utf8");
+  try {
+    return { kind: "read", value: JSON.parse(text), text };
+  } catch {
+    const message = text === "" ? "The body is empty" : "The body is no JSON";
+    return refuse("invalidRequest", { message, field: "body" });
+  }
+}
+
+function tooLarge(maximum: number): JsonBody {
+  return refuse("tooLarge", {
+    message: `The body may have at most ${maximum} bytes`,
+    field: "body",
+  });
+}
+
+function refuse(
+  error: "invalidRequest" | "tooLarge",
+  options: { readonly message: string; readonly field: string },
+): JsonBody {
+  return { kind: "refused", refusal: { error, ran: "notRun", ...options } };
+}
--- /dev/null
+++ b/source/entry/route_table.ts
@@ -0,0 +1,74 @@
+import type { EntryRoute } from "./entry_handler.ts";
+
+/** What a path and method match. */
+export type RouteMatch =
+  | {
+    readonly kind: "found";
+    readonly route: EntryRoute;
+    readonly parameters: Readonly<Record<string, string>>;
+  }
+  | { readonly kind: "methodNotAllowed"; readonly allowed: string }
+  | { readonly kind: "unknown" };
+
+interface CompiledRoute {
+  readonly route: EntryRoute;
+  readonly segments: ReadonlyArray<string>;
+}
+
+/** The routes of the callers' interface. */
+export class RouteTable {
+  readonly #routes: ReadonlyArray<CompiledRoute>;
+
+  /** @param routes - All routes; an earlier one wins. */
+  constructor(routes: ReadonlyArray<EntryRoute>) {
+    this.#routes = routes.map((route) => ({
+      route,
+      segments: route.path.split("/"),
+    }));
+  }
+
+  /**
+   * Finds the route of a request.
+   * @param method - The request's method.
+   * @param path - The request's path without its query.
+   */
+  find(method: string, path: string): RouteMatch {
+    const segments = path.split("/");
+    const allowed: string[] = [];
+    for (const { route, segments: wanted } of this.#routes) {
+      const parameters = matchSegments(wanted, segments);
+      if (parameters === undefined) continue;
+      if (route.method === method) return { kind: "found", route, parameters };
+      allowed.push(route.method);
+    }
+    if (allowed.length === 0) return { kind: "unknown" };
+    return { kind: "methodNotAllowed", allowed: allowed.join(", ") };
+  }
+}
+
+function matchSegments(
+  wanted: ReadonlyArray<string>,
+  segments: ReadonlyArray<string>,
+): Readonly<Record<string, string>> | undefined {
+  if (wanted.length !== segments.length) return undefined;
+  const parameters: Record<string, string> = {};
+  for (const [index, name] of wanted.entries()) {
+    const segment = segments[index] ?? "";
+    if (!name.startsWith(":")) {
+      if (name !== segment) return undefined;
+      continue;
+    }
+    const value = decodeSegment(segment);
+    if (value === undefined || value === "") return undefined;
+    parameters[name.slice(1)] = value;
+  }
+  return parameters;
+}
+
+function decodeSegment(segment: string): string | undefined {
+  try {
+    return decodeURIComponent(segment);
+  } catch {
+    return undefined;
+  }
+}
--- /dev/null
+++ b/stand_ins/entry/scripted_dispatcher.ts
@@ -0,0 +1,95 @@
+import { Buffer } from "node:buffer";
+import type {
+  CompletionOutcome,
+  CompletionWork,
+  Dispatcher,
+  DispatchRefusal,
+  PlainOutcome,
+  PlainWork,
+} from "../../source/dispatch/dispatcher.ts";
+
+/** A plain call as the backend server would see it. */
+export interface SeenCall {
+  readonly method: string;
+  readonly path: string;
+  readonly headers: string;
+  readonly body: string;
+  readonly organisation: string;
+}
+
+/** A dispatcher without backend servers, for tests of what stands before it. */
+export class ScriptedDispatcher implements Dispatcher {
+  /** Completions that were dispatched. */
+  readonly completions: CompletionWork[] = [];
+  /** Plain calls that were dispatched, as far as they were read. */
+  readonly calls: SeenCall[] = [];
+  /** What a backend server would have seen, byte for byte. */
+  seen = "";
+  /** Ends completions and calls with this refusal instead of an answer. */
+  refusal: DispatchRefusal | undefined;
+  /** Called between the first and the second half of each answer. */
+  halfway: (signal: AbortSignal) => Promise<void> = () => Promise.resolve();
+
+  /** Runs a completion that answers with its own prompt. */
+  async runCompletion(work: CompletionWork): Promise<CompletionOutcome> {
+    this.completions.push(work);
+    this.seen += work.prompt;
+    if (this.refusal !== undefined) return this.refusal;
+    work.onTokens?.({ text: work.prompt, tokens: 1, weightVersion: 7 });
+    await this.halfway(work.signal);
+    if (work.signal.aborted) return CANCELLED;
+    work.onTokens?.({ text: "!", tokens: 1, weightVersion: 8 });
+    return {
+      kind: "finished",
+      text: `${work.prompt}!`,
+      stretches: [
+        { weightVersion: 7, tokens: 1 },
+        { weightVersion: 8, tokens: 1 },
+      ],
+      finishReason: "length",
+      usage: { promptTokens: 3, generatedTokens: 2, cachedTokens: 0 },
+      server: "127.0.0.1:1",
+      serverStart: "start-1",
+    };
+  }
+
+  /** Runs a plain call that echoes its body. */
+  async runPlain(work: PlainWork): Promise<PlainOutcome> {
+    if (this.refusal !== undefined) return this.refusal;
+    const { request, response } = work;
+    const headers = JSON.stringify([request.headers, request.rawHeaders]);
+    this.seen += work.path + headers;
+    const chunks: Buffer[] = [];
+    const isWhole = await new Promise<boolean>((resolve) => {
+      request.on("data", (chunk: Buffer) => {
+        chunks.push(chunk);
+        this.seen += chunk.toString("latin1");
+      });
+      request.on("end", () => resolve(true));
+      request.on("close", () => resolve(false));
+      work.signal.addEventListener("abort", () => resolve(false));
+    });
+    if (!isWhole || work.signal.aborted) return CANCELLED;
+    const body = Buffer.concat(chunks);
+    this.calls.push({
+      method: request.method ?? "",
+      path: work.path,
+      headers,
+      body: body.toString("latin1"),
+      organisation: work.organisation,
+    });
+    response.setHeader("x-served-by", "scripted");
+    response.write(body);
+    await this.halfway(work.signal);
+    if (work.signal.aborted) return { kind: "cut", detail: "Cancelled" };
+    response.end();
+    return { kind: "finished", status: 200, server: "127.0.0.1:2" };
+  }
+}
+
+const CANCELLED: DispatchRefusal = {
+  kind: "unknown",
+  reason: "cancelled",
+  detail: "The work was cancelled",
+  retryAfterMilliseconds: 0,
+};
