--- a/stand_ins/engine/engine.ts
+++ b/stand_ins/engine/engine.ts
@@ -13,7 +13,7 @@
 import { LaggingValue } from "./lagging_value.ts";
 import { PrefixCache } from "./prefix_cache.ts";
 import { type LoggedRequest, RequestLog } from "./request_log.ts";
-import { readBody, sendJson } from "./stand_in_server.ts";
+import { readBody, sendJson } from "../faults/faulty_http_server.ts";
 import { WeightLoader } from "./weight_loader.ts";
 
 type RouteHandler = (
@@ -120,8 +120,7 @@
     request: IncomingMessage,
     response: ServerResponse,
   ): Promise<void> {
-    const text = await readBody(request);
-    if (text === undefined) return;
+    const text = String(await readBody(request));
     const entry = this.#addToLog(request, text);
     const body = parseCompletionBody(text);
     const identifier = String(request.headers["x-request-id"] ?? "");
@@ -171,8 +170,7 @@
     request: IncomingMessage,
     response: ServerResponse,
   ): Promise<void> {
-    const text = await readBody(request);
-    if (text === undefined) return;
+    const text = String(await readBody(request));
     this.#addToLog(request, text).finished = true;
     const record = parseRecord(text) ?? {};
     const version = record["version"];
@@ -200,8 +198,8 @@
     request: IncomingMessage,
     response: ServerResponse,
   ): Promise<void> {
-    const text = await readBody(request);
-    this.behave(parseRecord(text ?? "") ?? {});
+    const text = String(await readBody(request));
+    this.behave(parseRecord(text) ?? {});
     sendJson(response, 200, {});
   }
 
--- a/stand_ins/engine/engine_options.ts
+++ b/stand_ins/engine/engine_options.ts
@@ -1,7 +1,9 @@
 /** How a model engine stand-in behaves. */
 export interface EngineOptions {
-  readonly host: string;
+  /** Port on loopback; 0 for a free one. */
   readonly port: number;
+  /** One way, between caller and engine, in milliseconds. */
+  readonly latencyMilliseconds: number;
   /** Requests that generate at the same time. */
   readonly batchSlots: number;
   /** Requests that may wait for a slot; more are refused as not run. */
@@ -42,8 +44,8 @@
 
 /** Behaviour of an engine without faults. */
 export const DEFAULT_ENGINE_OPTIONS: EngineOptions = {
-  host: "127.0.0.1",
   port: 0,
+  latencyMilliseconds: 0,
   batchSlots: 8,
   maximumWaiting: 256,
   tokensPerSecond: 100,
--- a/stand_ins/engine/start_engine.ts
+++ b/stand_ins/engine/start_engine.ts
@@ -1,6 +1,6 @@
 import { randomUUID } from "node:crypto";
-import type { RequestFaults } from "./stand_in_server.ts";
-import { startStandInServer } from "./stand_in_server.ts";
+import type { FaultSwitch } from "../faults/fault_switch.ts";
+import { startFaultyHttpServer } from "../faults/faulty_http_server.ts";
 import { Engine } from "./engine.ts";
 import {
   DEFAULT_ENGINE_OPTIONS,
@@ -14,6 +14,7 @@
   /** HOST:PORT. */
   readonly address: string;
   readonly startIdentity: string;
+  readonly faults: FaultSwitch;
   /** Changes behaviour while it runs. */
   behave(behaviour: EngineBehaviour): void;
   /** Says that the engine is about to end. */
@@ -26,7 +27,7 @@
 
 /**
  * Starts a model engine stand-in.
- * @param options - Behaviour that differs from the defaults, and faults.
+ * @param options - Behaviour that differs from the defaults.
  * @example
  * ```ts
  * const engine = await startEngine({ weightVersions: [7] });
@@ -34,26 +35,26 @@
  * ```
  */
 export async function startEngine(
-  options: Partial<EngineOptions> & { readonly faults?: RequestFaults } = {},
+  options: Partial<EngineOptions> = {},
 ): Promise<StartedEngine> {
-  const { faults, ...given } = options;
   const startIdentity = randomUUID();
   const stopping = new AbortController();
   const engine = new Engine({
     ...DEFAULT_ENGINE_OPTIONS,
-    ...given,
+    ...options,
     startIdentity,
   });
-  const server = await startStandInServer({
-    host: given.host ?? DEFAULT_ENGINE_OPTIONS.host,
-    port: given.port ?? DEFAULT_ENGINE_OPTIONS.port,
-    faults,
-    handle: (request, response) => engine.handle(request, response),
+  const server = await startFaultyHttpServer({
+    port: options.port ?? DEFAULT_ENGINE_OPTIONS.port,
+    latencyMilliseconds: options.latencyMilliseconds ??
+      DEFAULT_ENGINE_OPTIONS.latencyMilliseconds,
+    handle: ({ request, response }) => engine.handle(request, response),
   });
   const running = engine.run(stopping.signal);
   return {
     address: server.address,
     startIdentity,
+    faults: server.faults,
     behave: (behaviour) => engine.behave(behaviour),
     leave: () => engine.leave(),
     log: () => engine.log(),
--- a/stand_ins/plain_service/start_plain_service.ts
+++ b/stand_ins/plain_service/start_plain_service.ts
@@ -2,19 +2,20 @@
 import type { IncomingMessage, ServerResponse } from "node:http";
 import { SystemClock } from "../../source/utilities/system_clock.ts";
 import { type LoggedRequest, RequestLog } from "../engine/request_log.ts";
+import type { FaultSwitch } from "../faults/fault_switch.ts";
 import {
-  type RequestFaults,
   sendJson,
-  startStandInServer,
-} from "../engine/stand_in_server.ts";
+  startFaultyHttpServer,
+} from "../faults/faulty_http_server.ts";
 
 /** How a plain service stand-in behaves. */
 export interface PlainServiceOptions {
-  readonly host?: string;
+  /** Port on loopback; 0 or absent for a free one. */
   readonly port?: number;
+  /** One way, between caller and service, in milliseconds. */
+  readonly latencyMilliseconds?: number;
   /** Time until it answers, in milliseconds. */
   readonly delayMilliseconds?: number;
-  readonly faults?: RequestFaults;
 }
 
 /** A running plain service stand-in. */
@@ -22,6 +23,7 @@
   /** HOST:PORT. */
   readonly address: string;
   readonly startIdentity: string;
+  readonly faults: FaultSwitch;
   /** Says that the service is about to end. */
   leave(): void;
   /** Returns the calls seen. */
@@ -43,15 +45,15 @@
   options: PlainServiceOptions = {},
 ): Promise<StartedPlainService> {
   const service = new PlainService(options.delayMilliseconds ?? 0);
-  const server = await startStandInServer({
-    host: options.host ?? "127.0.0.1",
+  const server = await startFaultyHttpServer({
     port: options.port ?? 0,
-    faults: options.faults,
-    handle: (request, response) => service.handle(request, response),
+    latencyMilliseconds: options.latencyMilliseconds ?? 0,
+    handle: ({ request, response }) => service.handle(request, response),
   });
   return {
     address: server.address,
     startIdentity: service.startIdentity,
+    faults: server.faults,
     leave: () => service.leave(),
     log: () => service.log.entries(),
     close: () => server.close(),
