Tell causes of failure apart and resume cut completions on another engine

Tokens of an attempt whose stream contradicts itself are discarded; when they were given to the caller already, the outcome is unknown. Tokens of a version older than the minimum end the attempt before anything is given on.

--- a/source/backends/completion_stream.ts
+++ b/source/backends/completion_stream.ts
@@ -3,7 +3,12 @@
   parseCompletionEvent,
 } from "./completion_event.ts";
 import type { EngineOutcome, EngineTokens } from "./engine_client.ts";
-import { describeError, type ExchangeAnswer } from "./http_exchange.ts";
+import { BrokenInvariantError } from "../utilities/invariant.ts";
+import {
+  describeError,
+  type ExchangeAnswer,
+  findCause,
+} from "./http_exchange.ts";
 import { readServerSentEvents } from "./sse_reader.ts";
 
 const END_OF_STREAM = "[DONE]";
@@ -44,20 +49,22 @@
   try {
     for (;;) {
       const next = await events.next();
-      if (next.done) return unknown("Stream ended before its end marker");
+      if (next.done) return cut("Stream ended before its end marker");
       if (next.value === END_OF_STREAM) {
         return toOutcome(last, counted, options);
       }
       const event = parseCompletionEvent(next.value);
-      if (event === undefined) return unknown("Event was not understood");
+      if (event === undefined) return untrusted("Event was not understood");
       const fault = findFault(event, last, options);
-      if (fault !== undefined) return unknown(fault);
+      if (fault !== undefined) return untrusted(fault);
       last = event;
       counted += event.tokens.tokens;
       if (event.tokens.tokens > 0) options.onTokens(event.tokens);
     }
   } catch (error) {
-    return unknown(describeError(error));
+    if (error instanceof BrokenInvariantError) throw error;
+    const reason = describeError(error);
+    return { kind: "unknown", reason, cause: findCause(error) };
   }
 }
 
@@ -95,9 +102,9 @@
   options: CompletionStreamOptions,
 ): EngineOutcome {
   const finish = last?.finish;
-  if (finish === undefined) return unknown("Stream had no last event");
+  if (finish === undefined) return untrusted("Stream had no last event");
   if (finish.usage.generatedTokens !== counted) {
-    return unknown(
+    return untrusted(
       `Stream had ${counted} of ${finish.usage.generatedTokens} tokens`,
     );
   }
@@ -109,6 +116,10 @@
   };
 }
 
-function unknown(reason: string): EngineOutcome {
-  return { kind: "unknown", reason };
+function untrusted(reason: string): EngineOutcome {
+  return { kind: "unknown", reason, cause: "untrusted" };
+}
+
+function cut(reason: string): EngineOutcome {
+  return { kind: "unknown", reason, cause: "cut" };
 }
--- a/source/backends/engine_client.ts
+++ b/source/backends/engine_client.ts
@@ -1,3 +1,5 @@
+import type { FailureCause } from "./failure_cause.ts";
+
 /** A completion as a model engine takes it. */
 export interface EngineRequest {
   readonly requestIdentifier: string;
@@ -36,9 +38,17 @@
     readonly usage: EngineUsage;
   }
   /** No byte was handed to a socket, or the engine said that it did not run. */
-  | { readonly kind: "notRun"; readonly reason: string }
+  | {
+    readonly kind: "notRun";
+    readonly reason: string;
+    readonly cause?: FailureCause;
+  }
   /** The engine may have run it in part or whole. */
-  | { readonly kind: "unknown"; readonly reason: string };
+  | {
+    readonly kind: "unknown";
+    readonly reason: string;
+    readonly cause?: FailureCause;
+  };
 
 /** Load that an engine reports of itself, with a lag. */
 export interface EngineLoad {
--- a/source/backends/http_engine_client.ts
+++ b/source/backends/http_engine_client.ts
@@ -189,11 +189,11 @@
   const startIdentity = answer.headers[ENGINE_START_HEADER];
   if (echoed !== request.requestIdentifier) {
     answer.abandon();
-    return { kind: "unknown", reason: `Answer belongs to request ${echoed}` };
+    return untrusted(`Answer belongs to request ${echoed}`);
   }
   if (typeof startIdentity !== "string" || startIdentity === "") {
     answer.abandon();
-    return { kind: "unknown", reason: "Answer names no engine start" };
+    return untrusted("Answer names no engine start");
   }
   return await readCompletionStream(answer, {
     requestIdentifier: request.requestIdentifier,
@@ -207,7 +207,13 @@
   const reason = `Engine answered status ${answer.status}`;
   const refused = NOT_RUN_STATUSES.includes(answer.status) &&
     text !== undefined && parseRecord(text)?.["error"] === NOT_RUN_ERROR;
-  return { kind: refused ? "notRun" : "unknown", reason };
+  return refused
+    ? { kind: "notRun", reason, cause: "refused" }
+    : { kind: "unknown", reason, cause: "status" };
+}
+
+function untrusted(reason: string): ExchangeFailure {
+  return { kind: "unknown", reason, cause: "untrusted" };
 }
 
 function toOrderOutcome(
--- a/source/backends/http_exchange.ts
+++ b/source/backends/http_exchange.ts
@@ -4,6 +4,8 @@
 import type { Clock } from "../utilities/clock.ts";
 import type { ConnectionPools } from "./connection_pools.ts";
 import type { ExchangeOptions } from "./engine_client.ts";
+import { ExchangeError } from "./exchange_error.ts";
+import type { FailureCause } from "./failure_cause.ts";
 import type { NotedOptions, SendNote } from "./send_noting_handler.ts";
 import { SilenceWatch } from "./silence_watch.ts";
 
@@ -24,6 +26,7 @@
 export interface ExchangeFailure {
   readonly kind: "notRun" | "unknown";
   readonly reason: string;
+  readonly cause: FailureCause;
 }
 
 /** An answer whose head has come. */
@@ -60,7 +63,9 @@
   request: ExchangeRequest,
   options: ExchangeOptions,
 ): Promise<ExchangeAnswer | ExchangeFailure> {
-  if (options.signal.aborted) return { kind: "notRun", reason: "Cancelled" };
+  if (options.signal.aborted) {
+    return { kind: "notRun", reason: "Cancelled", cause: "cancelled" };
+  }
   const exchange = new OpenExchange(context, request, options);
   return await exchange.open();
 }
@@ -72,7 +77,7 @@
   readonly #cut = new AbortController();
   readonly #watch: SilenceWatch;
   readonly #note: SendNote;
-  readonly #cancel = (): void => this.#end("Cancelled");
+  readonly #cancel = (): void => this.#end("cancelled", "Cancelled");
 
   constructor(
     context: ExchangeContext,
@@ -100,10 +105,7 @@
     } catch (error) {
       this.#finish();
       this.#cut.abort(error);
-      return {
-        kind: this.#note.started ? "unknown" : "notRun",
-        reason: describeError(error),
-      };
+      return this.#toFailure(error);
     }
   }
 
@@ -149,13 +151,22 @@
     });
   }
 
+  #toFailure(error: unknown): ExchangeFailure {
+    const reason = describeError(error);
+    if (this.#note.started) {
+      return { kind: "unknown", reason, cause: findCause(error) };
+    }
+    const cause = error instanceof ExchangeError ? error.failure : "connect";
+    return { kind: "notRun", reason, cause };
+  }
+
   #toAnswer(head: Dispatcher.ResponseData): ExchangeAnswer {
     return {
       kind: "answered",
       status: head.statusCode,
       headers: head.headers,
       body: this.#readBody(head.body),
-      abandon: () => this.#end("Abandoned"),
+      abandon: () => this.#end("cancelled", "Abandoned"),
     };
   }
 
@@ -173,12 +184,12 @@
 
   #onSilent(): void {
     this.#context.pools.retire(this.#request.address);
-    this.#end("Connection went silent");
+    this.#end("silent", "Connection went silent");
   }
 
-  #end(reason: string): void {
+  #end(cause: FailureCause, reason: string): void {
     this.#finish();
-    this.#cut.abort(new Error(reason));
+    this.#cut.abort(new ExchangeError(cause, reason));
   }
 
   #finish(): void {
@@ -187,6 +198,14 @@
   }
 }
 
+/**
+ * Finds what kept an exchange from its whole answer after a byte had left.
+ * @param error - What was thrown.
+ */
+export function findCause(error: unknown): FailureCause {
+  return error instanceof ExchangeError ? error.failure : "cut";
+}
+
 /**
  * Describes an error of a connection in a few words.
  * @param error - What was thrown.
--- a/source/backends/http_plain_client.ts
+++ b/source/backends/http_plain_client.ts
@@ -66,7 +66,11 @@
       return answer;
     }
     answer.abandon();
-    return { kind: "unknown", reason: `Answer belongs to request ${echoed}` };
+    return {
+      kind: "unknown",
+      reason: `Answer belongs to request ${echoed}`,
+      cause: "untrusted",
+    };
   }
 
   /** Cuts all connections. */
--- a/source/backends/send_noting_handler.ts
+++ b/source/backends/send_noting_handler.ts
@@ -1,4 +1,5 @@
 import type { Dispatcher } from "undici";
+import { ExchangeError } from "./exchange_error.ts";
 
 /** Notes whether bytes of a request may have left this process. */
 export interface SendNote {
@@ -47,11 +48,13 @@
   // Called in the tick in which the head is written, just before that.
   onRequestStart(controller: Controller, context: unknown): void {
     if (this.#note.started) {
-      controller.abort(new Error("A request must not be sent twice"));
+      controller.abort(new ExchangeError("cut", "Connection was cut"));
       return;
     }
     if (!this.#note.mayStart()) {
-      controller.abort(new Error("Server may not get new work"));
+      controller.abort(
+        new ExchangeError("withheld", "Server may not get new work"),
+      );
       return;
     }
     this.#inner.onRequestStart?.(controller, context);
--- /dev/null
+++ b/source/dispatch/class_priorities.ts
@@ -0,0 +1,25 @@
+import type { ConfigurationView } from "../membership/configuration_view.ts";
+
+const DEFERRABLE_PRIORITY = 2_000_000_000;
+const UNKNOWN_PRIORITY = 1_000_000_000;
+
+/** Derives the priority that engines are given from the targets of a class. */
+export class ClassPriorities {
+  readonly #configuration: ConfigurationView;
+
+  /** @param configuration - The declaration in force. */
+  constructor(configuration: ConfigurationView) {
+    this.#configuration = configuration;
+  }
+
+  /** Returns the priority of a class; smaller runs first. */
+  priorityOf(classOfWork: string): number {
+    const classes = this.#configuration.current()?.declaration?.classes ?? [];
+    const found = classes.find(({ name }) => name === classOfWork);
+    if (found === undefined) return UNKNOWN_PRIORITY;
+    if (found.deferrable) return DEFERRABLE_PRIORITY;
+    const { firstTokenP99Milliseconds, latencyP99Milliseconds } = found;
+    return firstTokenP99Milliseconds || latencyP99Milliseconds ||
+      UNKNOWN_PRIORITY;
+  }
+}
--- a/source/dispatch/completion_run.ts
+++ b/source/dispatch/completion_run.ts
@@ -2,7 +2,6 @@
   EngineOutcome,
   EngineRequest,
   EngineTokens,
-  EngineUsage,
 } from "../backends/engine_client.ts";
 import {
   digestPrefixes,
@@ -10,15 +9,18 @@
 } from "../backends/prefix_digest.ts";
 import type { Placement, RoutingChoice } from "../routing/routing_policy.ts";
 import { invariant } from "../utilities/invariant.ts";
+import { CompletionAttempt } from "./completion_attempt.ts";
 import type { DispatchTools } from "./dispatch_tools.ts";
 import type {
   CompletionOutcome,
   CompletionWork,
   DispatchRefusal,
+  FinishedCompletion,
   RefusalReason,
 } from "./dispatcher.ts";
+import { FAILURE_TREATMENTS } from "./failure_treatment.ts";
 import { RunBounds } from "./run_bounds.ts";
-import { Transcript } from "./transcript.ts";
+import { Transcript, type TranscriptMark } from "./transcript.ts";
 
 const MAXIMUM_ATTEMPTS = 4;
 
@@ -34,8 +36,7 @@
   readonly #transcript = new Transcript();
   readonly #tried: string[] = [];
   #mayHaveRun = false;
-  #tokensGiven = false;
-  #ended = false;
+  #tokensGiven = 0;
 
   /**
    * @param work - The completion.
@@ -52,7 +53,6 @@
   async run(): Promise<CompletionOutcome> {
     this.#tools.budget.noteFirstTry(this.#work.classOfWork);
     const outcome = await this.#attemptAll();
-    this.#ended = true;
     this.#bounds.close();
     return outcome;
   }
@@ -65,10 +65,11 @@
       if (choice === undefined) {
         return this.#refuse("noCapacity", "No engine may take the work");
       }
+      const mark = this.#transcript.mark();
       const outcome = await this.#attempt(choice);
       if (outcome.kind === "finished") return this.#finish(outcome, choice);
-      this.#noteFailure(outcome, choice);
-      const refusal = await this.#prepareRetry(attempt, outcome);
+      const refusal = this.#settleFailure(outcome, choice, mark) ??
+        await this.#prepareRetry(attempt, outcome);
       if (refusal !== undefined) return refusal;
     }
   }
@@ -84,68 +85,90 @@
 
   async #attempt(choice: RoutingChoice): Promise<EngineOutcome> {
     const { options, experience } = this.#tools;
-    const { context, servers, engines } = options;
+    const { clock } = options.context;
     const { address } = choice.server;
-    const startedAt = context.clock.monotonic();
+    const startedAt = clock.monotonic();
     const dispatch = experience.start(address, startedAt);
-    const isRetry = this.#tried.length > 0;
+    const newConnection = this.#tried.length > 0;
     this.#tried.push(address);
-    const outcome = await engines.complete(address, this.#toRequest(), {
+    const attempt = new CompletionAttempt({
+      address,
+      request: this.#toRequest(),
+      minimumWeightVersion: this.#work.minimumWeightVersion,
+      newConnection,
       signal: this.#bounds.signal,
-      silenceMilliseconds: context.settings.silenceMilliseconds,
-      mayStart: () => servers.isAvailable(address),
-      newConnection: isRetry,
       onTokens: (tokens) => this.#take(tokens),
-    });
+    }, this.#tools);
+    const outcome = await attempt.run();
     experience.end(dispatch);
-    const took = context.clock.monotonic() - startedAt;
-    const cause = outcome.kind === "finished" ? "generation" : "retry";
-    this.#work.ledger.add(cause, took);
+    this.#account(outcome, clock.monotonic() - startedAt);
     return outcome;
   }
 
+  #account(outcome: EngineOutcome, took: number): void {
+    const { ledger, service } = this.#work;
+    if (outcome.kind === "finished") {
+      ledger.add("generation", took);
+      this.#tools.advisor.noteServiceTime(service, took);
+    } else {
+      ledger.add(treat(outcome).ledgerCause, took);
+    }
+  }
+
   #toRequest(): EngineRequest {
-    const { work } = { work: this.#work };
+    const work = this.#work;
+    const left = work.maximumTokens - this.#transcript.tokens;
     return {
       requestIdentifier: `${work.requestIdentifier}.${this.#tried.length}`,
       model: work.service,
       prompt: work.prompt,
-      maximumTokens: work.maximumTokens - this.#transcript.tokens,
-      priority: 0,
+      maximumTokens: Math.max(0, left),
+      priority: this.#tools.priorities.priorityOf(work.classOfWork),
       cacheSalt: work.organisation,
       resumeText: this.#transcript.text,
     };
   }
 
   #take(tokens: EngineTokens): void {
-    if (this.#bounds.signal.aborted) return;
-    invariant(!this.#ended, "Tokens came after the end of a completion");
     this.#transcript.add(tokens);
     if (this.#work.onTokens === undefined) return;
-    this.#tokensGiven = true;
+    this.#tokensGiven += tokens.tokens;
     this.#work.onTokens(tokens);
   }
 
-  #finish(outcome: Finish, choice: RoutingChoice): CompletionOutcome {
+  #finish(outcome: Finish, choice: RoutingChoice): FinishedCompletion {
     const { text, tokens, stretches } = this.#transcript;
-    const usage: EngineUsage = { ...outcome.usage, generatedTokens: tokens };
+    invariant(
+      this.#work.onTokens === undefined || this.#tokensGiven === tokens,
+      `The caller got ${this.#tokensGiven} of ${tokens} tokens`,
+    );
     return {
       kind: "finished",
       text,
       stretches,
       finishReason: outcome.finishReason,
-      usage,
+      usage: { ...outcome.usage, generatedTokens: tokens },
       server: choice.server.address,
       serverStart: outcome.startIdentity,
     };
   }
 
-  #noteFailure(failure: Failure, choice: RoutingChoice): void {
+  #settleFailure(
+    failure: Failure,
+    choice: RoutingChoice,
+    mark: TranscriptMark,
+  ): DispatchRefusal | undefined {
     if (failure.kind === "unknown") this.#mayHaveRun = true;
-    if (!this.#tokensGiven) this.#transcript.clear();
-    if (failure.kind === "notRun" && !this.#bounds.signal.aborted) {
+    const treatment = treat(failure);
+    if (treatment.unreachable) {
       this.#tools.options.servers.noteUnreachable(choice.server.address);
     }
+    if (treatment.keepsTokens) return undefined;
+    if (this.#tokensGiven > mark.tokens) {
+      return this.#refuse("backendFailure", failure.reason);
+    }
+    this.#transcript.restore(mark);
+    return undefined;
   }
 
   async #prepareRetry(
@@ -171,17 +194,24 @@
   }
 
   #refuse(reason: RefusalReason, detail: string): DispatchRefusal {
+    const { service } = this.#work;
     return {
       kind: this.#mayHaveRun ? "unknown" : "notRun",
       reason,
       detail,
       retryAfterMilliseconds: this.#tools.advisor.retryAfterMilliseconds(
-        this.#work.service,
+        service,
       ),
     };
   }
 }
 
+function treat(
+  failure: Failure,
+): (typeof FAILURE_TREATMENTS)[keyof typeof FAILURE_TREATMENTS] {
+  return FAILURE_TREATMENTS[failure.cause ?? "cut"];
+}
+
 function toPlacement(work: CompletionWork): Placement {
   const { service, organisation, classOfWork, prompt, maximumTokens } = work;
   return {
--- a/source/dispatch/create_dispatcher.ts
+++ b/source/dispatch/create_dispatcher.ts
@@ -4,6 +4,7 @@
 } from "../routing/routing_policies.ts";
 import type { RoutingPolicyName } from "../routing/routing_policy.ts";
 import { ServerExperience } from "../routing/server_experience.ts";
+import { ClassPriorities } from "./class_priorities.ts";
 import { CompletionRun } from "./completion_run.ts";
 import type { DispatchTools } from "./dispatch_tools.ts";
 import type { Dispatcher } from "./dispatcher.ts";
@@ -46,7 +47,8 @@
   return {
     options,
     experience,
-    budget: new RetryBudget(),
+    budget: new RetryBudget(options.retryBudget),
+    priorities: new ClassPriorities(options.configuration),
     advisor: new RetryAdvisor(servers, context.random),
     selector: new ServerSelector({ context, servers, experience, policy }),
   };
--- a/source/dispatch/dispatch_tools.ts
+++ b/source/dispatch/dispatch_tools.ts
@@ -1,4 +1,5 @@
 import type { DispatcherOptions } from "./dispatcher_options.ts";
+import type { ClassPriorities } from "./class_priorities.ts";
 import type { RetryBudget } from "./retry_budget.ts";
 import type { ServerSelector } from "./server_selector.ts";
 import type { ServerExperience } from "../routing/server_experience.ts";
@@ -11,4 +12,5 @@
   readonly experience: ServerExperience;
   readonly budget: RetryBudget;
   readonly advisor: RetryAdvisor;
+  readonly priorities: ClassPriorities;
 }
--- a/source/dispatch/dispatcher_options.ts
+++ b/source/dispatch/dispatcher_options.ts
@@ -3,6 +3,7 @@
 import type { PlainClient } from "../backends/plain_client.ts";
 import type { ConfigurationView } from "../membership/configuration_view.ts";
 import type { NodeContext } from "../node/node_context.ts";
+import type { RetryBudgetOptions } from "./retry_budget.ts";
 import type { RoutingPolicyName } from "../routing/routing_policy.ts";
 
 /** What a dispatcher needs. */
@@ -14,4 +15,6 @@
   readonly configuration: ConfigurationView;
   /** The settings' policy when absent. */
   readonly routingPolicy?: RoutingPolicyName;
+  /** Bounds on retries; the defaults when absent. */
+  readonly retryBudget?: RetryBudgetOptions;
 }
--- a/source/dispatch/plain_run.ts
+++ b/source/dispatch/plain_run.ts
@@ -11,12 +11,15 @@
   PlainWork,
   RefusalReason,
 } from "./dispatcher.ts";
+import { FAILURE_TREATMENTS } from "./failure_treatment.ts";
 import { type PlainBody, takePlainBody } from "./plain_body.ts";
 import { relayAnswer } from "./relay_answer.ts";
 import { RunBounds } from "./run_bounds.ts";
 
 const MAXIMUM_ATTEMPTS = 4;
 
+type RelayedOutcome = Exclude<PlainOutcome, DispatchRefusal>;
+
 /** Runs one plain call. */
 export class PlainRun {
   readonly #work: PlainWork;
@@ -60,7 +63,7 @@
       }
       const outcome = await this.#attempt(choice, body);
       if (outcome.kind === "finished" || outcome.kind === "cut") return outcome;
-      if (outcome.kind === "unknown") this.#unknownAttempts += 1;
+      this.#noteFailure(outcome, choice);
       const refusal = await this.#prepareRetry(attempt, outcome, body);
       if (refusal !== undefined) return refusal;
     }
@@ -78,7 +81,7 @@
   async #attempt(
     choice: RoutingChoice,
     body: PlainBody,
-  ): Promise<PlainOutcome | ExchangeFailure> {
+  ): Promise<RelayedOutcome | ExchangeFailure> {
     const { options, experience } = this.#tools;
     const { clock } = options.context;
     const { address } = choice.server;
@@ -90,11 +93,26 @@
       ? await this.#relay(answer, address)
       : answer;
     experience.end(dispatch);
-    const cause = outcome.kind === "finished" ? "generation" : "retry";
-    this.#work.ledger.add(cause, clock.monotonic() - startedAt);
+    this.#account(outcome, clock.monotonic() - startedAt);
     return outcome;
   }
 
+  #account(outcome: RelayedOutcome | ExchangeFailure, took: number): void {
+    const { ledger, service } = this.#work;
+    if ("cause" in outcome) {
+      ledger.add(FAILURE_TREATMENTS[outcome.cause].ledgerCause, took);
+      return;
+    }
+    ledger.add("generation", took);
+    this.#tools.advisor.noteServiceTime(service, took);
+  }
+
+  #noteFailure(failure: ExchangeFailure, choice: RoutingChoice): void {
+    if (failure.kind === "unknown") this.#unknownAttempts += 1;
+    if (!FAILURE_TREATMENTS[failure.cause].unreachable) return;
+    this.#tools.options.servers.noteUnreachable(choice.server.address);
+  }
+
   #open(
     address: string,
     body: PlainBody,
@@ -119,7 +137,10 @@
     });
   }
 
-  async #relay(answer: ExchangeAnswer, server: string): Promise<PlainOutcome> {
+  async #relay(
+    answer: ExchangeAnswer,
+    server: string,
+  ): Promise<RelayedOutcome> {
     const { response } = this.#work;
     const relayed = await relayAnswer(answer, response, this.#bounds.signal);
     if (relayed.kind === "cut") return relayed;
@@ -128,10 +149,10 @@
 
   async #prepareRetry(
     attempt: number,
-    failure: ExchangeFailure | DispatchRefusal,
+    failure: ExchangeFailure,
     body: PlainBody,
   ): Promise<DispatchRefusal | undefined> {
-    const detail = "reason" in failure ? failure.reason : "";
+    const detail = failure.reason;
     const stopped = this.#bounds.reason;
     if (stopped !== undefined) return this.#refuse(stopped, detail);
     if (attempt >= MAXIMUM_ATTEMPTS || !this.#mayRetry(failure, body)) {
@@ -149,7 +170,7 @@
   }
 
   #mayRetry(
-    failure: ExchangeFailure | DispatchRefusal,
+    failure: ExchangeFailure,
     body: PlainBody,
   ): boolean {
     if (failure.kind === "notRun") return true;
--- a/source/dispatch/transcript.ts
+++ b/source/dispatch/transcript.ts
@@ -2,6 +2,13 @@
 import { invariant } from "../utilities/invariant.ts";
 import type { Stretch } from "./dispatcher.ts";
 
+/** State of a transcript at some moment. */
+export interface TranscriptMark {
+  readonly text: string;
+  readonly tokens: number;
+  readonly stretches: ReadonlyArray<Stretch>;
+}
+
 /** Text of a completion with the weight versions that made it. */
 export class Transcript {
   #text = "";
@@ -38,11 +45,20 @@
     this.#check();
   }
 
-  /** Forgets everything, so that the completion can be run anew. */
-  clear(): void {
-    this.#text = "";
-    this.#tokens = 0;
-    this.#stretches = [];
+  /** Returns the present state, to go back to. */
+  mark(): TranscriptMark {
+    return {
+      text: this.#text,
+      tokens: this.#tokens,
+      stretches: [...this.#stretches],
+    };
+  }
+
+  /** Forgets what was added since a mark. */
+  restore(mark: TranscriptMark): void {
+    this.#text = mark.text;
+    this.#tokens = mark.tokens;
+    this.#stretches = [...mark.stretches];
   }
 
   #check(): void {
