Prove the outcomes of dispatch at each byte boundary, alone and in pairs

Found on the way: a stall of the process counted as silence of the server, since timers run before sockets are read. Time in which the process stood still is no longer counted. Found in the tests: the port of a closed server is soon given to another one, so refused connections use an address that nothing listens on.

--- a/source/backends/completion_stream.ts
+++ b/source/backends/completion_stream.ts
@@ -17,6 +17,7 @@
 export interface CompletionStreamOptions {
   readonly requestIdentifier: string;
   readonly startIdentity: string;
+  readonly maximumTokens: number;
   readonly onTokens: (tokens: EngineTokens) => void;
 }
 
@@ -59,6 +60,9 @@
       if (fault !== undefined) return untrusted(fault);
       last = event;
       counted += event.tokens.tokens;
+      if (counted > options.maximumTokens) {
+        return untrusted("Stream has more tokens than were asked for");
+      }
       if (event.tokens.tokens > 0) options.onTokens(event.tokens);
     }
   } catch (error) {
--- a/source/backends/connection_pools.ts
+++ b/source/backends/connection_pools.ts
@@ -36,6 +36,11 @@
     return created.dispatcher;
   }
 
+  /** Requests that run on reusable connections to an address. */
+  running(address: string): number {
+    return this.#kept.peek(address)?.pool.stats.running ?? 0;
+  }
+
   /** Makes sure that no connection open now to an address is used again. */
   retire(address: string): void {
     this.#kept.delete(address);
--- a/source/backends/http_engine_client.ts
+++ b/source/backends/http_engine_client.ts
@@ -198,6 +198,7 @@
   return await readCompletionStream(answer, {
     requestIdentifier: request.requestIdentifier,
     startIdentity,
+    maximumTokens: request.maximumTokens,
     onTokens: options.onTokens,
   });
 }
--- /dev/null
+++ b/source/backends/http_engine_client_test.ts
@@ -0,0 +1,293 @@
+import test, { type ExecutionContext } from "ava";
+import {
+  engineAnswer,
+  RAW_FAULT_NAMES,
+  rawAnswers,
+  rawFault,
+  rawFaultOnReuse,
+} from "../../stand_ins/raw_server/raw_faults.ts";
+import {
+  type RawScript,
+  type RawServer,
+  refusingAddress,
+  startRawServer,
+} from "../../stand_ins/raw_server/raw_server.ts";
+import { SystemClock } from "../utilities/system_clock.ts";
+import { ConnectionPools } from "./connection_pools.ts";
+import type { EngineOutcome, EngineTokens } from "./engine_client.ts";
+import { HttpEngineClient } from "./http_engine_client.ts";
+
+const SILENCE_MILLISECONDS = 300;
+
+/** Faults whose moment the two ends may see differently. */
+const RACING_FAULTS: ReadonlyArray<string> = ["resetOnAccept"];
+
+interface Bench {
+  readonly client: HttpEngineClient;
+  /** Waits until no connection to an address serves a request. */
+  untilIdle(address: string): Promise<void>;
+  complete(
+    address: string,
+    options?: {
+      readonly signal?: AbortSignal;
+      readonly onTokens?: (tokens: EngineTokens) => void;
+      readonly mayStart?: () => boolean;
+    },
+  ): Promise<EngineOutcome>;
+}
+
+function createBench(t: ExecutionContext): Bench {
+  const pools = new ConnectionPools();
+  const client = new HttpEngineClient({ clock: new SystemClock(), pools });
+  t.teardown(() => client.close());
+  let count = 0;
+  return {
+    client,
+    untilIdle: async (address) => {
+      do await nextTurn(); while (pools.running(address) > 0);
+    },
+    complete: (address, options = {}) => {
+      count += 1;
+      return client.complete(address, {
+        requestIdentifier: `request-${count}`,
+        prompt: "one two three",
+        maximumTokens: 4,
+        priority: 1,
+        cacheSalt: "school-3",
+        resumeText: "",
+      }, {
+        signal: new AbortController().signal,
+        silenceMilliseconds: SILENCE_MILLISECONDS,
+        onTokens: () => {},
+        ...options,
+      });
+    },
+  };
+}
+
+async function serve(
+  t: ExecutionContext,
+  script: RawScript,
+): Promise<RawServer> {
+  const server = await startRawServer(script);
+  t.teardown(() => server.close());
+  return server;
+}
+
+function summarise(outcome: EngineOutcome): string {
+  if (outcome.kind === "finished") return "finished";
+  return `${outcome.kind} ${outcome.cause}`;
+}
+
+function receivedBytes(server: RawServer): number {
+  return server.connections.reduce(
+    (sum, { received }) => sum + received.length,
+    0,
+  );
+}
+
+function usedConnections(server: RawServer): number {
+  return server.connections.filter(({ received }) => received !== "").length;
+}
+
+function nextTurn(): Promise<void> {
+  return new Promise((resolve) => setImmediate(resolve));
+}
+
+test("each fault of an exchange has its true outcome", async (t) => {
+  const seen: Record<string, string> = {};
+  await Promise.all(RAW_FAULT_NAMES.map(async (name) => {
+    const server = await serve(t, rawFault(name, engineAnswer(7)));
+    const bench = createBench(t);
+    const outcome = await bench.complete(server.address);
+    if (outcome.kind === "notRun") t.is(receivedBytes(server), 0, name);
+    if (!RACING_FAULTS.includes(name)) seen[name] = summarise(outcome);
+  }));
+  t.snapshot(Object.entries(seen).sort());
+});
+
+test("each fault on a reused connection has its true outcome", async (t) => {
+  const seen: Record<string, string> = {};
+  await Promise.all(RAW_FAULT_NAMES.map(async (name) => {
+    const script = rawFaultOnReuse(name, engineAnswer(7));
+    const server = await serve(t, script);
+    const bench = createBench(t);
+    const first = await bench.complete(server.address);
+    t.is(first.kind, "finished", name);
+    await bench.untilIdle(server.address);
+    const before = receivedBytes(server);
+    const outcome = await bench.complete(server.address);
+    if (outcome.kind === "notRun") t.is(receivedBytes(server), before, name);
+    if (!RACING_FAULTS.includes(name)) seen[name] = summarise(outcome);
+    if (RACING_FAULTS.includes(name)) return;
+    t.is(usedConnections(server), 1, name);
+  }));
+  t.snapshot(Object.entries(seen).sort());
+});
+
+test("an engine that refuses connections ran nothing", async (t) => {
+  const bench = createBench(t);
+  const outcome = await bench.complete(refusingAddress());
+  t.is(summarise(outcome), "notRun connect");
+});
+
+test("only the engine's own word makes a refusal of it a request that did not run", async (t) => {
+  const cases = [
+    { status: 429, body: '{"error":"not_run"}' },
+    { status: 503, body: '{"error":"not_run"}' },
+    { status: 429, body: '{"error":"busy"}' },
+    { status: 503, body: "" },
+    { status: 503, body: "not_run" },
+    { status: 500, body: '{"error":"not_run"}' },
+    { status: 200, body: '{"error":"not_run"}' },
+    { status: 400, body: "{}" },
+  ];
+  const seen = await Promise.all(cases.map(async ({ status, body }) => {
+    const server = await serve(t, async (connection) => {
+      await connection.request();
+      const head = `HTTP/1.1 ${status} X\r\ncontent-length: ${body.length}`;
+      connection.write(`${head}\r\n\r\n${body}`);
+    });
+    const bench = createBench(t);
+    const outcome = await bench.complete(server.address);
+    return `${status} ${body} -> ${summarise(outcome)}`;
+  }));
+  t.snapshot(seen);
+});
+
+test("a redirect is not followed", async (t) => {
+  const target = await serve(t, rawAnswers(engineAnswer(7)));
+  const server = await serve(t, async (connection) => {
+    await connection.request();
+    connection.write(
+      `HTTP/1.1 307 X\r\nlocation: http://${target.address}/\r\n` +
+        "content-length: 0\r\n\r\n",
+    );
+  });
+  const bench = createBench(t);
+  const outcome = await bench.complete(server.address);
+  t.is(summarise(outcome), "unknown status");
+  t.is(target.connections.length, 0);
+});
+
+test("the answer to another request is not taken", async (t) => {
+  const server = await serve(
+    t,
+    rawAnswers((request) =>
+      engineAnswer(7)(request.replace(/x-request-id: .*/, "x-request-id: x"))
+    ),
+  );
+  const bench = createBench(t);
+  const tokens: EngineTokens[] = [];
+  const outcome = await bench.complete(server.address, {
+    onTokens: (event) => tokens.push(event),
+  });
+  t.is(summarise(outcome), "unknown untrusted");
+  t.deepEqual(tokens, []);
+});
+
+test("events that contradict the stream are not taken", async (t) => {
+  const mutations: Readonly<Record<string, (body: string) => string>> = {
+    otherRequest: (body) =>
+      body.replaceAll('"request_id":"request-1"', '"request_id":"request-9"'),
+    versionMissing: (body) =>
+      body.replaceAll('"weight_version":7', '"weight_versio":7'),
+    versionOfWrongType: (body) =>
+      body.replaceAll('"weight_version":7', '"weight_version":-'),
+    tokensLost: (body) =>
+      body.replaceAll('"completion_tokens":4', '"completion_tokens":5'),
+    textOfNoToken: (body) => body.replace('"tokens":2', '"tokens":0'),
+    noFinish: (body) =>
+      body.replaceAll('"finish_reason":"length"', '"finish_reason":null    '),
+    noEndMarker: (body) => body.replace("data: [DONE]", ":     [DONE]"),
+  };
+  const seen = await Promise.all(
+    Object.entries(mutations).map(async ([name, mutate]) => {
+      const server = await serve(
+        t,
+        rawAnswers((request) => {
+          const answer = engineAnswer(7)(request);
+          return {
+            ...answer,
+            firstHalf: rechunk(answer.firstHalf, mutate),
+            secondHalf: rechunk(answer.secondHalf, mutate),
+          };
+        }),
+      );
+      const bench = createBench(t);
+      const outcome = await bench.complete(server.address);
+      return `${name}: ${summarise(outcome)}`;
+    }),
+  );
+  t.snapshot(seen);
+});
+
+test("a connection that went silent is not used again, and its late answer reaches nobody", async (t) => {
+  const server = await serve(t, async (connection) => {
+    if (server.connections[0] === connection) {
+      await connection.untilEnded();
+      return;
+    }
+    await rawAnswers(engineAnswer(7))(connection);
+  });
+  const bench = createBench(t);
+  t.is(summarise(await bench.complete(server.address)), "unknown silent");
+  await server.connections[0]?.untilEnded();
+  t.is(summarise(await bench.complete(server.address)), "finished");
+  t.is(usedConnections(server), 2);
+});
+
+test("a connection is reused after a whole answer and not after a cancelled one", async (t) => {
+  const server = await serve(t, async (connection) => {
+    const request = await connection.request();
+    if (request === undefined) return;
+    const answer = engineAnswer(7)(request);
+    connection.write(
+      `HTTP/1.1 200 OK\r\n${answer.headers}\r\n${answer.firstHalf}`,
+    );
+    await connection.untilEnded();
+    connection.write(answer.secondHalf);
+  });
+  const bench = createBench(t);
+  const cancelled = new AbortController();
+  const tokens: string[] = [];
+  const outcome = await bench.complete(server.address, {
+    signal: cancelled.signal,
+    onTokens: ({ text }) => {
+      tokens.push(text);
+      cancelled.abort();
+    },
+  });
+  t.is(summarise(outcome), "unknown cancelled");
+  t.deepEqual(tokens, ["a b "]);
+  await bench.complete(server.address, {
+    signal: AbortSignal.timeout(SILENCE_MILLISECONDS),
+  });
+  t.is(usedConnections(server), 2);
+});
+
+test("requests one after the other share a connection", async (t) => {
+  const server = await serve(t, rawAnswers(engineAnswer(7)));
+  const bench = createBench(t);
+  for (let count = 0; count < 5; count += 1) {
+    t.is((await bench.complete(server.address)).kind, "finished");
+    await bench.untilIdle(server.address);
+  }
+  t.is(server.connections.length, 1);
+});
+
+test("a server that may get no work when the first byte would leave gets none", async (t) => {
+  const server = await serve(t, rawAnswers(engineAnswer(7)));
+  const bench = createBench(t);
+  const outcome = await bench.complete(server.address, {
+    mayStart: () => false,
+  });
+  t.is(summarise(outcome), "notRun withheld");
+  t.is(receivedBytes(server), 0);
+});
+
+function rechunk(chunk: string, mutate: (body: string) => string): string {
+  const [, body = "", ...rest] = chunk.split("\r\n");
+  const mutated = mutate(body);
+  return [mutated.length.toString(16), mutated, ...rest].join("\r\n");
+}
--- a/source/backends/silence_watch.ts
+++ b/source/backends/silence_watch.ts
@@ -1,5 +1,8 @@
 import type { Clock } from "../utilities/clock.ts";
 
+const CHECKS_PER_SILENCE = 5;
+const MINIMUM_STALL_MILLISECONDS = 20;
+
 /** What a silence watch needs. */
 export interface SilenceWatchOptions {
   readonly clock: Clock;
@@ -10,6 +13,9 @@
 
 /**
  * Notices that a connection has gone silent.
+ *
+ * Time in which this process itself stood still does not count: what came meanwhile has
+ * not been read yet.
  * @example
  * ```ts
  * const watch = new SilenceWatch({ clock, silenceMilliseconds: 5000, onSilent });
@@ -54,6 +60,7 @@
   async #run(): Promise<void> {
     const { clock, silenceMilliseconds, onSilent } = this.#options;
     const stopped = this.#stopped.signal;
+    const pause = silenceMilliseconds / CHECKS_PER_SILENCE;
     while (!stopped.aborted) {
       if (this.#paused) this.touch();
       const idle = clock.monotonic() - this.#heardAt;
@@ -61,7 +68,15 @@
         onSilent();
         return;
       }
-      await clock.sleep(silenceMilliseconds - idle, stopped);
+      await this.#sleep(Math.min(pause, silenceMilliseconds - idle));
     }
   }
+
+  async #sleep(milliseconds: number): Promise<void> {
+    const { clock } = this.#options;
+    const due = clock.monotonic() + milliseconds;
+    await clock.sleep(milliseconds, this.#stopped.signal);
+    const stalled = clock.monotonic() - due;
+    if (stalled > MINIMUM_STALL_MILLISECONDS) this.#heardAt += stalled;
+  }
 }
--- a/source/dispatch/create_dispatcher_test.ts
+++ b/source/dispatch/create_dispatcher_test.ts
@@ -1,15 +1,11 @@
-import { createServer, type Server } from "node:http";
-import type { AddressInfo } from "node:net";
 import test from "ava";
 import { request } from "undici";
-import {
-  createDispatchBench,
-  type DispatchBench,
-} from "../../stand_ins/dispatch/dispatch_bench.ts";
+import { createDispatchBench } from "../../stand_ins/dispatch/dispatch_bench.ts";
+import { startPlainEntry } from "../../stand_ins/dispatch/plain_entry.ts";
 import { generateText } from "../../stand_ins/engine/generated_text.ts";
 import { startEngine } from "../../stand_ins/engine/start_engine.ts";
+import { refusingAddress } from "../../stand_ins/raw_server/raw_server.ts";
 import { startPlainService } from "../../stand_ins/plain_service/start_plain_service.ts";
-import type { PlainOutcome } from "./dispatcher.ts";
 
 test("a completion is run whole and names its versions", async (t) => {
   const engine = await startEngine({ weightVersions: [7] });
@@ -38,14 +34,13 @@
 
 test("an engine that refuses connections is left for another one", async (t) => {
   const engine = await startEngine();
-  const gone = await startEngine();
-  await gone.close();
+  const gone = refusingAddress();
   const bench = createDispatchBench({ policy: "roundRobin" });
-  bench.servers.set({ address: gone.address });
+  bench.servers.set({ address: gone });
   bench.servers.set({ address: engine.address });
   const outcome = await bench.dispatcher.runCompletion(bench.completion());
   t.like(outcome, { kind: "finished", server: engine.address });
-  t.deepEqual(bench.servers.unreachable, [gone.address]);
+  t.deepEqual(bench.servers.unreachable, [gone]);
   await bench.close();
   await engine.close();
 });
@@ -54,7 +49,7 @@
   const service = await startPlainService();
   const bench = createDispatchBench();
   bench.servers.set({ address: service.address, service: "comenzi-app" });
-  const entry = await startEntry(bench);
+  const entry = await startPlainEntry(bench);
   const answer = await request(`http://${entry.address}/orders/7?a=b`, {
     method: "PUT",
     headers: { "authorization": "Bearer key", "content-type": "text/plain" },
@@ -68,33 +63,3 @@
   await bench.close();
   await service.close();
 });
-
-interface Entry {
-  readonly address: string;
-  readonly outcomes: PlainOutcome[];
-  close(): Promise<void>;
-}
-
-async function startEntry(bench: DispatchBench): Promise<Entry> {
-  const outcomes: PlainOutcome[] = [];
-  const server: Server = createServer((incoming, response) => {
-    void bench.dispatcher.runPlain({
-      ...bench.work({ service: "comenzi-app" }),
-      path: incoming.url ?? "/",
-      repeatable: true,
-      request: incoming,
-      response,
-    }).then((outcome) => outcomes.push(outcome));
-  });
-  await new Promise<void>((resolve) => server.listen(0, "127.0.0.1", resolve));
-  const { port } = server.address() as AddressInfo;
-  return {
-    address: `127.0.0.1:${port}`,
-    outcomes,
-    close: () =>
-      new Promise((resolve) => {
-        server.close(() => resolve());
-        server.closeAllConnections();
-      }),
-  };
-}
--- a/stand_ins/dispatch/dispatch_bench.ts
+++ b/stand_ins/dispatch/dispatch_bench.ts
@@ -8,6 +8,7 @@
   type NodeDispatcher,
 } from "../../source/dispatch/create_dispatcher.ts";
 import type { CompletionWork, Work } from "../../source/dispatch/dispatcher.ts";
+import type { RetryBudgetOptions } from "../../source/dispatch/retry_budget.ts";
 import type { NodeContext } from "../../source/node/node_context.ts";
 import type {
   Cause,
@@ -30,6 +31,7 @@
   readonly silenceMilliseconds?: number;
   readonly failureDomain?: string;
   readonly policy?: RoutingPolicyName;
+  readonly retryBudget?: RetryBudgetOptions;
 }
 
 /** A dispatcher with real clients and a view that is set by hand. */
@@ -70,6 +72,9 @@
     plainServices,
     configuration: NO_CONFIGURATION,
     routingPolicy: options.policy ?? "leastOutstanding",
+    ...(options.retryBudget === undefined
+      ? {}
+      : { retryBudget: options.retryBudget }),
   });
   const work = createWorkFactory(context);
   return {
