--- a/source/backends/http_engine_client_test.ts
+++ b/source/backends/http_engine_client_test.ts
@@ -7,6 +7,7 @@
   rawFaultOnReuse,
 } from "../../stand_ins/raw_server/raw_faults.ts";
 import {
+  type RawConnection,
   type RawScript,
   type RawServer,
   refusingAddress,
@@ -237,6 +238,25 @@
   t.is(usedConnections(server), 2);
 });
 
+test("one silent connection retires the other idle ones of its server", async (t) => {
+  const frozen = new Set<unknown>();
+  const server = await serve(t, async (connection) => {
+    for (;;) {
+      const request = await connection.request();
+      if (request === undefined) return;
+      if (frozen.has(connection)) continue;
+      await rawAnswer(connection, request);
+    }
+  });
+  const bench = createBench(t);
+  await Promise.all([1, 2, 3].map(() => bench.complete(server.address)));
+  await bench.untilIdle(server.address);
+  t.is(usedConnections(server), 3);
+  for (const connection of server.connections) frozen.add(connection);
+  t.is(summarise(await bench.complete(server.address)), "unknown silent");
+  t.is(summarise(await bench.complete(server.address)), "finished");
+});
+
 test("a connection is reused after a whole answer and not after a cancelled one", async (t) => {
   const server = await serve(t, async (connection) => {
     const request = await connection.request();
@@ -286,6 +306,16 @@
   t.is(receivedBytes(server), 0);
 });
 
+async function rawAnswer(
+  connection: RawConnection,
+  request: string,
+): Promise<void> {
+  const { headers, firstHalf, secondHalf } = engineAnswer(7)(request);
+  connection.write(`HTTP/1.1 200 OK\r\n${headers}\r\n${firstHalf}`);
+  await nextTurn();
+  connection.write(secondHalf);
+}
+
 function rechunk(chunk: string, mutate: (body: string) => string): string {
   const [, body = "", ...rest] = chunk.split("\r\n");
   const mutated = mutate(body);
--- /dev/null
+++ b/source/dispatch/completion_run_test.ts
@@ -0,0 +1,329 @@
+import test, { type ExecutionContext } from "ava";
+import {
+  createDispatchBench,
+  type DispatchBench,
+  type DispatchBenchOptions,
+  RecordingLedgerEntry,
+} from "../../stand_ins/dispatch/dispatch_bench.ts";
+import type { EngineOptions } from "../../stand_ins/engine/engine_options.ts";
+import { generateText } from "../../stand_ins/engine/generated_text.ts";
+import {
+  type StartedEngine,
+  startEngine,
+} from "../../stand_ins/engine/start_engine.ts";
+import {
+  engineAnswer,
+  rawAnswers,
+  rawFault,
+} from "../../stand_ins/raw_server/raw_faults.ts";
+import {
+  type RawScript,
+  type RawServer,
+  refusingAddress,
+  startRawServer,
+} from "../../stand_ins/raw_server/raw_server.ts";
+import type { CompletionOutcome } from "./dispatcher.ts";
+
+const PROMPT = "one two three";
+
+function createBench(
+  t: ExecutionContext,
+  options: DispatchBenchOptions = {},
+): DispatchBench {
+  const bench = createDispatchBench({ policy: "roundRobin", ...options });
+  t.teardown(() => bench.close());
+  return bench;
+}
+
+async function addEngine(
+  t: ExecutionContext,
+  bench: DispatchBench,
+  options: Partial<EngineOptions> = {},
+): Promise<StartedEngine> {
+  const engine = await startEngine(options);
+  t.teardown(() => engine.close());
+  const weightVersions = options.weightVersions ?? [1];
+  bench.servers.set({ address: engine.address, weightVersions });
+  return engine;
+}
+
+async function addRaw(
+  t: ExecutionContext,
+  bench: DispatchBench,
+  script: RawScript,
+): Promise<RawServer> {
+  const server = await startRawServer(script);
+  t.teardown(() => server.close());
+  bench.servers.set({ address: server.address, weightVersions: [9] });
+  return server;
+}
+
+function summarise(outcome: CompletionOutcome): string {
+  return outcome.kind === "finished"
+    ? `finished ${JSON.stringify(outcome.stretches)}`
+    : `${outcome.kind} ${outcome.reason}`;
+}
+
+test("a stream that ends with its engine goes on elsewhere, with both versions named", async (t) => {
+  const bench = createBench(t);
+  const first = await addEngine(t, bench, { weightVersions: [7] });
+  await addEngine(t, bench, { weightVersions: [8] });
+  let text = "";
+  let given = 0;
+  const outcome = await bench.dispatcher.runCompletion(bench.completion({
+    prompt: PROMPT,
+    maximumTokens: 40,
+    onTokens: (tokens) => {
+      text += tokens.text;
+      given += tokens.tokens;
+      if (given >= 5) void first.close();
+    },
+  }));
+  t.is(outcome.kind, "finished");
+  if (outcome.kind !== "finished") return;
+  t.is(outcome.text, generateText(PROMPT, { seed: 1, tokens: 40 }));
+  t.is(text, outcome.text);
+  const versions = outcome.stretches.map(({ weightVersion }) => weightVersion);
+  t.deepEqual(versions, [7, 8]);
+  t.is(outcome.usage.generatedTokens, 40);
+});
+
+test("a swap in the middle of a stream shows in the stretches", async (t) => {
+  const bench = createBench(t);
+  const engine = await addEngine(t, bench, { weightVersions: [7] });
+  let ordered: Promise<unknown> | undefined;
+  const outcome = await bench.dispatcher.runCompletion(bench.completion({
+    maximumTokens: 40,
+    onTokens: () => {
+      ordered ??= bench.engines.loadVersion(engine.address, {
+        version: 8,
+        location: "weights/8",
+        fencingNumber: 1,
+        idempotencyKey: "order-1",
+      }, {
+        signal: new AbortController().signal,
+        silenceMilliseconds: 5_000,
+      });
+    },
+  }));
+  await ordered;
+  t.is(outcome.kind, "finished");
+  if (outcome.kind !== "finished") return;
+  const versions = outcome.stretches.map(({ weightVersion }) => weightVersion);
+  t.deepEqual(versions, [7, 8]);
+});
+
+test("a swap that was reported done but failed does not change the named version", async (t) => {
+  const bench = createBench(t);
+  const engine = await addEngine(t, bench, {
+    weightVersions: [7],
+    failsSwapsSilently: true,
+  });
+  const ordered = await bench.engines.loadVersion(engine.address, {
+    version: 8,
+    location: "weights/8",
+    fencingNumber: 1,
+    idempotencyKey: "order-1",
+  }, { signal: new AbortController().signal, silenceMilliseconds: 5_000 });
+  t.is(ordered.kind, "done");
+  bench.servers.set({ address: engine.address, weightVersions: [7, 8] });
+  const any = await bench.dispatcher.runCompletion(bench.completion());
+  t.is(summarise(any), 'finished [{"weightVersion":7,"tokens":8}]');
+  const tokens: number[] = [];
+  const fresh = await bench.dispatcher.runCompletion(bench.completion({
+    minimumWeightVersion: 8,
+    onTokens: ({ weightVersion }) => tokens.push(weightVersion),
+  }));
+  t.is(fresh.kind, "unknown");
+  t.deepEqual(tokens, []);
+});
+
+test("an engine that restarted at its address with old weights gives no old tokens", async (t) => {
+  const bench = createBench(t);
+  const before = await addEngine(t, bench, { weightVersions: [7] });
+  await before.close();
+  const port = Number(before.address.split(":")[1]);
+  const after = await startEngine({ port, weightVersions: [6] });
+  t.teardown(() => after.close());
+  await addEngine(t, bench, { weightVersions: [7] });
+  const outcomes = await Promise.all(
+    [1, 2, 3, 4].map(() =>
+      bench.dispatcher.runCompletion(bench.completion({
+        minimumWeightVersion: 7,
+        onTokens: ({ weightVersion }) => t.is(weightVersion, 7),
+      }))
+    ),
+  );
+  t.deepEqual(
+    outcomes.map(summarise),
+    Array(4).fill('finished [{"weightVersion":7,"tokens":8}]'),
+  );
+});
+
+test("tokens of a stream that contradicts itself are run again, unless the caller has them", async (t) => {
+  const lying: RawScript = rawAnswers((request) => {
+    const answer = engineAnswer(9)(request);
+    const secondHalf = answer.secondHalf
+      .replace('"completion_tokens":4', '"completion_tokens":5');
+    return { ...answer, secondHalf };
+  });
+  const seen: string[] = [];
+  for (const onTokens of [undefined, (): void => {}]) {
+    const bench = createBench(t);
+    await addRaw(t, bench, lying);
+    await addRaw(t, bench, rawAnswers(engineAnswer(9)));
+    const outcome = await bench.dispatcher.runCompletion(bench.completion({
+      maximumTokens: 4,
+      ...(onTokens === undefined ? {} : { onTokens }),
+    }));
+    seen.push(summarise(outcome));
+  }
+  t.deepEqual(seen, [
+    'finished [{"weightVersion":9,"tokens":4}]',
+    "unknown backendFailure",
+  ]);
+});
+
+test("a cancelled copy that finishes late gives nothing to anyone", async (t) => {
+  const bench = createBench(t);
+  const cancelled = new AbortController();
+  const late: string[] = [];
+  const slow = await addRaw(t, bench, async (connection) => {
+    const request = await connection.request();
+    if (request === undefined) return;
+    const answer = engineAnswer(9)(request);
+    connection.write(`HTTP/1.1 200 OK\r\n${answer.headers}\r\n`);
+    connection.write(answer.firstHalf);
+    await connection.untilEnded();
+    connection.write(answer.secondHalf);
+  });
+  await addEngine(t, bench, { weightVersions: [9] });
+  const first = bench.dispatcher.runCompletion(bench.completion({
+    maximumTokens: 4,
+    signal: cancelled.signal,
+    onTokens: ({ text }) => late.push(text),
+  }));
+  const second = await bench.dispatcher.runCompletion(bench.completion({
+    prompt: PROMPT,
+    maximumTokens: 4,
+    avoidServers: [slow.address],
+  }));
+  cancelled.abort();
+  t.is(summarise(await first), "unknown cancelled");
+  t.like(second, { text: generateText(PROMPT, { seed: 1, tokens: 4 }) });
+  t.true(late.length <= 1);
+});
+
+test("retries stay within their share of first tries", async (t) => {
+  const bench = createBench(t, {
+    retryBudget: { share: 0.1, maximumSaved: 5 },
+  });
+  const broken = await addRaw(
+    t,
+    bench,
+    rawFault("serverError", engineAnswer(9)),
+  );
+  const reasons: string[] = [];
+  for (let count = 0; count < 100; count += 1) {
+    const outcome = await bench.dispatcher.runCompletion(bench.completion());
+    reasons.push(summarise(outcome));
+  }
+  const sent = broken.connections.filter(({ received }) =>
+    received.startsWith("POST ")
+  );
+  t.true(sent.length <= 100 + 5 + 10, `${sent.length} requests were sent`);
+  t.is(reasons.at(-1), "unknown retryBudget");
+});
+
+interface RefusalCase {
+  readonly name: string;
+  readonly arrange: (
+    t: ExecutionContext,
+    bench: DispatchBench,
+  ) => Promise<Parameters<DispatchBench["completion"]>[0]>;
+}
+
+const REFUSAL_CASES: ReadonlyArray<RefusalCase> = [
+  { name: "no server at all", arrange: async () => ({}) },
+  {
+    name: "leaving server",
+    arrange: async (_t, bench) => {
+      bench.servers.set({ address: refusingAddress(), leaving: true });
+      return {};
+    },
+  },
+  {
+    name: "server withheld at the moment of dispatch",
+    arrange: async (t, bench) => {
+      const server = await addRaw(t, bench, rawAnswers(engineAnswer(9)));
+      bench.servers.withhold(server.address);
+      return {};
+    },
+  },
+  {
+    name: "every connection refused",
+    arrange: async (_t, bench) => {
+      bench.servers.set({ address: refusingAddress() });
+      return {};
+    },
+  },
+  {
+    name: "cancelled before it started",
+    arrange: async (t, bench) => {
+      await addRaw(t, bench, rawAnswers(engineAnswer(9)));
+      return { signal: AbortSignal.abort() };
+    },
+  },
+  {
+    name: "deadline passed before it started",
+    arrange: async (t, bench) => {
+      await addRaw(t, bench, rawAnswers(engineAnswer(9)));
+      return { deadline: bench.context.clock.monotonic() - 1 };
+    },
+  },
+  {
+    name: "deadline passed while it ran",
+    arrange: async (t, bench) => {
+      await addEngine(t, bench, { tokensPerSecond: 1 });
+      return { deadline: bench.context.clock.monotonic() + 200 };
+    },
+  },
+  {
+    name: "engine says that it did not run",
+    arrange: async (t, bench) => {
+      await addEngine(t, bench, { maximumWaiting: 0, batchSlots: 0 });
+      return {};
+    },
+  },
+  {
+    name: "engine answers with errors",
+    arrange: async (t, bench) => {
+      await addEngine(t, bench, { fastErrors: true });
+      return {};
+    },
+  },
+];
+
+test("refusals name what they are and whether the work ran", async (t) => {
+  const seen: string[] = [];
+  for (const { name, arrange } of REFUSAL_CASES) {
+    const bench = createBench(t, {
+      retryBudget: { share: 0, maximumSaved: 1 },
+    });
+    const work = bench.completion(await arrange(t, bench));
+    const outcome = await bench.dispatcher.runCompletion(work);
+    seen.push(`${name}: ${summarise(outcome)}`);
+  }
+  t.snapshot(seen);
+});
+
+test("time lost to a server's errors is accounted for", async (t) => {
+  const bench = createBench(t);
+  await addEngine(t, bench, { fastErrors: true });
+  await addEngine(t, bench);
+  const ledger = new RecordingLedgerEntry();
+  const work = bench.completion({ ledger });
+  t.is((await bench.dispatcher.runCompletion(work)).kind, "finished");
+  t.true((ledger.causes.serverErrors ?? 0) > 0);
+  t.true((ledger.causes.generation ?? 0) > 0);
+});
