--- a/source/command/commands_test.ts
+++ b/source/command/commands_test.ts
@@ -171,6 +171,9 @@
       streamsCut: 2,
     }),
   }],
+  "key withdraw, no such key": [(context) => runWithdrawKey(context, "a"), {
+    withdrawKey: () => ({ unknownKey: true }),
+  }],
   "key withdraw, a node is silent and the table away": [
     (context) => runWithdrawKey(context, "a"),
     {
--- a/source/command/key_commands.ts
+++ b/source/command/key_commands.ts
@@ -72,6 +72,12 @@
     );
     return EXIT_STATUS.unavailable;
   }
+  if (answer.value.unknownKey) {
+    context.output.note(
+      `No key "${keyIdentifier}"; give the part between the key's underscores`,
+    );
+    return EXIT_STATUS.invalid;
+  }
   const { confirmedNodes, silentNodes, saved, streamsCut } = answer.value;
   if (context.isJson) {
     context.output.line(
--- a/source/operators/operator_service.ts
+++ b/source/operators/operator_service.ts
@@ -12,11 +12,11 @@
   WithdrawKeyResponseSchema,
 } from "../../generated/snipepath/v1/operator_pb.ts";
 import { checkDeclaration } from "../declarations/check_declaration.ts";
+import type { KeyAuthority } from "../keys/key_authority.ts";
 import type { ConfigurationView } from "../membership/configuration_view.ts";
 import type { NodeContext } from "../node/node_context.ts";
 import type { LedgerQuery } from "../observability/cause_ledger.ts";
 import type { ConfigurationWriter } from "./configuration_writer.ts";
-import type { KeyIssuer } from "./key_issuer.ts";
 import { readStatus, type StatusSources } from "./read_status.ts";
 
 type Implementation = ServiceImpl<typeof OperatorService>;
@@ -38,7 +38,7 @@
   readonly context: NodeContext;
   readonly configuration: ConfigurationView;
   readonly writer: ConfigurationWriter;
-  readonly keys: KeyIssuer;
+  readonly keys: Pick<KeyAuthority, "give" | "withdraw">;
   /** Starts leaving; returns the number of running requests. */
   readonly startDrain: () => number;
 }
@@ -159,7 +159,7 @@
     return create(GiveKeyResponseSchema, {
       outcome: {
         case: "unavailable",
-        value: { reason: outcome.reason, unknown: false },
+        value: { reason: outcome.reason, unknown: outcome.unknown },
       },
     });
   };
@@ -170,9 +170,12 @@
 ): Method<"withdrawKey"> {
   return async (request: WithdrawKeyRequest) => {
     const outcome = await options.keys.withdraw(request.keyIdentifier);
+    if (outcome.kind === "unknownKey") {
+      return create(WithdrawKeyResponseSchema, { unknownKey: true });
+    }
     return create(WithdrawKeyResponseSchema, {
-      confirmedNodes: [...outcome.confirmed],
-      silentNodes: [...outcome.silent],
+      confirmedNodes: [...outcome.confirmedNodes],
+      silentNodes: [...outcome.silentNodes],
       saved: outcome.saved,
       streamsCut: outcome.streamsCut,
     });
