--- a/stand_ins/programs/snipepath_stand_in.ts
+++ b/stand_ins/programs/snipepath_stand_in.ts
@@ -1,10 +1,8 @@
 import { binary, command, number, option, run, subcommands } from "cmd-ts";
+import { ENGINE_COMMAND } from "../engine/engine_command.ts";
+import { PLAIN_COMMAND } from "../plain_service/plain_command.ts";
 import { startPlatform } from "../platform/start_platform.ts";
-
-interface RunningStandIn {
-  readonly address: string;
-  close(): Promise<void>;
-}
+import { serveUntilTerminated } from "../utilities/serve_until_terminated.ts";
 
 const PORT = option({
   type: number,
@@ -61,17 +59,7 @@
 const program = subcommands({
   name: "snipepath-stand-in",
   description: "Stands in for one outside system in tests and the demo",
-  cmds: { platform },
+  cmds: { platform, engine: ENGINE_COMMAND, plain: PLAIN_COMMAND },
 });
 
-async function serveUntilTerminated(
-  starting: Promise<RunningStandIn>,
-): Promise<void> {
-  const standIn = await starting;
-  console.log(`listening ${standIn.address}`);
-  process.once("SIGTERM", () => {
-    standIn.close().finally(() => process.exit(0));
-  });
-}
-
 void run(binary(program), process.argv);
