Make generated text depend on the weight version

A checker outside the program can now tell from the text alone which version made each token, so that a sample which names the wrong version is seen. The dispatcher's test now demands the text of version 7 and not just any text.

--- a/source/dispatch/create_dispatcher_test.ts
+++ b/source/dispatch/create_dispatcher_test.ts
@@ -18,7 +18,11 @@
   const outcome = await bench.dispatcher.runCompletion(bench.completion());
   t.like(outcome, {
     kind: "finished",
-    text: generateText("one two three", { seed: 1, tokens: 8 }),
+    text: generateText("one two three", {
+      seed: 1,
+      tokens: 8,
+      weightVersion: 7,
+    }),
     stretches: [{ weightVersion: 7, tokens: 8 }],
     serverStart: engine.startIdentity,
   });
--- a/stand_ins/engine/completion_stream_writer.ts
+++ b/stand_ins/engine/completion_stream_writer.ts
@@ -72,10 +72,15 @@
 
   #nextText(count: number): string {
     const { seed } = this.#options;
+    const weightVersion = this.#options.weightVersion();
     let text = "";
     for (let index = 0; index < count; index += 1) {
       const position = this.#startPosition + this.#generated;
-      text += generateToken(this.#body.prompt, { seed, position });
+      text += generateToken(this.#body.prompt, {
+        seed,
+        position,
+        weightVersion,
+      });
       this.#generated += 1;
     }
     return text;
--- a/stand_ins/engine/generated_text.ts
+++ b/stand_ins/engine/generated_text.ts
@@ -4,40 +4,50 @@
 
 const SHORTEST_SHARE = 0.25;
 
+/** Where a token stands and what made it. */
+export interface TokenOrigin {
+  readonly seed: number;
+  readonly position: number;
+  readonly weightVersion: number;
+}
+
 /**
- * Returns the token that engines generate at a position. Every engine generates the same.
+ * Returns the token that a weight version generates at a position. Every engine generates the same.
  * @param prompt - The prompt.
- * @param options - Seed and position.
+ * @param origin - Seed, position and weight version.
  * @example
  * ```ts
- * generateToken("one two", { seed: 1, position: 0 });
+ * generateToken("one two", { seed: 1, position: 0, weightVersion: 7 });
  * ```
  */
-export function generateToken(
-  prompt: string,
-  options: { readonly seed: number; readonly position: number },
-): string {
-  const digest = h32(`${prompt}\n${options.position}`, options.seed);
-  return `${options.position}:${digest.toString(36)} `;
+export function generateToken(prompt: string, origin: TokenOrigin): string {
+  const { seed, position, weightVersion } = origin;
+  const digest = h32(`${prompt}\n${position}\n${weightVersion}`, seed);
+  return `${position}:${digest.toString(36)} `;
+}
+
+/** What a whole text is made of. */
+export interface TextOrigin {
+  readonly seed: number;
+  readonly tokens: number;
+  readonly weightVersion: number;
 }
 
 /**
- * Returns the whole text of a prompt, for checks.
+ * Returns the whole text of a prompt under one weight version, for checks.
  * @param prompt - The prompt.
- * @param options - Seed and number of tokens.
+ * @param origin - Seed, number of tokens and weight version.
  * @example
  * ```ts
- * generateText("one two", { seed: 1, tokens: 3 });
+ * generateText("one two", { seed: 1, tokens: 3, weightVersion: 7 });
  * ```
  */
-export function generateText(
-  prompt: string,
-  options: { readonly seed: number; readonly tokens: number },
-): string {
-  const positions = Array.from({ length: options.tokens }, (_, index) => index);
-  return positions
-    .map((position) => generateToken(prompt, { seed: options.seed, position }))
-    .join("");
+export function generateText(prompt: string, origin: TextOrigin): string {
+  const { seed, tokens, weightVersion } = origin;
+  return Array.from(
+    { length: tokens },
+    (_, position) => generateToken(prompt, { seed, position, weightVersion }),
+  ).join("");
 }
 
 /**
