--- a/source/platform/http_object_store_client.ts
+++ b/source/platform/http_object_store_client.ts
@@ -3,6 +3,7 @@
 import type { ObjectStoreClient } from "./object_store_client.ts";
 import {
   asObject,
+  readAbsence,
   readAnswer,
   readArray,
   toFailure,
@@ -32,7 +33,7 @@
     const outcome = await this.#connection.call({ method: "GET", path });
     if (outcome.kind !== "ok") return outcome;
     const { status, body, digest } = outcome.value;
-    if (status === 404) return { kind: "ok", value: undefined };
+    if (status === 404) return readAbsence(outcome.value);
     if (status !== 200) return toFailure(outcome.value);
     if (digest !== computeDigest(body)) {
       return { kind: "unknown", reason: "The object's digest does not match" };
--- a/source/platform/http_table_client.ts
+++ b/source/platform/http_table_client.ts
@@ -1,5 +1,6 @@
 import {
   asObject,
+  readAbsence,
   readAnswer,
   readArray,
   readJson,
@@ -32,7 +33,7 @@
     const path = `/table/${encodeURIComponent(table)}/${encodePath(key)}`;
     const outcome = await this.#connection.call({ method: "GET", path });
     if (outcome.kind === "ok" && outcome.value.status === 404) {
-      return { kind: "ok", value: undefined };
+      return readAbsence(outcome.value);
     }
     return readAnswer(outcome, (json) => {
       const row = readRow(json);
--- a/source/platform/platform_answer.ts
+++ b/source/platform/platform_answer.ts
@@ -48,6 +48,14 @@
   return { kind: "ok", value };
 }
 
+/** Reads the answer that a row or object is absent; a cut one tells nothing. */
+export function readAbsence(
+  answer: PlatformHttpAnswer,
+): PlatformOutcome<undefined> {
+  const outcome = readJson(answer, asObject);
+  return outcome.kind === "ok" ? { kind: "ok", value: undefined } : outcome;
+}
+
 /** Tells what an answer with an unexpected status means for the call. */
 export function toFailure(answer: PlatformHttpAnswer): PlatformFailure {
   const reason = `The platform answered with status ${answer.status}`;
--- a/stand_ins/faults/fault_switch.ts
+++ b/stand_ins/faults/fault_switch.ts
@@ -57,6 +57,17 @@
 export class FaultSwitch {
   #active: ActiveFault[] = [];
   #onFreezeExisting: () => void = () => {};
+  #hits = 0;
+
+  /** How many requests were hit so far, also on frozen connections. */
+  get hits(): number {
+    return this.#hits;
+  }
+
+  /** Counts a request that arrived on a frozen connection. */
+  noteFrozenRequest(): void {
+    this.#hits += 1;
+  }
 
   /** Switches a fault on; earlier ones come first. */
   set(fault: Partial<Fault> & Pick<Fault, "fault">): void {
@@ -87,6 +98,7 @@
     );
     if (hit === undefined) return undefined;
     hit.left -= 1;
+    this.#hits += 1;
     if (hit.left <= 0) {
       this.#active = this.#active.filter((active) => active !== hit);
     }
--- a/stand_ins/faults/faulty_http_server.ts
+++ b/stand_ins/faults/faulty_http_server.ts
@@ -87,7 +87,7 @@
     for (const socket of sockets) freezeSocket(socket, frozen);
   });
   server.on("request", (request, response) => {
-    if (frozen.has(request.socket)) return;
+    if (frozen.has(request.socket)) return faults.noteFrozenRequest();
     serve({ request, response, faults, options }).catch(() =>
       request.socket.destroy()
     );
