Tell facts between peers and keep the views that follow from them

Nodes need to know each other, the backend servers and the configuration without a second coordination service.

Change: peer streams chosen by rendezvous hashing, facts with a version for each origin merged by a table of rules, key freshness from echoed heartbeats, backend server view from list, told facts and own findings, configuration by compare-and-set. Contract additions: ToldState.retract, optional BackendServerView.noteLeaving, fields in peer.proto.

--- a/source/backends/backend_server_state.ts
+++ b/source/backends/backend_server_state.ts
@@ -33,4 +33,6 @@
   isAvailable(address: string): boolean;
   /** Tells that this node found a server unreachable or restarted, ahead of its next report. */
   noteUnreachable(address: string): void;
+  /** Tells that this node got a notice that a server is leaving; it reaches all nodes. */
+  noteLeaving?(address: string): void;
 }
--- /dev/null
+++ b/source/membership/peer_session.ts
@@ -0,0 +1,281 @@
+import { create } from "@bufbuild/protobuf";
+import {
+  type Fact,
+  type FactBatch,
+  FactBatchSchema,
+  type FactSummary,
+  FactSummarySchema,
+  type Heartbeat,
+  HeartbeatSchema,
+  type Hello,
+  type OriginRange,
+  OriginRangeSchema,
+  type OriginVersion,
+  OriginVersionSchema,
+  type PeerMessage,
+  PeerMessageSchema,
+} from "../../generated/snipepath/v1/peer_pb.ts";
+import type { Clock } from "../utilities/clock.ts";
+import type { FactStore, MissingPart } from "./fact_store.ts";
+import type { KeyFreshness } from "./key_freshness.ts";
+import { originIdentity, type OriginLog } from "./origin_log.ts";
+
+/** Shortest time between two batches on one stream, in milliseconds. */
+export const BATCH_INTERVAL_MILLISECONDS = 100;
+const MAXIMUM_BATCH_FACTS = 2000;
+const MAXIMUM_SUMMARY_ORIGINS = 4096;
+/** Age that stands for "never", below the range of the message's field. */
+const MAXIMUM_AGE_MILLISECONDS = 2 ** 31;
+const MAXIMUM_OPEN_HEARTBEATS = 64;
+
+/** What a session needs. */
+export interface PeerSessionOptions {
+  readonly store: FactStore;
+  readonly freshness: KeyFreshness;
+  readonly clock: Clock;
+  readonly heartbeatMilliseconds: number;
+  /** Returns this node's introduction. */
+  readonly hello: () => Hello;
+  /** Gets the other side's introduction. */
+  readonly onHello: (hello: Hello) => void;
+}
+
+type Handlers = {
+  readonly [
+    Case in NonNullable<PeerMessage["content"]["case"]>
+  ]: (
+    value: Extract<PeerMessage["content"], { readonly case: Case }>["value"],
+  ) => void;
+};
+
+/** One side of a stream between two nodes: what to send, and what to do with what comes. */
+export class PeerSession {
+  readonly #options: PeerSessionOptions;
+  /** Version of each origin's log that the other side holds, as far as known. */
+  readonly #known = new Map<string, number>();
+  readonly #grown = new Set<string>();
+  readonly #pendingShared = new Map<string, Fact>();
+  readonly #missing: MissingPart[] = [];
+  readonly #heartbeatsSentAt = new Map<number, number>();
+  readonly #ended = new AbortController();
+  #wake = new AbortController();
+  #sequence = 0;
+  #heardSequence = 0n;
+  #sharedDiffered = false;
+  #lastHeardAt: number;
+
+  /** @param options - The node's state and clock. */
+  constructor(options: PeerSessionOptions) {
+    this.#options = options;
+    this.#lastHeardAt = options.clock.monotonic();
+    for (const fact of options.store.sharedFacts()) this.#queueShared(fact);
+  }
+
+  /** Time since the last message of the other side, in milliseconds. */
+  get silentMilliseconds(): number {
+    return this.#options.clock.monotonic() - this.#lastHeardAt;
+  }
+
+  /** Ends the session; the messages stop. */
+  end(): void {
+    this.#ended.abort();
+    this.#wake.abort();
+  }
+
+  /** Sends what this node holds and learns until the session ends. */
+  async *messages(): AsyncGenerator<PeerMessage> {
+    const { store, clock, heartbeatMilliseconds } = this.#options;
+    const unlisten = store.listen({
+      onOriginGrown: (log, urgent) => this.#queueOrigin(log, urgent),
+      onSharedChanged: (fact) => this.#queueShared(fact),
+    });
+    try {
+      yield createMessage({ case: "hello", value: this.#options.hello() });
+      yield createMessage({ case: "summary", value: this.#completeSummary() });
+      let heartbeatAt = -Infinity;
+      while (!this.#ended.signal.aborted) {
+        this.#wake = new AbortController();
+        const isDue = clock.monotonic() - heartbeatAt >= heartbeatMilliseconds;
+        if (isDue) heartbeatAt = clock.monotonic();
+        yield* this.#takeMessages(isDue);
+        if (this.#ended.signal.aborted) break;
+        await clock.sleep(BATCH_INTERVAL_MILLISECONDS, this.#wake.signal);
+      }
+    } finally {
+      unlisten();
+    }
+  }
+
+  /** Takes facts and heartbeat in one tick, so that a heartbeat never overtakes what it vouches for. */
+  #takeMessages(isHeartbeatDue: boolean): ReadonlyArray<PeerMessage> {
+    const messages: PeerMessage[] = [];
+    if (this.#missing.length > 0) {
+      const value = this.#takeMissing();
+      messages.push(createMessage({ case: "summary", value }));
+    }
+    const batch = this.#takeBatch();
+    if (batch !== undefined) {
+      messages.push(createMessage({ case: "facts", value: batch }));
+    }
+    if (isHeartbeatDue) {
+      const value = this.#heartbeat();
+      messages.push(createMessage({ case: "heartbeat", value }));
+    }
+    return messages;
+  }
+
+  /** Takes one message of the other side. */
+  receive(message: PeerMessage): void {
+    this.#lastHeardAt = this.#options.clock.monotonic();
+    const { content } = message;
+    if (content.case === undefined) return;
+    const handle = this.#handlers[content.case] as (value: unknown) => void;
+    handle(content.value);
+  }
+
+  readonly #handlers: Handlers = {
+    hello: (hello) => this.#options.onHello(hello),
+    facts: (batch) => this.#receiveFacts(batch),
+    summary: (summary) => this.#receiveSummary(summary),
+    heartbeat: (heartbeat) => this.#receiveHeartbeat(heartbeat),
+  };
+
+  #receiveFacts(batch: FactBatch): void {
+    for (const range of batch.ranges) {
+      const identity = originIdentity(range.origin, range.originStart);
+      const through = Number(range.through);
+      if (through <= (this.#known.get(identity) ?? 0)) continue;
+      this.#noteKnown(identity, through);
+    }
+    const missing = this.#options.store.applyBatch(batch);
+    if (missing.length === 0) return;
+    this.#missing.push(...missing);
+    this.#wake.abort();
+  }
+
+  #receiveSummary(summary: FactSummary): void {
+    if (summary.complete) this.#known.clear();
+    const versions = summary.versions.slice(0, MAXIMUM_SUMMARY_ORIGINS);
+    for (const { origin, originStart, version } of versions) {
+      this.#noteKnown(originIdentity(origin, originStart), Number(version));
+    }
+    for (const log of this.#options.store.logs()) {
+      const known = this.#known.get(log.identity) ?? 0;
+      if (log.through > known) this.#grown.add(log.identity);
+    }
+  }
+
+  #receiveHeartbeat(heartbeat: Heartbeat): void {
+    const { freshness, store } = this.#options;
+    this.#heardSequence = heartbeat.sequence;
+    const echoed = Number(heartbeat.echoSequence);
+    const sentAt = this.#heartbeatsSentAt.get(echoed);
+    if (sentAt !== undefined) {
+      freshness.notePeer(sentAt, Number(heartbeat.tableAgeMilliseconds));
+      forgetUpTo(this.#heartbeatsSentAt, echoed);
+    }
+    const differs = heartbeat.sharedDigest !== store.sharedDigest();
+    if (differs && this.#sharedDiffered) this.#queueAllShared();
+    this.#sharedDiffered = differs && !this.#sharedDiffered;
+  }
+
+  #noteKnown(identity: string, through: number): void {
+    const isNew = !this.#known.has(identity);
+    if (isNew && this.#known.size >= MAXIMUM_SUMMARY_ORIGINS) return;
+    this.#known.set(identity, through);
+  }
+
+  #queueAllShared(): void {
+    for (const fact of this.#options.store.sharedFacts()) {
+      this.#queueShared(fact);
+    }
+  }
+
+  #queueOrigin(log: OriginLog, urgent: boolean): void {
+    if (log.through <= (this.#known.get(log.identity) ?? 0)) return;
+    this.#grown.add(log.identity);
+    if (urgent) this.#wake.abort();
+  }
+
+  #queueShared(fact: Fact): void {
+    this.#pendingShared.set(`${fact.value.case}\n${fact.key}`, fact);
+    this.#wake.abort();
+  }
+
+  #takeBatch(): FactBatch | undefined {
+    const facts: Fact[] = [...this.#pendingShared.values()];
+    const ranges: OriginRange[] = [];
+    this.#pendingShared.clear();
+    for (const identity of this.#grown) {
+      if (facts.length >= MAXIMUM_BATCH_FACTS) break;
+      this.#grown.delete(identity);
+      const log = this.#options.store.log(identity);
+      const known = this.#known.get(identity) ?? 0;
+      if (log === undefined || log.through <= known) continue;
+      ranges.push(this.#createRange(log, known));
+      facts.push(...log.factsAfter(known));
+      this.#known.set(identity, log.through);
+    }
+    if (facts.length === 0 && ranges.length === 0) return undefined;
+    return create(FactBatchSchema, { facts, ranges });
+  }
+
+  #createRange(log: OriginLog, known: number): OriginRange {
+    const age = this.#options.store.originAge(log.origin, log.start);
+    return create(OriginRangeSchema, {
+      origin: log.origin,
+      originStart: log.start,
+      from: BigInt(known),
+      through: BigInt(log.through),
+      ageMilliseconds: Math.round(Math.min(age, MAXIMUM_AGE_MILLISECONDS)),
+    });
+  }
+
+  #completeSummary(): FactSummary {
+    const versions: OriginVersion[] = [];
+    for (const log of this.#options.store.logs()) {
+      versions.push(createOriginVersion(log));
+    }
+    return create(FactSummarySchema, { versions, complete: true });
+  }
+
+  #takeMissing(): FactSummary {
+    const versions = this.#missing.splice(0).map(createOriginVersion);
+    return create(FactSummarySchema, { versions });
+  }
+
+  #heartbeat(): Heartbeat {
+    const { clock, freshness, store } = this.#options;
+    this.#sequence += 1;
+    this.#heartbeatsSentAt.set(this.#sequence, clock.monotonic());
+    forgetUpTo(
+      this.#heartbeatsSentAt,
+      this.#sequence - MAXIMUM_OPEN_HEARTBEATS,
+    );
+    const age = Math.min(freshness.ageMilliseconds(), MAXIMUM_AGE_MILLISECONDS);
+    return create(HeartbeatSchema, {
+      sequence: BigInt(this.#sequence),
+      tableAgeMilliseconds: BigInt(Math.ceil(age)),
+      echoSequence: this.#heardSequence,
+      sharedDigest: store.sharedDigest(),
+    });
+  }
+}
+
+function createMessage(content: PeerMessage["content"]): PeerMessage {
+  return create(PeerMessageSchema, { content });
+}
+
+function createOriginVersion(part: MissingPart): OriginVersion {
+  return create(OriginVersionSchema, {
+    origin: part.origin,
+    originStart: part.start,
+    version: BigInt(part.through),
+  });
+}
+
+function forgetUpTo(sentAt: Map<number, number>, sequence: number): void {
+  for (const known of sentAt.keys()) {
+    if (known <= sequence) sentAt.delete(known);
+  }
+}
--- /dev/null
+++ b/source/membership/platform_poll.ts
@@ -0,0 +1,142 @@
+import { fromJsonString } from "@bufbuild/protobuf";
+import { KeyRecordSchema } from "../../generated/snipepath/v1/records_pb.ts";
+import type { NodeContext } from "../node/node_context.ts";
+import type { ListedInstance } from "../platform/instance_list_client.ts";
+import type { ConfigurationHolder } from "./configuration_holder.ts";
+import type { ConfigurationStore } from "./configuration_store.ts";
+import type { KeyFreshness } from "./key_freshness.ts";
+
+/** Table that holds the keys. */
+export const KEY_TABLE = "keys";
+const REGISTER_INTERVAL_MILLISECONDS = 3000;
+const MINIMUM_LIST_INTERVAL_MILLISECONDS = 1000;
+const LIST_INTERVAL_PER_NODE_MILLISECONDS = 200;
+const TABLE_CHECK_MILLISECONDS = 250;
+const MINIMUM_TABLE_AGE_MILLISECONDS = 1500;
+const TABLE_SPREAD_PER_NODE_MILLISECONDS = 150;
+const MAXIMUM_TABLE_SPREAD_MILLISECONDS = 5000;
+const KEY_PAGE_ROWS = 500;
+
+/** What reading the platform needs. */
+export interface PlatformPollOptions {
+  readonly context: NodeContext;
+  readonly store: ConfigurationStore;
+  readonly holder: ConfigurationHolder;
+  readonly freshness: KeyFreshness;
+  /** Returns this node as the list should show it. */
+  readonly registration: () => ListedInstance;
+  readonly onListed: (instances: ReadonlyArray<ListedInstance>) => void;
+  /** Gets the identifiers of withdrawn keys that the table holds. */
+  readonly onWithdrawn: (identifiers: ReadonlyArray<string>) => void;
+  /** Number of live nodes, this one included. */
+  readonly nodeCount: () => number;
+  /** Reads withdrawals in place of the list of all keys; false when the table did not answer. */
+  readonly confirmKeys?: () => Promise<boolean>;
+}
+
+/** Reads the platform's table and list at intervals that grow with the number of nodes. */
+export class PlatformPoll {
+  readonly #options: PlatformPollOptions;
+  #hasConfiguration = false;
+
+  /** @param options - Where to read, and who gets it. */
+  constructor(options: PlatformPollOptions) {
+    this.#options = options;
+  }
+
+  /** Whether the table has answered about the configuration since the start. */
+  get hasConfiguration(): boolean {
+    return this.#hasConfiguration;
+  }
+
+  /** Reads until the node stops. */
+  async run(): Promise<void> {
+    await Promise.all([this.#register(), this.#list(), this.#table()]);
+  }
+
+  /** Reads configuration and withdrawals now. */
+  async readTable(): Promise<void> {
+    const { clock } = this.#options.context;
+    const sentAt = clock.monotonic();
+    const configuration = await this.#options.store.read();
+    if (configuration.kind !== "ok") return;
+    const record = configuration.value;
+    if (record !== undefined) this.#options.holder.adoptFrom(record, "table");
+    this.#hasConfiguration = true;
+    if (await this.#readWithdrawals()) {
+      this.#options.freshness.noteTable(sentAt);
+    }
+  }
+
+  async #register(): Promise<void> {
+    const { clock, platform, stopping } = this.#options.context;
+    while (!stopping.aborted) {
+      await platform.instances.register(this.#options.registration());
+      await clock.sleep(REGISTER_INTERVAL_MILLISECONDS, stopping);
+    }
+  }
+
+  async #list(): Promise<void> {
+    const { clock, log, platform, random, stopping } = this.#options.context;
+    let wasAvailable = true;
+    while (!stopping.aborted) {
+      const outcome = await platform.instances.list();
+      if (outcome.kind === "ok") this.#options.onListed(outcome.value);
+      else if (wasAvailable) {
+        log.emit("instanceListUnavailable", { reason: outcome.reason });
+      }
+      wasAvailable = outcome.kind === "ok";
+      const interval = Math.max(
+        MINIMUM_LIST_INTERVAL_MILLISECONDS,
+        LIST_INTERVAL_PER_NODE_MILLISECONDS * this.#options.nodeCount(),
+      );
+      await clock.sleep(interval * (0.75 + 0.5 * random.next()), stopping);
+    }
+  }
+
+  /** Reads the table when peers have not vouched for it lately, so that a few nodes read for all. */
+  async #table(): Promise<void> {
+    const { clock, random, stopping } = this.#options.context;
+    while (!stopping.aborted) {
+      const spread = Math.min(
+        MAXIMUM_TABLE_SPREAD_MILLISECONDS,
+        TABLE_SPREAD_PER_NODE_MILLISECONDS * this.#options.nodeCount(),
+      );
+      const limit = MINIMUM_TABLE_AGE_MILLISECONDS + spread * random.next();
+      const age = this.#options.freshness.ageMilliseconds();
+      if (age > limit || !this.#hasConfiguration) await this.readTable();
+      await clock.sleep(TABLE_CHECK_MILLISECONDS, stopping);
+    }
+  }
+
+  async #readWithdrawals(): Promise<boolean> {
+    const { confirmKeys, context, onWithdrawn } = this.#options;
+    if (confirmKeys !== undefined) return await confirmKeys();
+    let after = "";
+    for (;;) {
+      const page = await context.platform.table.list(KEY_TABLE, {
+        prefix: "",
+        after,
+        maximum: KEY_PAGE_ROWS,
+      });
+      if (page.kind !== "ok") return false;
+      onWithdrawn(
+        page.value.filter(({ value }) => isWithdrawn(value))
+          .map(({ key }) => key),
+      );
+      const last = page.value.at(-1);
+      if (last === undefined || page.value.length < KEY_PAGE_ROWS) return true;
+      after = last.key;
+    }
+  }
+}
+
+function isWithdrawn(value: string): boolean {
+  try {
+    const options = { ignoreUnknownFields: true };
+    return fromJsonString(KeyRecordSchema, value, options).withdrawn;
+  } catch {
+    // A key whose row can't be read must not be used.
+    return true;
+  }
+}
--- a/source/membership/told_state.ts
+++ b/source/membership/told_state.ts
@@ -1,7 +1,10 @@
 import type { Fact } from "../../generated/snipepath/v1/peer_pb.ts";
 
 /** Kind of a told fact, as the message's oneof names it. */
-export type FactKind = NonNullable<Fact["value"]["case"]>;
+export type FactKind = Exclude<
+  NonNullable<Fact["value"]["case"]>,
+  "retraction"
+>;
 
 /** Value of a fact of one kind. */
 export type FactValue<Kind extends FactKind> = Extract<
@@ -27,6 +30,8 @@
     key: string,
     value: FactValue<Kind>,
   ): void;
+  /** Stops telling a fact; kinds that only grow can't be retracted. */
+  retract(kind: FactKind, key: string): void;
   /** Returns all held facts of a kind, one for each origin and key (or for each key, by its merge rule). */
   facts<Kind extends FactKind>(kind: Kind): ReadonlyArray<HeldFact<Kind>>;
   /** Calls a listener with each fact of a kind that is new or changed; returns what ends that. */
--- /dev/null
+++ b/stand_ins/membership/memory_platform.ts
@@ -0,0 +1,125 @@
+import type {
+  InstanceListClient,
+  ListedInstance,
+} from "../../source/platform/instance_list_client.ts";
+import type { ObjectStoreClient } from "../../source/platform/object_store_client.ts";
+import type { OrdersClient } from "../../source/platform/orders_client.ts";
+import type { Platform } from "../../source/platform/platform.ts";
+import type {
+  PlatformFailure,
+  PlatformOutcome,
+} from "../../source/platform/platform_outcome.ts";
+import type {
+  Row,
+  TableClient,
+  Transaction,
+  TransactionResult,
+} from "../../source/platform/table_client.ts";
+import type { UsageReportClient } from "../../source/platform/usage_report_client.ts";
+
+/** Faults of the table, by name. */
+export type TableFault = "none" | "down" | "loseAnswer" | "freeze";
+
+const DOWN: PlatformFailure = { kind: "notRun", reason: "Platform is down" };
+const LOST: PlatformFailure = { kind: "unknown", reason: "Answer was lost" };
+
+/** The platform in memory, for tests that run nodes in one process. */
+export class MemoryPlatform implements Platform {
+  readonly objects = {} as ObjectStoreClient;
+  readonly orders = {} as OrdersClient;
+  readonly usageReports = {} as UsageReportClient;
+  readonly table: TableClient;
+  readonly instances: InstanceListClient;
+  /** Fault of the table. */
+  tableFault: TableFault = "none";
+  /** Number of commits to which the fault applies; later ones find no fault. */
+  faultyCommits = Infinity;
+  /** Whether the list of instances can't be read. */
+  isListDown = false;
+  /** Reads and writes that the table got. */
+  tableCalls = 0;
+  readonly #rows = new Map<string, Row>();
+  readonly #listed = new Map<string, ListedInstance>();
+  #version = 0;
+
+  constructor() {
+    this.table = {
+      get: (table, key) => this.#read(() => this.#rows.get(`${table}\n${key}`)),
+      list: (table, range) =>
+        this.#read(() =>
+          [...this.#rows].filter(([slot]) =>
+            slot.startsWith(`${table}\n${range.prefix}`)
+          ).map(([, row]) => row)
+            .filter(({ key }) => key > (range.after ?? ""))
+            .sort((left, right) => left.key < right.key ? -1 : 1)
+            .slice(0, range.maximum ?? Infinity)
+        ),
+      commit: (transaction) => this.#commit(transaction),
+    };
+    this.instances = {
+      list: () =>
+        Promise.resolve(
+          this.isListDown
+            ? DOWN
+            : { kind: "ok", value: [...this.#listed.values()] },
+        ),
+      register: (instance) => {
+        if (this.isListDown) return Promise.resolve(DOWN);
+        this.list(instance);
+        return Promise.resolve({ kind: "ok", value: undefined });
+      },
+    };
+  }
+
+  /** Adds or replaces an instance of the list. */
+  list(instance: ListedInstance): void {
+    this.#listed.set(`${instance.kind}\n${instance.name}`, instance);
+  }
+
+  /** Removes an instance from the list. */
+  unlist(kind: ListedInstance["kind"], name: string): void {
+    this.#listed.delete(`${kind}\n${name}`);
+  }
+
+  /** Writes a row without conditions. */
+  write(table: string, key: string, value: string): void {
+    this.#version += 1;
+    this.#rows.set(`${table}\n${key}`, { key, value, version: this.#version });
+  }
+
+  async #read<Value>(
+    read: () => Value,
+  ): Promise<PlatformOutcome<Value>> {
+    this.tableCalls += 1;
+    await Promise.resolve();
+    if (this.tableFault === "down") return DOWN;
+    if (this.tableFault === "freeze") return new Promise(() => {});
+    return { kind: "ok", value: read() };
+  }
+
+  async #commit(
+    transaction: Transaction,
+  ): Promise<PlatformOutcome<TransactionResult>> {
+    this.tableCalls += 1;
+    await Promise.resolve();
+    const fault = this.faultyCommits > 0 ? this.tableFault : "none";
+    this.faultyCommits -= 1;
+    if (fault === "down") return DOWN;
+    if (fault === "freeze") return new Promise(() => {});
+    const result = this.#apply(transaction);
+    return fault === "loseAnswer" ? LOST : { kind: "ok", value: result };
+  }
+
+  #apply({ conditions, writes }: Transaction): TransactionResult {
+    for (const { table, key, version } of conditions) {
+      const held = this.#rows.get(`${table}\n${key}`)?.version ?? 0;
+      if (held !== version) return { kind: "conflict", table, key };
+    }
+    const versions = writes.map(({ table, key, value }) => {
+      if (value === undefined) this.#rows.delete(`${table}\n${key}`);
+      else this.write(table, key, value);
+      return this.#version;
+    });
+    return { kind: "committed", versions };
+  }
+}
