--- a/stand_ins/membership/membership_group.ts
+++ b/stand_ins/membership/membership_group.ts
@@ -72,11 +72,11 @@
       ledger: {} as CauseLedger,
       stopping: stopping.signal,
     };
-    let link: PeerLink | undefined;
+    const links: PeerLink[] = [];
     const membership = await createMembership(context, {
       handlers: createHandlers(withdrawn),
       engines: this.engines.client,
-      peerAddress: () => link?.address ?? "",
+      peerAddress: () => links[0]?.address ?? "",
     });
     const server = await startPeerServer({
       address: "127.0.0.1:0",
@@ -84,8 +84,8 @@
       registerRoutes: [membership.registerRoutes],
       log,
     });
-    const started = await PeerLink.start(server.address);
-    link = started;
+    const link = await PeerLink.start(server.address);
+    links.push(link);
     const running = membership.run();
     void membership.ready();
     const member: GroupMember = {
@@ -93,11 +93,11 @@
       membership,
       log,
       withdrawn,
-      link: started,
+      link,
       kill: async () => {
         this.members.delete(name);
         stopping.abort();
-        await closeAll(server, started);
+        await closeAll(server, link);
         await running;
       },
     };
