--- a/source/membership/configuration_store.ts
+++ b/source/membership/configuration_store.ts
@@ -1,4 +1,9 @@
 import { create, fromJsonString, toJsonString } from "@bufbuild/protobuf";
+import { digestDeclaration } from "../declarations/digest_declaration.ts";
+import type {
+  ApplyOutcome,
+  ApplyRequest,
+} from "../operators/configuration_writer.ts";
 import type { Declaration } from "../../generated/snipepath/v1/declaration_pb.ts";
 import {
   type ConfigurationRecord,
@@ -10,7 +15,6 @@
 } from "../platform/platform_outcome.ts";
 import type { Row, TableClient } from "../platform/table_client.ts";
 import type { Clock } from "../utilities/clock.ts";
-import { configurationDigest } from "./configuration_digest.ts";
 
 /** Table that holds the configuration. */
 export const CONFIGURATION_TABLE = "configuration";
@@ -22,32 +26,6 @@
 const READ_BACK_DELAY_MILLISECONDS = 200;
 const HISTORY_PAGE_ROWS = 500;
 
-/** What became of an attempt to apply a declaration. */
-export type ApplyOutcome =
-  | { readonly kind: "accepted"; readonly record: ConfigurationRecord }
-  /** Another revision is in force than the expected one; nothing was changed. */
-  | {
-    readonly kind: "conflict";
-    /** Undefined when there is no configuration yet. */
-    readonly record: ConfigurationRecord | undefined;
-  }
-  /** The same declaration is in force already. */
-  | { readonly kind: "unchanged"; readonly record: ConfigurationRecord }
-  | {
-    readonly kind: "unavailable";
-    readonly reason: string;
-    /** Whether the change may have taken effect. */
-    readonly unknown: boolean;
-  };
-
-/** What an operator applies. */
-export interface ConfigurationChange {
-  readonly declaration: Declaration;
-  /** Revision that the operator believes to be in force; 0 for none. */
-  readonly expectedRevision: number;
-  readonly note: string;
-}
-
 /** The agreed configuration in the platform's table. */
 export class ConfigurationStore {
   readonly #table: TableClient;
@@ -72,26 +50,25 @@
   /** Applies a declaration by compare-and-set on the revision. */
   async apply(
     declaration: Declaration,
-    expectedRevision: number,
-    note: string,
+    { expectedRevision, note }: ApplyRequest,
   ): Promise<ApplyOutcome> {
     const row = await this.#table.get(CONFIGURATION_TABLE, CURRENT_KEY);
     if (row.kind !== "ok") return toUnavailable(row, false);
     const current = parseRow(row.value);
     if (current.kind !== "ok") return toUnavailable(current, false);
-    const digest = configurationDigest(declaration);
+    const digest = digestDeclaration(declaration);
     if (current.value?.digest === digest) {
       return { kind: "unchanged", record: current.value };
     }
     const revision = Number(current.value?.revision ?? 0n);
     if (revision !== expectedRevision) {
-      return { kind: "conflict", record: current.value };
+      return toConflict(current.value);
     }
     const record = create(ConfigurationRecordSchema, {
       revision: BigInt(revision + 1),
       declaration,
       digest,
-      appliedAtUnixMilliseconds: BigInt(this.#clock.wall()),
+      appliedAtUnixMilliseconds: BigInt(Math.round(this.#clock.wall())),
       note,
     });
     return this.#commit(record, row.value?.version ?? 0);
@@ -166,7 +143,7 @@
   async #conflict(): Promise<ApplyOutcome> {
     const winner = await this.read();
     if (winner.kind !== "ok") return toUnavailable(winner, false);
-    return { kind: "conflict", record: winner.value };
+    return toConflict(winner.value);
   }
 }
 
@@ -203,6 +180,12 @@
     left.appliedAtUnixMilliseconds === right.appliedAtUnixMilliseconds;
 }
 
+/** Where there is no configuration yet, the winner is revision 0. */
+function toConflict(winner: ConfigurationRecord | undefined): ApplyOutcome {
+  const record = winner ?? create(ConfigurationRecordSchema);
+  return { kind: "conflict", record };
+}
+
 function toUnavailable(
   failure: PlatformFailure,
   unknown: boolean,
--- a/source/membership/fact_limits.ts
+++ b/source/membership/fact_limits.ts
@@ -1,5 +1,5 @@
 import type { Fact } from "../../generated/snipepath/v1/peer_pb.ts";
-import { configurationDigest } from "./configuration_digest.ts";
+import { digestDeclaration } from "../declarations/digest_declaration.ts";
 
 /** Most facts of one origin that a node holds. */
 export const MAXIMUM_FACTS_OF_ORIGIN = 4096;
@@ -64,6 +64,6 @@
   if (record?.declaration === undefined) return "configuration is empty";
   if (!isVersion(record.revision)) return "bad configuration revision";
   if (fact.key !== "configuration") return "bad configuration key";
-  const isIntact = configurationDigest(record.declaration) === record.digest;
+  const isIntact = digestDeclaration(record.declaration) === record.digest;
   return isIntact ? undefined : "configuration does not match its digest";
 }
--- a/source/membership/key_freshness.ts
+++ b/source/membership/key_freshness.ts
@@ -7,11 +7,16 @@
 export class KeyFreshness {
   readonly #clock: Clock;
   #freshAt = -Infinity;
-  #tableAt = -Infinity;
 
-  /** @param clock - This node's clock. */
-  constructor(clock: Clock) {
+  readonly #tableAge: () => number;
+
+  /**
+   * @param clock - This node's clock.
+   * @param tableAge - Returns the time since another part of the node got word from the table, in milliseconds.
+   */
+  constructor(clock: Clock, tableAge: () => number = () => Infinity) {
     this.#clock = clock;
+    this.#tableAge = tableAge;
   }
 
   /**
@@ -19,7 +24,6 @@
    * @param sentAt - Monotonic time at which the read was sent, in milliseconds.
    */
   noteTable(sentAt: number): void {
-    this.#tableAt = Math.max(this.#tableAt, sentAt);
     this.#freshAt = Math.max(this.#freshAt, sentAt);
   }
 
@@ -34,11 +38,7 @@
 
   /** Returns the age of this node's view of keys, in milliseconds; infinite before the first word. */
   ageMilliseconds(): number {
-    return this.#clock.monotonic() - this.#freshAt;
-  }
-
-  /** Returns the time since the table itself answered this node, in milliseconds. */
-  tableAgeMilliseconds(): number {
-    return this.#clock.monotonic() - this.#tableAt;
+    const age = this.#clock.monotonic() - this.#freshAt;
+    return Math.min(age, this.#tableAge());
   }
 }
--- a/source/membership/membership.ts
+++ b/source/membership/membership.ts
@@ -11,6 +11,8 @@
 import type { EngineClient } from "../backends/engine_client.ts";
 import type { NodeContext } from "../node/node_context.ts";
 import type { ListedInstance } from "../platform/instance_list_client.ts";
+import type { ConfigurationWriter } from "../operators/configuration_writer.ts";
+import { AdoptingConfigurationWriter } from "./adopting_configuration_writer.ts";
 import { BackendServerTable } from "./backend_server_table.ts";
 import { ConfigurationHolder } from "./configuration_holder.ts";
 import { ConfigurationStore } from "./configuration_store.ts";
@@ -46,10 +48,10 @@
   /** Requests that this node has running at a backend server. */
   readonly dispatched?: (address: string) => number;
   /**
-   * Reads withdrawals from the table and applies them; false when it did not answer. Without it, membership
-   * lists the table of keys.
+   * Returns the time since the part that reads the keys last got word of withdrawals from the table, in
+   * milliseconds; infinite before the first. Without it, membership reads the table of keys itself.
    */
-  readonly confirmKeys?: () => Promise<boolean>;
+  readonly keyTableAgeMilliseconds?: () => number;
 }
 
 /** What a node knows of the other nodes, and what they know together. */
@@ -57,7 +59,8 @@
   readonly told: ToldState;
   readonly peers: PeerDirectory;
   readonly configuration: ConfigurationView;
-  readonly configurationStore: ConfigurationStore;
+  /** Applies declarations and puts accepted ones in force. */
+  readonly configurationWriter: ConfigurationWriter;
   readonly backendServers: BackendServerView;
   /** Adds the peers' service to a router. */
   readonly registerRoutes: (router: ConnectRouter) => void;
@@ -67,8 +70,6 @@
   setLeaving(): void;
   /** Tells the share of this node's capacity in use; told in coarse steps. */
   setLoadPermille(permille: number): void;
-  /** Notes that the table answered a read of withdrawals sent at a monotonic time, all of which are applied. */
-  noteKeysConfirmed(sentAt: number): void;
   /** Number of open peer streams. */
   establishedStreams(): number;
   /** Runs all background tasks until the node stops. */
@@ -103,7 +104,8 @@
   readonly told: ToldState;
   readonly peers: PeerDirectory;
   readonly configuration: ConfigurationHolder;
-  readonly configurationStore: ConfigurationStore;
+  readonly configurationWriter: ConfigurationWriter;
+  readonly #configurationStore: ConfigurationStore;
   readonly backendServers: BackendServerTable;
   readonly registerRoutes: (router: ConnectRouter) => void;
   readonly #context: NodeContext;
@@ -131,13 +133,20 @@
     const store = new FactStore({ node, nodeStart, clock, log });
     this.#store = store;
     this.told = store;
-    this.#freshness = new KeyFreshness(clock);
+    this.#freshness = new KeyFreshness(
+      clock,
+      options.keyTableAgeMilliseconds,
+    );
     this.#nodes = new NodeDirectory({ node, store, clock });
     this.configuration = new ConfigurationHolder(log);
-    this.configurationStore = new ConfigurationStore(
+    this.#configurationStore = new ConfigurationStore(
       context.platform.table,
       clock,
     );
+    this.configurationWriter = new AdoptingConfigurationWriter(
+      this.#configurationStore,
+      this.configuration,
+    );
     this.#streams = new PeerStreams({
       context,
       store,
@@ -208,10 +217,6 @@
     this.#tellNode();
   }
 
-  noteKeysConfirmed(sentAt: number): void {
-    this.#freshness.noteTable(sentAt);
-  }
-
   establishedStreams(): number {
     return this.#streams.established;
   }
@@ -235,17 +240,16 @@
   }
 
   #createPoll(): PlatformPoll {
-    const { confirmKeys } = this.#options;
     return new PlatformPoll({
       context: this.#context,
-      store: this.configurationStore,
+      store: this.#configurationStore,
       holder: this.configuration,
       freshness: this.#freshness,
       registration: () => this.#registration(),
       onListed: (instances) => this.#takeList(instances),
       onWithdrawn: (identifiers) => this.#takeWithdrawn(identifiers),
       nodeCount: () => this.peers.peers().length + 1,
-      ...(confirmKeys === undefined ? {} : { confirmKeys }),
+      keysAreReadElsewhere: this.#options.keyTableAgeMilliseconds !== undefined,
     });
   }
 
--- a/source/membership/platform_poll.ts
+++ b/source/membership/platform_poll.ts
@@ -11,10 +11,9 @@
 const REGISTER_INTERVAL_MILLISECONDS = 3000;
 const MINIMUM_LIST_INTERVAL_MILLISECONDS = 1000;
 const LIST_INTERVAL_PER_NODE_MILLISECONDS = 200;
-const TABLE_CHECK_MILLISECONDS = 250;
-const MINIMUM_TABLE_AGE_MILLISECONDS = 1500;
-const TABLE_SPREAD_PER_NODE_MILLISECONDS = 150;
-const MAXIMUM_TABLE_SPREAD_MILLISECONDS = 5000;
+const FIRST_TABLE_INTERVAL_MILLISECONDS = 250;
+const MINIMUM_TABLE_INTERVAL_MILLISECONDS = 2000;
+const TABLE_INTERVAL_PER_NODE_MILLISECONDS = 40;
 const KEY_PAGE_ROWS = 500;
 
 /** What reading the platform needs. */
@@ -30,8 +29,8 @@
   readonly onWithdrawn: (identifiers: ReadonlyArray<string>) => void;
   /** Number of live nodes, this one included. */
   readonly nodeCount: () => number;
-  /** Reads withdrawals in place of the list of all keys; false when the table did not answer. */
-  readonly confirmKeys?: () => Promise<boolean>;
+  /** Whether another part of the node reads the keys. */
+  readonly keysAreReadElsewhere: boolean;
 }
 
 /** Reads the platform's table and list at intervals that grow with the number of nodes. */
@@ -77,7 +76,7 @@
   }
 
   async #list(): Promise<void> {
-    const { clock, log, platform, random, stopping } = this.#options.context;
+    const { clock, log, platform, stopping } = this.#options.context;
     let wasAvailable = true;
     while (!stopping.aborted) {
       const outcome = await platform.instances.list();
@@ -86,32 +85,38 @@
         log.emit("instanceListUnavailable", { reason: outcome.reason });
       }
       wasAvailable = outcome.kind === "ok";
-      const interval = Math.max(
+      const interval = this.#spread(
         MINIMUM_LIST_INTERVAL_MILLISECONDS,
-        LIST_INTERVAL_PER_NODE_MILLISECONDS * this.#options.nodeCount(),
+        LIST_INTERVAL_PER_NODE_MILLISECONDS,
       );
-      await clock.sleep(interval * (0.75 + 0.5 * random.next()), stopping);
+      await clock.sleep(interval, stopping);
     }
   }
 
-  /** Reads the table when peers have not vouched for it lately, so that a few nodes read for all. */
+  /** Peers tell a new revision at once; the table is read for what they missed. */
   async #table(): Promise<void> {
-    const { clock, random, stopping } = this.#options.context;
+    const { clock, stopping } = this.#options.context;
     while (!stopping.aborted) {
-      const spread = Math.min(
-        MAXIMUM_TABLE_SPREAD_MILLISECONDS,
-        TABLE_SPREAD_PER_NODE_MILLISECONDS * this.#options.nodeCount(),
-      );
-      const limit = MINIMUM_TABLE_AGE_MILLISECONDS + spread * random.next();
-      const age = this.#options.freshness.ageMilliseconds();
-      if (age > limit || !this.#hasConfiguration) await this.readTable();
-      await clock.sleep(TABLE_CHECK_MILLISECONDS, stopping);
+      await this.readTable();
+      const interval = this.#hasConfiguration
+        ? this.#spread(
+          MINIMUM_TABLE_INTERVAL_MILLISECONDS,
+          TABLE_INTERVAL_PER_NODE_MILLISECONDS,
+        )
+        : FIRST_TABLE_INTERVAL_MILLISECONDS;
+      await clock.sleep(interval, stopping);
     }
   }
 
+  /** Returns an interval that keeps the calls of all nodes together at a bounded rate. */
+  #spread(minimum: number, perNode: number): number {
+    const interval = Math.max(minimum, perNode * this.#options.nodeCount());
+    return interval * (0.75 + 0.5 * this.#options.context.random.next());
+  }
+
   async #readWithdrawals(): Promise<boolean> {
-    const { confirmKeys, context, onWithdrawn } = this.#options;
-    if (confirmKeys !== undefined) return await confirmKeys();
+    const { context, keysAreReadElsewhere, onWithdrawn } = this.#options;
+    if (keysAreReadElsewhere) return false;
     let after = "";
     for (;;) {
       const page = await context.platform.table.list(KEY_TABLE, {
--- a/source/membership/told_state.ts
+++ b/source/membership/told_state.ts
@@ -31,7 +31,7 @@
     value: FactValue<Kind>,
   ): void;
   /** Stops telling a fact; kinds that only grow can't be retracted. */
-  retract(kind: FactKind, key: string): void;
+  retract?(kind: FactKind, key: string): void;
   /** Returns all held facts of a kind, one for each origin and key (or for each key, by its merge rule). */
   facts<Kind extends FactKind>(kind: Kind): ReadonlyArray<HeldFact<Kind>>;
   /** Calls a listener with each fact of a kind that is new or changed; returns what ends that. */
--- a/stand_ins/membership/membership_group.ts
+++ b/stand_ins/membership/membership_group.ts
@@ -1,4 +1,5 @@
 import { create } from "@bufbuild/protobuf";
+import { FetchSamplesResponseSchema } from "../../generated/snipepath/v1/peer_pb.ts";
 import {
   type NodeSettings,
   NodeSettingsSchema,
@@ -157,9 +158,6 @@
     },
     onWeightVersion: () => {},
     onStoreSamples: () => {},
-    onFetchSamples: () => ({
-      $typeName: "snipepath.v1.FetchSamplesResponse",
-      samples: [],
-    }),
+    onFetchSamples: () => create(FetchSamplesResponseSchema),
   };
 }
