Prove the merge rules and the peer session against random words

Cause: facts arrive late, doubled and out of order, and peers may send anything. The usage rule made a new value for equal figures, so every repetition looked like a change; it now returns the value held.

Command: npx ava 'build/source/membership/*_test.js', fast-check.

Conclusion: any order gives one state, nothing random is taken over wrongly.

--- a/source/membership/fact_rules.ts
+++ b/source/membership/fact_rules.ts
@@ -1,4 +1,5 @@
 import type { Fact } from "../../generated/snipepath/v1/peer_pb.ts";
+import type { UsageFigures } from "../../generated/snipepath/v1/records_pb.ts";
 import type { FactKind, FactValue } from "./told_state.ts";
 
 /** How facts of one kind merge and spread. */
@@ -177,6 +178,8 @@
   const arrivedFigures = arrived.figures;
   if (heldFigures === undefined) return arrived;
   if (arrivedFigures === undefined) return held;
+  if (isCovered(arrivedFigures, heldFigures)) return held;
+  if (isCovered(heldFigures, arrivedFigures)) return arrived;
   return {
     ...arrived,
     figures: {
@@ -194,6 +197,12 @@
   };
 }
 
+function isCovered(figures: UsageFigures, other: UsageFigures): boolean {
+  return figures.requests <= other.requests &&
+    figures.promptTokens <= other.promptTokens &&
+    figures.generatedTokens <= other.generatedTokens;
+}
+
 function maximum(left: bigint, right: bigint): bigint {
   return left > right ? left : right;
 }
--- /dev/null
+++ b/source/membership/fact_store_test.ts
@@ -0,0 +1,247 @@
+import test from "ava";
+import fc from "fast-check";
+import { create } from "@bufbuild/protobuf";
+import {
+  type FactBatch,
+  FactBatchSchema,
+  FactSchema,
+  OriginRangeSchema,
+} from "../../generated/snipepath/v1/peer_pb.ts";
+import {
+  createDelta,
+  createRevision,
+  createStore,
+  describeState,
+  tell,
+  type Telling,
+} from "../../stand_ins/membership/told_history.ts";
+import { ManualClock } from "../utilities/manual_clock.ts";
+import type { FactKind } from "./told_state.ts";
+
+const SEED = 20261203;
+const RUNS = 300;
+
+const KINDS: ReadonlyArray<FactKind> = [
+  "node",
+  "backendServer",
+  "keyWithdrawal",
+  "configuration",
+  "weightVersion",
+  "usage",
+  "step",
+  "serviceReceived",
+];
+
+const telling: fc.Arbitrary<Telling> = fc.record({
+  kind: fc.constantFrom(...KINDS),
+  key: fc.nat(3),
+  value: fc.nat(9),
+});
+
+const story = fc.record({
+  tellings: fc.array(
+    fc.record({ origin: fc.nat(2), telling, from: fc.nat(8) }),
+    { maxLength: 25 },
+  ),
+  order: fc.infiniteStream(fc.nat(1000)),
+});
+
+interface Story {
+  readonly tellings: ReadonlyArray<
+    {
+      readonly origin: number;
+      readonly telling: Telling;
+      readonly from: number;
+    }
+  >;
+  readonly order: Iterable<number>;
+}
+
+/** Delivers what three origins tell late, doubled and out of order; then each origin's log once whole. */
+function deliver({ tellings, order }: Story, shuffled: boolean): {
+  readonly state: ReadonlyArray<string>;
+  readonly wentBack: boolean;
+} {
+  const clock = new ManualClock();
+  const origins = ["a", "b", "c"].map((name) => createStore(name, clock).store);
+  const { store } = createStore("receiver", clock);
+  const batches: FactBatch[] = [];
+  for (const { origin, telling, from } of tellings) {
+    const teller = origins[origin];
+    if (teller === undefined) continue;
+    tell(teller, telling);
+    batches.push(createDelta(teller, from), createDelta(teller, 0));
+  }
+  const random = order[Symbol.iterator]();
+  const keyed = batches.map((batch) => ({
+    batch,
+    rank: shuffled ? Number(random.next().value) : 0,
+  }));
+  keyed.sort((left, right) => left.rank - right.rank);
+  let wentBack = false;
+  let revision = 0n;
+  let withdrawn = 0;
+  for (const { batch } of [...keyed, ...keyed.slice(0, 5)]) {
+    store.applyBatch(batch);
+    const [held] = store.facts("configuration");
+    const now = held?.value.record?.revision ?? 0n;
+    const count = store.facts("keyWithdrawal").length;
+    wentBack ||= now < revision || count < withdrawn;
+    revision = now;
+    withdrawn = count;
+  }
+  for (const origin of origins) store.applyBatch(createDelta(origin, 0));
+  return { state: describeState(store), wentBack };
+}
+
+test("facts late, doubled and out of order give the same state", (t) => {
+  fc.assert(
+    fc.property(story, (told) => {
+      const inOrder = deliver(told, false);
+      const shuffled = deliver(told, true);
+      t.false(inOrder.wentBack || shuffled.wentBack);
+      t.deepEqual(shuffled.state, inOrder.state);
+    }),
+    { seed: SEED, numRuns: RUNS },
+  );
+});
+
+test("a gap in an origin's log is asked for and filled", (t) => {
+  const clock = new ManualClock();
+  const origin = createStore("a", clock).store;
+  const { store } = createStore("receiver", clock);
+  for (const key of [0, 1, 2, 3]) tell(origin, { kind: "node", key, value: 1 });
+  const missing = store.applyBatch(createDelta(origin, 2));
+  t.deepEqual(missing, [{ origin: "a", start: "a-start", through: 0 }]);
+  t.deepEqual(store.applyBatch(createDelta(origin, 0)), []);
+  t.is(store.facts("node").length, 4);
+});
+
+test("a dead origin's facts end, its usage stays, and its old word does not revive it", async (t) => {
+  const clock = new ManualClock();
+  const origin = createStore("a", clock).store;
+  const { store } = createStore("receiver", clock);
+  tell(origin, { kind: "node", key: 0, value: 1 });
+  tell(origin, { kind: "usage", key: 0, value: 7 });
+  tell(origin, { kind: "keyWithdrawal", key: 0, value: 1 });
+  const old = createDelta(origin, 0);
+  store.applyBatch(old);
+  await clock.advance(10_001);
+  store.expireOrigins();
+  const afterExpiry = describeState(store);
+  store.applyBatch(old);
+  t.deepEqual(describeState(store), afterExpiry);
+  t.is(store.originAge("a", "a-start"), Infinity);
+  tell(origin, { kind: "node", key: 1, value: 2 });
+  const through = [...origin.logs()][0]?.through ?? 0;
+  t.is(store.applyBatch(createDelta(origin, through - 1)).length, 1);
+  store.applyBatch(createDelta(origin, 0));
+  t.snapshot({ afterExpiry, afterReturn: describeState(store) });
+});
+
+test("an old word carries its age and is dropped in time", async (t) => {
+  const clock = new ManualClock();
+  const origin = createStore("a", clock).store;
+  const { store } = createStore("receiver", clock);
+  tell(origin, { kind: "node", key: 0, value: 1 });
+  const batch = createDelta(origin, 0);
+  for (const range of batch.ranges) range.ageMilliseconds = 9000;
+  store.applyBatch(batch);
+  t.is(store.originAge("a", "a-start"), 9000);
+  await clock.advance(1001);
+  store.expireOrigins();
+  t.deepEqual(describeState(store), []);
+});
+
+const range = create(OriginRangeSchema, {
+  origin: "a",
+  originStart: "s",
+  from: 0n,
+  through: 5n,
+});
+
+const HOSTILE_BATCHES: Readonly<Record<string, FactBatch>> = {
+  "this node's own log": create(FactBatchSchema, {
+    facts: [
+      create(FactSchema, {
+        origin: "receiver",
+        originStart: "receiver-start",
+        version: 9n,
+        key: "k",
+        value: { case: "node", value: {} },
+      }),
+    ],
+    ranges: [
+      { origin: "receiver", originStart: "receiver-start", through: 9n },
+    ],
+  }),
+  "a fact of an origin without a range": create(FactBatchSchema, {
+    facts: [fact("b", { case: "node", value: {} })],
+  }),
+  "a fact without a value": create(FactBatchSchema, {
+    facts: [fact("a", { case: undefined })],
+    ranges: [range],
+  }),
+  "a damaged configuration": create(FactBatchSchema, {
+    facts: [
+      fact("a", {
+        case: "configuration",
+        value: { record: { ...createRevision(3), digest: "00" } },
+      }, "configuration"),
+    ],
+  }),
+  "a configuration under another key": create(FactBatchSchema, {
+    facts: [
+      fact("a", {
+        case: "configuration",
+        value: { record: createRevision(3) },
+      }, "other"),
+    ],
+  }),
+  "a retracted withdrawal": create(FactBatchSchema, {
+    facts: [
+      fact("a", { case: "retraction", value: { kind: "keyWithdrawal" } }),
+    ],
+  }),
+  "a retraction of an unknown kind": create(FactBatchSchema, {
+    facts: [fact("a", { case: "retraction", value: { kind: "toString" } })],
+    ranges: [range],
+  }),
+  "a version past all numbers": create(FactBatchSchema, {
+    facts: [
+      { ...fact("a", { case: "node", value: {} }), version: 2n ** 64n - 1n },
+    ],
+    ranges: [{ ...range, through: 2n ** 64n - 1n }],
+  }),
+  "a key without end": create(FactBatchSchema, {
+    facts: [fact("a", { case: "node", value: {} }, "k".repeat(100_000))],
+    ranges: [range],
+  }),
+};
+
+function fact(
+  origin: string,
+  value: Parameters<typeof create<typeof FactSchema>>[1] extends
+    | { value?: infer Value }
+    | undefined ? Value
+    : never,
+  key = "k",
+): ReturnType<typeof create<typeof FactSchema>> {
+  return create(FactSchema, {
+    origin,
+    originStart: "s",
+    version: 1n,
+    key,
+    value: value as never,
+  });
+}
+
+for (const [name, batch] of Object.entries(HOSTILE_BATCHES)) {
+  test(`not taken over: ${name}`, (t) => {
+    const { store } = createStore("receiver", new ManualClock());
+    tell(store, { kind: "keyWithdrawal", key: 1, value: 1 });
+    const before = describeState(store);
+    store.applyBatch(batch);
+    t.deepEqual(describeState(store), before);
+  });
+}
--- /dev/null
+++ b/stand_ins/membership/told_history.ts
@@ -0,0 +1,145 @@
+import { create } from "@bufbuild/protobuf";
+import {
+  BackendServerFactSchema,
+  ConfigurationFactSchema,
+  type FactBatch,
+  FactBatchSchema,
+  KeyWithdrawalFactSchema,
+  NodeFactSchema,
+  OriginRangeSchema,
+  UsageFactSchema,
+  WeightVersionFactSchema,
+} from "../../generated/snipepath/v1/peer_pb.ts";
+import { DeclarationSchema } from "../../generated/snipepath/v1/declaration_pb.ts";
+import {
+  type ConfigurationRecord,
+  ConfigurationRecordSchema,
+} from "../../generated/snipepath/v1/records_pb.ts";
+import { digestDeclaration } from "../../source/declarations/digest_declaration.ts";
+import { FactStore } from "../../source/membership/fact_store.ts";
+import type { FactKind } from "../../source/membership/told_state.ts";
+import { RecordingEventLog } from "../../source/observability/event_log.ts";
+import type { Clock } from "../../source/utilities/clock.ts";
+
+/** One telling of an origin, chosen by small numbers. */
+export interface Telling {
+  readonly kind: FactKind;
+  readonly key: number;
+  readonly value: number;
+}
+
+/** A store with its log of events. */
+export interface StoreWithLog {
+  readonly store: FactStore;
+  readonly log: RecordingEventLog;
+}
+
+/** Creates the store of a node. */
+export function createStore(node: string, clock: Clock): StoreWithLog {
+  const log = new RecordingEventLog();
+  const nodeStart = `${node}-start`;
+  return { store: new FactStore({ node, nodeStart, clock, log }), log };
+}
+
+/** Creates a configuration revision with an intact digest. */
+export function createRevision(revision: number): ConfigurationRecord {
+  const declaration = create(DeclarationSchema, {
+    organisations: [{ name: `organisation-${revision}` }],
+  });
+  return create(ConfigurationRecordSchema, {
+    revision: BigInt(revision),
+    declaration,
+    digest: digestDeclaration(declaration),
+  });
+}
+
+/** Tells a fact by kind, key and value. */
+export function tell(store: FactStore, { kind, key, value }: Telling): void {
+  TELLERS[kind](store, `key-${key}`, value);
+}
+
+const TELLERS: Readonly<
+  Record<FactKind, (store: FactStore, key: string, value: number) => void>
+> = {
+  node: (store, key, value) =>
+    store.tell("node", key, create(NodeFactSchema, { loadPermille: value })),
+  backendServer: (store, key, value) =>
+    store.tell(
+      "backendServer",
+      key,
+      create(BackendServerFactSchema, {
+        startIdentity: `start-${value % 3}`,
+        leaving: value % 2 === 0,
+        reachable: true,
+      }),
+    ),
+  keyWithdrawal: (store, key, value) =>
+    store.tell(
+      "keyWithdrawal",
+      key,
+      create(KeyWithdrawalFactSchema, {
+        withdrawnAtUnixMilliseconds: BigInt(value),
+      }),
+    ),
+  configuration: (store, _key, value) =>
+    store.tell(
+      "configuration",
+      "configuration",
+      create(ConfigurationFactSchema, { record: createRevision(value + 1) }),
+    ),
+  weightVersion: (store, key, value) =>
+    store.tell(
+      "weightVersion",
+      key,
+      create(WeightVersionFactSchema, { newestVersion: BigInt(value) }),
+    ),
+  usage: (store, key, value) =>
+    store.tell(
+      "usage",
+      key,
+      create(UsageFactSchema, { figures: { requests: BigInt(value) } }),
+    ),
+  step: (store, key) => store.retract("node", key),
+  serviceReceived: (store, key) => store.retract("backendServer", key),
+};
+
+/** Creates the batch that brings a log to another node that holds it up to a version. */
+export function createDelta(store: FactStore, from: number): FactBatch {
+  const [own] = store.logs();
+  if (own === undefined) return create(FactBatchSchema);
+  const ranges = own.through > from
+    ? [
+      create(OriginRangeSchema, {
+        origin: own.origin,
+        originStart: own.start,
+        from: BigInt(from),
+        through: BigInt(own.through),
+      }),
+    ]
+    : [];
+  const facts = [...store.sharedFacts(), ...own.factsAfter(from)];
+  return create(FactBatchSchema, { facts, ranges });
+}
+
+/** Returns all that a store holds, in a form that can be compared. */
+export function describeState(store: FactStore): ReadonlyArray<string> {
+  const kinds: ReadonlyArray<FactKind> = [
+    "node",
+    "backendServer",
+    "keyWithdrawal",
+    "configuration",
+    "weightVersion",
+    "usage",
+  ];
+  return kinds.flatMap((kind) =>
+    store.facts(kind).map(({ origin, key, value }) => {
+      const isShared = kind === "keyWithdrawal" || kind === "configuration" ||
+        kind === "weightVersion";
+      const text = JSON.stringify(
+        value,
+        (_name, part) => typeof part === "bigint" ? String(part) : part,
+      );
+      return [kind, isShared ? "" : origin, key, text].join(" ");
+    })
+  ).sort();
+}
