Admit work by slack and by service received over all nodes

Cause: engines and plain services are shared by organisations that come through any node. Change: createAdmission with the policies fifo, perNodeFair and slackFair (default) in a table; slots of a node learned from load reports and shared over live nodes; what organisations use is told as 'serviceReceived' facts under a budget of bytes a second, the largest changes first; limits of organisations are granted in parts that follow demand, rise late and fall at once; queues bounded, late and cancelled requests refused as not run with a Retry-After from the backlog. Ruled out: an equal part of each limit for each node (an organisation that uses one node would get a tenth), and judging a request hopeless by its organisation's admissions of late (wrong at the start of a burst).

--- /dev/null
+++ b/source/admission/node_admission_test.ts
@@ -0,0 +1,305 @@
+import test from "ava";
+import {
+  type AdmissionBench,
+  createAdmissionBench,
+  describeServer,
+} from "../../stand_ins/entry/admission_bench.ts";
+import { ManualClock } from "../utilities/manual_clock.ts";
+import { BrokenInvariantError } from "../utilities/invariant.ts";
+import type { AdmissionTicket } from "./admission.ts";
+import type { AdmissionPolicyName } from "./policies/policy_table.ts";
+import type { AdmissibleWork } from "./waiting_request.ts";
+
+const DECLARATION = {
+  classes: [
+    { name: "lookups", latencyP99Milliseconds: 1000 },
+    { name: "rollouts", latencyP99Milliseconds: 20_000 },
+    { name: "later", latencyP99Milliseconds: 30_000, deferrable: true },
+  ],
+  organisations: [
+    { name: "large" },
+    { name: "small" },
+    { name: "limited", requestsPerSecond: 10 },
+    { name: "narrow", concurrentRequests: 4 },
+  ],
+};
+
+interface Arrival {
+  readonly organisation: string;
+  readonly classOfWork: string;
+}
+
+function arrival(text: string): Arrival {
+  const [organisation = "", classOfWork = ""] = text.split(" ");
+  return { organisation, classOfWork };
+}
+
+const ORDER_CASES: ReadonlyArray<{
+  readonly title: string;
+  readonly policy: AdmissionPolicyName;
+  readonly arrivals: ReadonlyArray<string>;
+}> = [
+  {
+    title: "fifo keeps the order of arrival",
+    policy: "fifo",
+    arrivals: ["large lookups", "large rollouts", "small lookups"],
+  },
+  {
+    title: "perNodeFair takes organisations in turn",
+    policy: "perNodeFair",
+    arrivals: ["large lookups", "large lookups", "small lookups"],
+  },
+  {
+    title: "slackFair takes the class with least slack first",
+    policy: "slackFair",
+    arrivals: ["large rollouts", "small rollouts", "large lookups"],
+  },
+  {
+    title: "slackFair takes the organisation with least service first",
+    policy: "slackFair",
+    arrivals: ["large lookups", "large lookups", "small lookups"],
+  },
+  {
+    title: "slackFair leaves deferrable work to the end",
+    policy: "slackFair",
+    arrivals: ["small later", "large rollouts", "large lookups"],
+  },
+];
+
+for (const { title, policy, arrivals } of ORDER_CASES) {
+  test(title, async (t) => {
+    const clock = new ManualClock();
+    const { nodes: [node] } = createBench(clock, { policy, slots: 1 });
+    const blocker = await node?.admit(work(clock, arrival("large lookups")));
+    const order: string[] = [];
+    for (const text of arrivals) {
+      void node?.admit(work(clock, arrival(text))).then((ticket) => {
+        order.push(text);
+        release(ticket);
+      });
+    }
+    await clock.advance(10);
+    release(blocker);
+    for (let step = 0; step < 40; step += 1) {
+      await clock.advance(500);
+      node?.tick();
+    }
+    t.snapshot(order);
+  });
+}
+
+test("deferrable work that is overdue runs one at a time beside other work", async (t) => {
+  const clock = new ManualClock();
+  const { nodes: [node] } = createBench(clock, {
+    policy: "slackFair",
+    slots: 2,
+  });
+  let deferredStarted = 0;
+  for (let index = 0; index < 3; index += 1) {
+    void node?.admit(work(clock, arrival("small later"), 120_000)).then(() => {
+      deferredStarted += 1;
+    });
+  }
+  t.is(deferredStarted, 0);
+  for (let second = 0; second < 60; second += 1) {
+    for (let count = 0; count < 2; count += 1) {
+      void node?.admit(work(clock, arrival("large lookups"))).then(
+        async (ticket) => {
+          await clock.sleep(990);
+          release(ticket);
+        },
+      );
+    }
+    await clock.advance(1000);
+    node?.tick();
+  }
+  t.true(deferredStarted >= 1);
+});
+
+test("a request that can't meet its deadline any more is refused as not run", async (t) => {
+  const clock = new ManualClock();
+  const { nodes: [node] } = createBench(clock, { policy: "slackFair" });
+  await node?.admit(work(clock, arrival("large lookups")));
+  const late = node?.admit(work(clock, arrival("small lookups"), 500));
+  await clock.advance(600);
+  node?.tick();
+  t.snapshot(await late);
+});
+
+test("a full queue refuses the organisation that waits most", async (t) => {
+  const clock = new ManualClock();
+  const { nodes: [node] } = createBench(clock, { policy: "slackFair" });
+  const blocker = await node?.admit(work(clock, arrival("large lookups")));
+  const refused: string[] = [];
+  for (let index = 0; index < 100; index += 1) {
+    void node?.admit(work(clock, arrival("large lookups"), 100_000)).then(
+      (answer) => {
+        if (answer.kind === "notRun") refused.push(answer.reason);
+      },
+    );
+  }
+  const small = node?.admit(work(clock, arrival("small lookups"), 100_000));
+  await clock.advance(0);
+  t.is(node?.queued("assist-lm"), 64);
+  t.deepEqual([...new Set(refused)], ["queueFull"]);
+  release(blocker);
+  t.is((await small)?.kind, "admitted");
+});
+
+test("a cancelled request leaves the queue as not run", async (t) => {
+  const clock = new ManualClock();
+  const { nodes: [node] } = createBench(clock, { policy: "slackFair" });
+  await node?.admit(work(clock, arrival("large lookups")));
+  const controller = new AbortController();
+  const waiting = node?.admit({
+    ...work(clock, arrival("small lookups")),
+    signal: controller.signal,
+  });
+  controller.abort("keyWithdrawn");
+  t.like(await waiting, { kind: "notRun", reason: "keyWithdrawn" });
+  t.is(node?.queued("assist-lm"), 0);
+});
+
+test("a ticket that is released twice breaks an invariant", async (t) => {
+  const clock = new ManualClock();
+  const { nodes: [node] } = createBench(clock, { policy: "slackFair" });
+  const ticket = await node?.admit(work(clock, arrival("large lookups")));
+  release(ticket);
+  t.throws(() => release(ticket), { instanceOf: BrokenInvariantError });
+});
+
+for (const through of ["one node", "all nodes"] as const) {
+  test(`a limit of requests holds when flooded through ${through}`, async (t) => {
+    const clock = new ManualClock();
+    const bench = createBench(clock, {
+      policy: "slackFair",
+      slots: 1000,
+      nodes: 5,
+    });
+    const targets = through === "one node"
+      ? bench.nodes.slice(0, 1)
+      : bench.nodes;
+    const admitted = await flood(clock, {
+      bench,
+      targets,
+      organisation: "limited",
+      perSecond: 100,
+      seconds: 30,
+    });
+    const inLaterPart = admitted.filter((at) => at >= 5000).length / 25;
+    const inFirstPart = admitted.filter((at) => at < 5000).length / 5;
+    t.true(inLaterPart <= 11, `${inLaterPart} requests a second`);
+    t.true(inLaterPart >= 7, `${inLaterPart} requests a second`);
+    t.true(inFirstPart <= 20, `${inFirstPart} requests a second at first`);
+  });
+}
+
+for (const through of ["one node", "all nodes"] as const) {
+  test(`a limit of concurrent requests holds when flooded through ${through}`, async (t) => {
+    const clock = new ManualClock();
+    const bench = createBench(clock, {
+      policy: "slackFair",
+      slots: 1000,
+      nodes: 3,
+    });
+    const targets = through === "one node"
+      ? bench.nodes.slice(0, 1)
+      : bench.nodes;
+    let running = 0;
+    let most = 0;
+    await flood(clock, {
+      bench,
+      targets,
+      organisation: "narrow",
+      perSecond: 20,
+      seconds: 30,
+      onAdmitted: async (ticket) => {
+        running += 1;
+        if (clock.monotonic() > 5000) most = Math.max(most, running);
+        await clock.sleep(2000);
+        running -= 1;
+        release(ticket);
+      },
+    });
+    t.true(most <= 4, `${most} at once`);
+    t.true(most >= 3, `${most} at once`);
+  });
+}
+
+interface Flood {
+  readonly bench: AdmissionBench;
+  readonly targets: AdmissionBench["nodes"];
+  readonly organisation: string;
+  readonly perSecond: number;
+  readonly seconds: number;
+  readonly onAdmitted?: (ticket: AdmissionTicket) => Promise<void>;
+}
+
+async function flood(
+  clock: ManualClock,
+  options: Flood,
+): Promise<ReadonlyArray<number>> {
+  const admitted: number[] = [];
+  const { targets, organisation, onAdmitted } = options;
+  const interval = 1000 / options.perSecond;
+  const total = options.perSecond * options.seconds;
+  for (let index = 0; index < total; index += 1) {
+    const node = targets[index % targets.length];
+    const classOfWork = "lookups";
+    void node?.admit(work(clock, { organisation, classOfWork })).then(
+      (answer) => {
+        if (answer.kind !== "admitted") return;
+        admitted.push(clock.monotonic());
+        if (onAdmitted !== undefined) return onAdmitted(answer);
+        answer.release(0);
+      },
+    );
+    await clock.advance(interval);
+    for (const each of options.bench.nodes) each.tick();
+  }
+  return admitted;
+}
+
+function createBench(
+  clock: ManualClock,
+  options: {
+    readonly policy: AdmissionPolicyName;
+    readonly slots?: number;
+    readonly nodes?: number;
+  },
+): AdmissionBench {
+  const slots = options.slots ?? 1;
+  const server = describeServer("127.0.0.1:1", {
+    running: slots,
+    waiting: 1,
+  });
+  return createAdmissionBench({
+    clock,
+    nodes: options.nodes ?? 1,
+    policy: options.policy,
+    declaration: DECLARATION,
+    toldDelayMilliseconds: 800,
+    servers: () => [server],
+  });
+}
+
+function work(
+  clock: ManualClock,
+  { organisation, classOfWork }: Arrival,
+  withinMilliseconds = 60_000,
+): AdmissibleWork {
+  return {
+    requestIdentifier: "request",
+    service: "assist-lm",
+    classOfWork,
+    organisation,
+    deadline: clock.monotonic() + withinMilliseconds,
+    ledger: { add: () => {}, close: () => {} },
+    signal: new AbortController().signal,
+    expectedTokens: 10,
+  };
+}
+
+function release(answer: { readonly kind: string } | undefined): void {
+  if (answer?.kind === "admitted") (answer as AdmissionTicket).release(10);
+}
--- /dev/null
+++ b/source/admission/policies/admission_policy.ts
@@ -0,0 +1,30 @@
+import type { WaitingQueue } from "../waiting_queue.ts";
+import type { WaitingRequest } from "../waiting_request.ts";
+
+/** What an organisation received of a service. */
+export interface ReceivedService {
+  /** Through this node, in tokens or calls. */
+  readonly here: number;
+  /** Through all nodes, as far as told. */
+  readonly everywhere: number;
+}
+
+/** What a policy decides from. */
+export interface AdmissionState {
+  readonly waiting: WaitingQueue;
+  /** Monotonic time in milliseconds. */
+  readonly now: number;
+  /** Slots that no request of this node uses. */
+  readonly freeSlots: number;
+  /** Slots that classes which are not deferrable have used lately beyond their present use. */
+  readonly reservedSlots: number;
+  /** Overdue deferrable requests that run now. */
+  readonly overdueRunning: number;
+  /** Returns what an organisation received of the service. */
+  readonly received: (organisation: string) => ReceivedService;
+}
+
+/** Chooses the waiting request that runs next; undefined when none may run now. */
+export type AdmissionPolicy = (
+  state: AdmissionState,
+) => WaitingRequest | undefined;
--- /dev/null
+++ b/source/admission/policies/slack_fair_policy.ts
@@ -0,0 +1,71 @@
+import type { ClassHeads } from "../waiting_queue.ts";
+import type { WaitingRequest } from "../waiting_request.ts";
+import type { AdmissionState } from "./admission_policy.ts";
+
+const MAXIMUM_OVERDUE_RUNNING = 1;
+
+/**
+ * Chooses by the least slack to the class's target across classes; inside a class it is the turn of
+ * the organisation that received least through all nodes. Deferrable work runs in slots that nothing
+ * else has used lately, or one at a time once it is overdue.
+ * @param state - What waits.
+ * @example
+ * ```ts
+ * const next = chooseSlackFair(state);
+ * ```
+ */
+export function chooseSlackFair(
+  state: AdmissionState,
+): WaitingRequest | undefined {
+  if (state.freeSlots <= 0) return undefined;
+  const classes = state.waiting.heads();
+  const urgent = classes.filter((each) => !each.deferrable);
+  const deferrable = classes.filter((each) => each.deferrable);
+  const overdue = chooseOverdue(state, deferrable);
+  if (overdue !== undefined) return overdue;
+  const candidates = urgent.map((each) => leastServed(state, each));
+  const next = leastSlack(candidates);
+  if (next !== undefined) return next;
+  if (state.freeSlots <= state.reservedSlots) return undefined;
+  return leastSlack(deferrable.map((each) => leastServed(state, each)));
+}
+
+function chooseOverdue(
+  state: AdmissionState,
+  deferrable: ReadonlyArray<ClassHeads>,
+): WaitingRequest | undefined {
+  if (state.overdueRunning >= MAXIMUM_OVERDUE_RUNNING) return undefined;
+  const overdue = deferrable
+    .map((each) => leastServed(state, each))
+    .filter((head) => head !== undefined && head.dueAt <= state.now);
+  return leastSlack(overdue);
+}
+
+function leastServed(
+  state: AdmissionState,
+  { heads }: ClassHeads,
+): WaitingRequest | undefined {
+  let least: WaitingRequest | undefined;
+  let leastReceived = Infinity;
+  for (const head of heads) {
+    const { everywhere } = state.received(head.organisation);
+    const isLess = everywhere < leastReceived ||
+      (everywhere === leastReceived && least !== undefined &&
+        head.sequence < least.sequence);
+    if (!isLess) continue;
+    least = head;
+    leastReceived = everywhere;
+  }
+  return least;
+}
+
+function leastSlack(
+  candidates: ReadonlyArray<WaitingRequest | undefined>,
+): WaitingRequest | undefined {
+  let next: WaitingRequest | undefined;
+  for (const candidate of candidates) {
+    if (candidate === undefined) continue;
+    if (next === undefined || candidate.dueAt < next.dueAt) next = candidate;
+  }
+  return next;
+}
--- /dev/null
+++ b/source/admission/service_queue.ts
@@ -0,0 +1,254 @@
+import type { DispatchRefusal } from "../dispatch/dispatcher.ts";
+import type { Clock } from "../utilities/clock.ts";
+import { invariant } from "../utilities/invariant.ts";
+import type { AdmissionTicket } from "./admission.ts";
+import type { ServiceCapacity } from "./capacity_estimate.ts";
+import type { AdmissionPolicy } from "./policies/admission_policy.ts";
+import { SlotLimit } from "./slot_limit.ts";
+import type { UseLedger } from "./use_ledger.ts";
+import { WaitingQueue } from "./waiting_queue.ts";
+import type { WaitingRequest } from "./waiting_request.ts";
+
+const MINIMUM_QUEUE = 64;
+const QUEUE_PER_SLOT = 16;
+const MEAN_RUN_BEFORE_THE_FIRST_MILLISECONDS = 1000;
+const WEIGHT_OF_THE_NEWEST_RUN = 0.1;
+const PEAK_HALF_LIFE_MILLISECONDS = 5000;
+const FASTEST_HALF_LIFE_MILLISECONDS = 10_000;
+const LONGEST_RETRY_MILLISECONDS = 60_000;
+const SHORTEST_RETRY_MILLISECONDS = 100;
+
+/** What a service's queue works with. */
+export interface ServiceQueueOptions {
+  readonly service: string;
+  readonly clock: Clock;
+  readonly policy: AdmissionPolicy;
+  readonly ledger: UseLedger;
+}
+
+/** The requests of one service at this node: those that wait and those that run. */
+export class ServiceQueue {
+  readonly #options: ServiceQueueOptions;
+  readonly #waiting = new WaitingQueue();
+  readonly #limit = new SlotLimit();
+  #running = 0;
+  #runningDeferrable = 0;
+  #overdueRunning = 0;
+  #peak = { value: 0, at: 0 };
+  #fastest = { milliseconds: 0, at: 0 };
+  #meanRun = 0;
+
+  /** @param options - The service, its policy and the use of organisations. */
+  constructor(options: ServiceQueueOptions) {
+    this.#options = options;
+  }
+
+  /** Returns how many requests wait. */
+  get waiting(): number {
+    return this.#waiting.size;
+  }
+
+  /** Returns how many requests run. */
+  get running(): number {
+    return this.#running;
+  }
+
+  /** Returns how many requests may run at once through this node. */
+  get slots(): number {
+    return this.#limit.slots;
+  }
+
+  /** Takes a new view of the service's capacity over. */
+  updateCapacity(
+    capacity: ServiceCapacity,
+    nodes: { readonly live: number; readonly hungry: number },
+  ): void {
+    this.#limit.update(capacity, {
+      now: this.#options.clock.monotonic(),
+      running: this.#running,
+      liveNodes: nodes.live,
+      hungryNodes: nodes.hungry + (this.#waiting.size > 0 ? 1 : 0),
+    });
+  }
+
+  /**
+   * Adds a request; if the queue is full, the newest request of the organisation that has most
+   * waiting is refused in its place.
+   */
+  add(request: WaitingRequest): void {
+    this.#waiting.add(request);
+    this.#use(request).waiting += 1;
+    if (this.#waiting.size > this.#maximumWaiting()) this.#refuseNewest();
+    this.startNext();
+  }
+
+  /** Takes a waiting request out and refuses it; nothing happens when it no longer waits. */
+  giveUp(request: WaitingRequest, reason: DispatchRefusal["reason"]): void {
+    if (!this.#waiting.remove(request)) return;
+    this.#use(request).waiting -= 1;
+    request.settle(this.#refusal(reason));
+  }
+
+  /** Starts as many waiting requests as the policy lets run now. */
+  startNext(): void {
+    for (;;) {
+      if (this.#waiting.size === 0) return;
+      const next = this.#options.policy(this.#state());
+      if (next === undefined) return;
+      this.#start(next);
+    }
+  }
+
+  /** Refuses the waiting requests whose deadline can't be met any more. */
+  refuseLate(): void {
+    const now = this.#options.clock.monotonic();
+    const fastest = this.#fastestRun(now);
+    for (const request of this.#waiting.requests()) {
+      if (now + fastest >= request.deadline) this.giveUp(request, "deadline");
+    }
+  }
+
+  /** Returns whether the requests of its organisation that wait already will keep a new one past its deadline. */
+  isHopeless(request: WaitingRequest): boolean {
+    const ahead = this.#waiting.sizeOf(request.organisation);
+    if (ahead === 0 || this.#meanRun === 0) return false;
+    const now = this.#options.clock.monotonic();
+    const perSecond = this.#drainRate() / this.#waiting.organisations;
+    const wait = ahead / perSecond * 1000;
+    return now + wait + this.#fastestRun(now) > request.deadline;
+  }
+
+  /** Returns after how long the present backlog will have been served, in milliseconds. */
+  retryAfterMilliseconds(): number {
+    const backlog = this.#waiting.size + 1;
+    const milliseconds = backlog / this.#drainRate() * 1000;
+    const atLeast = Math.max(SHORTEST_RETRY_MILLISECONDS, milliseconds);
+    return Math.ceil(Math.min(LONGEST_RETRY_MILLISECONDS, atLeast));
+  }
+
+  // Requests a second that this node's slots carry at the present mean duration.
+  #drainRate(): number {
+    const mean = this.#meanRun === 0
+      ? MEAN_RUN_BEFORE_THE_FIRST_MILLISECONDS
+      : this.#meanRun;
+    return this.#limit.slots / mean * 1000;
+  }
+
+  #state(): Parameters<AdmissionPolicy>[0] {
+    const { service, ledger, clock } = this.#options;
+    const now = clock.monotonic();
+    const urgentRunning = this.#running - this.#runningDeferrable;
+    return {
+      waiting: this.#waiting,
+      now,
+      freeSlots: this.#limit.slots - this.#running,
+      reservedSlots: Math.max(0, this.#peakAt(now) - urgentRunning),
+      overdueRunning: this.#overdueRunning,
+      received: (organisation) => ledger.received(service, organisation),
+    };
+  }
+
+  #start(request: WaitingRequest): void {
+    const wasWaiting = this.#waiting.remove(request);
+    invariant(wasWaiting, "Policy chose a request that does not wait");
+    const now = this.#options.clock.monotonic();
+    const use = this.#use(request);
+    use.waiting -= 1;
+    use.running += 1;
+    use.received.add(request.cost, now);
+    this.#running += 1;
+    const isOverdue = request.deferrable && request.dueAt <= now;
+    if (request.deferrable) this.#runningDeferrable += 1;
+    if (isOverdue) this.#overdueRunning += 1;
+    this.#notePeak(now);
+    request.settle(this.#ticket(request, { startedAt: now, isOverdue }));
+  }
+
+  #ticket(
+    request: WaitingRequest,
+    start: { readonly startedAt: number; readonly isOverdue: boolean },
+  ): AdmissionTicket {
+    let isReleased = false;
+    return {
+      kind: "admitted",
+      release: (servedTokens) => {
+        invariant(!isReleased, "An admission ticket was released twice");
+        isReleased = true;
+        this.#end(request, { ...start, servedTokens });
+      },
+    };
+  }
+
+  #end(
+    request: WaitingRequest,
+    run: {
+      readonly startedAt: number;
+      readonly isOverdue: boolean;
+      readonly servedTokens: number;
+    },
+  ): void {
+    const now = this.#options.clock.monotonic();
+    const use = this.#use(request);
+    use.running -= 1;
+    this.#running -= 1;
+    if (request.deferrable) this.#runningDeferrable -= 1;
+    if (run.isOverdue) this.#overdueRunning -= 1;
+    invariant(
+      this.#running >= 0 && use.running >= 0 && use.waiting >= 0,
+      `Service ${this.#options.service} runs ${this.#running} requests`,
+    );
+    if (run.servedTokens > 0) {
+      use.received.add(run.servedTokens - request.cost, now);
+    }
+    this.#noteDuration(now - run.startedAt, now);
+    this.startNext();
+  }
+
+  #refuseNewest(): void {
+    const newest = this.#waiting.findNewestOfLongest();
+    if (newest !== undefined) this.giveUp(newest, "queueFull");
+  }
+
+  #refusal(reason: DispatchRefusal["reason"]): DispatchRefusal {
+    return {
+      kind: "notRun",
+      reason,
+      detail: `${this.#waiting.size} requests wait for the service`,
+      retryAfterMilliseconds: this.retryAfterMilliseconds(),
+    };
+  }
+
+  #maximumWaiting(): number {
+    return Math.max(MINIMUM_QUEUE, this.#limit.slots * QUEUE_PER_SLOT);
+  }
+
+  #use(request: WaitingRequest): ReturnType<UseLedger["use"]> {
+    const { ledger, service } = this.#options;
+    return ledger.use(service, request.organisation);
+  }
+
+  #notePeak(now: number): void {
+    const urgentRunning = this.#running - this.#runningDeferrable;
+    const value = Math.max(urgentRunning, this.#peakAt(now));
+    this.#peak = { value, at: now };
+  }
+
+  #peakAt(now: number): number {
+    const { value, at } = this.#peak;
+    return value * 2 ** (-(now - at) / PEAK_HALF_LIFE_MILLISECONDS);
+  }
+
+  // The fastest run of late; older ones count for less, so that it can't refuse everything for ever.
+  #fastestRun(now: number): number {
+    const { milliseconds, at } = this.#fastest;
+    return milliseconds * 2 ** (-(now - at) / FASTEST_HALF_LIFE_MILLISECONDS);
+  }
+
+  #noteDuration(milliseconds: number, now: number): void {
+    const isFirst = this.#meanRun === 0;
+    const known = isFirst ? milliseconds : this.#fastestRun(now);
+    this.#fastest = { milliseconds: Math.min(known, milliseconds), at: now };
+    const change = (milliseconds - this.#meanRun) * WEIGHT_OF_THE_NEWEST_RUN;
+    this.#meanRun = isFirst ? milliseconds : this.#meanRun + change;
+  }
+}
--- /dev/null
+++ b/stand_ins/entry/admission_bench.ts
@@ -0,0 +1,139 @@
+import { create, type MessageInitShape } from "@bufbuild/protobuf";
+import { DeclarationSchema } from "../../generated/snipepath/v1/declaration_pb.ts";
+import { ConfigurationRecordSchema } from "../../generated/snipepath/v1/records_pb.ts";
+import { NodeSettingsSchema } from "../../generated/snipepath/v1/settings_pb.ts";
+import {
+  createAdmission,
+  type NodeAdmission,
+} from "../../source/admission/node_admission.ts";
+import type { AdmissionPolicyName } from "../../source/admission/policies/policy_table.ts";
+import type { BackendServerState } from "../../source/backends/backend_server_state.ts";
+import type { Peer } from "../../source/membership/peer_directory.ts";
+import { RecordingEventLog } from "../../source/observability/event_log.ts";
+import { NO_METRICS } from "../../source/observability/metrics.ts";
+import type { Clock } from "../../source/utilities/clock.ts";
+import { createRandomSource } from "../../source/utilities/random_source.ts";
+import { MemoryPlatform } from "./memory_platform.ts";
+import { ToldBus } from "./told_bus.ts";
+
+/** What a test or measurement sets of several nodes' admission. */
+export interface AdmissionBenchOptions {
+  readonly clock: Clock;
+  readonly nodes: number;
+  readonly policy: AdmissionPolicyName;
+  readonly declaration: MessageInitShape<typeof DeclarationSchema>;
+  /** Time from telling a fact to hearing it, in milliseconds. */
+  readonly toldDelayMilliseconds: number;
+  /** Returns what the load reports say of a service's backend servers now. */
+  readonly servers: (service: string) => ReadonlyArray<BackendServerState>;
+}
+
+/** The admission of several nodes that hear of each other over a bus with delay. */
+export interface AdmissionBench {
+  readonly nodes: ReadonlyArray<NodeAdmission>;
+  readonly bus: ToldBus;
+}
+
+/**
+ * Creates the admission of several nodes.
+ * @param options - What is set.
+ * @example
+ * ```ts
+ * const { nodes } = createAdmissionBench({ clock, nodes: 3, policy: "slackFair", declaration, toldDelayMilliseconds: 500, servers });
+ * ```
+ */
+export function createAdmissionBench(
+  options: AdmissionBenchOptions,
+): AdmissionBench {
+  const { clock, toldDelayMilliseconds } = options;
+  const bus = new ToldBus({ clock, delayMilliseconds: toldDelayMilliseconds });
+  const names = Array.from(
+    { length: options.nodes },
+    (_, index) => `node-${index + 1}`,
+  );
+  const peers = names.map(describePeer);
+  const record = create(ConfigurationRecordSchema, {
+    revision: 1n,
+    declaration: create(DeclarationSchema, options.declaration),
+  });
+  const nodes = names.map((node) =>
+    createAdmission({
+      context: {
+        settings: create(NodeSettingsSchema, {
+          node,
+          admissionPolicy: options.policy,
+        }),
+        nodeStart: `${node}-start`,
+        clock,
+        random: createRandomSource(1),
+        log: new RecordingEventLog(),
+        metrics: NO_METRICS,
+        platform: new MemoryPlatform(),
+        ledger: {
+          open: () => ({ add: () => {}, close: () => {} }),
+          explain: () => ({ causes: {}, subjects: 0, targetsMissed: 0 }),
+        },
+        stopping: new AbortController().signal,
+      },
+      configuration: {
+        current: () => record,
+        adopt: () => {},
+        watch: () => () => {},
+      },
+      peers: { peers: () => peers.filter((peer) => peer.node !== node) },
+      told: bus.join(node),
+      backends: {
+        servers: options.servers,
+        isAvailable: () => true,
+        noteUnreachable: () => {},
+      },
+    })
+  );
+  return { nodes, bus };
+}
+
+/**
+ * Describes a backend server that reports some load.
+ * @param address - The server's address.
+ * @param load - What differs from an idle server.
+ * @example
+ * ```ts
+ * const server = describeServer("127.0.0.1:9001", { running: 8, waiting: 2 });
+ * ```
+ */
+export function describeServer(
+  address: string,
+  load: Partial<BackendServerState> = {},
+): BackendServerState {
+  return {
+    address,
+    service: "assist-lm",
+    failureDomain: "otj-central",
+    tier: "steady",
+    startIdentity: "start",
+    leaving: false,
+    reachable: true,
+    running: 0,
+    waiting: 0,
+    loadAgeMilliseconds: 0,
+    cacheFreePermille: 1000,
+    weightVersions: [],
+    dispatchedByPeers: 0,
+    tokensPerSecond: 0,
+    microsPerHour: 0,
+    ...load,
+  };
+}
+
+function describePeer(node: string): Peer {
+  return {
+    node,
+    nodeStart: `${node}-start`,
+    failureDomain: "otj-central",
+    peerAddress: "",
+    callerAddress: "",
+    leaving: false,
+    configurationRevision: 1,
+    ageMilliseconds: 0,
+  };
+}
