Prove steps under failure on a hand-moved clock

Cause: the first form of the step service had no tests. The manual clock lets go of aborted sleepers and their listeners. Seen: npx ava 'build/source/steps/**/*_test.js': 42 passed.

--- a/source/utilities/manual_clock.ts
+++ b/source/utilities/manual_clock.ts
@@ -43,9 +43,14 @@
   sleep(milliseconds: number, signal?: AbortSignal): Promise<void> {
     if (signal?.aborted || milliseconds <= 0) return Promise.resolve();
     return new Promise((resolve) => {
-      const sleeper = { due: this.#monotonic + milliseconds, wake: resolve };
+      const finish = (): void => {
+        signal?.removeEventListener("abort", finish);
+        this.#sleepers = this.#sleepers.filter((each) => each !== sleeper);
+        resolve();
+      };
+      const sleeper = { due: this.#monotonic + milliseconds, wake: finish };
       this.#sleepers.push(sleeper);
-      signal?.addEventListener("abort", () => resolve(), { once: true });
+      signal?.addEventListener("abort", finish, { once: true });
     });
   }
 
--- /dev/null
+++ b/stand_ins/steps/fake_trainer.ts
@@ -0,0 +1,207 @@
+import type { Sample } from "../../generated/snipepath/v1/records_pb.ts";
+import { getOldestVersion } from "../../source/steps/sample_staleness.ts";
+import type { PullAnswer } from "../../source/steps/step_pull.ts";
+import type { StepRefusal } from "../../source/steps/step_refusal.ts";
+import type { StepSubmission } from "../../source/steps/step_service.ts";
+import type { FakeNode, FakeNodeGroup } from "./fake_node_group.ts";
+
+const PULL_WAIT_MILLISECONDS = 1000;
+const MAXIMUM_PULL_ATTEMPTS = 400;
+const MAXIMUM_SUBMIT_ATTEMPTS = 50;
+const REFUSED_WAIT_MILLISECONDS = 250;
+const TIMEOUT_MILLISECONDS = 8000;
+
+/** How a trainer takes part. */
+export interface FakeTrainerOptions {
+  readonly group: FakeNodeGroup;
+  readonly boundVersions: number;
+  /** Whether pulls state the newest version. */
+  readonly statesVersion: boolean;
+  /** Time between an answer and the next pull. */
+  readonly pauseMilliseconds: number;
+  readonly maximum: number;
+  /** Chooses the node of each pull. */
+  readonly chooseNode: (pull: number) => FakeNode;
+  /** Returns whether the answer of a pull is lost. */
+  readonly losesAnswer?: (pull: number) => boolean;
+}
+
+/** What a trainer saw wrong. */
+export interface TrainerFindings {
+  readonly delivered: number;
+  readonly lost: number;
+  readonly doubled: number;
+  readonly tooOld: number;
+  readonly wrongVersions: number;
+  readonly contradictions: number;
+}
+
+/**
+ * A trainer that pulls a step and judges every sample it gets.
+ * @example
+ * ```ts
+ * const trainer = new FakeTrainer(options);
+ * await trainer.submit(submission);
+ * await trainer.pullAll();
+ * ```
+ */
+export class FakeTrainer {
+  /** The newest version whose publication was answered. */
+  publishedVersion = 1;
+  /** The latest cursor. */
+  cursor = "";
+  /** Refusals seen. */
+  readonly refusals: StepRefusal[] = [];
+  readonly #options: FakeTrainerOptions;
+  readonly #samples = new Map<number, Sample>();
+  readonly #answersByCursor = new Map<string, Map<number, Sample>>();
+  #submission: StepSubmission | undefined;
+  #pulls = 0;
+  #doubled = 0;
+  #tooOld = 0;
+  #wrongVersions = 0;
+  #contradictions = 0;
+
+  /** @param options - How the trainer takes part. */
+  constructor(options: FakeTrainerOptions) {
+    this.#options = options;
+  }
+
+  /** Submits a step until it is accepted; returns whether it was. */
+  async submit(submission: StepSubmission): Promise<boolean> {
+    this.#submission = submission;
+    const { group, chooseNode } = this.#options;
+    const trainer = group.configuration.declaration?.trainers[0];
+    if (trainer === undefined) return false;
+    for (let attempt = 0; attempt < MAXIMUM_SUBMIT_ATTEMPTS; attempt += 1) {
+      const outcome = await chooseNode(attempt).service
+        .submit(submission, trainer);
+      if (outcome.kind === "accepted") {
+        this.cursor = outcome.cursor;
+        return true;
+      }
+      this.refusals.push(outcome);
+      await group.clock.sleep(REFUSED_WAIT_MILLISECONDS);
+    }
+    return false;
+  }
+
+  /** Publishes a version; returns whether that was answered. */
+  async publish(version: number, node: FakeNode): Promise<boolean> {
+    const outcome = await node.service.publish({
+      trainer: "dots",
+      service: "dot-models",
+      version,
+      location: `weights/${version}`,
+    });
+    if (outcome.kind === "refused") {
+      this.refusals.push(outcome);
+      return false;
+    }
+    this.publishedVersion = Math.max(this.publishedVersion, version);
+    return true;
+  }
+
+  /** Pulls until the step is whole; returns whether it became so. */
+  async pullAll(): Promise<boolean> {
+    for (let pull = 0; pull < MAXIMUM_PULL_ATTEMPTS; pull += 1) {
+      const answer = await this.pullOnce();
+      if (answer !== undefined && answer.held === answer.wanted) return true;
+      await this.#options.group.clock.sleep(
+        answer === undefined
+          ? REFUSED_WAIT_MILLISECONDS
+          : this.#options.pauseMilliseconds,
+      );
+    }
+    return false;
+  }
+
+  /** Pulls once; undefined when the pull was refused or its answer lost. */
+  async pullOnce(): Promise<PullAnswer | undefined> {
+    this.#pulls += 1;
+    const pull = this.#pulls;
+    const node = this.#options.chooseNode(pull);
+    const { clock } = this.#options.group;
+    if (!node.isAlive) {
+      await clock.sleep(REFUSED_WAIT_MILLISECONDS);
+      return undefined;
+    }
+    const answer = await this.#ask(node);
+    const isLost = this.#options.losesAnswer?.(pull) ?? false;
+    if (answer === undefined || isLost) return undefined;
+    for (const sample of answer.samples) this.#take(sample);
+    this.cursor = answer.cursor;
+    return answer;
+  }
+
+  /** Returns what the trainer saw. */
+  findings(): TrainerFindings {
+    const wanted = (this.#submission?.groups ?? [])
+      .reduce((sum, group) => sum + group.samples, 0);
+    return {
+      delivered: this.#samples.size,
+      lost: wanted - this.#samples.size,
+      doubled: this.#doubled,
+      tooOld: this.#tooOld,
+      wrongVersions: this.#wrongVersions,
+      contradictions: this.#contradictions,
+    };
+  }
+
+  async #ask(node: FakeNode): Promise<PullAnswer | undefined> {
+    const { group, statesVersion, maximum } = this.#options;
+    const controller = new AbortController();
+    const result: { answer?: PullAnswer } = {};
+    const pulled = node.service.pull({
+      trainer: "dots",
+      step: this.#submission?.step ?? "",
+      cursor: this.cursor,
+      maximum,
+      waitMilliseconds: PULL_WAIT_MILLISECONDS,
+      newestVersion: statesVersion ? this.publishedVersion : undefined,
+      signal: controller.signal,
+    }, (answer) => {
+      if (!node.isAlive) return;
+      this.#judge(answer);
+      result.answer = answer;
+    }).then((refusal) => {
+      if (refusal !== undefined && node.isAlive) this.refusals.push(refusal);
+    });
+    await Promise.race([pulled, group.clock.sleep(TIMEOUT_MILLISECONDS)]);
+    controller.abort();
+    return result.answer;
+  }
+
+  #judge(answer: PullAnswer): void {
+    const earlier = this.#answersByCursor.get(this.cursor) ??
+      new Map<number, Sample>();
+    this.#answersByCursor.set(this.cursor, earlier);
+    for (const sample of answer.samples) {
+      if (this.#isTooOld(sample)) this.#tooOld += 1;
+      const before = earlier.get(sample.index);
+      if (
+        before !== undefined && !this.#isTooOld(before) &&
+        before.text !== sample.text
+      ) this.#contradictions += 1;
+      earlier.set(sample.index, sample);
+    }
+  }
+
+  #isTooOld(sample: Sample): boolean {
+    const age = this.publishedVersion - getOldestVersion(sample);
+    return age > this.#options.boundVersions;
+  }
+
+  #take(sample: Sample): void {
+    if (this.#samples.has(sample.index)) this.#doubled += 1;
+    this.#samples.set(sample.index, sample);
+    const truth = this.#options.group.pool.trueRuns.get(sample.text);
+    const named = sample.stretches.map((stretch) => ({
+      weightVersion: Number(stretch.weightVersion),
+      tokens: stretch.tokens,
+    }));
+    if (JSON.stringify(truth?.stretches) !== JSON.stringify(named)) {
+      this.#wrongVersions += 1;
+    }
+  }
+}
