--- a/source/steps/step_pull.ts
+++ b/source/steps/step_pull.ts
@@ -270,7 +270,7 @@
 
 function refuseEnded(step: HeldStep): StepRefusal {
   const { trainer, step: name } = step.manifest;
-  return refuse("cancelled", `Step ${name} of trainer ${trainer} has ended`, {
+  return refuse("conflict", `Step ${name} of trainer ${trainer} has ended`, {
     field: "step",
   });
 }
--- a/source/steps/step_refusal.ts
+++ b/source/steps/step_refusal.ts
@@ -3,10 +3,7 @@
   | "invalidRequest"
   | "notFound"
   | "conflict"
-  | "cancelled"
-  | "deadline"
-  | "platformUnavailable"
-  | "leaving";
+  | "platformUnavailable";
 
 /** A typed refusal of a trainer's request. */
 export interface StepRefusal {
