--- /dev/null
+++ b/stand_ins/engine/start_engine.ts
@@ -0,0 +1,67 @@
+import { randomUUID } from "node:crypto";
+import type { FaultSwitch } from "../faults/fault_switch.ts";
+import { startFaultyHttpServer } from "../faults/faulty_http_server.ts";
+import { Engine } from "./engine.ts";
+import {
+  DEFAULT_ENGINE_OPTIONS,
+  type EngineBehaviour,
+  type EngineOptions,
+} from "./engine_options.ts";
+import type { LoggedRequest } from "./request_log.ts";
+
+/** A running model engine stand-in. */
+export interface StartedEngine {
+  /** HOST:PORT. */
+  readonly address: string;
+  readonly startIdentity: string;
+  readonly faults: FaultSwitch;
+  /** Changes behaviour while it runs. */
+  behave(behaviour: EngineBehaviour): void;
+  /** Says that the engine is about to end. */
+  leave(): void;
+  /** Returns the requests seen. */
+  log(): ReadonlyArray<Readonly<LoggedRequest>>;
+  /** Ends at once and cuts all connections. */
+  close(): Promise<void>;
+}
+
+/**
+ * Starts a model engine stand-in.
+ * @param options - Behaviour that differs from the defaults.
+ * @example
+ * ```ts
+ * const engine = await startEngine({ weightVersions: [7] });
+ * await engine.close();
+ * ```
+ */
+export async function startEngine(
+  options: Partial<EngineOptions> = {},
+): Promise<StartedEngine> {
+  const startIdentity = randomUUID();
+  const stopping = new AbortController();
+  const engine = new Engine({
+    ...DEFAULT_ENGINE_OPTIONS,
+    ...options,
+    startIdentity,
+  });
+  const server = await startFaultyHttpServer({
+    port: options.port ?? DEFAULT_ENGINE_OPTIONS.port,
+    latencyMilliseconds: options.latencyMilliseconds ??
+      DEFAULT_ENGINE_OPTIONS.latencyMilliseconds,
+    handle: ({ request, response }) => engine.handle(request, response),
+  });
+  const running = engine.run(stopping.signal);
+  return {
+    address: server.address,
+    startIdentity,
+    faults: server.faults,
+    behave: (behaviour) => engine.behave(behaviour),
+    leave: () => engine.leave(),
+    log: () => engine.log(),
+    close: async () => {
+      stopping.abort();
+      await server.close();
+      await running;
+    },
+  };
+}
