Tell the server of each attempt, and read trainers' bodies with the common reader

Cause: a second run has to know which server runs the first one; the dispatcher contract's onServer was not called. A failed sample avoided its last server for good, so that a service with a single engine could never finish it: the dispatcher excludes avoided servers. Change: CompletionRun calls onServer at each attempt; the runner forgets the avoided server when no other one has capacity. The fake engines exclude avoided servers now, as the dispatcher does. The trainers' routes use the entry's body reader.

--- a/source/dispatch/completion_run.ts
+++ b/source/dispatch/completion_run.ts
@@ -90,6 +90,7 @@
     const dispatch = experience.start(address, startedAt);
     const isRetry = this.#tried.length > 0;
     this.#tried.push(address);
+    this.#work.onServer?.(address);
     const outcome = await engines.complete(address, this.#toRequest(), {
       signal: this.#bounds.signal,
       silenceMilliseconds: context.settings.silenceMilliseconds,
--- a/source/entry/trainer_handlers.ts
+++ b/source/entry/trainer_handlers.ts
@@ -6,13 +6,15 @@
 import type { StepService } from "../steps/step_service.ts";
 import type { EntryExchange, EntryRoute } from "./entry_handler.ts";
 import { type Refusal, sendRefusal } from "./refusal.ts";
+import { readJsonBody } from "./request_body.ts";
 import {
   checkPublication,
   checkPull,
   checkStep,
-  readJsonBody,
 } from "./trainer_handlers_input.ts";
 
+const MAXIMUM_BODY_BYTES = 16 * 1024 * 1024;
+
 /** What the trainers' routes need. */
 export interface TrainerRoutesOptions {
   readonly steps: StepService;
@@ -119,7 +121,11 @@
   trainer: Trainer,
 ): Promise<void> {
   const { response } = exchange;
-  const body = await readJsonBody(exchange.request);
+  const body = await readJsonBody(exchange.request, {
+    signal: exchange.signal,
+    maximumBytes: MAXIMUM_BODY_BYTES,
+  });
+  if (body.kind === "gone") return;
   if (body.kind === "refused") return sendRefusal(response, body.refusal);
   const input = checkPublication(body.value);
   if (input.kind === "refused") return sendRefusal(response, input.refusal);
@@ -143,7 +149,11 @@
   trainer: Trainer,
 ): Promise<void> {
   const { response } = exchange;
-  const body = await readJsonBody(exchange.request);
+  const body = await readJsonBody(exchange.request, {
+    signal: exchange.signal,
+    maximumBytes: MAXIMUM_BODY_BYTES,
+  });
+  if (body.kind === "gone") return;
   if (body.kind === "refused") return sendRefusal(response, body.refusal);
   const input = checkStep(body.value);
   if (input.kind === "refused") return sendRefusal(response, input.refusal);
--- a/source/entry/trainer_handlers_input.ts
+++ b/source/entry/trainer_handlers_input.ts
@@ -1,7 +1,5 @@
-import type { IncomingMessage } from "node:http";
 import type { Refusal } from "./refusal.ts";
 
-const MAXIMUM_BODY_BYTES = 16 * 1024 * 1024;
 const MAXIMUM_SAMPLES = 2048;
 const MAXIMUM_TOKENS = 1_000_000;
 const MAXIMUM_PROMPT_CHARACTERS = 1_000_000;
@@ -59,38 +57,6 @@
   }
 }
 
-/**
- * Reads a request's body as JSON.
- * @param request - The request.
- * @example
- * ```ts
- * const body = await readJsonBody(exchange.request);
- * ```
- */
-export async function readJsonBody(
-  request: IncomingMessage,
-): Promise<Input<unknown>> {
-  const chunks: Buffer[] = [];
-  let size = 0;
-  try {
-    for await (const chunk of request as AsyncIterable<Buffer>) {
-      size += chunk.length;
-      if (size > MAXIMUM_BODY_BYTES) return refuseTooLarge();
-      chunks.push(chunk);
-    }
-  } catch {
-    return refuseInput("body", "The body was cut off");
-  }
-  try {
-    return {
-      kind: "input",
-      value: JSON.parse(Buffer.concat(chunks).toString("utf8")),
-    };
-  } catch {
-    return refuseInput("body", "The body is not valid JSON");
-  }
-}
-
 /**
  * Checks the body of a publication.
  * @param body - The parsed body.
@@ -279,15 +245,3 @@
     refusal: { error: "invalidRequest", message, ran: "notRun", field },
   };
 }
-
-function refuseTooLarge(): Input<never> {
-  return {
-    kind: "refused",
-    refusal: {
-      error: "tooLarge",
-      message: `The body is larger than ${MAXIMUM_BODY_BYTES} bytes`,
-      ran: "notRun",
-      field: "body",
-    },
-  };
-}
--- a/source/steps/step_runner.ts
+++ b/source/steps/step_runner.ts
@@ -265,7 +265,8 @@
     run: SampleRun,
   ): void {
     if (run.wasCancelled && !run.isStale) return;
-    if (run.server !== "") progress.avoidServers = [run.server];
+    const isAvoidable = run.server !== "" && outcome?.reason !== "noCapacity";
+    progress.avoidServers = isAvoidable ? [run.server] : [];
     const { clock, random } = this.#options.context;
     progress.failures += 1;
     const ceiling = Math.min(
--- a/stand_ins/steps/fake_engine_pool.ts
+++ b/stand_ins/steps/fake_engine_pool.ts
@@ -107,10 +107,8 @@
   #choose(work: CompletionWork): FakeEngine | undefined {
     const fit = this.engines
       .filter((engine) => engine.reportedVersion >= work.minimumWeightVersion);
-    const wanted = fit.filter((engine) =>
-      !(work.avoidServers ?? []).includes(engine.address)
-    );
-    return (wanted.length > 0 ? wanted : fit)
+    return fit
+      .filter((engine) => !work.avoidServers?.includes(engine.address))
       .reduce<FakeEngine | undefined>(
         (best, engine) =>
           best === undefined || engine.running < best.running ? engine : best,
