--- a/source/platform/http_orders_client.ts
+++ b/source/platform/http_orders_client.ts
@@ -6,6 +6,7 @@
 import { asObject, type JsonObject, readAnswer } from "./platform_answer.ts";
 import type { PlatformConnection } from "./platform_connection.ts";
 import type { PlatformOutcome } from "./platform_outcome.ts";
+import type { SendGuard } from "./send_guard.ts";
 
 type ResultReader = (result: JsonObject) => OrderResult | undefined;
 
@@ -27,11 +28,15 @@
   }
 
   /** Places an order; the same idempotency key returns the first result. */
-  async place(order: ServerOrder): Promise<PlatformOutcome<OrderResult>> {
+  async place(
+    order: ServerOrder,
+    guard?: SendGuard,
+  ): Promise<PlatformOutcome<OrderResult>> {
     const outcome = await this.#connection.call({
       method: "POST",
       path: "/orders",
       body: JSON.stringify(order),
+      ...(guard && { guard }),
     });
     return readAnswer(outcome, readResult);
   }
--- a/source/platform/http_usage_report_client.ts
+++ b/source/platform/http_usage_report_client.ts
@@ -1,6 +1,7 @@
 import { asObject, readAnswer } from "./platform_answer.ts";
 import type { PlatformConnection } from "./platform_connection.ts";
 import type { PlatformOutcome } from "./platform_outcome.ts";
+import type { SendGuard } from "./send_guard.ts";
 import type {
   UsageReport,
   UsageReportClient,
@@ -19,11 +20,13 @@
   /** Sends the report of a window. */
   async report(
     report: UsageReport,
+    guard?: SendGuard,
   ): Promise<PlatformOutcome<UsageReportResult>> {
     const outcome = await this.#connection.call({
       method: "POST",
       path: "/usage-reports",
       body: JSON.stringify(report),
+      ...(guard && { guard }),
     });
     return readAnswer(outcome, readResult);
   }
--- a/source/platform/orders_client.ts
+++ b/source/platform/orders_client.ts
@@ -1,4 +1,5 @@
 import type { PlatformOutcome } from "./platform_outcome.ts";
+import type { SendGuard } from "./send_guard.ts";
 
 /** Price tier of a backend server; a cheap one can be reclaimed at a few seconds' notice. */
 export type Tier = "steady" | "cheap";
@@ -26,5 +27,8 @@
 /** The platform's interface that orders backend servers by failure domain. */
 export interface OrdersClient {
   /** Places an order; the same idempotency key returns the first result. */
-  place(order: ServerOrder): Promise<PlatformOutcome<OrderResult>>;
+  place(
+    order: ServerOrder,
+    guard?: SendGuard,
+  ): Promise<PlatformOutcome<OrderResult>>;
 }
--- a/source/platform/platform_connection.ts
+++ b/source/platform/platform_connection.ts
@@ -1,6 +1,7 @@
 import { type Dispatcher, Pool } from "undici";
 import type { Clock } from "../utilities/clock.ts";
 import type { PlatformFailure, PlatformOutcome } from "./platform_outcome.ts";
+import type { SendGuard } from "./send_guard.ts";
 
 const MAXIMUM_CONNECTIONS = 16;
 const MAXIMUM_WAITING_CALLS = 512;
@@ -24,6 +25,8 @@
   /** Path and query, encoded. */
   readonly path: string;
   readonly body?: string | Uint8Array;
+  /** Must still hold when the first byte leaves. */
+  readonly guard?: SendGuard;
 }
 
 /** An answer of the platform, read whole. */
@@ -138,11 +141,14 @@
         headers,
         body: call.body ?? null,
       },
-      this.#createHandler(exchange),
+      this.#createHandler(exchange, call.guard ?? alwaysAllow),
     );
   }
 
-  #createHandler(exchange: Exchange): Dispatcher.DispatchHandler {
+  #createHandler(
+    exchange: Exchange,
+    guard: SendGuard,
+  ): Dispatcher.DispatchHandler {
     const { clock } = this.#options;
     return {
       onRequestStart(controller): void {
@@ -150,6 +156,10 @@
           controller.abort(new Error("The call was given up"));
           return;
         }
+        if (!guard()) {
+          controller.abort(new Error("The call may no longer be sent"));
+          return;
+        }
         exchange.controller = controller;
         exchange.lastByteAt = clock.monotonic();
       },
@@ -223,6 +233,10 @@
   }
 }
 
+function alwaysAllow(): boolean {
+  return true;
+}
+
 function fail(exchange: Exchange, reason: string): void {
   const kind: PlatformFailure["kind"] = exchange.controller === undefined
     ? "notRun"
--- a/source/platform/usage_report_client.ts
+++ b/source/platform/usage_report_client.ts
@@ -1,4 +1,5 @@
 import type { PlatformOutcome } from "./platform_outcome.ts";
+import type { SendGuard } from "./send_guard.ts";
 
 /** Usage of one organisation, as reported to the platform. */
 export interface ReportedFigures {
@@ -32,5 +33,8 @@
 /** The platform's interface that takes usage reports. */
 export interface UsageReportClient {
   /** Sends the report of a window. */
-  report(report: UsageReport): Promise<PlatformOutcome<UsageReportResult>>;
+  report(
+    report: UsageReport,
+    guard?: SendGuard,
+  ): Promise<PlatformOutcome<UsageReportResult>>;
 }
--- a/stand_ins/platform/order_book.ts
+++ b/stand_ins/platform/order_book.ts
@@ -37,7 +37,8 @@
   readonly order: ServerOrder;
   readonly receivedAtUnixMilliseconds: number;
   readonly repeated: boolean;
-  readonly result: OrderResult;
+  /** Absent until the order is carried out. */
+  readonly result?: OrderResult;
 }
 
 /** Takes orders for backend servers and starts and stops them. */
@@ -58,22 +59,21 @@
   /** Carries an order out; the same idempotency key returns the first result. */
   async place(order: ServerOrder): Promise<OrderResult> {
     const earlier = this.#results.get(order.idempotencyKey);
+    const received = {
+      order,
+      receivedAtUnixMilliseconds: this.#options.clock.wall(),
+      repeated: earlier !== undefined,
+    };
+    const index = this.#received.push(received) - 1;
     const pending = earlier ?? this.#carryOut(order);
     if (earlier === undefined) this.#results.set(order.idempotencyKey, pending);
-    const receivedAtUnixMilliseconds = this.#options.clock.wall();
     const result = await pending;
     if (result.kind !== "accepted") this.#results.delete(order.idempotencyKey);
-    const repeated = earlier !== undefined;
-    this.#received.push({
-      order,
-      receivedAtUnixMilliseconds,
-      repeated,
-      result,
-    });
+    this.#received[index] = { ...received, result };
     return result;
   }
 
-  /** Returns all orders that arrived, in order of their answers. */
+  /** Returns all orders in the order in which they arrived. */
   received(): ReadonlyArray<ReceivedOrder> {
     return this.#received;
   }
