Put a node together and serve the whole path as separate processes

Weight orders, usage reports and server orders are not connected yet.

Programs are bundled as modules now: three files await a library's start at their top level, which the older module format can't express.

--- a/experiments/deployment/child_process.ts
+++ b/experiments/deployment/child_process.ts
@@ -38,7 +38,7 @@
  * ```ts
  * const platform = await startProcess({
  *   name: "platform",
- *   program: "build/bin/snipepath-stand-in.cjs",
+ *   program: "build/bin/snipepath-stand-in.mjs",
  *   arguments: ["platform"],
  *   readyPrefix: "listening ",
  * });
--- a/experiments/deployment/deployment.ts
+++ b/experiments/deployment/deployment.ts
@@ -4,9 +4,9 @@
 import { type RunningProcess, startProcess } from "./child_process.ts";
 import type { DeploymentLayout } from "./layout.ts";
 
-const STAND_IN_PROGRAM = "build/bin/snipepath-stand-in.cjs";
-const NODE_PROGRAM = "build/bin/snipepath-node.cjs";
-const COMMAND_PROGRAM = "build/bin/snipepath.cjs";
+const STAND_IN_PROGRAM = "build/bin/snipepath-stand-in.mjs";
+const NODE_PROGRAM = "build/bin/snipepath-node.mjs";
+const COMMAND_PROGRAM = "build/bin/snipepath.mjs";
 const LISTENING = "listening ";
 
 /** How a deployment is started. */
--- a/scripts/bundle.mjs
+++ b/scripts/bundle.mjs
@@ -16,11 +16,16 @@
 await build({
   entryPoints,
   outdir: "build/bin",
-  outExtension: { ".js": ".cjs" },
+  outExtension: { ".js": ".mjs" },
   bundle: true,
   platform: "node",
   target: "node20",
-  format: "cjs",
+  format: "esm",
+  // Libraries in the older module format call require.
+  banner: {
+    js:
+      'import { createRequire } from "node:module"; const require = createRequire(import.meta.url);',
+  },
   minify: true,
   keepNames: true,
   sourcemap: "linked",
--- a/source/command/operator_client.ts
+++ b/source/command/operator_client.ts
@@ -6,6 +6,7 @@
   type Transport,
 } from "@connectrpc/connect";
 import { createGrpcTransport } from "@connectrpc/connect-node";
+import { SECRET_HEADER } from "../membership/peer_connection.ts";
 import { OperatorService } from "../../generated/snipepath/v1/operator_pb.ts";
 
 const CALL_TIMEOUT_MILLISECONDS = 15_000;
@@ -131,7 +132,7 @@
         CALL_TIMEOUT_MILLISECONDS,
       idleConnectionTimeoutMs: 1,
       interceptors: [(next) => (request) => {
-        request.header.set("authorization", `Bearer ${this.#options.secret}`);
+        request.header.set(SECRET_HEADER, this.#options.secret);
         return next(request);
       }],
     });
--- /dev/null
+++ b/source/node/node.ts
@@ -0,0 +1,218 @@
+import { HttpEngineClient } from "../backends/http_engine_client.ts";
+import { HttpPlainClient } from "../backends/http_plain_client.ts";
+import {
+  createAdmission,
+  type NodeAdmission,
+} from "../admission/node_admission.ts";
+import type { UsageCounters } from "../control/usage_counters.ts";
+import {
+  createDispatcher,
+  type NodeDispatcher,
+} from "../dispatch/create_dispatcher.ts";
+import { createAddressRoute } from "../entry/address_route.ts";
+import { createCompletionRoute } from "../entry/completion_route.ts";
+import { EntryServer } from "../entry/entry_server.ts";
+import { createPlainRoutes } from "../entry/plain_route.ts";
+import { createTrainerRoutes } from "../entry/trainer_handlers.ts";
+import { KeyAuthority } from "../keys/key_authority.ts";
+import { KeyDirectory } from "../keys/key_directory.ts";
+import { createMembership, type Membership } from "../membership/membership.ts";
+import { type PeerServer, startPeerServer } from "../membership/peer_server.ts";
+import { addOperatorService } from "../operators/operator_service.ts";
+import { StepService } from "../steps/step_service.ts";
+import { LateHandlers } from "./late_handlers.ts";
+import type { NodeContext } from "./node_context.ts";
+
+const NO_USAGE: UsageCounters = { record(): void {} };
+
+/**
+ * One node, put together from its parts.
+ * @example
+ * ```ts
+ * const node = await Node.create(context, { onDrain: () => stop("drain") });
+ * const address = await node.start();
+ * await node.drain();
+ * ```
+ */
+export class Node {
+  readonly #context: NodeContext;
+  readonly #membership: Membership;
+  readonly #keys: KeyDirectory;
+  readonly #authority: KeyAuthority;
+  readonly #admission: NodeAdmission;
+  readonly #dispatcher: NodeDispatcher;
+  readonly #steps: StepService;
+  readonly #entry: EntryServer;
+  readonly #onDrain: () => void;
+  #peerServer: PeerServer | undefined;
+  #running: Promise<unknown> = Promise.resolve();
+
+  private constructor(options: NodeOptions) {
+    const { context, membership, handlers } = options;
+    const { told, peers, configuration, backendServers } = membership;
+    this.#context = context;
+    this.#membership = membership;
+    this.#dispatcher = options.dispatcher;
+    this.#onDrain = options.onDrain;
+    this.#keys = new KeyDirectory({ context, peers, told });
+    this.#authority = new KeyAuthority({
+      context,
+      directory: this.#keys,
+      peers,
+      told,
+    });
+    this.#admission = createAdmission({
+      context,
+      configuration,
+      peers,
+      told,
+      backends: backendServers,
+    });
+    this.#steps = new StepService({
+      context,
+      configuration,
+      told,
+      peers,
+      admission: this.#admission,
+      dispatcher: this.#dispatcher,
+      usage: NO_USAGE,
+    });
+    this.#entry = this.#createEntry();
+    handlers.connect({
+      ...this.#steps.handlers,
+      onWithdrawal: ({ keyIdentifier }) =>
+        this.#keys.applyWithdrawal(keyIdentifier),
+    });
+  }
+
+  /**
+   * Puts a node together; it does nothing before `start`.
+   * @param context - What every part is given.
+   * @param onDrain - Called when an operator asks the node to leave.
+   */
+  static async create(
+    context: NodeContext,
+    onDrain: () => void,
+  ): Promise<Node> {
+    const { clock } = context;
+    const handlers = new LateHandlers();
+    const engines = new HttpEngineClient({ clock });
+    const parts: { dispatcher?: NodeDispatcher } = {};
+    const membership = await createMembership(context, {
+      handlers: handlers.handlers,
+      engines,
+      dispatched: (address) => parts.dispatcher?.runningAt(address) ?? 0,
+    });
+    const dispatcher = createDispatcher({
+      context,
+      servers: membership.backendServers,
+      engines,
+      plainServices: new HttpPlainClient({ clock }),
+      configuration: membership.configuration,
+    });
+    parts.dispatcher = dispatcher;
+    return new Node({ context, membership, dispatcher, handlers, onDrain });
+  }
+
+  /** Begins to serve peers, then callers; returns HOST:PORT for callers. */
+  async start(): Promise<string> {
+    const { settings, log } = this.#context;
+    this.#peerServer = await startPeerServer({
+      address: settings.peerAddress,
+      secret: settings.peerSecret,
+      registerRoutes: [
+        this.#membership.registerRoutes,
+        (router) => addOperatorService(router, this.#operatorOptions()),
+      ],
+      log,
+    });
+    this.#running = Promise.all([
+      this.#membership.run(),
+      this.#keys.run(),
+      this.#authority.run(),
+      this.#admission.run(),
+      this.#steps.run(),
+    ]);
+    await this.#membership.ready();
+    const address = await this.#entry.listen();
+    void this.#entry.run();
+    log.emit("nodeStarted", {
+      address,
+      peerAddress: this.#peerServer.address,
+    });
+    return address;
+  }
+
+  /** Resolves when a background task ended, which happens only when the node stops or an invariant broke. */
+  get ended(): Promise<unknown> {
+    return this.#running;
+  }
+
+  /** Leaves: tells all nodes, then serves on until running requests have ended. */
+  async drain(): Promise<void> {
+    this.#membership.setLeaving();
+    await this.#entry.drain();
+  }
+
+  /** Closes all servers at once. */
+  async close(): Promise<void> {
+    await this.#entry.close();
+    await this.#peerServer?.close();
+  }
+
+  #createEntry(): EntryServer {
+    const { configuration, peers, told } = this.#membership;
+    const context = this.#context;
+    const work = {
+      context,
+      configuration,
+      admission: this.#admission,
+      dispatcher: this.#dispatcher,
+      usage: NO_USAGE,
+    };
+    return new EntryServer({
+      context,
+      keys: this.#keys,
+      routes: [
+        createAddressRoute({
+          context,
+          peers,
+          told,
+          ownAddress: () => context.settings.callerAddress,
+          isLeaving: () => this.#entry.isLeaving,
+        }),
+        createCompletionRoute(work),
+        ...createTrainerRoutes({ steps: this.#steps }),
+      ],
+      findDeclared: createPlainRoutes(work),
+    });
+  }
+
+  #operatorOptions(): Parameters<typeof addOperatorService>[1] {
+    const { configuration, configurationWriter, peers, told, backendServers } =
+      this.#membership;
+    return {
+      context: this.#context,
+      configuration,
+      writer: configurationWriter,
+      keys: this.#authority,
+      peers,
+      told,
+      servers: backendServers,
+      admission: this.#admission,
+      isLeaving: () => this.#entry.isLeaving,
+      startDrain: () => {
+        this.#onDrain();
+        return this.#entry.runningExchanges;
+      },
+    };
+  }
+}
+
+interface NodeOptions {
+  readonly context: NodeContext;
+  readonly membership: Membership;
+  readonly dispatcher: NodeDispatcher;
+  readonly handlers: LateHandlers;
+  readonly onDrain: () => void;
+}
--- /dev/null
+++ b/source/node/run_node.ts
@@ -0,0 +1,50 @@
+import type { NodeSettings } from "../../generated/snipepath/v1/settings_pb.ts";
+import { createNodeContext } from "./create_node_context.ts";
+import { Node } from "./node.ts";
+import type { NodeContext } from "./node_context.ts";
+
+const FAULT_EXIT_STATUS = 70;
+
+/**
+ * Runs a node until it is told to leave, and writes a line to the standard output when it serves.
+ * @param settings - The node's settings, already checked.
+ * @returns The exit status.
+ */
+export async function runNode(settings: NodeSettings): Promise<number> {
+  const stopping = new AbortController();
+  const context = createNodeContext(settings, stopping.signal);
+  stopOnBrokenInvariant(context);
+  const leaving = new AbortController();
+  const node = await Node.create(context, () => leaving.abort("drain"));
+  const address = await node.start();
+  console.log(`listening ${address}`);
+  void node.ended.catch((error) => stopOnFault(context, error));
+  await waitForLeave(leaving);
+  await node.drain();
+  stopping.abort();
+  await node.close();
+  context.log.emit("nodeStopped", { reason: String(leaving.signal.reason) });
+  return 0;
+}
+
+function waitForLeave(leaving: AbortController): Promise<void> {
+  for (const signal of ["SIGTERM", "SIGINT"] as const) {
+    process.once(signal, () => leaving.abort(signal));
+  }
+  return new Promise((resolve) => {
+    leaving.signal.addEventListener("abort", () => resolve(), { once: true });
+    if (leaving.signal.aborted) resolve();
+  });
+}
+
+function stopOnBrokenInvariant(context: NodeContext): void {
+  process.on("uncaughtException", (error) => stopOnFault(context, error));
+  process.on("unhandledRejection", (error) => stopOnFault(context, error));
+}
+
+function stopOnFault(context: NodeContext, error: unknown): void {
+  const detail = error instanceof Error ? error.stack ?? "" : String(error);
+  context.log.emit("invariantBroken", { detail });
+  process.exitCode = FAULT_EXIT_STATUS;
+  setImmediate(() => process.exit(FAULT_EXIT_STATUS));
+}
