--- a/source/entry/entry_server.ts
+++ b/source/entry/entry_server.ts
@@ -1,9 +1,10 @@
 import { createServer, type Server, type ServerResponse } from "node:http";
-import { type AddressInfo, Server as NetServer } from "node:net";
+import { type AddressInfo, Server as NetServer, type Socket } from "node:net";
 import type { KeyDirectory } from "../keys/key_directory.ts";
 import { OPEN_CALLER } from "../keys/key_resolution.ts";
 import type { NodeContext } from "../node/node_context.ts";
 import { BrokenInvariantError } from "../utilities/invariant.ts";
+import { CallerSilence } from "./caller_silence.ts";
 import type {
   Authentication,
   Caller,
@@ -18,12 +19,16 @@
 } from "./exchange_registry.ts";
 import { GuardedRequest } from "./guarded_request.ts";
 import { type Refusal, sendRefusal } from "./refusal.ts";
+import { refuseUnreadable } from "./refuse_unreadable.ts";
 import { RouteTable } from "./route_table.ts";
 import { type ShownKey, takeShownKey } from "./shown_key.ts";
 
 const HEADERS_TIMEOUT_MILLISECONDS = 10_000;
 const KEEP_ALIVE_MILLISECONDS = 5000;
 const MAXIMUM_HEADER_BYTES = 16_384;
+const REQUEST_TIMEOUT_MILLISECONDS = 3_600_000;
+const CONNECTIONS_CHECK_MILLISECONDS = 2000;
+const MAXIMUM_CONNECTIONS = 10_000;
 const WATCH_INTERVAL_MILLISECONDS = 200;
 
 /** What serves a path that is not of the fixed interface. */
@@ -65,6 +70,7 @@
   readonly #routes: RouteTable;
   readonly #findDeclared: (path: string) => DeclaredRoute | undefined;
   readonly #registry = new ExchangeRegistry();
+  readonly #silence: CallerSilence;
   readonly #server: Server<typeof GuardedRequest>;
   #phase: ServePhase = "serving";
   #sequence = 0;
@@ -73,6 +79,9 @@
   constructor(options: EntryServerOptions) {
     this.#context = options.context;
     this.#keys = options.keys;
+    this.#silence = new CallerSilence(
+      options.context.settings.silenceMilliseconds,
+    );
     this.#routes = new RouteTable(options.routes);
     this.#findDeclared = options.findDeclared;
     this.#server = createServer({
@@ -80,7 +89,13 @@
       maxHeaderSize: MAXIMUM_HEADER_BYTES,
       headersTimeout: HEADERS_TIMEOUT_MILLISECONDS,
       keepAliveTimeout: KEEP_ALIVE_MILLISECONDS,
-      requestTimeout: 0,
+      requestTimeout: REQUEST_TIMEOUT_MILLISECONDS,
+      connectionsCheckingInterval: CONNECTIONS_CHECK_MILLISECONDS,
+    });
+    this.#server.maxConnections = MAXIMUM_CONNECTIONS;
+    this.#server.on("clientError", (error, socket) => {
+      if (this.#registry.isBusy(socket as Socket)) socket.destroy();
+      else refuseUnreadable(error, socket as Socket);
     });
     this.#server.on("request", (request, response) => {
       this.#serve(request, response).catch((error) => this.#stopOn(error));
@@ -115,11 +130,12 @@
     return address;
   }
 
-  /** Cuts keyed exchanges once the keys' freshness bound has passed, until the node stops. */
+  /** Cuts silent exchanges, and keyed ones once the keys' freshness bound has passed, until the node stops. */
   async run(): Promise<void> {
     const { clock, stopping } = this.#context;
     while (!stopping.aborted && this.#phase !== "closed") {
       this.cutStaleExchanges();
+      this.#cutSilentExchanges();
       await clock.sleep(WATCH_INTERVAL_MILLISECONDS, stopping);
     }
   }
@@ -198,6 +214,15 @@
     });
   }
 
+  #cutSilentExchanges(): void {
+    const now = this.#context.clock.monotonic();
+    for (const silent of this.#silence.find(this.#registry.exchanges(), now)) {
+      const isAnswering = silent.response.headersSent;
+      cutExchange(silent, isAnswering ? "callerGone" : "silentCaller");
+      this.#context.log.emit("callerSilent", { answering: isAnswering });
+    }
+  }
+
   #findTarget(
     method: string,
     path: string,
@@ -247,7 +272,7 @@
     const { response } = parts;
     const request = parts.request as GuardedRequest;
     const { keyIdentifier } = parts.caller;
-    const running = { keyIdentifier, response, controller };
+    const running = { keyIdentifier, request, response, controller };
     this.#registry.add(running);
     this.#guardBody(request, running);
     response.on("close", () => {
@@ -311,7 +336,6 @@
   response: ServerResponse,
   refusal: Refusal,
 ): void {
-  if (!request.complete) response.setHeader("connection", "close");
   sendRefusal(response, refusal);
   request.resume();
 }
--- a/source/entry/exchange_registry.ts
+++ b/source/entry/exchange_registry.ts
@@ -1,5 +1,7 @@
 import type { ServerResponse } from "node:http";
+import type { Socket } from "node:net";
 import { invariant } from "../utilities/invariant.ts";
+import type { GuardedRequest } from "./guarded_request.ts";
 import { type Refusal, sendRefusal } from "./refusal.ts";
 
 /** Why an exchange is cut. */
@@ -16,6 +18,7 @@
 export interface RunningExchange {
   /** Empty without a key. */
   readonly keyIdentifier: string;
+  readonly request: GuardedRequest;
   readonly response: ServerResponse;
   readonly controller: AbortController;
 }
@@ -70,6 +73,16 @@
     return this.#running.size;
   }
 
+  /** Returns the running exchanges. */
+  exchanges(): ReadonlyArray<RunningExchange> {
+    return [...this.#running];
+  }
+
+  /** Returns whether an exchange runs on a caller's connection. */
+  isBusy(socket: Socket): boolean {
+    return this.exchanges().some(({ request }) => request.socket === socket);
+  }
+
   /** Adds an exchange; it must be removed when it has ended. */
   add(exchange: RunningExchange): void {
     this.#running.add(exchange);
@@ -133,7 +146,11 @@
 ): boolean {
   if (exchange.controller.signal.aborted) return false;
   exchange.controller.abort(reason);
-  if (reason === "callerGone") exchange.response.destroy();
-  else sendRefusal(exchange.response, REFUSAL_BY_REASON[reason]);
+  if (reason === "callerGone") {
+    exchange.response.destroy();
+    return true;
+  }
+  sendRefusal(exchange.response, REFUSAL_BY_REASON[reason]);
+  if (!exchange.request.complete) exchange.request.abandon();
   return true;
 }
--- a/source/entry/guarded_request.ts
+++ b/source/entry/guarded_request.ts
@@ -23,15 +23,36 @@
   #held = "";
   #received = 0;
   #fault: BodyFault | undefined;
+  #isAbandoned = false;
 
   /** Returns why the body was stopped; undefined while it was not. */
   get bodyFault(): BodyFault | undefined {
     return this.#fault;
   }
 
+  /**
+   * Ends the reading of the body for good, with an error for who reads it; the connection stays open, so
+   * that the answer can still be sent.
+   */
+  abandon(): void {
+    this.#isAbandoned = true;
+    this.destroy(new Error("The exchange was cut"));
+  }
+
+  /** Ends the stream; of an abandoned request, without the connection. */
+  override _destroy(
+    error: Error | null,
+    callback: (error?: Error | null) => void,
+  ): void {
+    if (this.#isAbandoned) callback(error);
+    else super._destroy(error, callback);
+  }
+
   /** Takes a chunk from the parser. */
   override push(chunk: unknown, encoding?: BufferEncoding): boolean {
-    if (this.#fault !== undefined) return true;
+    if (this.#isAbandoned || this.#fault !== undefined) {
+      return this.#discard(chunk);
+    }
     if (chunk === null) return this.#pushEnd();
     const bytes = Buffer.isBuffer(chunk)
       ? chunk
@@ -46,6 +67,14 @@
     return super.push(Buffer.from(text.slice(0, end), "latin1"));
   }
 
+  // The rest of a stopped body is read up to a bound, so that the caller can take the refusal.
+  #discard(chunk: unknown): boolean {
+    this.#received += Buffer.isBuffer(chunk) ? chunk.length : 0;
+    const isEndless = this.#received > 2 * MAXIMUM_BODY_BYTES;
+    if (isEndless) this.socket.destroy();
+    return true;
+  }
+
   #pushEnd(): boolean {
     if (this.#held !== "") super.push(Buffer.from(this.#held, "latin1"));
     this.#held = "";
--- a/source/keys/key_authority.ts
+++ b/source/keys/key_authority.ts
@@ -14,6 +14,8 @@
 
 const MAXIMUM_ATTEMPTS = 5;
 const RETRY_INTERVAL_MILLISECONDS = 1000;
+const LOOKUP_WAIT_MILLISECONDS = 500;
+const SAVE_WAIT_MILLISECONDS = 2000;
 const OTHER_NODES_DELAY_MILLISECONDS = 5000;
 
 /** What the key authority works with. */
@@ -130,10 +132,7 @@
    */
   async withdraw(identifier: string): Promise<WithdrawOutcome> {
     if (!isKeyIdentifier(identifier)) return { kind: "unknownKey" };
-    const known = await this.#table.read(identifier);
-    if (known.kind === "ok" && known.value === undefined) {
-      return { kind: "unknownKey" };
-    }
+    if (await this.#isUnknown(identifier)) return { kind: "unknownKey" };
     const withdrawnAt = BigInt(Math.round(this.#context.clock.wall()));
     const cutHere = this.#directory.applyWithdrawal(identifier);
     this.#own.add(identifier);
@@ -150,7 +149,7 @@
     });
     const [confirmations, save] = await Promise.all([
       this.#peers.confirmWithdrawal(request),
-      this.#save(identifier),
+      this.#within(SAVE_WAIT_MILLISECONDS, this.#save(identifier)),
     ]);
     return {
       kind: "withdrawn",
@@ -159,7 +158,7 @@
         ...confirmations.confirmed,
       ],
       silentNodes: confirmations.silent,
-      saved: save.kind === "ok",
+      saved: save?.kind === "ok",
       streamsCut: cutHere + confirmations.streamsCut,
     };
   }
@@ -186,6 +185,25 @@
     }
   }
 
+  // A slow table must not hold the withdrawal back: then it is told without knowing.
+  async #isUnknown(identifier: string): Promise<boolean> {
+    const read = this.#table.read(identifier);
+    const known = await this.#within(LOOKUP_WAIT_MILLISECONDS, read);
+    return known?.kind === "ok" && known.value === undefined;
+  }
+
+  async #within<Value>(
+    milliseconds: number,
+    promise: Promise<Value>,
+  ): Promise<Value | undefined> {
+    const done = new AbortController();
+    const late = this.#context.clock.sleep(milliseconds, done.signal)
+      .then(() => undefined);
+    const value = await Promise.race([promise, late]);
+    done.abort();
+    return value;
+  }
+
   async #save(identifier: string): Promise<SaveOutcome> {
     for (let attempt = 0; attempt < MAXIMUM_ATTEMPTS; attempt += 1) {
       const outcome = await this.#trySave(identifier);
--- a/source/keys/key_directory.ts
+++ b/source/keys/key_directory.ts
@@ -196,14 +196,9 @@
     this.#cutExchanges(record.keyIdentifier);
   }
 
-  // At the first load nothing is told: each node reads the same list.
+  // Told even at the first load: a peer that goes by this node's word must hold the same withdrawals.
   #tellWithdrawal(identifier: string): void {
-    if (this.#loadedAt === undefined) return;
-    const fact = create(KeyWithdrawalFactSchema, {
-      withdrawnAtUnixMilliseconds: BigInt(
-        Math.round(this.#context.clock.wall()),
-      ),
-    });
+    const fact = create(KeyWithdrawalFactSchema);
     this.#told.tell("keyWithdrawal", identifier, fact);
   }
 
--- a/source/observability/events/entry_events.ts
+++ b/source/observability/events/entry_events.ts
@@ -26,6 +26,12 @@
     action: "Report the event as a fault of the program",
     fields: ["request", "detail"],
   }),
+  callerSilent: defineEvent(4005, {
+    level: "info",
+    message: "A caller's connection was silent for too long and was closed",
+    action: "",
+    fields: ["answering"],
+  }),
   keysLoaded: defineEvent(4101, {
     level: "info",
     message: "The list of keys was loaded from the table",
