--- /dev/null
+++ b/source/entry/entry_cuts_test.ts
@@ -0,0 +1,227 @@
+import { connect, type Socket } from "node:net";
+import test, { type ExecutionContext } from "ava";
+import { Client } from "undici";
+import {
+  createEntryBench,
+  type EntryBench,
+  type EntryBenchOptions,
+} from "../../stand_ins/entry/entry_bench.ts";
+
+const PROMPT = JSON.stringify({ model: "dot-models", prompt: "dots" });
+const STREAM = JSON.stringify({ ...JSON.parse(PROMPT), stream: true });
+const OPEN_STREAM = JSON.stringify({
+  ...JSON.parse(STREAM),
+  model: "open-models",
+});
+
+const LONG_MILLISECONDS = 60_000;
+
+interface CutCase {
+  readonly body: string;
+  readonly key: boolean;
+  readonly act: (bench: KeyedBench) => void;
+  readonly isCut: boolean;
+  /** Freshness bound of keys in milliseconds, where the test waits for it. */
+  readonly freshness?: number;
+}
+
+const CUT_CASES: Readonly<Record<string, CutCase>> = {
+  "its key's withdrawal, told by a peer": {
+    body: STREAM,
+    key: true,
+    act: (bench) => void bench.keys.applyWithdrawal(bench.identifier),
+    isCut: true,
+  },
+  "its key's withdrawal by an operator with the table down": {
+    body: STREAM,
+    key: true,
+    act: (bench) => {
+      bench.platform.fault = "down";
+      void bench.authority.withdraw(bench.identifier);
+    },
+    isCut: true,
+  },
+  "an end of all word about keys": {
+    freshness: 1200,
+    body: STREAM,
+    key: true,
+    act: (bench) => {
+      bench.platform.fault = "down";
+    },
+    isCut: true,
+  },
+  "another key's withdrawal": {
+    body: STREAM,
+    key: true,
+    act: (bench) => void bench.keys.applyWithdrawal("0".repeat(16)),
+    isCut: false,
+  },
+  "an end of all word about keys, on an open route": {
+    freshness: 1200,
+    body: OPEN_STREAM,
+    key: false,
+    act: (bench) => {
+      bench.platform.fault = "down";
+    },
+    isCut: false,
+  },
+};
+
+for (const [title, cutCase] of Object.entries(CUT_CASES)) {
+  const { body, key, act, isCut, freshness } = cutCase;
+  test(`a stream that runs is ${isCut ? "cut" : "not cut"} by ${title}`, async (t) => {
+    const bench = await startBench(t, {
+      keyFreshnessMilliseconds: freshness ?? LONG_MILLISECONDS,
+    });
+    let release = (): void => {};
+    const released = new Promise<void>((resolve) => {
+      release = resolve;
+    });
+    bench.dispatcher.halfway = (signal) =>
+      Promise.race([
+        released,
+        new Promise((resolve) => signal.addEventListener("abort", resolve)),
+      ]) as Promise<void>;
+    const reading = readStream(bench, { body, key });
+    await waitUntil(() => bench.dispatcher.completions.length === 1);
+    const { signal } = bench.dispatcher.completions[0] as {
+      signal: AbortSignal;
+    };
+    act(bench);
+    if (isCut) await waitUntil(() => signal.aborted);
+    else await waitUntil(() => !bench.keys.isFresh() || key);
+    release();
+    const { text, isWhole } = await reading;
+    t.is(isWhole, !isCut);
+    t.is(text.includes("[DONE]"), !isCut);
+    await waitUntil(() => bench.server.runningExchanges === 0);
+    t.is(bench.server.runningExchanges, 0);
+  });
+}
+
+test("a whole answer that runs is refused when its key is withdrawn", async (t) => {
+  const bench = await startBench(t);
+  bench.dispatcher.halfway = (signal) =>
+    new Promise((resolve) => signal.addEventListener("abort", () => resolve()));
+  const answer = readStream(bench, { body: PROMPT, key: true });
+  await waitUntil(() => bench.dispatcher.completions.length === 1);
+  bench.keys.applyWithdrawal(bench.identifier);
+  t.like(JSON.parse((await answer).text), {
+    error: "keyWithdrawn",
+    ran: "unknown",
+  });
+});
+
+test("work ends when its caller has gone, and what was streamed is counted", async (t) => {
+  const bench = await startBench(t);
+  let isAborted = false;
+  bench.dispatcher.halfway = (signal) =>
+    new Promise((resolve) =>
+      signal.addEventListener("abort", () => {
+        isAborted = true;
+        resolve();
+      })
+    );
+  const socket = openRaw(bench, [
+    "POST /v1/completions HTTP/1.1\r\nhost: a\r\n",
+    `authorization: Bearer ${bench.key}\r\n`,
+    `content-length: ${STREAM.length}\r\n\r\n${STREAM}`,
+  ]);
+  await new Promise((resolve) => socket.once("data", resolve));
+  socket.destroy();
+  await waitUntil(() => isAborted && bench.usage.length === 1);
+  t.deepEqual(bench.usage, [[
+    "school",
+    { requests: 1, promptTokens: 0, generatedTokens: 1 },
+  ]]);
+});
+
+test("a caller that stops sending its body is refused", async (t) => {
+  const bench = await startBench(t, { silenceMilliseconds: 600 });
+  const socket = openRaw(bench, [
+    "PUT /status HTTP/1.1\r\nhost: a\r\ncontent-length: 9\r\n\r\nhalf",
+  ]);
+  const answer = await new Promise((resolve) => socket.once("data", resolve));
+  t.regex(String(answer), /^HTTP\/1.1 400.*The body stopped coming/s);
+  await waitUntil(() => bench.server.runningExchanges === 0);
+  t.is(bench.dispatcher.calls.length, 0);
+});
+
+test("a caller that stops taking its answer is cut", async (t) => {
+  const bench = await startBench(t, { silenceMilliseconds: 600 });
+  const body = "x".repeat(16_000_000);
+  const socket = openRaw(bench, [
+    `PUT /status HTTP/1.1\r\nhost: a\r\ncontent-length: ${body.length}\r\n\r\n`,
+    body,
+  ]);
+  socket.pause();
+  await waitUntil(() => bench.dispatcher.calls.length === 1);
+  t.is(bench.server.runningExchanges, 1);
+  await waitUntil(() => bench.server.runningExchanges === 0);
+  t.is(bench.server.runningExchanges, 0);
+});
+
+interface KeyedBench extends EntryBench {
+  readonly key: string;
+  readonly identifier: string;
+}
+
+async function startBench(
+  t: ExecutionContext,
+  settings: NonNullable<EntryBenchOptions["settings"]> = {},
+): Promise<KeyedBench> {
+  const bench = createEntryBench({
+    settings: {
+      silenceMilliseconds: LONG_MILLISECONDS,
+      keyFreshnessMilliseconds: LONG_MILLISECONDS,
+      ...settings,
+    },
+  });
+  bench.address = await bench.server.listen();
+  t.teardown(() => bench.stop());
+  await bench.keys.refresh();
+  const given = await bench.authority.give({
+    organisation: "school",
+    trainer: false,
+  });
+  void bench.keys.run();
+  void bench.server.run();
+  const key = given.kind === "given" ? given.key : "";
+  return Object.assign(bench, { key, identifier: key.split("_")[1] ?? "" });
+}
+
+async function readStream(
+  bench: KeyedBench,
+  options: { readonly body: string; readonly key: boolean },
+): Promise<{ readonly text: string; readonly isWhole: boolean }> {
+  const client = new Client(`http://${bench.address}`);
+  let text = "";
+  try {
+    const { body } = await client.request({
+      path: "/v1/completions",
+      method: "POST",
+      headers: options.key ? { authorization: `Bearer ${bench.key}` } : {},
+      body: options.body,
+    });
+    for await (const chunk of body) text += String(chunk);
+    return { text, isWhole: true };
+  } catch {
+    return { text, isWhole: false };
+  } finally {
+    await client.destroy();
+  }
+}
+
+function openRaw(bench: EntryBench, parts: ReadonlyArray<string>): Socket {
+  const [host = "", port = ""] = bench.address.split(":");
+  const socket = connect(Number(port), host);
+  socket.on("error", () => {});
+  for (const part of parts) socket.write(part);
+  return socket;
+}
+
+async function waitUntil(condition: () => boolean): Promise<void> {
+  for (let count = 0; count < 3000 && !condition(); count += 1) {
+    await new Promise((next) => setTimeout(next, 5));
+  }
+}
--- a/source/entry/entry_server.ts
+++ b/source/entry/entry_server.ts
@@ -24,7 +24,12 @@
 import { type ShownKey, takeShownKey } from "./shown_key.ts";
 
 const HEADERS_TIMEOUT_MILLISECONDS = 10_000;
-const KEEP_ALIVE_MILLISECONDS = 5000;
+const SHORTEST_KEEP_ALIVE_MILLISECONDS = 1000;
+const LONGEST_KEEP_ALIVE_MILLISECONDS = 5000;
+const ADDRESS_KEEP_MARGIN = 1.5;
+const TOLD_MILLISECONDS = 2000;
+const LAST_REQUEST_MILLISECONDS = 500;
+const DRAIN_CHECK_MILLISECONDS = 20;
 const MAXIMUM_HEADER_BYTES = 16_384;
 const REQUEST_TIMEOUT_MILLISECONDS = 3_600_000;
 const CONNECTIONS_CHECK_MILLISECONDS = 2000;
@@ -88,7 +93,9 @@
       IncomingMessage: GuardedRequest,
       maxHeaderSize: MAXIMUM_HEADER_BYTES,
       headersTimeout: HEADERS_TIMEOUT_MILLISECONDS,
-      keepAliveTimeout: KEEP_ALIVE_MILLISECONDS,
+      keepAliveTimeout: keepAliveMilliseconds(
+        options.context.settings.addressKeepMilliseconds,
+      ),
       requestTimeout: REQUEST_TIMEOUT_MILLISECONDS,
       connectionsCheckingInterval: CONNECTIONS_CHECK_MILLISECONDS,
     });
@@ -115,6 +122,11 @@
     return this.#phase !== "serving";
   }
 
+  /** Returns whether new connections are taken. */
+  get isListening(): boolean {
+    return this.#server.listening;
+  }
+
   /** Begins to serve at the settings' caller address; returns the address, with the port that was bound. */
   async listen(): Promise<string> {
     const wanted = this.#context.settings.callerAddress;
@@ -156,13 +168,10 @@
     const startedAt = clock.monotonic();
     this.#phase = "leaving";
     log.emit("entryDraining", { running: this.#registry.size });
-    const keptAddresses = settings.addressKeepMilliseconds * 1.5;
-    await clock.sleep(Math.max(keptAddresses, KEEP_ALIVE_MILLISECONDS + 1000));
+    await clock.sleep(this.#lingerMilliseconds());
     NetServer.prototype.close.call(this.#server);
     const deadline = clock.monotonic() + settings.drainMilliseconds;
-    while (this.#registry.size > 0 && clock.monotonic() < deadline) {
-      await clock.sleep(WATCH_INTERVAL_MILLISECONDS / 10);
-    }
+    await this.#waitForExchanges(deadline);
     const cut = this.#registry.cutEvery("leaving");
     await this.close();
     const milliseconds = Math.round(clock.monotonic() - startedAt);
@@ -170,6 +179,34 @@
     return { cut, milliseconds };
   }
 
+  // Callers keep an address answer, and idle connections, for some time after the peers heard of the leaving.
+  #lingerMilliseconds(): number {
+    const { addressKeepMilliseconds } = this.#context.settings;
+    const kept = addressKeepMilliseconds * ADDRESS_KEEP_MARGIN;
+    const idle = keepAliveMilliseconds(addressKeepMilliseconds);
+    return TOLD_MILLISECONDS + Math.max(kept, idle);
+  }
+
+  // Connections without a request yet get a moment too: their first request may be on its way.
+  async #waitForExchanges(deadline: number): Promise<void> {
+    const { clock } = this.#context;
+    let idleSince = clock.monotonic();
+    for (;;) {
+      const now = clock.monotonic();
+      if (now >= deadline) return;
+      if (this.#registry.size > 0) idleSince = now;
+      if (now - idleSince >= LAST_REQUEST_MILLISECONDS) return;
+      if (await this.#countConnections() === 0) return;
+      await clock.sleep(DRAIN_CHECK_MILLISECONDS);
+    }
+  }
+
+  #countConnections(): Promise<number> {
+    return new Promise((resolve) => {
+      this.#server.getConnections((_error, count) => resolve(count));
+    });
+  }
+
   /** Stops serving at once; running exchanges are cut. */
   async close(): Promise<void> {
     this.#phase = "closed";
@@ -322,6 +359,14 @@
   }
 }
 
+function keepAliveMilliseconds(addressKeepMilliseconds: number): number {
+  const atLeast = Math.max(
+    SHORTEST_KEEP_ALIVE_MILLISECONDS,
+    addressKeepMilliseconds,
+  );
+  return Math.min(LONGEST_KEEP_ALIVE_MILLISECONDS, atLeast);
+}
+
 function parseUrl(text: string): URL | undefined {
   if (!text.startsWith("/")) return undefined;
   try {
--- a/source/keys/key_authority.ts
+++ b/source/keys/key_authority.ts
@@ -224,6 +224,8 @@
       { ...record, withdrawn: true },
       version,
     );
+    // Whether a write of unknown outcome took effect is read in the next attempt.
+    if (written.kind === "unknown") return "conflict";
     if (written.kind !== "ok") return written;
     if (written.value === "conflict") return "conflict";
     return { kind: "ok", value: "saved" };
--- a/source/keys/key_directory.ts
+++ b/source/keys/key_directory.ts
@@ -71,6 +71,7 @@
   async resolve(shown: string): Promise<KeyResolution> {
     const parsed = parseKey(shown);
     if (parsed === undefined) return KEY_UNKNOWN;
+    if (this.isWithdrawn(parsed.identifier)) return KEY_WITHDRAWN;
     if (!this.isFresh()) return STALE_KEYS;
     const record = await this.#findRecord(parsed.identifier);
     if ("kind" in record) return record;
--- /dev/null
+++ b/source/keys/key_withdrawal_test.ts
@@ -0,0 +1,193 @@
+import test from "ava";
+import {
+  createEntryBench,
+  type EntryBench,
+} from "../../stand_ins/entry/entry_bench.ts";
+import {
+  MemoryPlatform,
+  type PlatformFault,
+} from "../../stand_ins/entry/memory_platform.ts";
+import { ToldBus } from "../../stand_ins/entry/told_bus.ts";
+import { ManualClock } from "../utilities/manual_clock.ts";
+import { generateKey } from "./key_format.ts";
+
+const FRESHNESS_MILLISECONDS = 8000;
+const TOLD_DELAY_MILLISECONDS = 200;
+
+interface Nodes {
+  readonly clock: ManualClock;
+  readonly platform: MemoryPlatform;
+  readonly bus: ToldBus;
+  readonly first: EntryBench;
+  readonly second: EntryBench;
+}
+
+interface WithdrawalCase {
+  /** Faults of the first node's next calls to the table, then a lasting one. */
+  readonly nextFaults?: ReadonlyArray<PlatformFault>;
+  readonly fault?: PlatformFault;
+  /** Whether the second node hears what the first tells. */
+  readonly told?: boolean;
+  /** Whether the second node's table is away. */
+  readonly secondCutOff?: boolean;
+}
+
+const WITHDRAWAL_CASES: Readonly<Record<string, WithdrawalCase>> = {
+  "nothing fails": {},
+  "the table is down": { fault: "down" },
+  "the table hangs": { fault: "hang" },
+  "the answer is lost after the effect": {
+    nextFaults: ["none", "none", "none", "loseAnswer"],
+  },
+  "the answer is lost, then the table is down": {
+    nextFaults: ["none", "none", "none", "loseAnswer"],
+    fault: "down",
+  },
+  "the other node hears nothing": { told: false },
+  "the other node hears nothing and has no table": {
+    told: false,
+    secondCutOff: true,
+  },
+  "the other node has no table": { secondCutOff: true },
+  "both tables are down": { fault: "down", secondCutOff: true },
+};
+
+for (const [title, fault] of Object.entries(WITHDRAWAL_CASES)) {
+  test(`a withdrawn key stops within the bound at both nodes: ${title}`, async (t) => {
+    const nodes = await createNodes({ told: fault.told ?? true });
+    const { clock, first, second } = nodes;
+    const key = await giveKey(nodes);
+    t.is((await second.keys.resolve(key)).kind, "accepted");
+    first.platform.nextFaults.push(...fault.nextFaults ?? []);
+    first.platform.fault = fault.fault ?? "none";
+    if (fault.secondCutOff === true) second.platform.fault = "down";
+    const withdrawal = first.authority.withdraw(key.split("_")[1] ?? "");
+    await clock.advance(3000);
+    const outcome = await withdrawal;
+    t.is((await first.keys.resolve(key)).kind, "refused");
+    await clock.advance(FRESHNESS_MILLISECONDS - 3000 + 1);
+    const refused = await second.keys.resolve(key);
+    t.is(refused.kind, "refused");
+    t.snapshot({ outcome, refused });
+  });
+}
+
+test("a withdrawal told while the table was down is saved later, also by another node", async (t) => {
+  for (const saver of ["first", "second"] as const) {
+    const nodes = await createNodes({ told: true });
+    const key = await giveKey(nodes);
+    const identifier = key.split("_")[1] ?? "";
+    nodes.first.platform.fault = "down";
+    const withdrawal = nodes.first.authority.withdraw(identifier);
+    await nodes.clock.advance(3000);
+    t.like(await withdrawal, { kind: "withdrawn", saved: false });
+    const store = nodes.platform.rows;
+    t.regex(store.get(`keys/${identifier}`)?.value ?? "", /organisation/);
+    t.notRegex(store.get(`keys/${identifier}`)?.value ?? "", /withdrawn/);
+    if (saver === "first") nodes.first.platform.fault = "none";
+    for (let step = 0; step < 15; step += 1) {
+      await nodes.clock.advance(1000);
+      await nodes[saver].authority.saveDue();
+    }
+    t.regex(store.get(`keys/${identifier}`)?.value ?? "", /"withdrawn":true/);
+  }
+});
+
+test("a node that starts during an outage accepts no key", async (t) => {
+  const nodes = await createNodes({ told: true });
+  const key = await giveKey(nodes);
+  const identifier = key.split("_")[1] ?? "";
+  nodes.first.platform.fault = "down";
+  void nodes.first.authority.withdraw(identifier);
+  await nodes.clock.advance(3000);
+  const platform = shareRows(nodes.platform);
+  platform.fault = "down";
+  const started = createEntryBench({
+    node: "node-3",
+    clock: nodes.clock,
+    platform,
+    told: nodes.bus.join("node-3"),
+  });
+  started.peerKeyAge = 0;
+  await started.keys.refresh();
+  t.like(await started.keys.resolve(key), { error: "staleKeys" });
+});
+
+test("a withdrawal heard during a look-up counts", async (t) => {
+  const nodes = await createNodes({ told: true });
+  const generated = generateKey();
+  const key = generated.key;
+  nodes.platform.rows.set(`keys/${generated.identifier}`, {
+    key: generated.identifier,
+    version: 1,
+    value: JSON.stringify({
+      keyIdentifier: generated.identifier,
+      secretDigest: generated.secretDigest,
+      organisation: "school",
+    }),
+  });
+  t.is((await nodes.second.keys.resolve(key)).kind, "accepted");
+  const resolving = nodes.first.keys.resolve(key);
+  nodes.first.keys.applyWithdrawal(generated.identifier);
+  t.like(await resolving, { error: "keyWithdrawn" });
+});
+
+test("random keys ask the table for no more than the look-up budget", async (t) => {
+  const nodes = await createNodes({ told: true });
+  const before = nodes.second.platform.calls;
+  for (let index = 0; index < 500; index += 1) {
+    const refused = await nodes.second.keys.resolve(generateKey().key);
+    t.is(refused.kind, "refused");
+  }
+  t.true(nodes.second.platform.calls - before <= 20);
+});
+
+test("a key is kept as a digest and never logged", async (t) => {
+  const nodes = await createNodes({ told: true });
+  const key = await giveKey(nodes);
+  await nodes.first.keys.resolve(key);
+  const kept = [...nodes.platform.rows.values()].map(({ value }) => value);
+  const secret = key.split("_")[2] ?? "";
+  t.false(kept.join().includes(secret));
+  t.false(JSON.stringify(nodes.first.log.events).includes(secret));
+});
+
+async function createNodes(
+  options: { readonly told: boolean },
+): Promise<Nodes> {
+  const clock = new ManualClock();
+  const platform = new MemoryPlatform();
+  const bus = new ToldBus({
+    clock,
+    delayMilliseconds: TOLD_DELAY_MILLISECONDS,
+  });
+  const lonelyBus = new ToldBus({ clock, delayMilliseconds: 0 });
+  const [first, second] = ["node-1", "node-2"].map((node, index) =>
+    createEntryBench({
+      node,
+      clock,
+      platform: shareRows(platform),
+      told: (index === 0 || options.told ? bus : lonelyBus).join(node),
+      settings: { keyFreshnessMilliseconds: FRESHNESS_MILLISECONDS },
+    })
+  ) as [EntryBench, EntryBench];
+  void first.keys.run();
+  void second.keys.run();
+  await clock.advance(1);
+  return { clock, platform, bus, first, second };
+}
+
+// Each node has faults of its own over the same rows.
+function shareRows(platform: MemoryPlatform): MemoryPlatform {
+  const shared = new MemoryPlatform();
+  return Object.assign(shared, { rows: platform.rows });
+}
+
+async function giveKey(nodes: Nodes): Promise<string> {
+  const given = await nodes.first.authority.give({
+    organisation: "school",
+    trainer: false,
+  });
+  await nodes.clock.advance(3000);
+  return given.kind === "given" ? given.key : "";
+}
