Run calls with an idempotency key at most once over all nodes

Cause: a caller that lost its answer must be able to ask again, through any node, without the call running twice. Ruled out: expiring claims of a node that ended (a paused node could still dispatch), reading before writing (one more read for each call).

--- a/source/entry/plain_route.ts
+++ b/source/entry/plain_route.ts
@@ -2,7 +2,11 @@
   type Route,
   ServiceKind,
 } from "../../generated/snipepath/v1/declaration_pb.ts";
-import type { PlainOutcome } from "../dispatch/dispatcher.ts";
+import { ClaimKeeper } from "./claims/claim_keeper.ts";
+import {
+  type ClaimedCallOptions,
+  serveClaimedCall,
+} from "./claims/claimed_call.ts";
 import {
   checkCaller,
   type DeclaredWork,
@@ -11,8 +15,9 @@
 } from "./declared_work.ts";
 import type { EntryExchange } from "./entry_handler.ts";
 import type { DeclaredRoute } from "./entry_server.ts";
-import { type Refusal, sendRefusal, toRefusal } from "./refusal.ts";
-import { serveWork, type WorkHandlerOptions } from "./served_work.ts";
+import { type PlainCall, serveUnclaimedCall } from "./plain_call.ts";
+import { type Refusal, sendRefusal } from "./refusal.ts";
+import type { WorkHandlerOptions } from "./served_work.ts";
 
 /**
  * Creates what finds the declared route of a path and passes its calls to a plain service.
@@ -25,6 +30,7 @@
 export function createPlainRoutes(
   options: WorkHandlerOptions,
 ): (path: string) => DeclaredRoute | undefined {
+  const claims = new ClaimKeeper(options.context);
   return (path) => {
     const declaration = options.configuration.current()?.declaration;
     if (declaration === undefined) return undefined;
@@ -37,14 +43,15 @@
     if (isModel) return undefined;
     return {
       authentication: route.open ? "none" : "key",
-      handler: (exchange) => handlePlain(exchange, options, route),
+      handler: (exchange) =>
+        handlePlain(exchange, { ...options, claims }, route),
     };
   };
 }
 
 async function handlePlain(
   exchange: EntryExchange,
-  options: WorkHandlerOptions,
+  options: ClaimedCallOptions,
   route: Route,
 ): Promise<void> {
   const { response } = exchange;
@@ -57,25 +64,19 @@
   if (deadline.kind === "refused") {
     return sendRefusal(response, deadline.refusal);
   }
-  const outcome = await serveWork<PlainOutcome>(options, {
-    exchange,
+  const call: PlainCall = {
+    route,
     declared,
     deadlineMilliseconds: deadline.milliseconds,
-    expectedTokens: 0,
-    run: async (work) => ({
-      tokens: 0,
-      outcome: await options.dispatcher.runPlain({
-        ...work,
-        path: exchange.url.pathname + exchange.url.search,
-        repeatable: route.repeatable,
-        request: exchange.request,
-        response,
-      }),
-    }),
+  };
+  const key = exchange.request.headers["idempotency-key"];
+  if (route.repeatable || key === undefined) {
+    return await serveUnclaimedCall(exchange, options, call);
+  }
+  return await serveClaimedCall(exchange, options, {
+    ...call,
+    key: String(key),
   });
-  if (outcome.kind === "finished") return recordUsage(exchange, options);
-  if (outcome.kind === "cut") return void response.destroy();
-  sendRefusal(response, toRefusal(outcome));
 }
 
 function findDeclaredWork(
@@ -93,17 +94,6 @@
   return { service, classOfWork };
 }
 
-function recordUsage(
-  exchange: EntryExchange,
-  options: WorkHandlerOptions,
-): void {
-  options.usage.record(exchange.caller.organisation, {
-    requests: 1,
-    promptTokens: 0,
-    generatedTokens: 0,
-  });
-}
-
 const NOT_DECLARED: Refusal = {
   error: "unknownRoute",
   message: "The route's service or class of work is not declared",
--- a/source/entry/request_body.ts
+++ b/source/entry/request_body.ts
@@ -2,7 +2,7 @@
 import type { IncomingMessage } from "node:http";
 import type { Refusal } from "./refusal.ts";
 
-const MAXIMUM_JSON_BYTES = 1_048_576;
+const MAXIMUM_BODY_BYTES = 1_048_576;
 const JSON_TYPE_PATTERN = /^application\/json\s*(;|$)/i;
 
 /** A JSON body, or why there is none. */
@@ -12,6 +12,8 @@
   /** The caller has gone, or the exchange was cut. */
   | { readonly kind: "gone" };
 
+type BodyRefusal = Extract<JsonBody, { readonly kind: "refused" }>;
+
 /** How a JSON body is read. */
 export interface JsonBodyOptions {
   readonly signal: AbortSignal;
@@ -33,7 +35,6 @@
   request: IncomingMessage,
   options: JsonBodyOptions,
 ): Promise<JsonBody> {
-  const maximum = options.maximumBytes ?? MAXIMUM_JSON_BYTES;
   const type = request.headers["content-type"] ?? "application/json";
   if (!JSON_TYPE_PATTERN.test(type)) {
     return refuse("invalidRequest", {
@@ -41,13 +42,36 @@
       field: "header content-type",
     });
   }
-  if (Number(request.headers["content-length"] ?? 0) > maximum) {
-    return tooLarge(maximum);
-  }
+  const body = await readWholeBody(request, options);
+  return body.kind === "read" ? parseJson(body.bytes) : body;
+}
+
+/** A whole body, or why there is none. */
+export type WholeBody =
+  | { readonly kind: "read"; readonly bytes: Buffer }
+  | Exclude<JsonBody, { readonly kind: "read" }>;
+
+/**
+ * Reads a request's whole body.
+ * @param request - The request.
+ * @param options - The exchange's signal and the largest body in bytes.
+ * @returns The bytes, or a refusal `tooLarge`.
+ * @example
+ * ```ts
+ * const body = await readWholeBody(exchange.request, { signal: exchange.signal });
+ * ```
+ */
+export async function readWholeBody(
+  request: IncomingMessage,
+  options: JsonBodyOptions,
+): Promise<WholeBody> {
+  const maximum = options.maximumBytes ?? MAXIMUM_BODY_BYTES;
+  const isTooLong = Number(request.headers["content-length"] ?? 0) > maximum;
+  if (isTooLong) return tooLarge(maximum);
   const bytes = await readBytes(request, maximum, options.signal);
   if (bytes === "tooLarge") return tooLarge(maximum);
   if (bytes === "gone") return { kind: "gone" };
-  return parseJson(bytes);
+  return { kind: "read", bytes };
 }
 
 function readBytes(
@@ -81,7 +105,7 @@
   }
 }
 
-function tooLarge(maximum: number): JsonBody {
+function tooLarge(maximum: number): BodyRefusal {
   return refuse("tooLarge", {
     message: `The body may have at most ${maximum} bytes`,
     field: "body",
@@ -91,6 +115,6 @@
 function refuse(
   error: "invalidRequest" | "tooLarge",
   options: { readonly message: string; readonly field: string },
-): JsonBody {
+): BodyRefusal {
   return { kind: "refused", refusal: { error, ran: "notRun", ...options } };
 }
--- a/source/entry/served_work.ts
+++ b/source/entry/served_work.ts
@@ -7,6 +7,8 @@
 import type { DeclaredWork } from "./declared_work.ts";
 import type { EntryExchange } from "./entry_handler.ts";
 
+const FAILED_KINDS: ReadonlyArray<string> = ["notRun", "unknown", "cut"];
+
 /** What the handlers of callers' work are made from. */
 export interface WorkHandlerOptions {
   readonly context: NodeContext;
@@ -70,8 +72,8 @@
   const outcome = await runAdmitted(options, work, plan);
   const milliseconds = context.clock.monotonic() - exchange.arrivedAt;
   const target = declared.classOfWork.latencyP99Milliseconds;
-  const isFinished = outcome.kind === "finished";
-  ledger.close(!isFinished || (target > 0 && milliseconds > target));
+  const isLate = target > 0 && milliseconds > target;
+  ledger.close(isLate || FAILED_KINDS.includes(outcome.kind));
   const tags = { ...subject, outcome: outcome.kind };
   context.metrics.histogram("request.milliseconds", milliseconds, tags);
   return outcome;
--- a/stand_ins/entry/memory_platform.ts
+++ b/stand_ins/entry/memory_platform.ts
@@ -9,7 +9,14 @@
 } from "../../source/platform/table_client.ts";
 
 /** How the platform in memory answers. */
-export type PlatformFault = "none" | "down" | "loseAnswer" | "hang";
+export type PlatformFault =
+  | "none"
+  | "down"
+  | "loseAnswer"
+  /** No effect and no answer, ever. */
+  | "hang"
+  /** Effect and answer come only once they are released. */
+  | "late";
 
 /** A platform in the test's own memory, with faults; orders, reports and the list are not there. */
 export class MemoryPlatform implements Platform {
@@ -23,7 +30,7 @@
   readonly stored = new Map<string, Uint8Array>();
   /** Number of calls so far. */
   calls = 0;
-  #version = 0;
+  readonly #late: Array<() => void> = [];
 
   readonly table: TableClient = {
     get: (table, key) => this.#call(() => this.rows.get(`${table}/${key}`)),
@@ -61,12 +68,20 @@
     throw new Error("No list of instances in this stand-in");
   }
 
+  /** Lets the late calls so far take effect. */
+  releaseLate(): void {
+    for (const release of this.#late.splice(0)) release();
+  }
+
   async #call<Value>(effect: () => Value): Promise<PlatformOutcome<Value>> {
     this.calls += 1;
     await Promise.resolve();
     const fault = this.nextFaults.shift() ?? this.fault;
     if (fault === "down") return { kind: "notRun", reason: "down" };
     if (fault === "hang") return new Promise(() => {});
+    if (fault === "late") {
+      await new Promise<void>((resolve) => this.#late.push(resolve));
+    }
     const value = effect();
     if (fault === "loseAnswer") return { kind: "unknown", reason: "lost" };
     return { kind: "ok", value };
@@ -78,8 +93,7 @@
       if (found !== version) return { kind: "conflict", table, key };
     }
     const versions = transaction.writes.map(({ table, key, value }) => {
-      this.#version += 1;
-      const version = this.#version;
+      const version = nextVersion();
       if (value === undefined) this.rows.delete(`${table}/${key}`);
       else this.rows.set(`${table}/${key}`, { key, value, version });
       return version;
@@ -87,3 +101,11 @@
     return { kind: "committed", versions };
   }
 }
+
+let newestVersion = 0;
+
+// Several platforms may share their rows, so versions are never used twice.
+function nextVersion(): number {
+  newestVersion += 1;
+  return newestVersion;
+}
