--- a/source/membership/membership.ts
+++ b/source/membership/membership.ts
@@ -1,3 +1,4 @@
+import { setMaxListeners } from "node:events";
 import { create } from "@bufbuild/protobuf";
 import type { ConnectRouter } from "@connectrpc/connect";
 import {
@@ -35,6 +36,8 @@
 /** Time given to further peers, once one has told its configuration, while the table is away. */
 const READY_PEERS_MILLISECONDS = 2000;
 const LOAD_STEP_PERMILLE = 100;
+/** Time after the start in which listed nodes count as live before they were heard. */
+const LISTED_TRUSTED_MILLISECONDS = 5000;
 
 /** What membership needs from the other parts of a node. */
 export interface MembershipOptions {
@@ -97,6 +100,8 @@
   context: NodeContext,
   options: MembershipOptions,
 ): Promise<Membership> {
+  // Each background task and stream waits on this one signal.
+  setMaxListeners(0, context.stopping);
   return new NodeMembership(context, options, await createRendezvous());
 }
 
@@ -117,6 +122,7 @@
   readonly #dialer: PeerDialer;
   readonly #poll: PlatformPoll;
   readonly #watch: ServerWatch;
+  readonly #createdAt: number;
   #isReady = false;
   #isLeaving = false;
   #loadPermille = 0;
@@ -128,6 +134,7 @@
   ) {
     const { clock, log, settings, nodeStart } = context;
     this.#context = context;
+    this.#createdAt = clock.monotonic();
     this.#options = options;
     const node = settings.node;
     const store = new FactStore({ node, nodeStart, clock, log });
@@ -287,9 +294,15 @@
     }
   }
 
+  /** A node that is listed but not heard from watches nothing for this one. */
   #stayingNodes(): ReadonlyArray<string> {
-    const peers = this.peers.peers().filter(({ leaving }) => !leaving);
-    const names = peers.map(({ node }) => node);
+    const age = this.#context.clock.monotonic() - this.#createdAt;
+    const isNew = age < LISTED_TRUSTED_MILLISECONDS;
+    const names = this.peers.peers()
+      .filter(({ leaving, nodeStart }) =>
+        !leaving && (isNew || nodeStart !== "")
+      )
+      .map(({ node }) => node);
     return [this.#context.settings.node, ...names].sort();
   }
 
--- /dev/null
+++ b/source/membership/peer_choice_test.ts
@@ -0,0 +1,79 @@
+import test from "ava";
+import fc from "fast-check";
+import { choosePeers, type PeerCandidate } from "./peer_choice.ts";
+import { quantise } from "./load_quantisation.ts";
+import { createRendezvous } from "./rendezvous.ts";
+
+const SEED = 20261203;
+
+function createNodes(count: number, domains: number): PeerCandidate[] {
+  return Array.from({ length: count }, (_none, index) => ({
+    node: `node-${index}`,
+    failureDomain: `domain-${index % domains}`,
+    peerAddress: `10.0.0.${index}:7000`,
+  }));
+}
+
+function countReached(edges: ReadonlyMap<string, ReadonlySet<string>>): number {
+  const reached = new Set(["node-0"]);
+  const waiting = ["node-0"];
+  for (let node = waiting.pop(); node !== undefined; node = waiting.pop()) {
+    for (const next of edges.get(node) ?? []) {
+      if (reached.has(next)) continue;
+      reached.add(next);
+      waiting.push(next);
+    }
+  }
+  return reached.size;
+}
+
+test("streams are bounded, lead into every failure domain and connect all nodes", async (t) => {
+  const rendezvous = await createRendezvous();
+  fc.assert(
+    fc.property(
+      fc.integer({ min: 2, max: 120 }),
+      fc.integer({ min: 1, max: 5 }),
+      (count, domains) => {
+        const nodes = createNodes(count, domains);
+        const edges = new Map(
+          nodes.map(({ node }) => [node, new Set<string>()]),
+        );
+        for (const { node } of nodes) {
+          const others = nodes.filter((other) => other.node !== node);
+          const chosen = choosePeers(others, { node, streams: 6, rendezvous });
+          t.true(chosen.length <= 6);
+          t.is(chosen.length, Math.min(6, others.length));
+          const reached = new Set(chosen.map((peer) => peer.failureDomain));
+          const wanted = new Set(others.map((peer) => peer.failureDomain));
+          t.is(reached.size, wanted.size);
+          for (const peer of chosen) {
+            edges.get(node)?.add(peer.node);
+            edges.get(peer.node)?.add(node);
+          }
+        }
+        t.is(countReached(edges), count);
+      },
+    ),
+    { seed: SEED, numRuns: 30 },
+  );
+});
+
+test("the loss of a node changes few choices", async (t) => {
+  const rendezvous = await createRendezvous();
+  const nodes = createNodes(100, 3);
+  let changed = 0;
+  for (const { node } of nodes.slice(1)) {
+    const options = { node, streams: 6, rendezvous };
+    const others = nodes.filter((other) => other.node !== node);
+    const before = choosePeers(others, options).map((peer) => peer.node);
+    const left = others.filter((other) => other.node !== "node-0");
+    const after = choosePeers(left, options).map((peer) => peer.node);
+    changed += after.filter((name) => !before.includes(name)).length;
+  }
+  t.true(changed < 20, `${changed} streams changed`);
+});
+
+test("told figures are coarse above and exact below", (t) => {
+  const values = [0, 1, 7, 8, 9, 10, 12, 50, 100, 1000, -3, Number.NaN];
+  t.snapshot(values.map((value) => [value, quantise(value)]));
+});
