--- /dev/null
+++ b/experiments/membership/measure.ts
@@ -0,0 +1,358 @@
+import { type ChildProcess, fork } from "node:child_process";
+import { fileURLToPath } from "node:url";
+import { command, flag, number, option, run } from "cmd-ts";
+import { startPlatform } from "../../stand_ins/platform/start_platform.ts";
+import { createRandomSource } from "../../source/utilities/random_source.ts";
+import { SystemClock } from "../../source/utilities/system_clock.ts";
+import {
+  type DriverMessage,
+  type NodeMessage,
+  type NodeProcessOptions,
+  type ProcessCosts,
+  sharedMilliseconds,
+} from "./node_messages.ts";
+import { SpreadRecord } from "./spread_record.ts";
+
+const PROGRAM = fileURLToPath(new URL("./control_node.js", import.meta.url));
+const ENGINES_PER_NODE = 2;
+const FAILURE_DOMAINS = 5;
+const START_LIMIT_MILLISECONDS = 60_000;
+const SETTLE_MILLISECONDS = 8000;
+const ROUND_MILLISECONDS = 1500;
+const LAST_WORDS_MILLISECONDS = 6000;
+const REPLACEMENT_DELAY_MILLISECONDS = 3000;
+const PROBES = 4;
+const NODES_START_AT_ONCE = 10;
+const BYTES_OF_MEBIBYTE = 1024 * 1024;
+
+/** What to measure. */
+interface MeasureOptions {
+  readonly nodes: number;
+  readonly seed: number;
+  readonly seconds: number;
+  readonly nodesPerProcess: number;
+  readonly streams: number;
+  readonly organisations: number;
+  readonly deaths: number;
+  readonly configurationBytes: number;
+  readonly withoutControl: boolean;
+}
+
+interface NodeProcess {
+  readonly child: ChildProcess;
+  readonly names: ReadonlyArray<string>;
+  readonly ready: Set<string>;
+  readonly costs: ProcessCosts[];
+}
+
+const clock = new SystemClock();
+
+class Measurement {
+  readonly #options: MeasureOptions;
+  readonly #random;
+  readonly #spread = new SpreadRecord();
+  readonly #processes = new Set<NodeProcess>();
+  readonly #probeValues = new Map<string, number>();
+  #started = 0;
+  #rounds = 0;
+
+  constructor(options: MeasureOptions) {
+    this.#options = options;
+    this.#random = createRandomSource(options.seed);
+  }
+
+  async run(): Promise<void> {
+    const platform = await startPlatform({ listLagMilliseconds: 1000 });
+    const address = `http://${platform.address}`;
+    this.#listEngines((instance) =>
+      platform.state.instances.register(instance, true)
+    );
+    try {
+      await this.#startAll(address);
+      await clock.sleep(SETTLE_MILLISECONDS);
+      await this.#report();
+      await this.#disturb(address);
+      await this.#report();
+      await clock.sleep(LAST_WORDS_MILLISECONDS);
+      this.#print();
+    } finally {
+      for (const { child } of this.#processes) child.kill("SIGKILL");
+      await platform.close();
+    }
+  }
+
+  #listEngines(
+    register: (
+      instance: Parameters<
+        Awaited<ReturnType<typeof startPlatform>>["state"]["instances"][
+          "register"
+        ]
+      >[0],
+    ) => void,
+  ): void {
+    const count = this.#options.nodes * ENGINES_PER_NODE;
+    for (let index = 0; index < count; index += 1) {
+      const address = index < PROBES
+        ? `probe-${index}:8000`
+        : `10.1.${Math.floor(index / 250)}.${index % 250}:8000`;
+      register({
+        kind: "backendServer",
+        name: address,
+        address,
+        failureDomain: `domain-${index % FAILURE_DOMAINS}`,
+        service: index % 2 === 0 ? "dot-models" : "assist-lm",
+        tier: index % 3 === 0 ? "steady" : "cheap",
+        leaving: false,
+        microsPerHour: 900_000,
+      });
+    }
+    for (let index = 0; index < PROBES; index += 1) {
+      this.#probeValues.set(`probe-${index}:8000`, 0);
+    }
+  }
+
+  async #startAll(platformAddress: string): Promise<void> {
+    const { nodes, nodesPerProcess } = this.#options;
+    while (this.#started < nodes) {
+      const count = Math.min(nodesPerProcess, nodes - this.#started);
+      this.#startProcess(platformAddress, count);
+      const starting = [...this.#processes].filter(({ names, ready }) =>
+        ready.size < names.length
+      );
+      if (starting.length >= NODES_START_AT_ONCE) await clock.sleep(500);
+    }
+    const limit = clock.monotonic() + START_LIMIT_MILLISECONDS;
+    while (!this.#isReady() && clock.monotonic() < limit) {
+      await clock.sleep(100);
+    }
+    if (!this.#isReady()) throw new Error("Not all nodes became ready");
+  }
+
+  #startProcess(platformAddress: string, count: number): void {
+    const names = Array.from(
+      { length: count },
+      (_none, index) => `node-${this.#started + index}`,
+    );
+    const options: NodeProcessOptions = {
+      platformAddress,
+      nodes: names.map((name, index) => ({
+        name,
+        failureDomain: `domain-${(this.#started + index) % FAILURE_DOMAINS}`,
+      })),
+      control: !this.#options.withoutControl,
+      streams: this.#options.streams,
+      organisations: this.#options.organisations,
+    };
+    this.#started += count;
+    const child = fork(PROGRAM, [JSON.stringify(options)], {
+      execArgv: [],
+    });
+    const started: NodeProcess = { child, names, ready: new Set(), costs: [] };
+    this.#processes.add(started);
+    child.on("message", (message: NodeMessage) => this.#take(started, message));
+    for (const [probe, running] of this.#probeValues) {
+      child.send({ kind: "load", address: probe, running });
+    }
+  }
+
+  #isReady(): boolean {
+    return [...this.#processes].every(({ names, ready }) =>
+      ready.size === names.length
+    );
+  }
+
+  #take(from: NodeProcess, message: NodeMessage): void {
+    if (message.kind === "ready") from.ready.add(message.node);
+    else if (message.kind === "report") from.costs.push(message.costs);
+    else if (message.kind === "started") {
+      const { subject, atMilliseconds } = message;
+      this.#spread.open(subject, atMilliseconds, this.#readyNodes());
+      this.#spread.know(subject, message.node, atMilliseconds);
+    } else {
+      const { subject, node, atMilliseconds } = message;
+      this.#spread.know(subject, node, atMilliseconds);
+    }
+  }
+
+  #readyNodes(): ReadonlyArray<string> {
+    return [...this.#processes].flatMap(({ ready }) => [...ready]);
+  }
+
+  async #report(): Promise<void> {
+    const asked = [...this.#processes];
+    const before = asked.map(({ costs }) => costs.length);
+    for (const { child } of asked) child.send({ kind: "report" });
+    while (
+      asked.some(({ costs, child }, index) =>
+        child.exitCode === null && child.signalCode === null &&
+        costs.length === before[index]
+      )
+    ) await clock.sleep(20);
+  }
+
+  /** Tells subjects from random nodes while random processes die and are replaced. */
+  async #disturb(platformAddress: string): Promise<void> {
+    const rounds = Math.round(
+      this.#options.seconds * 1000 / ROUND_MILLISECONDS,
+    );
+    const deaths = Math.ceil(
+      this.#processes.size * this.#options.deaths / 100,
+    );
+    const deathRounds = new Set<number>();
+    while (deathRounds.size < Math.min(deaths, rounds)) {
+      deathRounds.add(this.#random.below(rounds));
+    }
+    for (; this.#rounds < rounds; this.#rounds += 1) {
+      if (deathRounds.has(this.#rounds)) void this.#killOne(platformAddress);
+      if (!this.#options.withoutControl) this.#tellRound();
+      await clock.sleep(ROUND_MILLISECONDS);
+    }
+  }
+
+  #tellRound(): void {
+    const round = this.#rounds;
+    this.#toRandomNode((node) => ({
+      kind: "withdraw",
+      node,
+      key: `key-${round}`,
+    }));
+    if (round % 4 === 0) {
+      const size = this.#options.configurationBytes;
+      this.#toRandomNode((node) => ({ kind: "apply", node, size }));
+    }
+    const engines = this.#options.nodes * ENGINES_PER_NODE;
+    if (round % 2 === 0 && engines > PROBES + round) {
+      const index = PROBES + round;
+      const address = `10.1.${Math.floor(index / 250)}.${index % 250}:8000`;
+      this.#toRandomNode((node) => ({ kind: "leave", node, address }));
+    }
+    if (round % 3 === 0) this.#changeLoad();
+  }
+
+  #changeLoad(): void {
+    const address = `probe-${Math.floor(this.#rounds / 3) % PROBES}:8000`;
+    const before = this.#probeValues.get(address) ?? 0;
+    const running = before === 0 ? 40 + this.#rounds : 0;
+    const told = before === 0 ? quantised(running) : 0;
+    this.#probeValues.set(address, running);
+    const subject = `load ${address} ${told}`;
+    this.#spread.open(subject, sharedMilliseconds(), this.#readyNodes());
+    for (const { child } of this.#processes) {
+      child.send({ kind: "load", address, running });
+    }
+  }
+
+  #toRandomNode(create: (node: string) => DriverMessage): void {
+    const all = [...this.#processes].filter(({ ready, names }) =>
+      ready.size === names.length
+    );
+    const chosen = all[this.#random.below(all.length)];
+    if (chosen === undefined) return;
+    const node = chosen.names[this.#random.below(chosen.names.length)] ?? "";
+    chosen.child.send(create(node));
+  }
+
+  async #killOne(platformAddress: string): Promise<void> {
+    const all = [...this.#processes];
+    const chosen = all[this.#random.below(all.length)];
+    if (chosen === undefined) return;
+    this.#processes.delete(chosen);
+    chosen.child.kill("SIGKILL");
+    for (const name of chosen.names) this.#spread.drop(name);
+    await clock.sleep(REPLACEMENT_DELAY_MILLISECONDS);
+    this.#startProcess(platformAddress, chosen.names.length);
+  }
+
+  #print(): void {
+    const lived = [...this.#processes].filter(({ costs }) => costs.length > 1);
+    const perProcess = this.#options.nodesPerProcess;
+    const figures = lived.map(({ costs, names }) => {
+      const first = costs[0] as ProcessCosts;
+      const last = costs[costs.length - 1] as ProcessCosts;
+      const seconds = (last.atMilliseconds - first.atMilliseconds) / 1000;
+      const perNode = seconds * names.length;
+      return {
+        receivedPerSecond: (last.receivedBytes - first.receivedBytes) / perNode,
+        sentPerSecond: (last.sentBytes - first.sentBytes) / perNode,
+        corePercent:
+          (last.processorMilliseconds - first.processorMilliseconds) /
+          perNode / 10,
+        residentMebibytes: last.residentBytes / BYTES_OF_MEBIBYTE,
+        heapMebibytes: last.heapBytes / BYTES_OF_MEBIBYTE,
+        loadReadsPerSecond: (last.loadReads - first.loadReads) / perNode,
+        streams: last.streams / names.length,
+        serverFacts: last.factsHeld / names.length,
+      };
+    });
+    const mean = Object.fromEntries(
+      Object.keys(figures[0] ?? {}).map((name) => [
+        name,
+        round(average(figures.map((each) => each[name as keyof typeof each]))),
+      ]),
+    );
+    const resident = figures.reduce(
+      (sum, each) => sum + each.residentMebibytes,
+      0,
+    );
+    console.log(JSON.stringify({
+      ...this.#options,
+      processes: lived.length,
+      perProcess,
+      totalResidentMebibytes: Math.round(resident),
+    }));
+    console.log(JSON.stringify(mean));
+    for (const spread of this.#spread.summarise()) {
+      console.log(JSON.stringify(spread));
+    }
+    const waiting = this.#spread.waitingFor();
+    if (waiting.length > 0) console.log(waiting.slice(0, 5).join("\n"));
+  }
+}
+
+function average(values: ReadonlyArray<number>): number {
+  return values.reduce((sum, value) => sum + value, 0) / values.length;
+}
+
+function round(value: number): number {
+  return Math.round(value * 100) / 100;
+}
+
+function quantised(value: number): number {
+  return Math.round(2 ** (Math.round(Math.log2(value) * 4) / 4));
+}
+
+const program = command({
+  name: "measure",
+  description: "Costs of control on each node and how fast told facts spread",
+  args: {
+    nodes: option({ type: number, long: "nodes" }),
+    seed: option({ type: number, long: "seed" }),
+    seconds: option({ type: number, long: "seconds", defaultValue: () => 40 }),
+    nodesPerProcess: option({
+      type: number,
+      long: "nodes-per-process",
+      defaultValue: () => 1,
+    }),
+    streams: option({ type: number, long: "streams", defaultValue: () => 6 }),
+    organisations: option({
+      type: number,
+      long: "organisations",
+      defaultValue: () => 0,
+    }),
+    deaths: option({
+      type: number,
+      long: "deaths-percent",
+      defaultValue: () => 5,
+    }),
+    configurationBytes: option({
+      type: number,
+      long: "configuration-bytes",
+      defaultValue: () => 4000,
+    }),
+    withoutControl: flag({ long: "without-control" }),
+  },
+  handler: (options) => new Measurement(options).run(),
+});
+
+await run(program, process.argv.slice(2));
+process.exit(0);
--- a/source/membership/membership.ts
+++ b/source/membership/membership.ts
@@ -217,10 +217,9 @@
   }
 
   setLoadPermille(permille: number): void {
-    const steps = Math.round(permille / LOAD_STEP_PERMILLE);
-    const rounded = steps * LOAD_STEP_PERMILLE;
-    if (rounded === this.#loadPermille) return;
-    this.#loadPermille = rounded;
+    const moved = Math.abs(permille - this.#loadPermille);
+    if (moved < LOAD_STEP_PERMILLE) return;
+    this.#loadPermille = Math.round(permille);
     this.#tellNode();
   }
 
