--- a/source/dispatch/completion_run.ts
+++ b/source/dispatch/completion_run.ts
@@ -91,6 +91,7 @@
     const dispatch = experience.start(address, startedAt);
     const newConnection = this.#tried.length > 0;
     this.#tried.push(address);
+    this.#work.onServer?.(address);
     const attempt = new CompletionAttempt({
       address,
       request: this.#toRequest(),
