--- a/source/backends/engine_client.ts
+++ b/source/backends/engine_client.ts
@@ -103,6 +103,8 @@
       readonly onTokens: (tokens: EngineTokens) => void;
       /** Whether to use no connection that served another request. */
       readonly newConnection?: boolean;
+      /** Called when the head of the engine's answer has come. */
+      readonly onHead?: () => void;
     },
   ): Promise<EngineOutcome>;
   /** Reads the reported load; undefined when the engine did not answer. */
--- a/source/backends/http_engine_client.ts
+++ b/source/backends/http_engine_client.ts
@@ -41,6 +41,8 @@
   readonly onTokens: (tokens: EngineTokens) => void;
   /** Whether to use no connection that served another request. */
   readonly newConnection?: boolean;
+  /** Called when the head of the engine's answer has come. */
+  readonly onHead?: () => void;
 };
 
 /**
@@ -88,6 +90,7 @@
     }, options);
     if (answer.kind !== "answered") return answer;
     if (answer.status !== 200) return await readRefusal(answer);
+    options.onHead?.();
     return await readCompletion(answer, request, options);
   }
 
--- a/source/dispatch/completion_attempt.ts
+++ b/source/dispatch/completion_attempt.ts
@@ -15,6 +15,7 @@
   readonly newConnection: boolean;
   /** Ends the attempt when aborted. */
   readonly signal: AbortSignal;
+  readonly onHead: () => void;
   readonly onTokens: (tokens: EngineTokens) => void;
 }
 
@@ -49,12 +50,13 @@
 
   async #complete(): Promise<EngineOutcome> {
     const { context, servers, engines } = this.#tools.options;
-    const { address, request, newConnection } = this.#options;
+    const { address, request, newConnection, onHead } = this.#options;
     return await engines.complete(address, request, {
       signal: this.#end.signal,
       silenceMilliseconds: context.settings.silenceMilliseconds,
       mayStart: () => servers.isAvailable(address),
       newConnection,
+      onHead,
       onTokens: (tokens) => this.#take(tokens),
     });
   }
--- a/source/dispatch/completion_run.ts
+++ b/source/dispatch/completion_run.ts
@@ -7,6 +7,7 @@
   digestPrefixes,
   estimatePromptTokens,
 } from "../backends/prefix_digest.ts";
+import type { DispatchEnd } from "../routing/dispatch_record.ts";
 import type { Placement, RoutingChoice } from "../routing/routing_policy.ts";
 import { invariant } from "../utilities/invariant.ts";
 import { CompletionAttempt } from "./completion_attempt.ts";
@@ -88,7 +89,7 @@
     const { clock } = options.context;
     const { address } = choice.server;
     const startedAt = clock.monotonic();
-    const dispatch = experience.start(address, startedAt);
+    const record = experience.start(address, this.#placement, startedAt);
     const newConnection = this.#tried.length > 0;
     this.#tried.push(address);
     this.#work.onServer?.(address);
@@ -98,10 +99,14 @@
       minimumWeightVersion: this.#work.minimumWeightVersion,
       newConnection,
       signal: this.#bounds.signal,
-      onTokens: (tokens) => this.#take(tokens),
+      onHead: () => record.noteHead(clock.monotonic()),
+      onTokens: (tokens) => {
+        record.noteTokens(tokens.tokens, clock.monotonic());
+        this.#take(tokens);
+      },
     }, this.#tools);
     const outcome = await attempt.run();
-    experience.end(dispatch);
+    record.end(toDispatchEnd(outcome), clock.monotonic());
     this.#account(outcome, clock.monotonic() - startedAt);
     return outcome;
   }
@@ -213,6 +218,14 @@
   return FAILURE_TREATMENTS[failure.cause ?? "cut"];
 }
 
+function toDispatchEnd(outcome: EngineOutcome): DispatchEnd {
+  if (outcome.kind !== "finished") {
+    return { kind: "failed", serverFault: treat(outcome).serverFault };
+  }
+  const { generatedTokens, cachedTokens } = outcome.usage;
+  return { kind: "finished", generatedTokens, cachedTokens };
+}
+
 function toPlacement(work: CompletionWork): Placement {
   const { service, organisation, classOfWork, prompt, maximumTokens } = work;
   return {
--- a/source/dispatch/plain_run.ts
+++ b/source/dispatch/plain_run.ts
@@ -2,6 +2,7 @@
   ExchangeAnswer,
   ExchangeFailure,
 } from "../backends/http_exchange.ts";
+import type { DispatchEnd } from "../routing/dispatch_record.ts";
 import type { Placement, RoutingChoice } from "../routing/routing_policy.ts";
 import { invariant } from "../utilities/invariant.ts";
 import type { DispatchTools } from "./dispatch_tools.ts";
@@ -86,13 +87,13 @@
     const { clock } = options.context;
     const { address } = choice.server;
     const startedAt = clock.monotonic();
-    const dispatch = experience.start(address, startedAt);
+    const record = experience.start(address, this.#placement, startedAt);
     this.#tried.push(address);
     const answer = await this.#open(address, body);
     const outcome = answer.kind === "answered"
       ? await this.#relay(answer, address)
       : answer;
-    experience.end(dispatch);
+    record.end(toDispatchEnd(outcome), clock.monotonic());
     this.#account(outcome, clock.monotonic() - startedAt);
     return outcome;
   }
@@ -189,6 +190,21 @@
   }
 }
 
+const SERVER_ERROR_STATUS = 500;
+
+function toDispatchEnd(
+  outcome: RelayedOutcome | ExchangeFailure,
+): DispatchEnd {
+  if (outcome.kind === "finished") {
+    return outcome.status >= SERVER_ERROR_STATUS
+      ? { kind: "failed", serverFault: true }
+      : { kind: "finished", generatedTokens: 0, cachedTokens: 0 };
+  }
+  if (outcome.kind === "cut") return { kind: "failed", serverFault: true };
+  const { serverFault } = FAILURE_TREATMENTS[outcome.cause];
+  return { kind: "failed", serverFault };
+}
+
 function toPlacement(work: PlainWork): Placement {
   const { service, organisation, classOfWork } = work;
   return {
--- /dev/null
+++ b/source/routing/candidates.ts
@@ -0,0 +1,55 @@
+import type { BackendServerState } from "../backends/backend_server_state.ts";
+import type { RandomSource } from "../utilities/random_source.ts";
+import { rankByRendezvous } from "./rendezvous.ts";
+import type { Placement } from "./routing_policy.ts";
+
+const LOAD_BOUND = 1.25;
+const AFFINE_CANDIDATES = 2;
+const RANDOM_CANDIDATES = 2;
+
+/** What the choice of candidates goes by. */
+export interface CandidateOptions {
+  readonly placement: Placement;
+  readonly random: RandomSource;
+  /** Returns the load of a server. */
+  readonly loadOf: (server: BackendServerState) => number;
+}
+
+/**
+ * Picks the few servers that are compared: those that equal prefixes hash to and whose
+ * load is within a bound, and some at random, so that nodes with the same late reports
+ * don't all choose the same server.
+ * @param servers - Servers that may get the work.
+ * @param options - Work, load and randomness.
+ * @example
+ * ```ts
+ * const few = pickCandidates(servers, { placement, random, loadOf });
+ * ```
+ */
+export function pickCandidates(
+  servers: ReadonlyArray<BackendServerState>,
+  options: CandidateOptions,
+): ReadonlyArray<BackendServerState> {
+  if (servers.length <= AFFINE_CANDIDATES + RANDOM_CANDIDATES) return servers;
+  const picked = new Set(pickAffine(servers, options));
+  const rest = servers.filter((server) => !picked.has(server));
+  for (let count = 0; count < RANDOM_CANDIDATES; count += 1) {
+    if (rest.length === 0) break;
+    const [server] = rest.splice(options.random.below(rest.length), 1);
+    picked.add(server!);
+  }
+  return [...picked];
+}
+
+function pickAffine(
+  servers: ReadonlyArray<BackendServerState>,
+  { placement, loadOf }: CandidateOptions,
+): ReadonlyArray<BackendServerState> {
+  if (placement.prefixDigests.length === 0) return [];
+  const loads = servers.map(loadOf);
+  const mean = loads.reduce((sum, load) => sum + load, 0) / loads.length;
+  const bound = Math.ceil(LOAD_BOUND * (mean + 1));
+  return rankByRendezvous(servers, placement)
+    .filter((server) => loadOf(server) < bound)
+    .slice(0, AFFINE_CANDIDATES);
+}
--- a/source/routing/routing_policies.ts
+++ b/source/routing/routing_policies.ts
@@ -1,3 +1,4 @@
+import { ExpectedFinish } from "./expected_finish.ts";
 import { LeastOutstanding } from "./least_outstanding.ts";
 import { Rendezvous } from "./rendezvous.ts";
 import { RoundRobin } from "./round_robin.ts";
@@ -6,7 +7,7 @@
 const ROUTING_POLICIES: Readonly<
   Record<RoutingPolicyName, () => RoutingPolicy>
 > = {
-  expectedFinish: () => new LeastOutstanding(),
+  expectedFinish: () => new ExpectedFinish(),
   leastOutstanding: () => new LeastOutstanding(),
   rendezvous: () => new Rendezvous(),
   roundRobin: () => new RoundRobin(),
--- a/stand_ins/engine/generated_text.ts
+++ b/stand_ins/engine/generated_text.ts
@@ -50,6 +50,35 @@
   ).join("");
 }
 
+/**
+ * Returns the whole text of a prompt that several weight versions made in turn, for checks.
+ * @param prompt - The prompt.
+ * @param origin - Seed, and the tokens of each version in their order.
+ * @example
+ * ```ts
+ * generateStretches("one two", { seed: 1, stretches: [{ weightVersion: 7, tokens: 3 }] });
+ * ```
+ */
+export function generateStretches(
+  prompt: string,
+  origin: {
+    readonly seed: number;
+    readonly stretches: ReadonlyArray<
+      { readonly weightVersion: number; readonly tokens: number }
+    >;
+  },
+): string {
+  const versions = origin.stretches.flatMap(({ weightVersion, tokens }) =>
+    Array.from({ length: tokens }, () => weightVersion)
+  );
+  const { seed } = origin;
+  return versions
+    .map((weightVersion, position) =>
+      generateToken(prompt, { seed, position, weightVersion })
+    )
+    .join("");
+}
+
 /**
  * Counts the tokens of a generated text.
  * @param text - A text as engines generate it.
