Compare routing policies against engine stand-ins; estimate loads as they relax since their report

Cause: nodes took late reports at their word and queued behind cached prefixes, at the cost of what came after.

--- a/source/routing/candidates.ts
+++ b/source/routing/candidates.ts
@@ -48,8 +48,8 @@
   if (placement.prefixDigests.length === 0) return [];
   const loads = servers.map(loadOf);
   const mean = loads.reduce((sum, load) => sum + load, 0) / loads.length;
-  const bound = Math.ceil(LOAD_BOUND * (mean + 1));
+  const bound = Math.max(1, LOAD_BOUND * mean);
   return rankByRendezvous(servers, placement)
-    .filter((server) => loadOf(server) < bound)
+    .filter((server) => loadOf(server) <= bound)
     .slice(0, AFFINE_CANDIDATES);
 }
--- a/source/routing/load_estimate.ts
+++ b/source/routing/load_estimate.ts
@@ -4,39 +4,69 @@
 /** Estimate of how many requests a server has now. */
 export interface LoadEstimate {
   readonly mean: number;
-  /** Standard deviation of what may have changed since the report. */
+  /** Standard deviation of the number. */
   readonly deviation: number;
 }
 
-/** What a load estimate goes by. */
-export interface LoadEstimateOptions {
+/** A server with what is needed to estimate its load. */
+export interface ReportedServer {
+  readonly server: BackendServerState;
   readonly record: ServerRecord;
-  /** Monotonic time in milliseconds. */
-  readonly now: number;
   /** Time that a request spends on the server, in milliseconds. */
   readonly serviceMilliseconds: number;
 }
 
 /**
- * Estimates the load of a server from its late report, this node's own dispatches since
- * then, and what peers have told of theirs.
- * @param server - The server as it was reported.
- * @param options - Own experience.
+ * Estimates the loads of like servers from late reports, this node's own dispatches, and
+ * what peers have told of theirs.
+ *
+ * This node's own requests are known exactly. Those of others were reported some time ago;
+ * as requests end and new ones come, a report says less and less, and the estimate goes
+ * from the reported number to the mean over all servers within the time of a request.
+ * @param servers - All servers that are compared.
+ * @param now - Monotonic time in milliseconds.
+ * @returns The estimates by address.
  * @example
  * ```ts
- * const { mean } = estimateLoad(server, { record, now, serviceMilliseconds: 500 });
+ * const loads = estimateLoads(servers, clock.monotonic());
  * ```
  */
-export function estimateLoad(
-  server: BackendServerState,
-  options: LoadEstimateOptions,
+export function estimateLoads(
+  servers: ReadonlyArray<ReportedServer>,
+  now: number,
+): ReadonlyMap<string, LoadEstimate> {
+  const others = servers.map((reported) => othersAtReport(reported, now));
+  const sum = others.reduce((total, count) => total + count, 0);
+  const mean = servers.length === 0 ? 0 : sum / servers.length;
+  return new Map(servers.map((reported, index) => [
+    reported.server.address,
+    estimateLoad(reported, { others: others[index]!, mean }),
+  ]));
+}
+
+function estimateLoad(
+  { server, record, serviceMilliseconds }: ReportedServer,
+  { others, mean }: { readonly others: number; readonly mean: number },
 ): LoadEstimate {
-  const { record, now, serviceMilliseconds } = options;
-  const age = server.loadAgeMilliseconds;
+  const kept = keptShare(server.loadAgeMilliseconds, serviceMilliseconds);
+  const estimated = mean + (others - mean) * kept;
+  const count = Math.max(estimated, server.dispatchedByPeers);
+  const deviation = Math.sqrt(Math.max(0, count) * (1 - kept ** 2));
+  return { mean: record.running + count, deviation };
+}
+
+// Reports are about as late when they arrive as they get while they are waited for.
+function keptShare(age: number, serviceMilliseconds: number): number {
+  if (serviceMilliseconds <= 0) return 0;
+  return Math.exp(-2 * age / serviceMilliseconds);
+}
+
+function othersAtReport(
+  { server, record }: ReportedServer,
+  now: number,
+): number {
   const reported = server.running + server.waiting;
-  const corrected = reported + record.changeSince(now - age);
-  const told = record.running + server.dispatchedByPeers;
-  const mean = Math.max(corrected, told, record.running);
-  const turnover = serviceMilliseconds > 0 ? age / serviceMilliseconds : 0;
-  return { mean, deviation: Math.sqrt(2 * mean * Math.min(1, turnover)) };
+  const ownThen = record.running -
+    record.changeSince(now - server.loadAgeMilliseconds);
+  return Math.max(0, reported - ownThen);
 }
--- a/source/routing/server_record.ts
+++ b/source/routing/server_record.ts
@@ -79,9 +79,7 @@
   /** Learns from a load report how many requests run at once. */
   noteLoad(running: number, waiting: number): void {
     if (waiting > 0 && running > 0) this.#slots = running;
-    if (this.#slots !== undefined && running > this.#slots) {
-      this.#slots = running;
-    }
+    if (running > (this.#slots ?? Infinity)) this.#slots = running;
   }
 
   /** Change that own requests made to the server's load since a moment. */
--- a/source/routing/service_record.ts
+++ b/source/routing/service_record.ts
@@ -12,6 +12,17 @@
   readonly #tokenTime = new DecayedMean(HALF_LIFE_MILLISECONDS);
   readonly #callTime = new DecayedMean(HALF_LIFE_MILLISECONDS);
   readonly #promptTimes: number[] = [];
+  #mostRunning = 1;
+
+  /** Most requests that were seen running at once on any server. */
+  get mostRunning(): number {
+    return this.#mostRunning;
+  }
+
+  /** Notes how many requests run on a server. */
+  noteRunning(running: number): void {
+    this.#mostRunning = Math.max(this.#mostRunning, running);
+  }
 
   /** Notes a finished completion. */
   noteCompletion(
--- a/stand_ins/dispatch/dispatch_bench.ts
+++ b/stand_ins/dispatch/dispatch_bench.ts
@@ -9,6 +9,7 @@
 } from "../../source/dispatch/create_dispatcher.ts";
 import type { CompletionWork, Work } from "../../source/dispatch/dispatcher.ts";
 import type { RetryBudgetOptions } from "../../source/dispatch/retry_budget.ts";
+import type { ConfigurationView } from "../../source/membership/configuration_view.ts";
 import type { NodeContext } from "../../source/node/node_context.ts";
 import type {
   Cause,
@@ -116,13 +117,22 @@
   explain: () => ({ causes: {}, subjects: 0, targetsMissed: 0 }),
 };
 
-const NO_CONFIGURATION = {
+/** Configuration view of a node that knows no revision. */
+export const NO_CONFIGURATION: ConfigurationView = {
   current: (): ConfigurationRecord | undefined => undefined,
   adopt: (): void => {},
   watch: () => (): void => {},
 };
 
-function createTestContext(options: DispatchBenchOptions): NodeContext {
+/**
+ * Creates the context of a node without a platform.
+ * @param options - Seed, clock and bounds.
+ * @example
+ * ```ts
+ * const context = createTestContext({ seed: 1 });
+ * ```
+ */
+export function createTestContext(options: DispatchBenchOptions): NodeContext {
   return {
     settings: create(NodeSettingsSchema, {
       node: "node-1",
--- a/stand_ins/engine/engine.ts
+++ b/stand_ins/engine/engine.ts
@@ -221,9 +221,7 @@
       ["cache_free_permille"]: this.#cache.freePermille(),
       ["weight_versions"]: this.#weights.versions,
       leaving: this.#leaving,
-      ["tokens_per_second"]: Math.round(
-        this.#options.tokensPerSecond / this.#options.slowFactor,
-      ),
+      ["tokens_per_second"]: this.#options.tokensPerSecond,
     };
   }
 
