--- a/source/routing/load_estimate.ts
+++ b/source/routing/load_estimate.ts
@@ -22,7 +22,7 @@
  *
  * This node's own requests are known exactly. Those of others were reported some time ago;
  * as requests end and new ones come, a report says less and less, and the estimate goes
- * from the reported number to the mean over all servers within the time of a request.
+ * from the reported number to the server's mean of some seconds within the time of a request.
  * @param servers - All servers that are compared.
  * @param now - Monotonic time in milliseconds.
  * @returns The estimates by address.
@@ -35,30 +35,30 @@
   servers: ReadonlyArray<ReportedServer>,
   now: number,
 ): ReadonlyMap<string, LoadEstimate> {
-  const others = servers.map((reported) => othersAtReport(reported, now));
-  const sum = others.reduce((total, count) => total + count, 0);
-  const mean = servers.length === 0 ? 0 : sum / servers.length;
-  return new Map(servers.map((reported, index) => [
+  return new Map(servers.map((reported) => [
     reported.server.address,
-    estimateLoad(reported, { others: others[index]!, mean }),
+    estimateLoad(reported, now),
   ]));
 }
 
-function estimateLoad(
-  { server, record, serviceMilliseconds }: ReportedServer,
-  { others, mean }: { readonly others: number; readonly mean: number },
-): LoadEstimate {
-  const kept = keptShare(server.loadAgeMilliseconds, serviceMilliseconds);
+function estimateLoad(reported: ReportedServer, now: number): LoadEstimate {
+  const { server, record, serviceMilliseconds } = reported;
+  const others = othersAtReport(reported, now);
+  const mean = record.noteOthers(others, now);
+  const age = server.loadAgeMilliseconds;
+  const lateness = age + record.noteReportAge(age, now);
+  const kept = keptShare(lateness, serviceMilliseconds);
   const estimated = mean + (others - mean) * kept;
   const count = Math.max(estimated, server.dispatchedByPeers);
   const deviation = Math.sqrt(Math.max(0, count) * (1 - kept ** 2));
   return { mean: record.running + count, deviation };
 }
 
-// Reports are about as late when they arrive as they get while they are waited for.
-function keptShare(age: number, serviceMilliseconds: number): number {
+// A report says nothing of how late it was when it came; it is taken to have been as late
+// as the time between reports.
+function keptShare(lateness: number, serviceMilliseconds: number): number {
   if (serviceMilliseconds <= 0) return 0;
-  return Math.exp(-2 * age / serviceMilliseconds);
+  return Math.exp(-lateness / serviceMilliseconds);
 }
 
 function othersAtReport(
