--- a/source/entry/entry_server.ts
+++ b/source/entry/entry_server.ts
@@ -1,9 +1,10 @@
 import { createServer, type Server, type ServerResponse } from "node:http";
-import { type AddressInfo, Server as NetServer } from "node:net";
+import { type AddressInfo, Server as NetServer, type Socket } from "node:net";
 import type { KeyDirectory } from "../keys/key_directory.ts";
 import { OPEN_CALLER } from "../keys/key_resolution.ts";
 import type { NodeContext } from "../node/node_context.ts";
 import { BrokenInvariantError } from "../utilities/invariant.ts";
+import { CallerSilence } from "./caller_silence.ts";
 import type {
   Authentication,
   Caller,
@@ -18,12 +19,21 @@
 } from "./exchange_registry.ts";
 import { GuardedRequest } from "./guarded_request.ts";
 import { type Refusal, sendRefusal } from "./refusal.ts";
+import { refuseUnreadable } from "./refuse_unreadable.ts";
 import { RouteTable } from "./route_table.ts";
 import { type ShownKey, takeShownKey } from "./shown_key.ts";
 
 const HEADERS_TIMEOUT_MILLISECONDS = 10_000;
-const KEEP_ALIVE_MILLISECONDS = 5000;
+const SHORTEST_KEEP_ALIVE_MILLISECONDS = 1000;
+const LONGEST_KEEP_ALIVE_MILLISECONDS = 5000;
+const ADDRESS_KEEP_MARGIN = 1.5;
+const TOLD_MILLISECONDS = 2000;
+const LAST_REQUEST_MILLISECONDS = 500;
+const DRAIN_CHECK_MILLISECONDS = 20;
 const MAXIMUM_HEADER_BYTES = 16_384;
+const REQUEST_TIMEOUT_MILLISECONDS = 3_600_000;
+const CONNECTIONS_CHECK_MILLISECONDS = 2000;
+const MAXIMUM_CONNECTIONS = 10_000;
 const WATCH_INTERVAL_MILLISECONDS = 200;
 
 /** What serves a path that is not of the fixed interface. */
@@ -65,6 +75,7 @@
   readonly #routes: RouteTable;
   readonly #findDeclared: (path: string) => DeclaredRoute | undefined;
   readonly #registry = new ExchangeRegistry();
+  readonly #silence: CallerSilence;
   readonly #server: Server<typeof GuardedRequest>;
   #phase: ServePhase = "serving";
   #sequence = 0;
@@ -73,14 +84,25 @@
   constructor(options: EntryServerOptions) {
     this.#context = options.context;
     this.#keys = options.keys;
+    this.#silence = new CallerSilence(
+      options.context.settings.silenceMilliseconds,
+    );
     this.#routes = new RouteTable(options.routes);
     this.#findDeclared = options.findDeclared;
     this.#server = createServer({
       IncomingMessage: GuardedRequest,
       maxHeaderSize: MAXIMUM_HEADER_BYTES,
       headersTimeout: HEADERS_TIMEOUT_MILLISECONDS,
-      keepAliveTimeout: KEEP_ALIVE_MILLISECONDS,
-      requestTimeout: 0,
+      keepAliveTimeout: keepAliveMilliseconds(
+        options.context.settings.addressKeepMilliseconds,
+      ),
+      requestTimeout: REQUEST_TIMEOUT_MILLISECONDS,
+      connectionsCheckingInterval: CONNECTIONS_CHECK_MILLISECONDS,
+    });
+    this.#server.maxConnections = MAXIMUM_CONNECTIONS;
+    this.#server.on("clientError", (error, socket) => {
+      if (this.#registry.isBusy(socket as Socket)) socket.destroy();
+      else refuseUnreadable(error, socket as Socket);
     });
     this.#server.on("request", (request, response) => {
       this.#serve(request, response).catch((error) => this.#stopOn(error));
@@ -100,6 +122,11 @@
     return this.#phase !== "serving";
   }
 
+  /** Returns whether new connections are taken. */
+  get isListening(): boolean {
+    return this.#server.listening;
+  }
+
   /** Begins to serve at the settings' caller address; returns the address, with the port that was bound. */
   async listen(): Promise<string> {
     const wanted = this.#context.settings.callerAddress;
@@ -115,11 +142,12 @@
     return address;
   }
 
-  /** Cuts keyed exchanges once the keys' freshness bound has passed, until the node stops. */
+  /** Cuts silent exchanges, and keyed ones once the keys' freshness bound has passed, until the node stops. */
   async run(): Promise<void> {
     const { clock, stopping } = this.#context;
     while (!stopping.aborted && this.#phase !== "closed") {
       this.cutStaleExchanges();
+      this.#cutSilentExchanges();
       await clock.sleep(WATCH_INTERVAL_MILLISECONDS, stopping);
     }
   }
@@ -140,13 +168,10 @@
     const startedAt = clock.monotonic();
     this.#phase = "leaving";
     log.emit("entryDraining", { running: this.#registry.size });
-    const keptAddresses = settings.addressKeepMilliseconds * 1.5;
-    await clock.sleep(Math.max(keptAddresses, KEEP_ALIVE_MILLISECONDS + 1000));
+    await clock.sleep(this.#lingerMilliseconds());
     NetServer.prototype.close.call(this.#server);
     const deadline = clock.monotonic() + settings.drainMilliseconds;
-    while (this.#registry.size > 0 && clock.monotonic() < deadline) {
-      await clock.sleep(WATCH_INTERVAL_MILLISECONDS / 10);
-    }
+    await this.#waitForExchanges(deadline);
     const cut = this.#registry.cutEvery("leaving");
     await this.close();
     const milliseconds = Math.round(clock.monotonic() - startedAt);
@@ -154,6 +179,34 @@
     return { cut, milliseconds };
   }
 
+  // Callers keep an address answer, and idle connections, for some time after the peers heard of the leaving.
+  #lingerMilliseconds(): number {
+    const { addressKeepMilliseconds } = this.#context.settings;
+    const kept = addressKeepMilliseconds * ADDRESS_KEEP_MARGIN;
+    const idle = keepAliveMilliseconds(addressKeepMilliseconds);
+    return TOLD_MILLISECONDS + Math.max(kept, idle);
+  }
+
+  // Connections without a request yet get a moment too: their first request may be on its way.
+  async #waitForExchanges(deadline: number): Promise<void> {
+    const { clock } = this.#context;
+    let idleSince = clock.monotonic();
+    for (;;) {
+      const now = clock.monotonic();
+      if (now >= deadline) return;
+      if (this.#registry.size > 0) idleSince = now;
+      if (now - idleSince >= LAST_REQUEST_MILLISECONDS) return;
+      if (await this.#countConnections() === 0) return;
+      await clock.sleep(DRAIN_CHECK_MILLISECONDS);
+    }
+  }
+
+  #countConnections(): Promise<number> {
+    return new Promise((resolve) => {
+      this.#server.getConnections((_error, count) => resolve(count));
+    });
+  }
+
   /** Stops serving at once; running exchanges are cut. */
   async close(): Promise<void> {
     this.#phase = "closed";
@@ -198,6 +251,15 @@
     });
   }
 
+  #cutSilentExchanges(): void {
+    const now = this.#context.clock.monotonic();
+    for (const silent of this.#silence.find(this.#registry.exchanges(), now)) {
+      const isAnswering = silent.response.headersSent;
+      cutExchange(silent, isAnswering ? "callerGone" : "silentCaller");
+      this.#context.log.emit("callerSilent", { answering: isAnswering });
+    }
+  }
+
   #findTarget(
     method: string,
     path: string,
@@ -247,7 +309,7 @@
     const { response } = parts;
     const request = parts.request as GuardedRequest;
     const { keyIdentifier } = parts.caller;
-    const running = { keyIdentifier, response, controller };
+    const running = { keyIdentifier, request, response, controller };
     this.#registry.add(running);
     this.#guardBody(request, running);
     response.on("close", () => {
@@ -297,6 +359,14 @@
   }
 }
 
+function keepAliveMilliseconds(addressKeepMilliseconds: number): number {
+  const atLeast = Math.max(
+    SHORTEST_KEEP_ALIVE_MILLISECONDS,
+    addressKeepMilliseconds,
+  );
+  return Math.min(LONGEST_KEEP_ALIVE_MILLISECONDS, atLeast);
+}
+
 function parseUrl(text: string): URL | undefined {
   if (!text.startsWith("/")) return undefined;
   try {
@@ -311,7 +381,6 @@
   response: ServerResponse,
   refusal: Refusal,
 ): void {
-  if (!request.complete) response.setHeader("connection", "close");
   sendRefusal(response, refusal);
   request.resume();
 }
