Count usage, freeze each window once and report it under the lease

Bills must be right when reporters are killed or stopped, usage arrives late and the platform is away. A window's figures are written if absent, in a transaction on the lease's row, before the first send; every send reads that row. Late usage is a named adjustment of a later window. Windows below a floor row are closed for good, so that a clock stepped back cannot report them anew.

--- /dev/null
+++ b/source/control/usage_reporter_test.ts
@@ -0,0 +1,223 @@
+import test from "ava";
+import fc from "fast-check";
+import {
+  ControlNode,
+  USAGE_WINDOW_MILLISECONDS,
+} from "../../stand_ins/control/control_node.ts";
+import {
+  arbitrarySchedule,
+  runSchedule,
+  type ScheduledFault,
+} from "../../stand_ins/control/fault_schedule.ts";
+import { ToldBus } from "../../stand_ins/entry/told_bus.ts";
+import {
+  createPlatformState,
+  type PlatformState,
+} from "../../stand_ins/platform/platform_state.ts";
+import type { ToldState } from "../membership/told_state.ts";
+import { invariant } from "../utilities/invariant.ts";
+import { ManualClock } from "../utilities/manual_clock.ts";
+import { createRandomSource } from "../utilities/random_source.ts";
+import { LeaseKeeper } from "./lease_keeper.ts";
+import { UsageReporter } from "./usage_reporter.ts";
+import { readToldUsage, UsageTally } from "./usage_tally.ts";
+
+const RUNS = 40;
+const SEED = 5203;
+const NODES = 3;
+const FAULTY_MILLISECONDS = 60_000;
+const CALM_MILLISECONDS = 60_000;
+const STEP_MILLISECONDS = 100;
+const ORGANISATIONS = ["school", "library"];
+
+/** A node that counts and, while it holds the lease, reports. */
+class UsageNode {
+  readonly node: ControlNode;
+  readonly told: ToldState;
+  readonly lease: LeaseKeeper;
+  readonly tally: UsageTally;
+  recorded = 0;
+  isKilled = false;
+
+  constructor(node: ControlNode, told: ToldState) {
+    this.node = node;
+    this.told = told;
+    const { context } = node;
+    this.lease = new LeaseKeeper({ context, name: "usage" });
+    this.tally = new UsageTally({ context, told });
+    const { lease, tally } = this;
+    void lease.run();
+    void tally.run();
+    void new UsageReporter({ context, told, tally, lease }).run();
+  }
+
+  record(organisation: string, requests: number): void {
+    if (this.isKilled || this.node.clock.isStopped) return;
+    this.recorded += requests;
+    const figures = {
+      requests,
+      promptTokens: 2 * requests,
+      generatedTokens: 0,
+    };
+    this.tally.record(organisation, figures);
+  }
+
+  kill(): void {
+    this.isKilled = true;
+    this.node.kill();
+  }
+}
+
+interface Reported {
+  readonly requests: number;
+  readonly adjusted: number;
+}
+
+/** Checks each promise on all that the platform received. */
+function checkReports(state: PlatformState): Reported {
+  const windows = new Map<string, string>();
+  const result = { requests: 0, adjusted: 0 };
+  let highest = 0;
+  for (const { report } of state.usageReports.received()) {
+    invariant(report.fencingNumber >= highest, "An earlier holder reported");
+    highest = report.fencingNumber;
+    const key = `${report.windowStart}/${report.organisation}`;
+    const figures = JSON.stringify([report.figures, report.adjustments]);
+    const first = windows.get(key);
+    invariant(first === undefined || first === figures, `${key} changed`);
+    if (first !== undefined) continue;
+    windows.set(key, figures);
+    for (const { windowStart, figures } of report.adjustments) {
+      invariant(windowStart < report.windowStart, `${key} adjusts a later one`);
+      result.adjusted += figures.requests;
+    }
+    result.requests += report.figures.requests;
+  }
+  result.requests += result.adjusted;
+  return result;
+}
+
+interface RunOptions {
+  readonly schedule: ReadonlyArray<ScheduledFault>;
+  readonly seed: number;
+  /** Times at which node 0, 1 and so on are killed and replaced. */
+  readonly kills: ReadonlyArray<number>;
+}
+
+interface RunResult extends Reported {
+  readonly expected: number;
+  /** Counted by killed nodes and not told. */
+  readonly untold: number;
+}
+
+async function runUsage(options: RunOptions): Promise<RunResult> {
+  const clock = new ManualClock();
+  const state = createPlatformState({ clock });
+  const bus = new ToldBus({ clock, delayMilliseconds: 50 });
+  const observer = bus.join("observer");
+  const random = createRandomSource(options.seed);
+  // A replacement hears what was told before its start, as from its first peer.
+  const told = Array.from(
+    { length: 2 * NODES },
+    (_, index) => bus.join(`node-${index + 1}`),
+  );
+  let started = 0;
+  const start = (): UsageNode => {
+    started += 1;
+    const name = `node-${started}`;
+    const seed = options.seed + started;
+    const node = new ControlNode({ name, clock, state, seed });
+    return new UsageNode(node, told[started - 1] ?? observer);
+  };
+  const nodes = Array.from({ length: NODES }, start);
+  const all = [...nodes];
+  const controlled = nodes.map(({ node }) => node);
+  void runSchedule(options.schedule, controlled, { clock, seed: options.seed });
+  options.kills.forEach(async (at, index) => {
+    await clock.sleep(at);
+    nodes[index]?.kill();
+    nodes[index] = start();
+    all.push(nodes[index]);
+  });
+  while (clock.monotonic() < FAULTY_MILLISECONDS + CALM_MILLISECONDS) {
+    await clock.advance(STEP_MILLISECONDS);
+    const holders = nodes.filter(({ node, lease }) =>
+      !node.clock.isStopped && lease.ifHeld() !== undefined
+    );
+    invariant(holders.length <= 1, "Two holders at once");
+    if (clock.monotonic() > FAULTY_MILLISECONDS) continue;
+    const organisation = ORGANISATIONS[random.below(ORGANISATIONS.length)];
+    nodes[random.below(NODES)]?.record(organisation ?? "", 1 + random.below(9));
+  }
+  const toldByKilled = readToldUsage(observer);
+  let expected = 0;
+  let untold = 0;
+  for (const { recorded, isKilled, node } of all) {
+    const told = toldByKilled
+      .filter(({ originStart }) => originStart === node.context.nodeStart)
+      .reduce((sum, { figures }) => sum + figures.requests, 0);
+    expected += isKilled ? told : recorded;
+    untold += isKilled ? recorded - told : 0;
+  }
+  return { ...checkReports(state), expected, untold };
+}
+
+test("each window is reported once, and the sums are what was counted", async (t) => {
+  const sums = { requests: 0, adjusted: 0, recorded: 0 };
+  await fc.assert(
+    fc.asyncProperty(
+      arbitrarySchedule(NODES, FAULTY_MILLISECONDS),
+      fc.array(fc.nat(FAULTY_MILLISECONDS), { maxLength: NODES - 1 }),
+      fc.nat(1_000_000),
+      async (schedule, kills, seed) => {
+        const result = await runUsage({ schedule, kills, seed });
+        // A holder may have reported what it had not told before it was killed.
+        invariant(
+          result.requests >= result.expected &&
+            result.requests <= result.expected + result.untold,
+          `Reported ${result.requests} of ${result.expected}, ${result.untold} untold`,
+        );
+        sums.requests += result.requests;
+        sums.adjusted += result.adjusted;
+        sums.recorded += result.expected + result.untold;
+      },
+    ),
+    {
+      seed: SEED,
+      numRuns: RUNS,
+      endOnFailure: true,
+      includeErrorInReport: true,
+    },
+  );
+  t.log(
+    `${sums.requests} of ${sums.recorded} requests reported, ${sums.adjusted} as adjustments`,
+  );
+  t.true(sums.adjusted > 0);
+});
+
+test("an outage longer than several windows delays reports and loses none", async (t) => {
+  const clock = new ManualClock();
+  const state = createPlatformState({ clock });
+  const bus = new ToldBus({ clock, delayMilliseconds: 50 });
+  const node = new UsageNode(
+    new ControlNode({ name: "node-1", clock, state }),
+    bus.join("node-1"),
+  );
+  const refused = node.node.decideFate;
+  node.node.decideFate = () => ({
+    kind: "refused",
+    sendMilliseconds: 0,
+    answerMilliseconds: 0,
+  });
+  for (let window = 0; window < 5; window++) {
+    node.record("school", 1);
+    await clock.advance(USAGE_WINDOW_MILLISECONDS);
+  }
+  t.is(state.usageReports.received().length, 0);
+  node.node.decideFate = refused;
+  await clock.advance(4 * USAGE_WINDOW_MILLISECONDS);
+  t.deepEqual(
+    state.usageReports.received().map(({ report }) => report.figures.requests),
+    [1, 1, 1, 1, 1],
+  );
+});
--- /dev/null
+++ b/source/control/usage_windows.ts
@@ -0,0 +1,193 @@
+import { create, fromJsonString, toJsonString } from "@bufbuild/protobuf";
+import {
+  UsageAdjustmentSchema,
+  UsageWindowRecordSchema,
+} from "../../generated/snipepath/v1/records_pb.ts";
+import type { NodeContext } from "../node/node_context.ts";
+import type { PlatformOutcome } from "../platform/platform_outcome.ts";
+import type { Row, RowCondition } from "../platform/table_client.ts";
+import type {
+  ReportedAdjustment,
+  ReportedFigures,
+} from "../platform/usage_report_client.ts";
+import { type HeldLease, LEASE_TABLE } from "./lease_keeper.ts";
+import { fromMessage, toMessage } from "./usage_figures.ts";
+
+const WINDOW_TABLE = "usage_windows";
+const ACCEPTED_TABLE = "usage_accepted";
+const FLOOR_TABLE = "usage_floor";
+const FLOOR_KEY = "floor";
+const NUMBER_DIGITS = 15;
+const MAXIMUM_ROWS = 10_000;
+const MAXIMUM_DELETED_AT_ONCE = 100;
+
+/** Figures of an organisation's window, written once and never changed. */
+export interface FrozenWindow {
+  readonly windowStart: number;
+  readonly organisation: string;
+  readonly figures: ReportedFigures;
+  readonly adjustments: ReadonlyArray<ReportedAdjustment>;
+}
+
+/** A frozen window as it is in the table. */
+export interface ListedWindow extends FrozenWindow {
+  /** Whether the platform has confirmed the report. */
+  readonly isAccepted: boolean;
+}
+
+/** All frozen windows, and where they start. */
+export interface WindowList {
+  /** In ascending order. */
+  readonly windows: ReadonlyArray<ListedWindow>;
+  /** Windows that start before it are closed for good. */
+  readonly floor: number;
+  readonly floorVersion: number;
+}
+
+/** Rows of frozen windows and of accepted reports. */
+export class UsageWindows {
+  readonly #context: NodeContext;
+
+  /** @param context - The node. */
+  constructor(context: NodeContext) {
+    this.#context = context;
+  }
+
+  /** Lists the frozen windows in ascending order. */
+  async list(): Promise<PlatformOutcome<WindowList>> {
+    const { table } = this.#context.platform;
+    const range = { prefix: "", maximum: MAXIMUM_ROWS };
+    const floor = await table.get(FLOOR_TABLE, FLOOR_KEY);
+    if (floor.kind !== "ok") return floor;
+    const frozen = await table.list(WINDOW_TABLE, range);
+    if (frozen.kind !== "ok") return frozen;
+    const accepted = await table.list(ACCEPTED_TABLE, range);
+    if (accepted.kind !== "ok") return accepted;
+    const keys = new Set(accepted.value.map(({ key }) => key));
+    return {
+      kind: "ok",
+      value: {
+        windows: frozen.value.map((row) => readWindow(row, keys)),
+        floor: Number(floor.value?.value ?? 0),
+        floorVersion: floor.value?.version ?? 0,
+      },
+    };
+  }
+
+  /**
+   * Writes a window if it is absent, in a transaction that commits only under the lease
+   * and only while the floor is the one that the window was planned with.
+   * @returns Whether this write is known to have committed; the row counts, not the answer.
+   */
+  async freeze(
+    window: FrozenWindow,
+    options: { readonly held: HeldLease; readonly floorVersion: number },
+  ): Promise<boolean> {
+    const { held, floorVersion } = options;
+    const key = windowKey(window);
+    return await this.#commit({
+      conditions: [
+        { table: LEASE_TABLE, key: held.name, version: held.rowVersion },
+        { table: FLOOR_TABLE, key: FLOOR_KEY, version: floorVersion },
+        { table: WINDOW_TABLE, key, version: 0 },
+      ],
+      key,
+      value: encodeWindow(window, held.fencingNumber),
+      table: WINDOW_TABLE,
+    });
+  }
+
+  /** Returns whether the report of an organisation's window is known to be confirmed. */
+  async isAccepted(
+    window: Pick<FrozenWindow, "windowStart" | "organisation">,
+  ): Promise<boolean> {
+    const key = windowKey(window);
+    const { table } = this.#context.platform;
+    const outcome = await table.get(ACCEPTED_TABLE, key);
+    return outcome.kind === "ok" && outcome.value !== undefined;
+  }
+
+  /** Notes that a report needs no more sending. */
+  async markAccepted(window: FrozenWindow, result: string): Promise<boolean> {
+    const key = windowKey(window);
+    const input = { conditions: [], key, value: result, table: ACCEPTED_TABLE };
+    return await this.#commit(input);
+  }
+
+  /** Raises the floor and deletes the windows below it; only under the lease. */
+  async raiseFloor(
+    floor: number,
+    options: { readonly list: WindowList; readonly held: HeldLease },
+  ): Promise<void> {
+    const { list, held } = options;
+    const version = list.floorVersion;
+    const old = list.windows.filter(({ windowStart }) => windowStart < floor)
+      .slice(0, MAXIMUM_DELETED_AT_ONCE).map(windowKey);
+    await this.#context.platform.table.commit({
+      conditions: [
+        { table: LEASE_TABLE, key: held.name, version: held.rowVersion },
+        { table: FLOOR_TABLE, key: FLOOR_KEY, version },
+      ],
+      writes: [
+        { table: FLOOR_TABLE, key: FLOOR_KEY, value: String(floor) },
+        ...old.flatMap((key) => [
+          { table: WINDOW_TABLE, key, value: undefined },
+          { table: ACCEPTED_TABLE, key, value: undefined },
+        ]),
+      ],
+    });
+  }
+
+  async #commit(input: {
+    readonly conditions: ReadonlyArray<RowCondition>;
+    readonly table: string;
+    readonly key: string;
+    readonly value: string;
+  }): Promise<boolean> {
+    const { conditions, table, key, value } = input;
+    const outcome = await this.#context.platform.table.commit({
+      conditions,
+      writes: [{ table, key, value }],
+    });
+    return outcome.kind === "ok" && outcome.value.kind === "committed";
+  }
+}
+
+function windowKey(
+  window: Pick<FrozenWindow, "windowStart" | "organisation">,
+): string {
+  const start = String(window.windowStart).padStart(NUMBER_DIGITS, "0");
+  return `${start}/${window.organisation}`;
+}
+
+function encodeWindow(window: FrozenWindow, fencingNumber: number): string {
+  return toJsonString(
+    UsageWindowRecordSchema,
+    create(UsageWindowRecordSchema, {
+      windowStartUnixMilliseconds: BigInt(window.windowStart),
+      organisation: window.organisation,
+      figures: toMessage(window.figures),
+      adjustments: window.adjustments.map((adjustment) =>
+        create(UsageAdjustmentSchema, {
+          windowStartUnixMilliseconds: BigInt(adjustment.windowStart),
+          figures: toMessage(adjustment.figures),
+        })
+      ),
+      fencingNumber: BigInt(fencingNumber),
+    }),
+  );
+}
+
+function readWindow(row: Row, accepted: ReadonlySet<string>): ListedWindow {
+  const record = fromJsonString(UsageWindowRecordSchema, row.value);
+  return {
+    windowStart: Number(record.windowStartUnixMilliseconds),
+    organisation: record.organisation,
+    figures: fromMessage(record.figures),
+    adjustments: record.adjustments.map((adjustment) => ({
+      windowStart: Number(adjustment.windowStartUnixMilliseconds),
+      figures: fromMessage(adjustment.figures),
+    })),
+    isAccepted: accepted.has(row.key),
+  };
+}
--- a/source/observability/events/control_events.ts
+++ b/source/observability/events/control_events.ts
@@ -39,4 +39,29 @@
     action: "",
     fields: ["lease", "open", "unresolved"],
   }),
+  usageWindowFrozen: defineEvent(5020, {
+    level: "info",
+    message: "The figures of a usage window were frozen",
+    action: "",
+    fields: ["windowStart", "organisation", "adjustments"],
+  }),
+  usageReportContradicted: defineEvent(5021, {
+    level: "error",
+    message: "The platform holds other figures for a usage window",
+    action:
+      "Compare the row of the window in the table with the platform's report",
+    fields: ["windowStart", "organisation", "detail"],
+  }),
+  usageDropped: defineEvent(5023, {
+    level: "error",
+    message: "Usage was dropped that could not be reported for too long",
+    action: "Add the figures to the organisation's next bill by hand",
+    fields: ["windowStart", "organisation", "requests"],
+  }),
+  usageReportFailed: defineEvent(5022, {
+    level: "warn",
+    message: "Usage could not be reported now",
+    action: "None while the platform is away; the reports follow",
+    fields: ["reason"],
+  }),
 } as const;
--- a/stand_ins/control/control_node.ts
+++ b/stand_ins/control/control_node.ts
@@ -60,7 +60,7 @@
         orderDeadlineMilliseconds: ORDER_DEADLINE_MILLISECONDS,
         usageWindowMilliseconds: USAGE_WINDOW_MILLISECONDS,
       }),
-      nodeStart: `${options.name}/${options.seed ?? 0}`,
+      nodeStart: `${options.name}-start`,
       clock: this.clock,
       random: createRandomSource(options.seed ?? 0),
       log: this.log,
