Prove usage reports against a table of faults and the platform's stand-in

Nine cases on a hand-moved clock (reporter killed between freeze and send, and between send and answer; late usage; late freeze; holder stopped or suspended past its lease just before a send; node ended before it told its counters) and a run of two nodes over HTTP with frozen connections and lost answers.

With a mechanism disabled on a scratch edit: send not guarded, the two cases of a stopped holder fail; copies not read, the ended node's case fails; freeze not on the lease's row, the late freeze fails. Insert-if-absent alone could not be shown to matter: rounds of one holder are serial and the lease's row guards the rest. It stays as a second guard.

--- a/source/control/usage_reporter_test.ts
+++ b/source/control/usage_reporter_test.ts
@@ -9,18 +9,16 @@
   runSchedule,
   type ScheduledFault,
 } from "../../stand_ins/control/fault_schedule.ts";
+import { UsageNode } from "../../stand_ins/control/usage_node.ts";
 import { ToldBus } from "../../stand_ins/entry/told_bus.ts";
 import {
   createPlatformState,
   type PlatformState,
 } from "../../stand_ins/platform/platform_state.ts";
-import type { ToldState } from "../membership/told_state.ts";
 import { invariant } from "../utilities/invariant.ts";
 import { ManualClock } from "../utilities/manual_clock.ts";
 import { createRandomSource } from "../utilities/random_source.ts";
-import { LeaseKeeper } from "./lease_keeper.ts";
-import { UsageReporter } from "./usage_reporter.ts";
-import { readToldUsage, UsageTally } from "./usage_tally.ts";
+import { readToldUsage } from "./usage_tally.ts";
 
 const RUNS = 40;
 const SEED = 5203;
@@ -30,44 +28,6 @@
 const STEP_MILLISECONDS = 100;
 const ORGANISATIONS = ["school", "library"];
 
-/** A node that counts and, while it holds the lease, reports. */
-class UsageNode {
-  readonly node: ControlNode;
-  readonly told: ToldState;
-  readonly lease: LeaseKeeper;
-  readonly tally: UsageTally;
-  recorded = 0;
-  isKilled = false;
-
-  constructor(node: ControlNode, told: ToldState) {
-    this.node = node;
-    this.told = told;
-    const { context } = node;
-    this.lease = new LeaseKeeper({ context, name: "usage" });
-    this.tally = new UsageTally({ context, told });
-    const { lease, tally } = this;
-    void lease.run();
-    void tally.run();
-    void new UsageReporter({ context, told, tally, lease }).run();
-  }
-
-  record(organisation: string, requests: number): void {
-    if (this.isKilled || this.node.clock.isStopped) return;
-    this.recorded += requests;
-    const figures = {
-      requests,
-      promptTokens: 2 * requests,
-      generatedTokens: 0,
-    };
-    this.tally.record(organisation, figures);
-  }
-
-  kill(): void {
-    this.isKilled = true;
-    this.node.kill();
-  }
-}
-
 interface Reported {
   readonly requests: number;
   readonly adjusted: number;
--- a/stand_ins/control/control_node.ts
+++ b/stand_ins/control/control_node.ts
@@ -39,7 +39,8 @@
   readonly log: RecordingEventLog = new RecordingEventLog();
   readonly context: NodeContext;
   /** Decides what becomes of each platform call. */
-  decideFate: (area: PlatformArea) => CallFate = () => PROMPT_ANSWER;
+  decideFate: (area: PlatformArea, writtenTable: string) => CallFate = () =>
+    PROMPT_ANSWER;
   readonly #stopping = new AbortController();
 
   /** @param options - What the node is made of. */
@@ -49,7 +50,7 @@
     const platform = new LocalPlatform({
       state: options.state,
       clock: options.clock,
-      decideFate: (area) => this.decideFate(area),
+      decideFate: (area, writtenTable) => this.decideFate(area, writtenTable),
       whileStopped: () => this.clock.whileStopped(),
     });
     this.context = {
--- a/stand_ins/control/fault_schedule.ts
+++ b/stand_ins/control/fault_schedule.ts
@@ -8,6 +8,7 @@
 import { ORDER_DEADLINE_MILLISECONDS } from "./control_node.ts";
 import type { ControlNode } from "./control_node.ts";
 
+const MAXIMUM_CONNECT_MILLISECONDS = 300;
 const MAXIMUM_SEND_MILLISECONDS = ORDER_DEADLINE_MILLISECONDS;
 const MAXIMUM_ANSWER_MILLISECONDS = ORDER_DEADLINE_MILLISECONDS / 2;
 
@@ -29,6 +30,7 @@
   | "drop"
   | "loseAnswers"
   | "slow"
+  | "late"
   | "mixed";
 
 type Injector = (node: ControlNode, milliseconds: number, context: {
@@ -49,9 +51,10 @@
   drop: injectFate(() => "dropped"),
   loseAnswers: injectFate(() => "answerLost"),
   slow: injectFate(() => "answered"),
+  late: injectFate(() => "late"),
   mixed: injectFate((random) =>
-    (["answered", "refused", "dropped", "answerLost"] as const)[
-      random.below(4)
+    (["answered", "refused", "dropped", "answerLost", "late"] as const)[
+      random.below(5)
     ] ?? "answered"
   ),
 };
@@ -98,6 +101,7 @@
   return (node, milliseconds, { clock, random }) => {
     const decide = (): CallFate => ({
       kind: chooseKind(random),
+      connectMilliseconds: random.below(MAXIMUM_CONNECT_MILLISECONDS),
       sendMilliseconds: random.below(MAXIMUM_SEND_MILLISECONDS),
       answerMilliseconds: random.below(MAXIMUM_ANSWER_MILLISECONDS),
     });
--- a/stand_ins/platform/local_platform.ts
+++ b/stand_ins/platform/local_platform.ts
@@ -19,8 +19,13 @@
 
 /** What becomes of one call. */
 export interface CallFate {
-  /** `refused`: no byte left. `dropped`: no effect and no answer. `answerLost`: effect without answer. */
-  readonly kind: "answered" | "refused" | "dropped" | "answerLost";
+  /**
+   * `refused`: no byte left. `dropped`: no effect and no answer. `answerLost`: effect
+   * without answer. `late`: the caller gives up before the call takes effect.
+   */
+  readonly kind: "answered" | "refused" | "dropped" | "answerLost" | "late";
+  /** Time until there is a connection; the caller's guard is asked after it. */
+  readonly connectMilliseconds?: number;
   /** Time until the call takes effect. */
   readonly sendMilliseconds: number;
   /** Time until the answer is there, or until the caller gives up. */
@@ -32,8 +37,8 @@
   readonly state: PlatformState;
   /** The clock of the network, not of the calling node. */
   readonly clock: Clock;
-  /** Decides the fate of each call. */
-  readonly decideFate: (area: PlatformArea) => CallFate;
+  /** Decides the fate of each call; for a commit, the last table that it writes is named. */
+  readonly decideFate: (area: PlatformArea, writtenTable: string) => CallFate;
   /** Holds answers back while the calling node is stopped. */
   readonly whileStopped: () => Promise<void>;
 }
@@ -68,7 +73,9 @@
       list: (table, range) =>
         this.#call("table", () => state.table.list(table, range)),
       commit: (transaction) =>
-        this.#call("table", () => state.table.commit(transaction)),
+        this.#call("table", () => state.table.commit(transaction), {
+          writtenTable: transaction.writes.at(-1)?.table ?? "",
+        }),
     };
     this.objects = {
       put: (key, body) =>
@@ -79,14 +86,16 @@
     };
     this.orders = {
       place: (order, guard) =>
-        this.#call("orders", () => state.orders.place(order), guard),
+        this.#call("orders", () => state.orders.place(order), {
+          ...(guard && { guard }),
+        }),
     };
     this.usageReports = {
       report: (report, guard) =>
         this.#call(
           "usageReports",
           () => state.usageReports.take(report, state.clock.wall()),
-          guard,
+          { ...(guard && { guard }) },
         ),
     };
     this.instances = {
@@ -102,20 +111,41 @@
   async #call<Value>(
     area: PlatformArea,
     effect: () => Value | Promise<Value>,
-    guard: SendGuard = () => true,
+    options: {
+      readonly guard?: SendGuard;
+      readonly writtenTable?: string;
+    } = {},
   ): Promise<PlatformOutcome<Value>> {
     const { clock, decideFate, whileStopped } = this.#options;
-    if (!guard()) return { kind: "notRun", reason: "May no longer be sent" };
-    const fate = decideFate(area);
+    const fate = decideFate(area, options.writtenTable ?? "");
+    if (fate.connectMilliseconds !== undefined) {
+      await clock.sleep(fate.connectMilliseconds);
+      await whileStopped();
+    }
+    if (options.guard?.() === false) {
+      return { kind: "notRun", reason: "May no longer be sent" };
+    }
     if (fate.kind === "refused") return { kind: "notRun", reason: "refused" };
-    await clock.sleep(fate.sendMilliseconds);
-    const value = fate.kind === "dropped" ? undefined : await effect();
+    const value = await this.#send(fate, effect);
     await clock.sleep(fate.answerMilliseconds);
     await whileStopped();
     return fate.kind === "answered"
       ? { kind: "ok", value: value as Value }
       : { kind: "unknown", reason: fate.kind };
   }
+
+  async #send<Value>(
+    fate: CallFate,
+    effect: () => Value | Promise<Value>,
+  ): Promise<Value | undefined> {
+    const arrived = this.#options.clock.sleep(fate.sendMilliseconds);
+    if (fate.kind === "late") {
+      void arrived.then(effect);
+      return undefined;
+    }
+    await arrived;
+    return fate.kind === "dropped" ? undefined : await effect();
+  }
 }
 
 /** Fate of a call that is answered within a millisecond. */
