Order and stop backend servers under a lease for each service

Done starts stay on record until the server is listed, so that a successor does not order them again.

--- a/source/control/order_intents.ts
+++ b/source/control/order_intents.ts
@@ -120,6 +120,20 @@
     return "unknown";
   }
 
+  /** Notes an order's result in its row, which stays until it is withdrawn. */
+  async keep(open: OpenIntent, server: string): Promise<OrderIntent> {
+    const state = IntentState.DONE;
+    const intent = create(OrderIntentSchema, { ...open.intent, server, state });
+    const key = this.#key(intent.idempotencyKey);
+    const value = toJsonString(OrderIntentSchema, intent);
+    // An unconfirmed note leaves the row open; a later holder then asks again.
+    await this.#context.platform.table.commit({
+      conditions: [{ table: INTENT_TABLE, key, version: open.rowVersion }],
+      writes: [{ table: INTENT_TABLE, key, value }],
+    });
+    return intent;
+  }
+
   /** Makes sure that an order has no row; false when that is not confirmed. */
   async withdraw(idempotencyKey: string): Promise<boolean> {
     const row = await this.#read(idempotencyKey);
--- a/source/control/order_ledger.ts
+++ b/source/control/order_ledger.ts
@@ -1,5 +1,6 @@
 import { create } from "@bufbuild/protobuf";
 import {
+  IntentState,
   type OrderIntent,
   OrderIntentSchema,
 } from "../../generated/snipepath/v1/records_pb.ts";
@@ -42,7 +43,12 @@
 
 /** What one send came to. */
 export type SendOutcome<Result> =
-  | { readonly kind: "done"; readonly result: Result }
+  | {
+    readonly kind: "done";
+    readonly result: Result;
+    /** The backend server that was started; keeps the order on record until released. */
+    readonly server?: string;
+  }
   /** The receiver refused; the order took no effect and is not sent again. */
   | { readonly kind: "refused"; readonly reason: string }
   | { readonly kind: "notRun"; readonly reason: string }
@@ -106,7 +112,9 @@
   readonly #intents: OrderIntents;
   readonly #underWay = new Map<string, OrderUnderWay>();
   readonly #unresolved: UnresolvedOrders;
+  readonly #kept = new Map<string, OrderIntent>();
   #takenOverAt = 0;
+  #fencingNumber = 0;
   #takingOver: Promise<string> | undefined;
 
   /** @param options - The lease and how open orders are sent again. */
@@ -125,6 +133,18 @@
     return this.#unresolved.intents();
   }
 
+  /** Returns the done orders that are kept on record, earlier holders' included. */
+  kept(): ReadonlyArray<OrderIntent> {
+    return [...this.#kept.values()];
+  }
+
+  /** Ends the record of a done order. */
+  async release(idempotencyKey: string): Promise<void> {
+    if (await this.#intents.withdraw(idempotencyKey)) {
+      this.#kept.delete(idempotencyKey);
+    }
+  }
+
   /** Sends the orders without a known result again, until the node stops. */
   async run(): Promise<void> {
     const { clock, settings, stopping } = this.#context;
@@ -261,6 +281,11 @@
       return outcome;
     }
     this.#unresolved.remove(idempotencyKey);
+    if (outcome.kind === "done" && outcome.server !== undefined) {
+      const kept = await this.#intents.keep(open, outcome.server);
+      this.#kept.set(idempotencyKey, kept);
+      return outcome;
+    }
     if (outcome.kind === "refused") {
       this.#context.log.emit("orderRefused", {
         lease: this.#lease.name,
@@ -300,11 +325,28 @@
     return await this.#takingOver;
   }
 
+  /** Forgets what was known under an earlier hold of the lease. */
+  #startAnew(fencingNumber: number): void {
+    this.#fencingNumber = fencingNumber;
+    this.#unresolved.clear();
+    this.#kept.clear();
+  }
+
   async #takeOver(fencingNumber: number): Promise<string> {
+    if (fencingNumber !== this.#fencingNumber) this.#startAnew(fencingNumber);
+    const past = this.#unresolved.past();
     const listed = await this.#intents.list();
     if (listed.kind !== "ok") return listed.reason;
-    this.#unresolved.clear();
+    const open = new Set(listed.value.map((row) => row.intent.idempotencyKey));
+    for (const key of past) {
+      // Its row was never written, and can no longer be.
+      if (!open.has(key)) this.#unresolved.remove(key);
+    }
     for (const { intent, rowVersion } of listed.value) {
+      if (intent.state === IntentState.DONE) {
+        this.#kept.set(intent.idempotencyKey, intent);
+        continue;
+      }
       if (this.#isUnderWay(intent)) continue;
       const outcome = await this.#track(
         intent,
--- a/source/control/server_order_sender.ts
+++ b/source/control/server_order_sender.ts
@@ -23,7 +23,9 @@
   return async ({ order, mayStart }) => {
     const outcome = await orders.place(toServerOrder(order), mayStart);
     if (outcome.kind !== "ok") return outcome;
-    return OUTCOMES[outcome.value.kind](outcome.value as never);
+    const sent = OUTCOMES[outcome.value.kind](outcome.value as never);
+    const isStarted = sent.kind === "done" && order.operation === "start";
+    return isStarted ? { ...sent, server: sent.result.server } : sent;
   };
 }
 
--- /dev/null
+++ b/source/control/spend_planner_test.ts
@@ -0,0 +1,172 @@
+import test from "ava";
+import fc from "fast-check";
+import { LoadForecast } from "./load_forecast.ts";
+import { type PlannedServer, planOrders } from "./plan_orders.ts";
+import {
+  countAfterLoss,
+  countServers,
+  SPEND_POLICIES,
+  type SpendInput,
+} from "./spend_planner.ts";
+
+const SEED = 6301;
+const DOMAINS = ["cluj-a", "iasi-b", "suceava-c"];
+const INPUT: SpendInput = {
+  failureDomains: DOMAINS,
+  minimumServers: 1,
+  maximumServers: 20,
+  neededServers: 6,
+  microsPerHour: { steady: 1000, cheap: 300 },
+  boundMicrosPerHour: 0,
+  isAvailable: () => true,
+};
+
+const CASES: Readonly<Record<string, Partial<SpendInput>>> = {
+  "all tiers can be had": {},
+  "no cheap server can be had": {
+    isAvailable: ({ tier }) => tier === "steady",
+  },
+  "cheap servers can be had in one domain": {
+    isAvailable: ({ tier, failureDomain }) =>
+      tier === "steady" || failureDomain === "iasi-b",
+  },
+  "cheap servers can be had in two domains": {
+    isAvailable: ({ tier, failureDomain }) =>
+      tier === "steady" || failureDomain !== "iasi-b",
+  },
+  "nothing is needed": { neededServers: 0 },
+  "more is needed than the service may have": { neededServers: 30 },
+  "the bound on the cost is low": { boundMicrosPerHour: 2000 },
+  "cheap servers cost almost as much": {
+    microsPerHour: { steady: 1000, cheap: 900 },
+  },
+};
+
+for (const [title, change] of Object.entries(CASES)) {
+  test(`plans when ${title}`, (t) => {
+    const plans = Object.entries(SPEND_POLICIES).map(([name, policy]) => {
+      const { wanted, shortfall } = policy({ ...INPUT, ...change });
+      const text = wanted.map(({ failureDomain, tier, servers }) =>
+        `${servers} ${tier} in ${failureDomain}`
+      ).join(", ");
+      return `${name}: ${text}; shortfall ${shortfall}`;
+    });
+    t.snapshot(plans);
+  });
+}
+
+test("the loss of any domain's cheap servers leaves what is needed", (t) => {
+  fc.assert(
+    fc.property(
+      fc.record({
+        neededServers: fc.nat(20),
+        minimumServers: fc.nat(4),
+        maximumServers: fc.integer({ min: 4, max: 40 }),
+        steady: fc.integer({ min: 100, max: 2000 }),
+        cheap: fc.integer({ min: 10, max: 2000 }),
+        boundMicrosPerHour: fc.oneof(fc.constant(0), fc.nat(20_000)),
+        missing: fc.subarray(DOMAINS),
+      }),
+      ({ steady, cheap, missing, ...rest }) => {
+        const input: SpendInput = {
+          ...INPUT,
+          ...rest,
+          microsPerHour: { steady, cheap },
+          isAvailable: ({ tier, failureDomain }) =>
+            tier === "steady" || !missing.includes(failureDomain),
+        };
+        const { wanted, shortfall } = SPEND_POLICIES.domainLossBound(input);
+        const cost = wanted.reduce(
+          (sum, { tier, servers }) =>
+            sum + servers * (tier === "cheap" ? cheap : steady),
+          0,
+        );
+        return countAfterLoss(wanted) + shortfall >= input.neededServers &&
+          countServers(wanted) <= input.maximumServers &&
+          (input.boundMicrosPerHour === 0 || cost <= input.boundMicrosPerHour);
+      },
+    ),
+    { seed: SEED, numRuns: 500 },
+  );
+  t.pass();
+});
+
+test("orders stop no server that is still needed", (t) => {
+  const bounds = {
+    maximumServers: 5,
+    microsPerHour: INPUT.microsPerHour,
+    boundMicrosPerHour: 0,
+  };
+  const server = (
+    number: number,
+    change: Partial<PlannedServer>,
+  ): PlannedServer => ({
+    address: `10.0.0.${number}:80`,
+    failureDomain: "cluj-a",
+    tier: "steady",
+    leaving: false,
+    ...change,
+  });
+  const wanted = [{
+    failureDomain: "iasi-b",
+    tier: "cheap",
+    servers: 2,
+  }] as const;
+  const old = [server(1, {}), server(2, {}), server(3, { leaving: true })];
+  const starting = {
+    failureDomain: "iasi-b",
+    tier: "cheap",
+    address: "",
+  } as const;
+  const running = { failureDomain: "iasi-b", tier: "cheap" } as const;
+  t.snapshot({
+    first: planOrders({ ...bounds, wanted, servers: old, neededServers: 2 }),
+    whileStarting: planOrders({
+      ...bounds,
+      wanted,
+      servers: [...old, server(0, starting), server(0, starting)],
+      neededServers: 2,
+    }),
+    oneRuns: planOrders({
+      ...bounds,
+      wanted,
+      servers: [...old, server(4, running), server(0, starting)],
+      neededServers: 2,
+    }),
+    withinThree: planOrders({
+      ...bounds,
+      wanted,
+      servers: old,
+      neededServers: 2,
+      maximumServers: 3,
+    }),
+    withinCost: planOrders({
+      ...bounds,
+      wanted,
+      servers: old,
+      neededServers: 2,
+      boundMicrosPerHour: 2000,
+    }),
+    bothRun: planOrders({
+      ...bounds,
+      wanted,
+      servers: [...old, server(4, running), server(5, running)],
+      neededServers: 2,
+    }),
+  });
+});
+
+test("a forecast follows a rise and remembers a peak", (t) => {
+  const options = { aheadMilliseconds: 60_000, memoryMilliseconds: 300_000 };
+  const rise = new LoadForecast(options);
+  const fall = new LoadForecast(options);
+  for (let at = 0; at <= 300_000; at += 10_000) {
+    rise.add(at, at / 30_000);
+    fall.add(at, 10 - at / 60_000);
+  }
+  t.snapshot({
+    rise: rise.predict(300_000),
+    fall: fall.predict(300_000),
+    none: new LoadForecast(options).predict(0),
+  });
+});
--- a/source/control/unresolved_orders.ts
+++ b/source/control/unresolved_orders.ts
@@ -62,6 +62,13 @@
     this.#orders.delete(idempotencyKey);
   }
 
+  /** Returns the keys of the orders whose intent can no longer be written late. */
+  past(): ReadonlyArray<string> {
+    return [...this.#orders.values()]
+      .filter((order) => this.#isPast(order))
+      .map(({ intent }) => intent.idempotencyKey);
+  }
+
   /** Forgets all. */
   clear(): void {
     this.#orders.clear();
--- a/source/observability/events/control_events.ts
+++ b/source/observability/events/control_events.ts
@@ -39,6 +39,14 @@
     action: "",
     fields: ["lease", "open", "unresolved"],
   }),
+  spendShortfall: defineEvent(5030, {
+    level: "warn",
+    message:
+      "Fewer servers can be had than the load needs after the loss of a failure domain",
+    action:
+      "Raise the service's largest number of servers or the bound on spend, if the targets matter more",
+    fields: ["service", "servers"],
+  }),
   usageWindowFrozen: defineEvent(5020, {
     level: "info",
     message: "The figures of a usage window were frozen",
