Measure spend policies against service, and keep no steady floor

The pure planner runs against drawn markets (reclaims of whole domains, platform away, no cheap server for a while), all policies in one in-memory run.

Tried: the declared least number of servers kept steady. The floor is dropped.

--- /dev/null
+++ b/experiments/spend/spend_run.ts
@@ -0,0 +1,155 @@
+import { LoadForecast } from "../../source/control/load_forecast.ts";
+import {
+  type PlannedServer,
+  planOrders,
+} from "../../source/control/plan_orders.ts";
+import type {
+  ServerSlot,
+  SpendPolicy,
+} from "../../source/control/spend_planner.ts";
+import {
+  FAILURE_DOMAINS,
+  type MarketStep,
+  MICROS_PER_HOUR,
+  STEP_SECONDS,
+} from "./spend_market.ts";
+
+const SLOTS_OF_SERVER = 4;
+const MINIMUM_SERVERS = 2;
+const MAXIMUM_SERVERS = 40;
+const START_STEPS = 6;
+const SURPLUS_STEPS = 6;
+const UNAVAILABLE_STEPS = 3;
+const FORECAST = { aheadMilliseconds: 60_000, memoryMilliseconds: 300_000 };
+
+/** What one policy spent and served. */
+export interface SpendResult {
+  readonly costPerHour: number;
+  /** Share of the requests that found a server. */
+  readonly metShare: number;
+  /** Share of the time in which some request found none. */
+  readonly shortTimeShare: number;
+  /** Share of the served work that ran on cheap servers. */
+  readonly cheapShare: number;
+  /** Servers that were reclaimed. */
+  readonly reclaimed: number;
+}
+
+interface RunningServer extends PlannedServer {
+  readonly readyAt: number;
+}
+
+/** Runs one policy against a drawn market. The planner is the one that nodes use. */
+export class SpendRun {
+  readonly #policy: SpendPolicy;
+  readonly #forecast = new LoadForecast(FORECAST);
+  readonly #unavailableUntil = new Map<string, number>();
+  #servers: RunningServer[] = [];
+  #surplusSteps = 0;
+  #started = 0;
+  #cost = 0;
+  #load = 0;
+  #met = 0;
+  #metOnCheap = 0;
+  #shortSteps = 0;
+  #reclaimed = 0;
+
+  /** @param policy - The policy to run. */
+  constructor(policy: SpendPolicy) {
+    this.#policy = policy;
+  }
+
+  /** Runs all steps. */
+  run(steps: ReadonlyArray<MarketStep>): SpendResult {
+    steps.forEach((step, number) => {
+      this.#reclaim(step);
+      this.#serve(step, number);
+      this.#forecast.add(number * STEP_SECONDS * 1000, step.load);
+      if (step.takesOrders) this.#order(step, number);
+    });
+    const hours = (steps.length * STEP_SECONDS) / 3600;
+    return {
+      costPerHour: this.#cost / hours / MICROS_PER_HOUR.steady,
+      metShare: this.#met / this.#load,
+      shortTimeShare: this.#shortSteps / steps.length,
+      cheapShare: this.#metOnCheap / this.#met,
+      reclaimed: this.#reclaimed,
+    };
+  }
+
+  #reclaim(step: MarketStep): void {
+    const staying = this.#servers.filter((server) =>
+      server.tier !== "cheap" || !step.reclaimed.includes(server.failureDomain)
+    );
+    this.#reclaimed += this.#servers.length - staying.length;
+    this.#servers = staying;
+  }
+
+  #serve(step: MarketStep, number: number): void {
+    const ready = this.#servers.filter((server) => server.readyAt <= number);
+    const capacity = ready.length * SLOTS_OF_SERVER;
+    const cheap = ready.filter((server) => server.tier === "cheap").length;
+    const met = Math.min(step.load, capacity);
+    this.#load += step.load;
+    this.#met += met;
+    this.#metOnCheap += ready.length === 0 ? 0 : (met * cheap) / ready.length;
+    if (step.load > capacity) this.#shortSteps += 1;
+    for (const { tier } of this.#servers) {
+      this.#cost += (MICROS_PER_HOUR[tier] * STEP_SECONDS) / 3600;
+    }
+  }
+
+  #order(step: MarketStep, number: number): void {
+    const predicted = this.#forecast.predict(number * STEP_SECONDS * 1000);
+    const neededServers = Math.max(
+      MINIMUM_SERVERS,
+      Math.ceil(predicted / SLOTS_OF_SERVER),
+    );
+    const bounds = {
+      maximumServers: MAXIMUM_SERVERS,
+      microsPerHour: MICROS_PER_HOUR,
+      boundMicrosPerHour: 0,
+    };
+    const { wanted } = this.#policy({
+      ...bounds,
+      failureDomains: FAILURE_DOMAINS,
+      minimumServers: MINIMUM_SERVERS,
+      neededServers,
+      isAvailable: (slot) =>
+        (this.#unavailableUntil.get(slotName(slot)) ?? 0) <= number,
+    });
+    const servers = this.#servers.map((server) => ({
+      ...server,
+      address: server.readyAt <= number ? server.address : "",
+    }));
+    const { start, stop } = planOrders({
+      ...bounds,
+      wanted,
+      servers,
+      neededServers,
+    });
+    for (const slot of start) this.#start(slot, step, number);
+    this.#surplusSteps = stop.length > 0 ? this.#surplusSteps + 1 : 0;
+    if (this.#surplusSteps < SURPLUS_STEPS) return;
+    this.#servers = this.#servers.filter(({ address }) =>
+      !stop.includes(address)
+    );
+  }
+
+  #start(slot: ServerSlot, step: MarketStep, number: number): void {
+    const isHad = slot.tier === "steady" ||
+      step.cheapDomains.includes(slot.failureDomain);
+    if (!isHad) {
+      this.#unavailableUntil.set(slotName(slot), number + UNAVAILABLE_STEPS);
+      return;
+    }
+    this.#started += 1;
+    const address = `server-${String(this.#started).padStart(8, "0")}`;
+    const readyAt = number + START_STEPS;
+    this.#servers.push({ ...slot, address, leaving: false, readyAt });
+  }
+}
+
+function slotName(slot: ServerSlot): string {
+  return `${slot.failureDomain}/${slot.tier}`;
+}
--- a/source/control/spend_planner.ts
+++ b/source/control/spend_planner.ts
@@ -87,14 +87,11 @@
 
 /**
  * The cheapest mix that still meets the need after any one failure domain has lost all
- * its cheap servers. The service's least number of servers is kept steady, unless the
- * bounds allow that only with fewer servers.
+ * its cheap servers.
  */
 function planDomainLossBound(input: SpendInput): SpendPlan {
   for (let need = boundedNeed(input); need > 0; need--) {
-    const least = Math.min(input.minimumServers, need);
-    const mix = findCheapestMix(need, least, input) ??
-      findCheapestMix(need, 0, input);
+    const mix = findCheapestMix(need, input);
     if (mix !== undefined) return toPlan(mix, input);
   }
   return toPlan([], input);
@@ -102,12 +99,11 @@
 
 function findCheapestMix(
   need: number,
-  leastSteady: number,
   input: SpendInput,
 ): ReadonlyArray<ServerCount> | undefined {
   const { maximumServers, boundMicrosPerHour, microsPerHour } = input;
   let cheapest: ReadonlyArray<ServerCount> | undefined;
-  for (let steady = leastSteady; steady <= need; steady++) {
+  for (let steady = 0; steady <= need; steady++) {
     const mix = mixWith(steady, need, input);
     if (mix === undefined || countServers(mix) > maximumServers) continue;
     const cost = costOf(mix, microsPerHour);
