--- a/experiments/clients/address_book.ts
+++ b/experiments/clients/address_book.ts
@@ -12,12 +12,12 @@
  * Keeps the answer about which nodes to use, as callers do.
  * @example
  * ```ts
- * const book = new AddressBook({ seeds: ["127.0.0.1:8080"], failureDomain: "cluj-a" });
+ * const book = new AddressBook({ seeds: () => ["127.0.0.1:8080"], failureDomain: "cluj-a" });
  * const address = await book.choose();
  * ```
  */
 export class AddressBook {
-  readonly #seeds: ReadonlyArray<string>;
+  readonly #seeds: () => ReadonlyArray<string>;
   readonly #failureDomain: string;
   #addresses: ReadonlyArray<string> = [];
   #keepUntil = 0;
@@ -26,7 +26,8 @@
   /** @param options - Nodes that are asked first, and the caller's failure domain. */
   constructor(
     options: {
-      readonly seeds: ReadonlyArray<string>;
+      /** Returns HOST:PORT of nodes that may be asked for addresses. */
+      readonly seeds: () => ReadonlyArray<string>;
       readonly failureDomain: string;
     },
   ) {
@@ -51,7 +52,7 @@
   }
 
   async #refresh(): Promise<void> {
-    const candidates = [...this.#addresses, ...this.#seeds];
+    const candidates = [...this.#addresses, ...this.#seeds()];
     for (const address of candidates) {
       const answer = await this.#ask(address);
       if (answer === undefined || answer.addresses.length === 0) continue;
@@ -76,7 +77,8 @@
   }
 
   #nextSeed(): string {
-    this.#next = (this.#next + 1) % this.#seeds.length;
-    return this.#seeds[this.#next] ?? "";
+    const seeds = this.#seeds();
+    this.#next = (this.#next + 1) % seeds.length;
+    return seeds[this.#next] ?? "";
   }
 }
--- a/experiments/demo/demo.ts
+++ b/experiments/demo/demo.ts
@@ -50,7 +50,8 @@
     deployment,
     ["key", "give", organisation, "--trainer"],
   );
-  const seeds = deployment.nodes.map((node) => node.callerAddress);
+  const callerAddresses = deployment.nodes.map((node) => node.callerAddress);
+  const seeds = (): ReadonlyArray<string> => callerAddresses;
   const trainer = new TrainerClient({
     trainer: layout.trainer,
     key: trainerKey,
@@ -127,7 +128,7 @@
 }
 
 interface CallerOptions {
-  readonly seeds: ReadonlyArray<string>;
+  readonly seeds: () => ReadonlyArray<string>;
   readonly failureDomain: string;
   readonly key: string;
   readonly traffic: Traffic;
--- a/experiments/deployment/deployment.ts
+++ b/experiments/deployment/deployment.ts
@@ -25,6 +25,7 @@
 
 /** A running backend server. */
 export interface RunningServer {
+  readonly name: string;
   readonly address: string;
   readonly service: string;
   readonly failureDomain: string;
@@ -162,6 +163,18 @@
     return { status: child.exitCode, output };
   }
 
+  /**
+   * Starts a backend server again at its old address, after its process has ended.
+   * @param server - The server.
+   */
+  async restartServer(server: RunningServer): Promise<void> {
+    const port = server.address.slice(server.address.lastIndexOf(":") + 1);
+    server.process = await this.#startServerProcess(server.service, {
+      name: server.name,
+      flags: [`--port=${port}`],
+    });
+  }
+
   /** Ends every process. */
   async stop(): Promise<void> {
     const processes = [
@@ -182,21 +195,12 @@
       }))
     );
     await Promise.all(wanted.map(async ({ service, failureDomain, name }) => {
-      const isModel = service.kind === "model";
-      const process = await startProcess({
+      const process = await this.#startServerProcess(service.name, {
         name,
-        program: STAND_IN_PROGRAM,
-        arguments: isModel
-          ? [
-            "engine",
-            `--weight-store=http://${this.platformAddress}`,
-            ...this.#options.engineFlags ?? [],
-          ]
-          : ["plain"],
-        readyPrefix: LISTENING,
-        ...logFileOf(this.#options, name),
+        flags: [],
       });
       this.servers.push({
+        name,
         address: process.ready,
         service: service.name,
         failureDomain,
@@ -206,6 +210,27 @@
     }));
   }
 
+  #startServerProcess(
+    service: string,
+    started: { readonly name: string; readonly flags: ReadonlyArray<string> },
+  ): Promise<RunningProcess> {
+    const isModel = this.#options.layout.services.some((each) =>
+      each.name === service && each.kind === "model"
+    );
+    const engineArguments = [
+      "engine",
+      `--weight-store=http://${this.platformAddress}`,
+      ...this.#options.engineFlags ?? [],
+    ];
+    return startProcess({
+      name: started.name,
+      program: STAND_IN_PROGRAM,
+      arguments: [...isModel ? engineArguments : ["plain"], ...started.flags],
+      readyPrefix: LISTENING,
+      ...logFileOf(this.#options, started.name),
+    });
+  }
+
   async #registerServer(
     address: string,
     service: string,
--- a/experiments/deployment/layout.ts
+++ b/experiments/deployment/layout.ts
@@ -15,6 +15,10 @@
   readonly services: ReadonlyArray<ServiceLayout>;
   /** Path of the declaration. */
   readonly declaration: string;
+  /** Path of calls that may not be repeated. */
+  readonly orderPath: string;
+  /** Path of calls that may be repeated. */
+  readonly statusPath: string;
   readonly trainer: string;
   readonly trainerOrganisation: string;
   readonly organisations: ReadonlyArray<string>;
@@ -34,6 +38,8 @@
       { name: "comenzi-app", kind: "plain", servers: 3 },
     ],
     declaration: "declarations/atbr.yaml",
+    orderPath: "/orders",
+    statusPath: "/orders/status",
     trainer: "contraction",
     trainerOrganisation: "atbr-cluj",
     organisations: ["atbr-cluj", "atbr-iasi", "school-suceava"],
@@ -48,6 +54,8 @@
       { name: "device-registry", kind: "plain", servers: 6 },
     ],
     declaration: "declarations/otjiwarongo.yaml",
+    orderPath: "/loans",
+    statusPath: "/loans/status",
     trainer: "assistant",
     trainerOrganisation: "library-central",
     organisations: ["library-central", "library-north", "schools-east"],
--- /dev/null
+++ b/experiments/soak/actors/caller.ts
@@ -0,0 +1,265 @@
+import { request } from "undici";
+import type { AddressBook } from "../../clients/address_book.ts";
+import { call, type CallOutcome } from "../../clients/call.ts";
+import type { Attempt, CallKind, Journal, SeenOutcome } from "../journal.ts";
+
+const ANSWER_TIMEOUT_MILLISECONDS = 15_000;
+const TRIES = 12;
+const RETRY_MILLISECONDS = 300;
+const STREAM_END = "data: [DONE]";
+
+/** Tokens that every completion of a soak asks for. */
+export const SOAK_TOKENS = 12;
+
+/** A key as callers hold it; an operator may replace it. */
+export interface HeldKey {
+  key: string;
+  identifier: string;
+}
+
+/** Who calls, and how. */
+export interface CallerOptions {
+  readonly name: string;
+  readonly organisation: string;
+  readonly key: HeldKey;
+  readonly model: string;
+  readonly orderPath: string;
+  readonly statusPath: string;
+  readonly addresses: AddressBook;
+  readonly journal: Journal;
+  readonly nodeOf: (address: string) => string;
+  readonly pauseMilliseconds: number;
+  readonly signal: AbortSignal;
+}
+
+interface Plan {
+  readonly call: string;
+  readonly marker: string;
+  readonly kind: CallKind;
+}
+
+type Sender = (
+  options: CallerOptions,
+  plan: Plan,
+  address: string,
+) => Promise<SeenOutcome>;
+
+const KINDS: ReadonlyArray<CallKind> = [
+  "completion",
+  "openStatus",
+  "stream",
+  "order",
+  "claimedOrder",
+];
+
+const SENDERS: Readonly<Record<CallKind, Sender>> = {
+  completion: async (options, plan, address) =>
+    toCompletionOutcome(
+      await call({
+        address,
+        method: "POST",
+        path: "/v1/completions",
+        key: options.key.key,
+        body: completionBody(options, plan, false),
+        timeoutMilliseconds: ANSWER_TIMEOUT_MILLISECONDS,
+      }),
+    ),
+  stream: sendStream,
+  openStatus: async (options, plan, address) =>
+    toPlainOutcome(
+      await call({
+        address,
+        method: "GET",
+        path: `${options.statusPath}/${plan.marker}`,
+        timeoutMilliseconds: ANSWER_TIMEOUT_MILLISECONDS,
+      }),
+    ),
+  order: sendOrder,
+  claimedOrder: sendOrder,
+};
+
+/**
+ * Makes calls of every kind until stopped, and repeats what callers may repeat.
+ * @param options - Who calls.
+ */
+export async function runCaller(options: CallerOptions): Promise<void> {
+  for (let number = 0; !options.signal.aborted; number += 1) {
+    const kind = KINDS[number % KINDS.length] ?? "completion";
+    await makeCall(options, { kind, name: `${options.name}-${number}` });
+    await sleep(options.pauseMilliseconds);
+  }
+}
+
+async function makeCall(
+  options: CallerOptions,
+  wanted: { readonly kind: CallKind; readonly name: string },
+): Promise<void> {
+  const { kind, name } = wanted;
+  for (let attempt = 0; attempt < TRIES; attempt += 1) {
+    const marker = kind === "claimedOrder" ? name : `${name}-try${attempt}`;
+    const seen = await attemptCall(options, { call: name, marker, kind });
+    if (seen.kind === "answered") return;
+    const isOver = kind === "order" && !isNotRun(seen);
+    if (isOver || options.signal.aborted) return;
+    await sleep(RETRY_MILLISECONDS);
+  }
+}
+
+async function attemptCall(
+  options: CallerOptions,
+  plan: Plan,
+): Promise<SeenOutcome> {
+  const { addresses, journal, key } = options;
+  const address = await addresses.choose();
+  const sentAt = journal.now();
+  const keyIdentifier = key.identifier;
+  const outcome = await SENDERS[plan.kind](options, plan, address);
+  const attempt: Attempt = {
+    ...plan,
+    organisation: options.organisation,
+    keyIdentifier: plan.kind === "openStatus" ? "" : keyIdentifier,
+    node: options.nodeOf(address),
+    address,
+    sentAt,
+    endedAt: journal.now(),
+    outcome,
+  };
+  journal.attempts.push(attempt);
+  if (outcome.kind !== "answered") addresses.avoid(address);
+  return outcome;
+}
+
+/**
+ * Returns the prompt of a completion.
+ * @param organisation - Whose it is.
+ * @param marker - The attempt's marker.
+ */
+export function soakPrompt(organisation: string, marker: string): string {
+  return `Spell for ${organisation} [${marker}]`;
+}
+
+function completionBody(
+  options: CallerOptions,
+  plan: Plan,
+  stream: boolean,
+): unknown {
+  return {
+    model: options.model,
+    class: "interactive",
+    prompt: soakPrompt(options.organisation, plan.marker),
+    max_tokens: SOAK_TOKENS,
+    stream,
+  };
+}
+
+async function sendOrder(
+  options: CallerOptions,
+  plan: Plan,
+  address: string,
+): Promise<SeenOutcome> {
+  return toPlainOutcome(
+    await call({
+      address,
+      method: "POST",
+      path: `${options.orderPath}/${plan.marker}`,
+      key: options.key.key,
+      body: { book: plan.marker },
+      headers: plan.kind === "claimedOrder"
+        ? { "idempotency-key": plan.marker }
+        : {},
+      timeoutMilliseconds: ANSWER_TIMEOUT_MILLISECONDS,
+    }),
+  );
+}
+
+async function sendStream(
+  options: CallerOptions,
+  plan: Plan,
+  address: string,
+): Promise<SeenOutcome> {
+  try {
+    const answer = await request(`http://${address}/v1/completions`, {
+      method: "POST",
+      headers: {
+        authorization: `Bearer ${options.key.key}`,
+        "content-type": "application/json",
+      },
+      body: JSON.stringify(completionBody(options, plan, true)),
+      signal: AbortSignal.timeout(ANSWER_TIMEOUT_MILLISECONDS),
+    });
+    const text = await answer.body.text();
+    if (answer.statusCode !== 200) return toRefusal(text);
+    return readStream(text);
+  } catch (error) {
+    return { kind: "lost", reason: String(error) };
+  }
+}
+
+interface StreamEvent {
+  readonly choices?: ReadonlyArray<
+    { readonly text: string; readonly finish_reason: string | null }
+  >;
+}
+
+function readStream(text: string): SeenOutcome {
+  const lines = text.split("\n").filter((line) => line.startsWith("data: "));
+  if (lines.at(-1) !== STREAM_END) {
+    return {
+      kind: "lost",
+      reason: `The stream ended early: ${text.slice(-200)}`,
+    };
+  }
+  const choices = lines.slice(0, -1).map((line) =>
+    (JSON.parse(line.slice("data: ".length)) as StreamEvent).choices?.[0]
+  );
+  return {
+    kind: "answered",
+    text: choices.map((choice) => choice?.text ?? "").join(""),
+    finishReason: choices.at(-1)?.finish_reason ?? "",
+  };
+}
+
+function toCompletionOutcome(outcome: CallOutcome): SeenOutcome {
+  if (outcome.kind === "lost") return outcome;
+  if (outcome.status !== 200) return toRefusal(outcome.text);
+  const choice = (JSON.parse(outcome.text) as StreamEvent).choices?.[0];
+  return {
+    kind: "answered",
+    text: choice?.text ?? "",
+    finishReason: choice?.finish_reason ?? "",
+  };
+}
+
+function toPlainOutcome(outcome: CallOutcome): SeenOutcome {
+  if (outcome.kind === "lost") return outcome;
+  if (outcome.status !== 200) return toRefusal(outcome.text);
+  const body = JSON.parse(outcome.text) as { readonly path: string };
+  return { kind: "answered", text: body.path, finishReason: "" };
+}
+
+function toRefusal(text: string): SeenOutcome {
+  try {
+    const body = JSON.parse(text) as Record<string, unknown>;
+    return {
+      kind: "refused",
+      error: String(body["error"]),
+      ran: String(body["ran"]),
+      hasRetryAfter: body["retryAfterMilliseconds"] !== undefined,
+    };
+  } catch {
+    return {
+      kind: "refused",
+      error: `untyped: ${text.slice(0, 100)}`,
+      ran: "unknown",
+      hasRetryAfter: false,
+    };
+  }
+}
+
+function isNotRun(outcome: SeenOutcome): boolean {
+  return outcome.kind === "refused" && outcome.ran === "notRun";
+}
+
+function sleep(milliseconds: number): Promise<void> {
+  return new Promise((resolve) => setTimeout(resolve, milliseconds));
+}
--- /dev/null
+++ b/experiments/soak/checks/check.ts
@@ -0,0 +1,4 @@
+import type { Evidence } from "../evidence.ts";
+
+/** Finds where a promise was broken, from what was seen outside the nodes. */
+export type Check = (evidence: Evidence) => ReadonlyArray<string>;
--- /dev/null
+++ b/experiments/soak/checks/request_checks.ts
@@ -0,0 +1,129 @@
+import type { BackendRequest, Evidence } from "../evidence.ts";
+import type { Attempt } from "../journal.ts";
+import type { Check } from "./check.ts";
+
+const LEAVING_BOUND_MILLISECONDS = 4000;
+
+/** A refusal that says "not run" is true. */
+export const checkNotRun: Check = (evidence) => {
+  const counts = countRuns(evidence);
+  return groupByMarker(evidence.journal.attempts).flatMap((attempts) => {
+    const first = attempts[0];
+    const areAllNotRun = attempts.every(({ outcome }) =>
+      outcome.kind === "refused" && outcome.ran === "notRun"
+    );
+    if (first === undefined || !areAllNotRun) return [];
+    const runs = counts.get(first.marker) ?? 0;
+    return runs === 0 ? [] : [
+      `${first.marker} through ${first.node} was refused as not run (${
+        first.outcome.kind === "refused" ? first.outcome.error : ""
+      }) and ran ${runs} times`,
+    ];
+  });
+};
+
+/** A request that may not be repeated runs at most once. */
+export const checkAtMostOnce: Check = (evidence) => {
+  const counts = countRuns(evidence);
+  const orders = evidence.journal.attempts.filter((attempt) =>
+    attempt.kind === "order" || attempt.kind === "claimedOrder"
+  );
+  const markers = new Set(orders.map((attempt) => attempt.marker));
+  return [...markers].flatMap((marker) => {
+    const runs = counts.get(marker) ?? 0;
+    return runs <= 1 ? [] : [`${marker} ran ${runs} times`];
+  });
+};
+
+/** No backend server sees a caller's key. */
+export const checkNoKeySeen: Check = ({ journal, backendRequests }) =>
+  backendRequests.flatMap((request) => {
+    const seen = request.path + request.body + JSON.stringify(request.headers);
+    const secret = journal.secrets.find((each) => seen.includes(each));
+    return secret === undefined
+      ? []
+      : [`${request.server} saw a key in ${request.method} ${request.path}`];
+  });
+
+/** A request runs only for the organisation whose key came with it. */
+export const checkOrganisations: Check = ({ backendRequests }) => {
+  const organisationBySalt = new Map<string, string>();
+  return backendRequests.flatMap((request) => {
+    const organisation = /Spell for ([a-z0-9-]+) \[/.exec(request.body)?.[1];
+    const salt = /"cache_salt":"([^"]*)"/.exec(request.body)?.[1];
+    if (organisation === undefined || salt === undefined) return [];
+    const known = organisationBySalt.get(salt) ?? organisation;
+    organisationBySalt.set(salt, known);
+    return known === organisation
+      ? []
+      : [`the prefix cache of ${known} was used for ${organisation}`];
+  });
+};
+
+/** A withdrawn key stops working within its bound. */
+export const checkWithdrawnKeys: Check = (
+  { journal, keyBoundMilliseconds },
+) =>
+  journal.withdrawals.flatMap(({ keyIdentifier, answeredAt }) =>
+    journal.attempts
+      .filter((attempt) => attempt.keyIdentifier === keyIdentifier)
+      .filter((attempt) => attempt.outcome.kind === "answered")
+      .filter((attempt) => attempt.sentAt > answeredAt + keyBoundMilliseconds)
+      .map((attempt) =>
+        `${attempt.call} through ${attempt.node} was answered ${
+          Math.round(attempt.sentAt - answeredAt)
+        } ms after its key was withdrawn`
+      )
+  );
+
+/** A leaving backend server gets no new work after a few seconds. */
+export const checkLeavingServers: Check = ({ journal, backendRequests }) =>
+  journal.faults.filter((fault) => fault.kind === "serverLeave").flatMap(
+    (fault) => {
+      const late = journal.attempts.filter((attempt) =>
+        attempt.sentAt > fault.from + LEAVING_BOUND_MILLISECONDS &&
+        attempt.endedAt < fault.to
+      );
+      const seen = backendRequests.filter((request) =>
+        request.server === fault.target
+      );
+      return late.filter((attempt) =>
+        seen.some((request) => holds(request, attempt.marker))
+      ).map((attempt) =>
+        `${attempt.call} reached ${fault.target} ${
+          Math.round(attempt.sentAt - fault.from)
+        } ms after it began to leave`
+      );
+    },
+  );
+
+function groupByMarker(
+  attempts: ReadonlyArray<Attempt>,
+): ReadonlyArray<ReadonlyArray<Attempt>> {
+  const groups = new Map<string, Attempt[]>();
+  for (const attempt of attempts) {
+    const group = groups.get(attempt.marker) ?? [];
+    group.push(attempt);
+    groups.set(attempt.marker, group);
+  }
+  return [...groups.values()];
+}
+
+function countRuns(evidence: Evidence): ReadonlyMap<string, number> {
+  const counts = new Map<string, number>();
+  for (const request of evidence.backendRequests) {
+    const marker = findMarker(request);
+    if (marker === undefined) continue;
+    counts.set(marker, (counts.get(marker) ?? 0) + 1);
+  }
+  return counts;
+}
+
+function findMarker(request: BackendRequest): string | undefined {
+  return /\[([a-z0-9-]+)\]/.exec(request.body)?.[1] ??
+    /\/([a-z0-9-]+)$/.exec(request.path)?.[1];
+}
+
+function holds(request: BackendRequest, marker: string): boolean {
+  return findMarker(request) === marker;
+}
--- /dev/null
+++ b/experiments/soak/evidence.ts
@@ -0,0 +1,81 @@
+import type { ReceivedOrder } from "../../stand_ins/platform/order_book.ts";
+import type { ReceivedUsageReport } from "../../stand_ins/platform/usage_report_book.ts";
+import type { Deployment, RunningServer } from "../deployment/deployment.ts";
+import type { Journal } from "./journal.ts";
+
+const FETCH_TIMEOUT_MILLISECONDS = 5000;
+
+/** A request as a backend server saw it. */
+export interface BackendRequest {
+  readonly server: string;
+  readonly service: string;
+  readonly method: string;
+  readonly path: string;
+  readonly headers: Readonly<Record<string, unknown>>;
+  readonly body: string;
+  readonly finished: boolean;
+}
+
+/** Everything that is known from outside the nodes. */
+export interface Evidence {
+  readonly journal: Journal;
+  readonly backendRequests: ReadonlyArray<BackendRequest>;
+  readonly orders: ReadonlyArray<ReceivedOrder>;
+  readonly usageReports: ReadonlyArray<ReceivedUsageReport>;
+  readonly trainerOrganisation: string;
+  readonly stalenessBound: number;
+  readonly keyBoundMilliseconds: number;
+  readonly configurationBoundMilliseconds: number;
+}
+
+/** Keeps what backend servers saw, also of those that are killed. */
+export class BackendRecords {
+  readonly #requests: BackendRequest[] = [];
+
+  /**
+   * Takes over what a server has seen since its start; call it before its process is ended.
+   * @param server - The server.
+   */
+  async collect(server: RunningServer): Promise<void> {
+    const log = await fetchJson(`http://${server.address}/log`) as
+      | { readonly requests: ReadonlyArray<BackendRequest> }
+      | undefined;
+    for (const request of log?.requests ?? []) {
+      const { address, service } = server;
+      this.#requests.push({ ...request, server: address, service });
+    }
+  }
+
+  /** Everything taken over so far. */
+  get requests(): ReadonlyArray<BackendRequest> {
+    return this.#requests;
+  }
+}
+
+/**
+ * Reads what the platform saw.
+ * @param deployment - The deployment.
+ */
+export async function collectPlatformRecords(
+  deployment: Deployment,
+): Promise<Pick<Evidence, "orders" | "usageReports">> {
+  const base = `http://${deployment.platformAddress}`;
+  const orders = await fetchJson(`${base}/orders`) as
+    | { readonly orders: ReadonlyArray<ReceivedOrder> }
+    | undefined;
+  const reports = await fetchJson(`${base}/usage-reports`) as
+    | { readonly reports: ReadonlyArray<ReceivedUsageReport> }
+    | undefined;
+  return { orders: orders?.orders ?? [], usageReports: reports?.reports ?? [] };
+}
+
+async function fetchJson(url: string): Promise<unknown> {
+  try {
+    const answer = await fetch(url, {
+      signal: AbortSignal.timeout(FETCH_TIMEOUT_MILLISECONDS),
+    });
+    return await answer.json();
+  } catch {
+    return undefined;
+  }
+}
