--- a/source/observability/events/control_events.ts
+++ b/source/observability/events/control_events.ts
@@ -25,7 +25,7 @@
     level: "warn",
     message: "It is unknown whether an order took effect",
     action: "None; the same order is sent again with its idempotency key",
-    fields: ["lease", "idempotencyKey", "reason"],
+    fields: ["lease", "idempotencyKey"],
   }),
   orderRefused: defineEvent(5011, {
     level: "warn",
@@ -39,4 +39,37 @@
     action: "",
     fields: ["lease", "open", "unresolved"],
   }),
+  spendShortfall: defineEvent(5030, {
+    level: "warn",
+    message:
+      "Fewer servers can be had than the load needs after the loss of a failure domain",
+    action:
+      "Raise the service's largest number of servers or the bound on spend, if the targets matter more",
+    fields: ["service", "servers"],
+  }),
+  usageWindowFrozen: defineEvent(5020, {
+    level: "info",
+    message: "The figures of a usage window were frozen",
+    action: "",
+    fields: ["windowStart", "organisation", "adjustments"],
+  }),
+  usageReportContradicted: defineEvent(5021, {
+    level: "error",
+    message: "The platform holds other figures for a usage window",
+    action:
+      "Compare the row of the window in the table with the platform's report",
+    fields: ["windowStart", "organisation", "detail"],
+  }),
+  usageDropped: defineEvent(5023, {
+    level: "error",
+    message: "Usage was dropped that could not be reported for too long",
+    action: "Add the figures to the organisation's next bill by hand",
+    fields: ["windowStart", "organisation", "requests"],
+  }),
+  usageReportFailed: defineEvent(5022, {
+    level: "warn",
+    message: "Usage could not be reported now",
+    action: "None while the platform is away; the reports follow",
+    fields: ["reason"],
+  }),
 } as const;
