--- a/source/admission/service_queue.ts
+++ b/source/admission/service_queue.ts
@@ -12,6 +12,7 @@
 const MINIMUM_QUEUE = 64;
 const QUEUE_PER_SLOT = 16;
 const MEAN_RUN_BEFORE_THE_FIRST_MILLISECONDS = 1000;
+const SLOWEST_DRAIN = 0.01;
 const WEIGHT_OF_THE_NEWEST_RUN = 0.1;
 const PEAK_HALF_LIFE_MILLISECONDS = 5000;
 const FASTEST_HALF_LIFE_MILLISECONDS = 10_000;
@@ -77,7 +78,7 @@
    */
   add(request: WaitingRequest): void {
     this.#waiting.add(request);
-    this.#use(request).waiting += 1;
+    this.#use(request).noteWaiting(this.#options.clock.monotonic());
     if (this.#waiting.size > this.#maximumWaiting()) this.#refuseNewest();
     this.startNext();
   }
@@ -85,7 +86,7 @@
   /** Takes a waiting request out and refuses it; nothing happens when it no longer waits. */
   giveUp(request: WaitingRequest, reason: DispatchRefusal["reason"]): void {
     if (!this.#waiting.remove(request)) return;
-    this.#use(request).waiting -= 1;
+    this.#use(request).noteGivenUp(this.#options.clock.monotonic());
     request.settle(this.#refusal(reason));
   }
 
@@ -108,14 +109,19 @@
     }
   }
 
-  /** Returns whether the requests of its organisation that wait already will keep a new one past its deadline. */
+  /**
+   * Returns whether the requests of its organisation that wait already will keep a new one past its target
+   * (deferrable work: past its deadline).
+   */
   isHopeless(request: WaitingRequest): boolean {
     const ahead = this.#waiting.sizeOf(request.organisation);
     if (ahead === 0 || this.#meanRun === 0) return false;
     const now = this.#options.clock.monotonic();
-    const perSecond = this.#drainRate() / this.#waiting.organisations;
-    const wait = ahead / perSecond * 1000;
-    return now + wait + this.#fastestRun(now) > request.deadline;
+    const perSecond = this.#use(request).startedPerSecond(now) ??
+      this.#drainRate() / this.#waiting.organisations;
+    const wait = (ahead + 1) / Math.max(perSecond, SLOWEST_DRAIN) * 1000;
+    const latest = request.deferrable ? request.deadline : request.dueAt;
+    return now + wait + this.#meanRun > latest;
   }
 
   /** Returns after how long the present backlog will have been served, in milliseconds. */
@@ -153,8 +159,7 @@
     invariant(wasWaiting, "Policy chose a request that does not wait");
     const now = this.#options.clock.monotonic();
     const use = this.#use(request);
-    use.waiting -= 1;
-    use.running += 1;
+    use.noteStarted(now);
     use.received.add(request.cost, now);
     this.#running += 1;
     const isOverdue = request.deferrable && request.dueAt <= now;
@@ -189,7 +194,7 @@
   ): void {
     const now = this.#options.clock.monotonic();
     const use = this.#use(request);
-    use.running -= 1;
+    use.noteEnded();
     this.#running -= 1;
     if (request.deferrable) this.#runningDeferrable -= 1;
     if (run.isOverdue) this.#overdueRunning -= 1;
