Open an equal part of a service's slots to each organisation, at any node

Ruled out: an equal part of the slots for each node (which is what gave the slots away), and more weight to the received service (the queue was right, the slots were not). Change: slackFair lets an organisation that runs less than the service's slots by the number of active organisations start at once at any node; what other nodes run for it is told. The slots of a node have no floor under this policy, so that a flooding organisation gives back what load reports show as too much. A request is judged hopeless only behind at least an equal part of the slots of its own organisation: with few waiting, the rate was noise and refused up to 2 % of small organisations' requests.

--- a/source/admission/policies/admission_policy.ts
+++ b/source/admission/policies/admission_policy.ts
@@ -20,11 +20,16 @@
   readonly reservedSlots: number;
   /** Overdue deferrable requests that run now. */
   readonly overdueRunning: number;
+  /** Returns whether an organisation runs less than its equal part of the service's slots, over all nodes. */
+  readonly isEntitled: (organisation: string) => boolean;
   /** Returns what an organisation received of the service. */
   readonly received: (organisation: string) => ReceivedService;
 }
 
-/** Chooses the waiting request that runs next; undefined when none may run now. */
-export type AdmissionPolicy = (
-  state: AdmissionState,
-) => WaitingRequest | undefined;
+/** One way to admit requests. */
+export interface AdmissionPolicy {
+  /** Chooses the waiting request that runs next; undefined when none may run now. */
+  readonly choose: (state: AdmissionState) => WaitingRequest | undefined;
+  /** To whom an equal part of a service's slots is always open: each node, or each organisation. */
+  readonly equalPartsFor: "nodes" | "organisations";
+}
--- a/source/admission/policies/policy_table.ts
+++ b/source/admission/policies/policy_table.ts
@@ -13,9 +13,9 @@
 export const ADMISSION_POLICIES: Readonly<
   Record<AdmissionPolicyName, AdmissionPolicy>
 > = {
-  fifo: chooseFifo,
-  perNodeFair: choosePerNodeFair,
-  slackFair: chooseSlackFair,
+  fifo: { choose: chooseFifo, equalPartsFor: "nodes" },
+  perNodeFair: { choose: choosePerNodeFair, equalPartsFor: "nodes" },
+  slackFair: { choose: chooseSlackFair, equalPartsFor: "organisations" },
 };
 
 /**
--- a/source/admission/policies/slack_fair_policy.ts
+++ b/source/admission/policies/slack_fair_policy.ts
@@ -6,7 +6,8 @@
 
 /**
  * Chooses by the least slack to the class's target across classes; inside a class it is the turn of
- * the organisation that received least through all nodes. Deferrable work runs in slots that nothing
+ * the organisation that received least through all nodes. An organisation that runs less than its equal
+ * part of the service's slots needs no free slot of this node. Deferrable work runs in slots that nothing
  * else has used lately, or one at a time once it is overdue.
  * @param state - What waits.
  * @example
@@ -17,9 +18,9 @@
 export function chooseSlackFair(
   state: AdmissionState,
 ): WaitingRequest | undefined {
-  if (state.freeSlots <= 0) return undefined;
   const classes = state.waiting.heads();
   const urgent = classes.filter((each) => !each.deferrable);
+  if (state.freeSlots <= 0) return chooseEntitled(state, urgent);
   const deferrable = classes.filter((each) => each.deferrable);
   const overdue = chooseOverdue(state, deferrable);
   if (overdue !== undefined) return overdue;
@@ -30,6 +31,19 @@
   return leastSlack(deferrable.map((each) => leastServed(state, each)));
 }
 
+function chooseEntitled(
+  state: AdmissionState,
+  urgent: ReadonlyArray<ClassHeads>,
+): WaitingRequest | undefined {
+  const candidates = urgent.map((each) => {
+    const heads = each.heads.filter(({ organisation }) =>
+      state.isEntitled(organisation)
+    );
+    return leastServed(state, { ...each, heads });
+  });
+  return leastSlack(candidates);
+}
+
 function chooseOverdue(
   state: AdmissionState,
   deferrable: ReadonlyArray<ClassHeads>,
--- a/source/admission/service_queue.ts
+++ b/source/admission/service_queue.ts
@@ -3,7 +3,10 @@
 import { invariant } from "../utilities/invariant.ts";
 import type { AdmissionTicket } from "./admission.ts";
 import type { ServiceCapacity } from "./capacity_estimate.ts";
-import type { AdmissionPolicy } from "./policies/admission_policy.ts";
+import type {
+  AdmissionPolicy,
+  AdmissionState,
+} from "./policies/admission_policy.ts";
 import { SlotLimit } from "./slot_limit.ts";
 import type { UseLedger } from "./use_ledger.ts";
 import { WaitingQueue } from "./waiting_queue.ts";
@@ -32,6 +35,7 @@
   readonly #options: ServiceQueueOptions;
   readonly #waiting = new WaitingQueue();
   readonly #limit = new SlotLimit();
+  #equalPart = 1;
   #running = 0;
   #runningDeferrable = 0;
   #overdueRunning = 0;
@@ -64,7 +68,11 @@
     capacity: ServiceCapacity,
     nodes: { readonly live: number; readonly hungry: number },
   ): void {
+    const { policy, service, ledger } = this.#options;
+    const organisations = ledger.activeOrganisations(service);
+    this.#equalPart = Math.max(1, capacity.slots / organisations);
     this.#limit.update(capacity, {
+      ownsEqualPart: policy.equalPartsFor === "nodes",
       now: this.#options.clock.monotonic(),
       running: this.#running,
       liveNodes: nodes.live,
@@ -79,8 +87,8 @@
   add(request: WaitingRequest): void {
     this.#waiting.add(request);
     this.#use(request).noteWaiting(this.#options.clock.monotonic());
-    if (this.#waiting.size > this.#maximumWaiting()) this.#refuseNewest();
     this.startNext();
+    if (this.#waiting.size > this.#maximumWaiting()) this.#refuseNewest();
   }
 
   /** Takes a waiting request out and refuses it; nothing happens when it no longer waits. */
@@ -94,7 +102,7 @@
   startNext(): void {
     for (;;) {
       if (this.#waiting.size === 0) return;
-      const next = this.#options.policy(this.#state());
+      const next = this.#options.policy.choose(this.#state());
       if (next === undefined) return;
       this.#start(next);
     }
@@ -115,7 +123,7 @@
    */
   isHopeless(request: WaitingRequest): boolean {
     const ahead = this.#waiting.sizeOf(request.organisation);
-    if (ahead === 0 || this.#meanRun === 0) return false;
+    if (ahead < this.#equalPart || this.#meanRun === 0) return false;
     const now = this.#options.clock.monotonic();
     const perSecond = this.#use(request).startedPerSecond(now) ??
       this.#drainRate() / this.#waiting.organisations;
@@ -140,7 +148,7 @@
     return this.#limit.slots / mean * 1000;
   }
 
-  #state(): Parameters<AdmissionPolicy>[0] {
+  #state(): AdmissionState {
     const { service, ledger, clock } = this.#options;
     const now = clock.monotonic();
     const urgentRunning = this.#running - this.#runningDeferrable;
@@ -150,6 +158,10 @@
       freeSlots: this.#limit.slots - this.#running,
       reservedSlots: Math.max(0, this.#peakAt(now) - urgentRunning),
       overdueRunning: this.#overdueRunning,
+      isEntitled: (organisation) =>
+        ledger.use(service, organisation).running +
+            ledger.concurrentElsewhere(service, organisation) <
+          this.#equalPart,
       received: (organisation) => ledger.received(service, organisation),
     };
   }
--- a/source/admission/slot_limit.ts
+++ b/source/admission/slot_limit.ts
@@ -15,6 +15,8 @@
   /** Requests that run through this node. */
   readonly running: number;
   readonly liveNodes: number;
+  /** Whether an equal part of the capacity is always this node's. */
+  readonly ownsEqualPart: boolean;
   /** Nodes with requests waiting, this one included if it has any. */
   readonly hungryNodes: number;
 }
@@ -22,8 +24,8 @@
 /**
  * How many requests of a service may run at once through this node.
  *
- * An equal part of the capacity is always this node's. Beyond it the node takes its share of what
- * the last load reports show as free, and gives back when they show more than the servers carry.
+ * The node takes its share of what the last load reports show as free, and gives back when they show
+ * more than the servers carry. Where the policy says so, an equal part is always this node's.
  */
 export class SlotLimit {
   #slots = FIRST_SLOTS;
@@ -39,7 +41,9 @@
     this.#addSample({ at: demand.now, running: demand.running });
     if (capacity.servers === 0) return;
     const own = this.#runningAt(demand.now - capacity.reportAge);
-    const equalPart = Math.ceil(capacity.slots / demand.liveNodes);
+    const equalPart = demand.ownsEqualPart
+      ? Math.ceil(capacity.slots / demand.liveNodes)
+      : 1;
     const free = capacity.slots - capacity.occupied;
     const wanted = free >= 0
       ? own + Math.floor(free / Math.max(1, demand.hungryNodes))
--- a/source/admission/use_ledger.ts
+++ b/source/admission/use_ledger.ts
@@ -124,6 +124,33 @@
     return hungry.size;
   }
 
+  /** Returns how many requests of an organisation other nodes have running or waiting at a service. */
+  concurrentElsewhere(service: string, organisation: string): number {
+    const now = this.#clock.monotonic();
+    const facts = this.#told.get(useKey(service, organisation))?.values() ?? [];
+    let concurrent = 0;
+    for (const { value, heardAt } of facts) {
+      const isNew = now - heardAt <= DEMAND_FORGOTTEN_MILLISECONDS;
+      if (isNew) concurrent += value.concurrent;
+    }
+    return concurrent;
+  }
+
+  /** Returns how many organisations have requests running or waiting at a service, over all nodes; at least 1. */
+  activeOrganisations(service: string): number {
+    const prefix = `${service}/`;
+    const active = new Set<string>();
+    for (const [key, use] of this.#own) {
+      if (key.startsWith(prefix) && use.concurrent > 0) active.add(key);
+    }
+    for (const key of this.#told.keys()) {
+      if (!key.startsWith(prefix) || active.has(key)) continue;
+      const organisation = key.slice(prefix.length);
+      if (this.concurrentElsewhere(service, organisation) > 0) active.add(key);
+    }
+    return Math.max(1, active.size);
+  }
+
   /** Forgets figures that no longer matter. */
   prune(): void {
     const now = this.#clock.monotonic();
