Prove hand-over, merging and resubmission with the mechanisms disabled

Cause: on a scratch copy, three mechanisms could be disabled without a failing test: reading the version before hand-over, copying before hand-over, preferring the newer sample. Change: focused tests for each; killed fake nodes no longer reach the platform, lost answers of transactions, and the trainer compares answers by what it held, not by the cursor's text.

--- /dev/null
+++ b/source/steps/hand_over_test.ts
@@ -0,0 +1,165 @@
+import test from "ava";
+import {
+  type FakeNode,
+  FakeNodeGroup,
+} from "../../stand_ins/steps/fake_node_group.ts";
+import {
+  FakeTrainer,
+  type FakeTrainerOptions,
+} from "../../stand_ins/steps/fake_trainer.ts";
+
+const SUBMISSION = {
+  trainer: "dots",
+  step: "17",
+  groups: [{ prompt: "one", samples: 4, maximumTokens: 20 }],
+};
+
+interface Scene {
+  readonly group: FakeNodeGroup;
+  readonly owner: FakeNode;
+  readonly other: FakeNode;
+  readonly trainer: FakeTrainer;
+}
+
+async function startScene(
+  options: Partial<FakeTrainerOptions> & {
+    /** Position of the node that each pull asks; 0 is the owner's. */
+    readonly choosePosition?: (pull: number) => number;
+  } = {},
+): Promise<Scene> {
+  const stalenessBoundVersions = 0;
+  const group = new FakeNodeGroup({
+    nodes: 3,
+    engines: 2,
+    seed: 1,
+    stalenessBoundVersions,
+  });
+  const [owner, other] = group.nodes;
+  if (owner === undefined || other === undefined) throw new Error("No nodes");
+  const trainer = new FakeTrainer({
+    group,
+    boundVersions: stalenessBoundVersions,
+    statesVersion: false,
+    pauseMilliseconds: 10,
+    maximum: 4,
+    ...options,
+    chooseNode: (pull) =>
+      group.nodes[options.choosePosition?.(pull) ?? 0] ?? owner,
+  });
+  await group.drive(trainer.publish(1, owner));
+  await group.drive(trainer.submit(SUBMISSION));
+  return { group, owner, other, trainer };
+}
+
+test("a node cut off from its peers reads the newest version before it hands over", async (t) => {
+  const scene = await startScene();
+  const { group, owner, other, trainer } = scene;
+  await group.clock.advance(1000);
+  owner.isCutOff = true;
+  t.true(await group.drive(trainer.publish(2, other)));
+  group.pool.loadEverywhere(2);
+  t.true(await group.drive(trainer.pullAll()));
+  t.is(trainer.findings().tooOld, 0);
+  t.is(trainer.findings().delivered, 4);
+  group.close();
+});
+
+test("a node cut off from the table and its peers asks for the version", async (t) => {
+  const scene = await startScene();
+  const { group, owner, trainer } = scene;
+  await group.clock.advance(1000);
+  owner.isCutOff = true;
+  owner.platform.tableFault = "down";
+  t.is(await group.drive(trainer.pullOnce()), undefined);
+  t.like(trainer.refusals, [{
+    error: "platformUnavailable",
+    field: "newest_version",
+    ran: "notRun",
+  }]);
+  group.close();
+});
+
+test("a publication whose answer was lost can be repeated", async (t) => {
+  const scene = await startScene();
+  const { group, owner, other, trainer } = scene;
+  owner.platform.tableFault = "downAfterCommit";
+  t.false(await group.drive(trainer.publish(2, owner)));
+  t.like(trainer.refusals, [{ ran: "unknown" }]);
+  owner.platform.tableFault = "loseCommits";
+  t.true(await group.drive(trainer.publish(3, owner)));
+  t.true(await group.drive(trainer.publish(3, other)));
+  t.false(await group.drive(trainer.publish(2, other)));
+  group.close();
+});
+
+test("the same cursor gives the same samples after its node was killed at once", async (t) => {
+  const killed: (() => void)[] = [];
+  const scene = await startScene({
+    choosePosition: (pull) => pull <= 1 ? 0 : 1,
+    losesAnswer: (pull) => {
+      if (pull === 1) killed.forEach((kill) => kill());
+      return pull === 1;
+    },
+  });
+  const { group, owner, trainer } = scene;
+  killed.push(() => group.kill(owner));
+  t.true(await group.drive(trainer.pullAll()));
+  t.false(owner.isAlive);
+  t.is(trainer.findings().contradictions, 0);
+  t.is(trainer.findings().delivered, 4);
+  group.close();
+});
+
+test("a step submitted twice at once has one manifest", async (t) => {
+  const scene = await startScene();
+  const { group } = scene;
+  const trainer = group.configuration.declaration?.trainers[0];
+  if (trainer === undefined) throw new Error("No trainer");
+  const submission = { ...SUBMISSION, step: "18" };
+  const outcomes = await group.drive(Promise.all(
+    group.nodes.map((node) => node.service.submit(submission, trainer)),
+  ));
+  const epochs = outcomes.map((outcome) =>
+    outcome.kind === "accepted" ? outcome.manifest.epoch : outcome.message
+  );
+  t.is(new Set(epochs).size, 1);
+  group.close();
+});
+
+const SUBMISSION_FAULTS = [
+  { fault: "down", seen: { kind: "refused", ran: "notRun" } },
+  { fault: "downAfterCommit", seen: { kind: "refused", ran: "unknown" } },
+  { fault: "loseCommits", seen: { kind: "accepted" } },
+] as const;
+
+for (const { fault, seen } of SUBMISSION_FAULTS) {
+  test(`a step can be submitted again elsewhere after: ${fault}`, async (t) => {
+    const scene = await startScene();
+    const { group, owner, other } = scene;
+    const trainer = group.configuration.declaration?.trainers[0];
+    if (trainer === undefined) throw new Error("No trainer");
+    owner.platform.tableFault = fault;
+    const submission = { ...SUBMISSION, step: "18" };
+    t.like(await group.drive(owner.service.submit(submission, trainer)), seen);
+    const again = await group.drive(other.service.submit(submission, trainer));
+    t.is(again.kind, "accepted");
+    if (again.kind !== "accepted") return;
+    const whole = { kind: "accepted", isNew: fault === "down" };
+    t.like(again, whole);
+    group.close();
+  });
+}
+
+test("a step left before a shutdown goes on elsewhere without its samples run again", async (t) => {
+  const scene = await startScene({
+    choosePosition: (pull) => pull === 0 ? 0 : 1,
+  });
+  const { group, owner, trainer } = scene;
+  await group.clock.advance(400);
+  const { runs } = group.pool;
+  await group.drive(owner.service.leave());
+  group.kill(owner);
+  t.true(await group.drive(trainer.pullAll()));
+  t.is(group.pool.runs, runs);
+  group.close();
+});
--- a/stand_ins/steps/fake_node_group.ts
+++ b/stand_ins/steps/fake_node_group.ts
@@ -108,6 +108,7 @@
   /** Ends a node's process: it answers nothing and tells nothing any more. */
   kill(node: FakeNode): void {
     node.isAlive = false;
+    node.platform.isCallerDead = true;
     node.diedAt = this.clock.monotonic();
     this.#parts.get(node)?.stop.abort();
   }
--- a/stand_ins/steps/fake_platform.ts
+++ b/stand_ins/steps/fake_platform.ts
@@ -8,7 +8,14 @@
 import { TableStore } from "../platform/table_store.ts";
 
 /** What is wrong with the platform as one node sees it. */
-export type PlatformFault = "none" | "down" | "loseAnswer" | "slow";
+export type PlatformFault =
+  | "none"
+  | "down"
+  /** Answers of transactions are lost after they took effect. */
+  | "loseCommits"
+  /** The same, and nothing is answered from then on. */
+  | "downAfterCommit"
+  | "slow";
 
 const CALL_MILLISECONDS = 2;
 const SLOW_CALL_MILLISECONDS = 3000;
@@ -34,8 +41,8 @@
   tableFault: PlatformFault = "none";
   /** What is wrong with the object store. */
   objectFault: PlatformFault = "none";
-  /** Transactions that took effect. */
-  commits = 0;
+  /** Whether the process that calls has ended: nothing takes effect any more. */
+  isCallerDead = false;
   readonly table: Platform["table"];
   readonly objects: Platform["objects"];
   readonly orders: Platform["orders"];
@@ -54,10 +61,7 @@
       list: (table, range) =>
         this.#onTable(() => state.table.list(table, range)),
       commit: (transaction) =>
-        this.#onTable(() => {
-          this.commits += 1;
-          return state.table.commit(transaction);
-        }),
+        this.#commit(() => state.table.commit(transaction)),
     };
     this.objects = {
       put: (key, body) => this.#onObjects(() => state.objects.put(key, body)),
@@ -75,6 +79,14 @@
     return this.#call(this.tableFault, effect);
   }
 
+  async #commit<Value>(effect: () => Value): Promise<PlatformOutcome<Value>> {
+    const outcome = await this.#onTable(effect);
+    if (this.tableFault === "loseCommits") return UNKNOWN;
+    if (this.tableFault !== "downAfterCommit") return outcome;
+    this.tableFault = "down";
+    return UNKNOWN;
+  }
+
   #onObjects<Value>(effect: () => Value): Promise<PlatformOutcome<Value>> {
     return this.#call(this.objectFault, effect);
   }
@@ -84,9 +96,8 @@
     effect: () => Value,
   ): Promise<PlatformOutcome<Value>> {
     await this.#clock.sleep(CALL_MILLISECONDS);
-    if (fault === "down") return NOT_RUN;
+    if (fault === "down" || this.isCallerDead) return NOT_RUN;
     const value = effect();
-    if (fault === "loseAnswer") return UNKNOWN;
     if (fault === "slow") await this.#clock.sleep(SLOW_CALL_MILLISECONDS);
     await this.#clock.sleep(CALL_MILLISECONDS);
     return { kind: "ok", value };
--- a/stand_ins/steps/fake_trainer.ts
+++ b/stand_ins/steps/fake_trainer.ts
@@ -54,7 +54,7 @@
   readonly refusals: StepRefusal[] = [];
   readonly #options: FakeTrainerOptions;
   readonly #samples = new Map<number, Sample>();
-  readonly #answersByCursor = new Map<string, Map<number, Sample>>();
+  readonly #answersByHeld = new Map<string, Map<number, Sample>>();
   #submission: StepSubmission | undefined;
   #pulls = 0;
   #doubled = 0;
@@ -173,9 +173,10 @@
   }
 
   #judge(answer: PullAnswer): void {
-    const earlier = this.#answersByCursor.get(this.cursor) ??
+    const held = [...this.#samples.keys()].sort().join(" ");
+    const earlier = this.#answersByHeld.get(held) ??
       new Map<number, Sample>();
-    this.#answersByCursor.set(this.cursor, earlier);
+    this.#answersByHeld.set(held, earlier);
     for (const sample of answer.samples) {
       if (this.#isTooOld(sample)) this.#tooOld += 1;
       const before = earlier.get(sample.index);
