Roll weight versions out to engines under a lease

Cause: published versions did not reach engines. Change: a pure planner (waves bounded by the loads that the store can feed, learned, and by the engines that must keep serving; engines that no trainer can use cost nothing), the reconciling task under the lease weights/SERVICE through the order ledger, baselines allAtOnce and oneByOne. What engines report decides: failed, lost and falsely confirmed loads are ordered again.

--- /dev/null
+++ b/source/control/weight_rollout.ts
@@ -0,0 +1,272 @@
+import type {
+  BackendServerState,
+  BackendServerView,
+} from "../backends/backend_server_state.ts";
+import type {
+  EngineClient,
+  EngineOrderOutcome,
+} from "../backends/engine_client.ts";
+import type { ConfigurationView } from "../membership/configuration_view.ts";
+import type { NodeContext } from "../node/node_context.ts";
+import type { PublishedVersion } from "../steps/weight_versions.ts";
+import { LeaseKeeper } from "./lease_keeper.ts";
+import {
+  OrderLedger,
+  type OrderOutcome,
+  type OrderSending,
+  type SendOutcome,
+} from "./order_ledger.ts";
+import { LoadAttempts } from "./weight_rollout_attempts.ts";
+import { WeightRolloutPace } from "./weight_rollout_pace.ts";
+import {
+  findWantedGoal,
+  planLoads,
+  ROLLOUT_POLICIES,
+  type RolloutGoal,
+  type RolloutPolicyName,
+} from "./weight_rollout_planner.ts";
+
+const RECONCILE_MILLISECONDS = 100;
+
+/** What the rollout of one service needs. */
+export interface WeightRolloutOptions {
+  readonly context: NodeContext;
+  readonly configuration: ConfigurationView;
+  readonly engines: Pick<EngineClient, "loadVersion">;
+  readonly servers: BackendServerView;
+  /** Newest versions that trainers published. */
+  readonly versions: { all(): ReadonlyArray<PublishedVersion> };
+  readonly service: string;
+  /** Returns the number of nodes that try for the lease. */
+  readonly candidates?: () => number;
+  /** "waves" when absent. */
+  readonly policy?: RolloutPolicyName;
+}
+
+/**
+ * Brings the newest weight version to all engines of a service, while this node holds the lease
+ * "weights/SERVICE".
+ *
+ * What engines report decides what is ordered next, so that a failed swap, a restarted engine or
+ * an order of an earlier holder that arrives late is put right.
+ * @example
+ * ```ts
+ * const rollout = new WeightRollout({ context, configuration, engines, servers, versions, service });
+ * void rollout.run();
+ * ```
+ */
+export class WeightRollout {
+  /** The lease under which orders are given. */
+  readonly lease: LeaseKeeper;
+  readonly #options: WeightRolloutOptions;
+  readonly #ledger: OrderLedger;
+  readonly #pace: WeightRolloutPace;
+  readonly #attempts: LoadAttempts;
+  #wanted = 0;
+  #startedAt = 0;
+  #isFinished = true;
+
+  /** @param options - What the rollout needs. */
+  constructor(options: WeightRolloutOptions) {
+    const { context, service } = options;
+    this.#options = options;
+    this.lease = new LeaseKeeper({
+      context,
+      name: `weights/${service}`,
+      ...(options.candidates && { candidates: options.candidates }),
+    });
+    this.#ledger = new OrderLedger({
+      context,
+      lease: this.lease,
+      resend: (sending) => this.#send(sending),
+    });
+    this.#pace = new WeightRolloutPace(context.clock);
+    this.#attempts = new LoadAttempts({
+      context,
+      pace: this.#pace,
+      service,
+    });
+  }
+
+  /** Loads that may be under way at once, as learned so far. */
+  get concurrency(): number {
+    return this.#pace.concurrency;
+  }
+
+  /** Loads that finish in a second, as learned so far. */
+  get loadsPerSecond(): number {
+    return this.#pace.loadsPerSecond;
+  }
+
+  /** Keeps the lease and orders loads until the node stops. */
+  async run(): Promise<void> {
+    const { stopping, clock } = this.#options.context;
+    const leasing = this.lease.run();
+    while (!stopping.aborted) {
+      if (this.lease.ifHeld() === undefined) this.#attempts.clear();
+      else this.#reconcile();
+      await clock.sleep(RECONCILE_MILLISECONDS, stopping);
+    }
+    await leasing;
+  }
+
+  #reconcile(): void {
+    const goals = this.#getGoals();
+    const goal = findWantedGoal(goals);
+    if (goal === undefined) return;
+    const servers = this.#options.servers.servers(this.#options.service)
+      .filter((server) => server.reachable && !server.leaving);
+    this.#noteWanted(goal);
+    this.#attempts.judge(servers);
+    this.#noteFinished(servers, goal);
+    for (const server of this.#choose(servers, goals)) {
+      void this.#load(server, goal);
+    }
+    for (const attempt of this.#attempts.unconfirmed()) {
+      void this.#confirm(attempt.server, attempt.idempotencyKey, goal);
+    }
+  }
+
+  #choose(
+    servers: ReadonlyArray<BackendServerState>,
+    goals: ReadonlyArray<RolloutGoal>,
+  ): ReadonlyArray<BackendServerState> {
+    const policy = ROLLOUT_POLICIES[this.#options.policy ?? "waves"];
+    const limits = policy({
+      concurrency: this.#pace.concurrency,
+      minimumServing: this.#getMinimumServing(),
+    }, servers.length);
+    const engines = servers.map((server) => this.#attempts.describe(server));
+    const addresses = planLoads(engines, goals, limits);
+    return servers.filter((server) => addresses.includes(server.address));
+  }
+
+  #getGoals(): ReadonlyArray<RolloutGoal> {
+    const { configuration, versions, service } = this.#options;
+    const trainers = configuration.current()?.declaration?.trainers ?? [];
+    const published = versions.all();
+    return trainers.filter((trainer) => trainer.service === service)
+      .flatMap((trainer) => {
+        const newest = published.find((each) => each.trainer === trainer.name);
+        if (newest === undefined) return [];
+        return [{
+          trainer: trainer.name,
+          version: newest.version,
+          location: newest.location,
+          boundVersions: trainer.stalenessBoundVersions,
+        }];
+      });
+  }
+
+  #getMinimumServing(): number {
+    const { configuration, service } = this.#options;
+    return configuration.current()?.declaration?.services
+      .find((each) => each.name === service)?.minimumServers ?? 0;
+  }
+
+  async #load(server: BackendServerState, goal: RolloutGoal): Promise<void> {
+    const idempotencyKey = this.#attempts.begin(server, goal);
+    const outcome = await this.#perform(server.address, idempotencyKey, goal);
+    this.#attempts.end(server.address, idempotencyKey, outcome.kind);
+  }
+
+  async #confirm(
+    server: string,
+    idempotencyKey: string,
+    goal: RolloutGoal,
+  ): Promise<void> {
+    await this.#perform(server, idempotencyKey, goal);
+  }
+
+  #perform(
+    server: string,
+    idempotencyKey: string,
+    goal: RolloutGoal,
+  ): Promise<OrderOutcome<string>> {
+    return this.#ledger.perform({
+      idempotencyKey,
+      operation: "loadVersion",
+      service: this.#options.service,
+      server,
+      weightVersion: goal.version,
+    }, (sending) => this.#send(sending));
+  }
+
+  async #send(sending: OrderSending): Promise<SendOutcome<string>> {
+    const { order, fencingNumber, idempotencyKey, signal, mayStart } = sending;
+    const { engines, versions, service, context } = this.#options;
+    const version = Number(order.weightVersion);
+    const published = versions.all().find((each) =>
+      each.service === service && each.version === version
+    );
+    if (published === undefined || published.location === "") {
+      return {
+        kind: "refused",
+        reason: `Version ${version} is not the newest`,
+      };
+    }
+    const outcome = await engines.loadVersion(order.server, {
+      version,
+      location: published.location,
+      fencingNumber,
+      idempotencyKey,
+    }, {
+      signal,
+      silenceMilliseconds: context.settings.orderDeadlineMilliseconds,
+      mayStart,
+    });
+    return toSendOutcome(outcome);
+  }
+
+  #noteWanted(goal: RolloutGoal): void {
+    if (goal.version === this.#wanted) return;
+    this.#wanted = goal.version;
+    this.#startedAt = this.#options.context.clock.monotonic();
+    this.#isFinished = false;
+    this.#pace.noteBegin();
+  }
+
+  #noteFinished(
+    servers: ReadonlyArray<BackendServerState>,
+    goal: RolloutGoal,
+  ): void {
+    const isFinished = servers.length > 0 &&
+      servers.every((server) =>
+        Math.max(0, ...server.weightVersions) >= goal.version
+      );
+    if (this.#isFinished || !isFinished) return;
+    this.#isFinished = true;
+    const { context, service } = this.#options;
+    const milliseconds = Math.round(
+      context.clock.monotonic() - this.#startedAt,
+    );
+    context.metrics.histogram("weights.rollout_milliseconds", milliseconds, {
+      service,
+    });
+    context.log.emit("weightRolloutFinished", {
+      service,
+      version: goal.version,
+      engines: servers.length,
+      milliseconds,
+    });
+  }
+}
+
+function toSendOutcome(outcome: EngineOrderOutcome): SendOutcome<string> {
+  return OUTCOMES[outcome.kind](outcome as never);
+}
+
+const OUTCOMES: {
+  readonly [Kind in EngineOrderOutcome["kind"]]: (
+    outcome: Extract<EngineOrderOutcome, { readonly kind: Kind }>,
+  ) => SendOutcome<string>;
+} = {
+  done: ({ startIdentity }) => ({ kind: "done", result: startIdentity }),
+  fenced: ({ highest }) => ({
+    kind: "refused",
+    reason: `The engine has seen fencing number ${highest}`,
+  }),
+  failed: ({ reason }) => ({ kind: "refused", reason }),
+  notRun: ({ reason }) => ({ kind: "notRun", reason }),
+  unknown: ({ reason }) => ({ kind: "unknown", reason }),
+};
--- a/source/observability/events/step_events.ts
+++ b/source/observability/events/step_events.ts
@@ -46,4 +46,17 @@
     action: "",
     fields: ["trainer", "version", "confirmedPeers", "silentPeers"],
   }),
+  weightRolloutFinished: defineEvent(6020, {
+    level: "info",
+    message: "All engines of a service run the newest weight version",
+    action: "",
+    fields: ["service", "version", "engines", "milliseconds"],
+  }),
+  weightLoadFailed: defineEvent(6021, {
+    level: "warn",
+    message: "An engine did not load a weight version; it is ordered again",
+    action:
+      "When one engine fails again and again, replace it; when all do, check the weight store and the version's location",
+    fields: ["service", "server", "version", "failures", "reason"],
+  }),
 } as const;
