Choose second runs by progress and go on from the first run's tokens

Cause: the first tail policy began a straggler anew and knew only its age. Change: resumedTail predicts from tokens so far, silence and the usual speed whether a second run would end the rest much sooner, and begins it with the tokens that the first run has (CompletionWork.resumeFrom); hedgedTail and none stay as baselines. The budget grows as the step nears its deadline and is 0 for a deferrable class. A run whose stream failed takes the runs along that went on from it. The step's ledger gets causes. Experiment: experiments/steps/compare.ts.

--- /dev/null
+++ b/experiments/steps/compare.ts
@@ -0,0 +1,262 @@
+import { parseArgs } from "node:util";
+import { getQuantile } from "../../source/steps/quantile.ts";
+import type { PullAnswer } from "../../source/steps/step_pull.ts";
+import type { StepService } from "../../source/steps/step_service.ts";
+import type { TailPolicyName } from "../../source/steps/tail_policy.ts";
+import {
+  createRandomSource,
+  type RandomSource,
+} from "../../source/utilities/random_source.ts";
+import type { StartedEngine } from "../../stand_ins/engine/start_engine.ts";
+import { type EngineSet, startEngineSet } from "./engine_set.ts";
+import { startSingleNode } from "./single_node.ts";
+
+const ENGINES = 6;
+const BATCH_SLOTS = 4;
+const GROUPS = 12;
+const SAMPLES_PER_GROUP = 8;
+const MAXIMUM_TOKENS = 60;
+const TOKENS_PER_SECOND = 100;
+const STEPS = 9;
+const SLOW_FACTOR = 6;
+const TRAINING_MILLISECONDS_PER_GROUP = 30;
+const STEP_LIMIT_MILLISECONDS = 30_000;
+const PULL_WAIT_MILLISECONDS = 1000;
+
+type TroubleName = "none" | "slowEngine" | "frozenEngine";
+
+type Trouble = (
+  engine: StartedEngine,
+  random: RandomSource,
+) => Promise<() => void>;
+
+const TROUBLES: Readonly<Record<TroubleName, Trouble>> = {
+  none: () => Promise.resolve(() => {}),
+  slowEngine: (engine) => {
+    engine.behave({ slowFactor: SLOW_FACTOR });
+    return Promise.resolve(() => engine.behave({ slowFactor: 1 }));
+  },
+  frozenEngine: async (engine, random) => {
+    await rest(300 + random.below(600));
+    engine.faults.set({
+      path: "/v1/completions",
+      fault: "freeze",
+      milliseconds: 0,
+      count: 0,
+      existing: true,
+    });
+    return () => engine.faults.clear();
+  },
+};
+
+const TROUBLE_ORDER: ReadonlyArray<TroubleName> = [
+  "none",
+  "slowEngine",
+  "frozenEngine",
+];
+
+interface StepResult {
+  readonly trouble: TroubleName;
+  readonly milliseconds: number;
+  readonly idleMilliseconds: number;
+  readonly deliveredTokens: number;
+}
+
+interface PolicyResult {
+  readonly policy: TailPolicyName;
+  readonly steps: ReadonlyArray<StepResult>;
+  readonly generatedTokens: number;
+  readonly secondRuns: number;
+}
+
+async function runPolicy(
+  policy: TailPolicyName,
+  seed: number,
+): Promise<PolicyResult> {
+  const set = await startEngineSet({
+    seed,
+    engines: ENGINES,
+    minimumServers: 0,
+    stalenessBoundVersions: 1,
+    engine: {
+      batchSlots: BATCH_SLOTS,
+      tokensPerSecond: TOKENS_PER_SECOND,
+      eventMilliseconds: 20,
+      loadLagMilliseconds: 300,
+      variesLengths: true,
+    },
+    platform: {},
+  });
+  const { steps: service, log } = startSingleNode(set, policy);
+  const random = createRandomSource(seed);
+  await service.publish({
+    trainer: "dots",
+    service: "dot-models",
+    version: 1,
+    location: "weights/1",
+  });
+  const results: StepResult[] = [];
+  for (let number = 0; number < STEPS; number += 1) {
+    results.push(await runStep(set, service, { number, random }));
+  }
+  const ended = log.events.filter((event) => event.name === "stepEnded");
+  await set.close();
+  return {
+    policy,
+    steps: results,
+    generatedTokens: sumField(ended, "generatedTokens"),
+    secondRuns: sumField(ended, "secondRuns"),
+  };
+}
+
+async function runStep(
+  set: EngineSet,
+  service: StepService,
+  options: { readonly number: number; readonly random: RandomSource },
+): Promise<StepResult> {
+  const { number, random } = options;
+  const trouble = TROUBLE_ORDER[number % TROUBLE_ORDER.length] ?? "none";
+  const engine = set.engines[random.below(set.engines.length)];
+  const trainer = service.getTrainer("dots");
+  if (trainer === undefined || engine === undefined) {
+    throw new Error("The set has no trainer or no engine");
+  }
+  const startedAt = performance.now();
+  const accepted = await service.submit({
+    trainer: "dots",
+    step: `step-${number}`,
+    groups: Array.from({ length: GROUPS }, (_, group) => ({
+      prompt: `prompt ${group} of step ${number} ${random.below(1_000_000)}`,
+      samples: SAMPLES_PER_GROUP,
+      maximumTokens: MAXIMUM_TOKENS,
+    })),
+  }, trainer);
+  if (accepted.kind === "refused") throw new Error(accepted.message);
+  const troubling = TROUBLES[trouble](engine, random);
+  const consumer = new GroupConsumer();
+  let cursor = accepted.cursor;
+  let deliveredTokens = 0;
+  while (performance.now() - startedAt < STEP_LIMIT_MILLISECONDS) {
+    const answer = await pull(service, `step-${number}`, cursor);
+    if (answer === undefined) continue;
+    cursor = answer.cursor;
+    for (const sample of answer.samples) {
+      deliveredTokens += sample.stretches
+        .reduce((sum, stretch) => sum + stretch.tokens, 0);
+      consumer.take(sample.group);
+    }
+    if (answer.held === answer.wanted) break;
+  }
+  const milliseconds = performance.now() - startedAt;
+  // The full cursor tells the service that the step is over.
+  await pull(service, `step-${number}`, cursor);
+  (await troubling)();
+  await rest(400);
+  return {
+    trouble,
+    milliseconds,
+    idleMilliseconds: consumer.idleMilliseconds(startedAt),
+    deliveredTokens,
+  };
+}
+
+/** A trainer that works on each group as soon as it is whole. */
+class GroupConsumer {
+  readonly #samples = new Map<number, number>();
+  readonly #wholeAt: number[] = [];
+
+  /** Takes one sample of a group. */
+  take(group: number): void {
+    const count = (this.#samples.get(group) ?? 0) + 1;
+    this.#samples.set(group, count);
+    if (count === SAMPLES_PER_GROUP) this.#wholeAt.push(performance.now());
+  }
+
+  /** Returns the time in which it had nothing to work on. */
+  idleMilliseconds(startedAt: number): number {
+    let freeAt = startedAt;
+    let idle = 0;
+    for (const wholeAt of this.#wholeAt) {
+      idle += Math.max(0, wholeAt - freeAt);
+      freeAt = Math.max(freeAt, wholeAt) + TRAINING_MILLISECONDS_PER_GROUP;
+    }
+    return idle;
+  }
+}
+
+async function pull(
+  service: StepService,
+  step: string,
+  cursor: string,
+): Promise<PullAnswer | undefined> {
+  const answers: PullAnswer[] = [];
+  await service.pull({
+    trainer: "dots",
+    step,
+    cursor,
+    maximum: 64,
+    waitMilliseconds: PULL_WAIT_MILLISECONDS,
+    newestVersion: 1,
+    signal: new AbortController().signal,
+  }, (answer) => answers.push(answer));
+  return answers[0];
+}
+
+function printResults(results: ReadonlyArray<PolicyResult>): void {
+  console.log(
+    `${ENGINES} engines of ${BATCH_SLOTS} slots, ${STEPS} steps of ` +
+      `${GROUPS * SAMPLES_PER_GROUP} samples in groups of ${SAMPLES_PER_GROUP}`,
+  );
+  console.log(
+    "policy       trouble         p50 step  p99 step  mean idle",
+  );
+  for (const { policy, steps } of results) {
+    for (const trouble of [...TROUBLE_ORDER, undefined]) {
+      const some = steps
+        .filter((step) => trouble === undefined || step.trouble === trouble);
+      const times = some.map((step) => step.milliseconds);
+      const idle = some.map((step) => step.idleMilliseconds);
+      console.log(
+        `${policy.padEnd(13)}${(trouble ?? "all").padEnd(13)}` +
+          `${toSeconds(getQuantile(times, 0.5))}${
+            toSeconds(getQuantile(times, 0.99))
+          }${toSeconds(idle.reduce((sum, each) => sum + each) / idle.length)}`,
+      );
+    }
+  }
+  for (const { policy, steps, generatedTokens, secondRuns } of results) {
+    const delivered = steps
+      .reduce((sum, step) => sum + step.deliveredTokens, 0);
+    const extra = (generatedTokens - delivered) / delivered * 100;
+    console.log(
+      `${policy.padEnd(13)}${secondRuns} second runs, ` +
+        `${extra.toFixed(1)} % extra tokens`,
+    );
+  }
+}
+
+function toSeconds(milliseconds: number): string {
+  return `${(milliseconds / 1000).toFixed(2)} s`.padStart(10);
+}
+
+function sumField(
+  events: ReadonlyArray<{
+    readonly fields: Readonly<Record<string, string | number | boolean>>;
+  }>,
+  field: string,
+): number {
+  return events.reduce((sum, event) => sum + Number(event.fields[field]), 0);
+}
+
+function rest(milliseconds: number): Promise<void> {
+  return new Promise((resolve) => setTimeout(resolve, milliseconds));
+}
+
+const { values } = parseArgs({ options: { seed: { type: "string" } } });
+const seed = Number(values.seed ?? 1);
+const results: PolicyResult[] = [];
+for (const policy of ["none", "hedgedTail", "resumedTail"] as const) {
+  results.push(await runPolicy(policy, seed));
+}
+printResults(results);
+process.exit(0);
--- a/source/dispatch/completion_run.ts
+++ b/source/dispatch/completion_run.ts
@@ -47,6 +47,7 @@
     this.#tools = tools;
     this.#bounds = new RunBounds(work, tools.options.context.clock);
     this.#placement = toPlacement(work);
+    for (const tokens of work.resumeFrom ?? []) this.#goOnFrom(tokens);
   }
 
   /** Runs to the end. */
@@ -130,6 +131,11 @@
     };
   }
 
+  #goOnFrom(tokens: EngineTokens): void {
+    this.#transcript.add(tokens);
+    this.#tokensGiven += tokens.tokens;
+  }
+
   #take(tokens: EngineTokens): void {
     this.#transcript.add(tokens);
     if (this.#work.onTokens === undefined) return;
--- a/source/dispatch/dispatcher.ts
+++ b/source/dispatch/dispatcher.ts
@@ -26,6 +26,8 @@
   readonly onTokens?: (tokens: EngineTokens) => void;
   /** Servers not to use, such as the one that runs the first copy. */
   readonly avoidServers?: ReadonlyArray<string>;
+  /** Tokens that another run of the same completion gave, to go on from; the answer begins with them. */
+  readonly resumeFrom?: ReadonlyArray<EngineTokens>;
   /** Gets the address of the server each time the work is sent to one. */
   readonly onServer?: (address: string) => void;
 }
--- a/source/observability/events/step_events.ts
+++ b/source/observability/events/step_events.ts
@@ -24,7 +24,7 @@
     level: "info",
     message: "A training step ended",
     action: "",
-    fields: ["trainer", "step", "reason"],
+    fields: ["trainer", "step", "reason", "generatedTokens", "secondRuns"],
   }),
   sampleDiscarded: defineEvent(6005, {
     level: "warn",
--- a/source/steps/owned_step.ts
+++ b/source/steps/owned_step.ts
@@ -1,7 +1,7 @@
 import type { LedgerEntry } from "../observability/cause_ledger.ts";
 import type { HeldStep } from "./held_step.ts";
 import type { SampleCopier } from "./sample_copier.ts";
-import type { StepRunner } from "./step_runner.ts";
+import type { StepEffort, StepRunner } from "./step_runner.ts";
 
 /** What the owner of a step runs. */
 export interface OwnedStepParts {
@@ -38,6 +38,11 @@
     this.#parts = parts;
   }
 
+  /** Returns what the runs came to so far. */
+  get effort(): StepEffort {
+    return this.#parts.runner.effort;
+  }
+
   /** Runs and copies samples until stopped. */
   async run(stopping: AbortSignal): Promise<void> {
     const signal = AbortSignal.any([this.#controller.signal, stopping]);
--- a/source/steps/sample_run.ts
+++ b/source/steps/sample_run.ts
@@ -1,32 +1,52 @@
 import type { EngineTokens } from "../backends/engine_client.ts";
-import type { PlannedSample } from "./step_plan.ts";
+import type { Clock } from "../utilities/clock.ts";
+import type { FinishedRun } from "./tail_policy.ts";
+
+/** How a run begins. */
+export interface SampleRunOptions {
+  readonly clock: Clock;
+  /** Ends the run with its step. */
+  readonly signal: AbortSignal;
+  /** The run whose tokens this one goes on from. */
+  readonly source?: SampleRun;
+  readonly avoidServers: ReadonlyArray<string>;
+}
 
 /**
  * One run of a sample on some engine.
  * @example
  * ```ts
- * const run = new SampleRun(planned, signal);
+ * const run = new SampleRun({ clock, signal, avoidServers: [] });
  * run.cancel();
  * ```
  */
 export class SampleRun {
-  /** The sample that runs. */
-  readonly planned: PlannedSample;
   /** Aborted when the run is cancelled or the step ends. */
   readonly signal: AbortSignal;
+  /** The run whose tokens this one goes on from. */
+  readonly source: SampleRun | undefined;
+  /** The tokens that this one goes on from. */
+  readonly resumedTokens: ReadonlyArray<EngineTokens>;
+  /** Servers that must not run it. */
+  readonly avoidServers: ReadonlyArray<string>;
+  readonly #clock: Clock;
   readonly #controller = new AbortController();
+  #given: EngineTokens[];
   #server = "";
-  #tokens = 0;
+  #ownTokens = 0;
   #isStale = false;
-  #oldestVersion = Number.MAX_SAFE_INTEGER;
+  #sentAt = 0;
+  #firstTokenAt: number | undefined;
+  #lastTokenAt = 0;
 
-  /**
-   * @param planned - The sample to run.
-   * @param signal - Ends the run with its step.
-   */
-  constructor(planned: PlannedSample, signal: AbortSignal) {
-    this.planned = planned;
-    this.signal = AbortSignal.any([signal, this.#controller.signal]);
+  /** @param options - How the run begins. */
+  constructor(options: SampleRunOptions) {
+    this.#clock = options.clock;
+    this.source = options.source;
+    this.avoidServers = options.avoidServers;
+    this.resumedTokens = options.source?.given ?? [];
+    this.#given = [...this.resumedTokens];
+    this.signal = AbortSignal.any([options.signal, this.#controller.signal]);
   }
 
   /** Address of the server that the run was sent to last; empty when not sent yet. */
@@ -34,14 +54,27 @@
     return this.#server;
   }
 
-  /** Tokens generated so far. */
+  /** The sample's tokens so far, in their order. */
+  get given(): ReadonlyArray<EngineTokens> {
+    return [...this.#given];
+  }
+
+  /** Number of the sample's tokens so far. */
   get tokens(): number {
-    return this.#tokens;
+    return this.#given.reduce((sum, each) => sum + each.tokens, 0);
+  }
+
+  /** Number of tokens that this run generated itself. */
+  get ownTokens(): number {
+    return this.#ownTokens;
   }
 
   /** The oldest weight version that made a token so far. */
   get oldestVersion(): number {
-    return this.#oldestVersion;
+    return this.#given.reduce(
+      (oldest, each) => Math.min(oldest, each.weightVersion),
+      Number.MAX_SAFE_INTEGER,
+    );
   }
 
   /** Whether this run alone was cancelled. */
@@ -49,20 +82,58 @@
     return this.#controller.signal.aborted;
   }
 
-  /** Whether the run was cancelled because an older version than allowed made a token. */
+  /** Whether it was cancelled because an older version than allowed made a token. */
   get isStale(): boolean {
     return this.#isStale;
   }
 
-  /** Notes the server that runs the sample now. */
+  /** Time since the run was sent to a server, in milliseconds. */
+  get ageMilliseconds(): number {
+    return this.#clock.monotonic() - this.#sentAt;
+  }
+
+  /** Time since the last token, or since the run was sent, in milliseconds. */
+  get silentMilliseconds(): number {
+    const now = this.#clock.monotonic();
+    return now - Math.max(this.#sentAt, this.#lastTokenAt);
+  }
+
+  /** Time from the first to the last token, in milliseconds. */
+  get generatingMilliseconds(): number {
+    if (this.#firstTokenAt === undefined) return 0;
+    return this.#lastTokenAt - this.#firstTokenAt;
+  }
+
+  /** Notes the server that runs the sample from now on. */
   noteServer(address: string): void {
+    if (this.#server === "") this.#sentAt = this.#clock.monotonic();
     this.#server = address;
   }
 
-  /** Counts streamed tokens. */
+  /** Keeps streamed tokens. */
   noteTokens(tokens: EngineTokens): void {
-    this.#tokens += tokens.tokens;
-    this.#oldestVersion = Math.min(this.#oldestVersion, tokens.weightVersion);
+    const now = this.#clock.monotonic();
+    this.#firstTokenAt ??= now;
+    this.#lastTokenAt = now;
+    this.#ownTokens += tokens.tokens;
+    const last = this.#given.at(-1);
+    if (last?.weightVersion === tokens.weightVersion) {
+      this.#given[this.#given.length - 1] = {
+        text: last.text + tokens.text,
+        tokens: last.tokens + tokens.tokens,
+        weightVersion: last.weightVersion,
+      };
+    } else this.#given.push(tokens);
+  }
+
+  /** Describes the run after its end. */
+  describe(): FinishedRun {
+    const firstTokenAt = this.#firstTokenAt ?? this.#clock.monotonic();
+    return {
+      milliseconds: this.ageMilliseconds,
+      startMilliseconds: firstTokenAt - this.#sentAt,
+      tokens: this.#ownTokens,
+    };
   }
 
   /** Cancels this run because its tokens are too old. */
--- a/source/steps/step_ownership.ts
+++ b/source/steps/step_ownership.ts
@@ -10,12 +10,13 @@
 import { StepRunner } from "./step_runner.ts";
 import type { StepServiceOptions } from "./step_service_options.ts";
 import { countPlannedTokens } from "./step_plan.ts";
+import { getSpareShare } from "./tail_budget.ts";
 import { TAIL_POLICIES, type TailPolicyName } from "./tail_policy.ts";
 import type { WeightVersions } from "./weight_versions.ts";
 
+const DEFAULT_TAIL_POLICY: TailPolicyName = "resumedTail";
 const TICK_MILLISECONDS = 250;
 const TAKEOVER_MILLISECONDS = 2000;
-const SPARE_TOKENS_SHARE = 0.05;
 const RETENTION_FACTOR = 3;
 const TOLD_PARTS = 16;
 
@@ -76,6 +77,8 @@
       trainer: manifest.trainer,
       step: manifest.step,
       reason,
+      generatedTokens: owned?.effort.generatedTokens ?? 0,
+      secondRuns: owned?.effort.secondRuns ?? 0,
     });
     if (owned !== undefined) void this.#options.archive.remove(manifest);
   }
@@ -220,6 +223,7 @@
   #own(step: HeldStep): OwnedStep {
     const { context, peers, archive, versions } = this.#options;
     const { clock } = context;
+    const startedAt = clock.monotonic();
     const copier = new SampleCopier(step, { clock, peers, archive });
     const classOfWork = this.#getClassOfWork(step);
     const ledger = context.ledger.open({
@@ -234,11 +238,10 @@
       classOfWork,
       ledger,
       tailPolicy: this.#getTailPolicy(),
-      spareTokens: countPlannedTokens(step.plan) * SPARE_TOKENS_SHARE,
+      spareTokens: () => this.#getSpareTokens(step, startedAt),
       newestVersion: () => versions.newest(step.manifest.trainer),
       onFinished: (sample) => copier.add(sample),
     });
-    const startedAt = clock.monotonic();
     const owned = new OwnedStep(step, { copier, runner, ledger, startedAt });
     this.#owned.set(step, owned);
     this.#options.directory.setOwned(step, true);
@@ -253,10 +256,26 @@
       ?.classOfWork ?? "";
   }
 
+  #getSpareTokens(step: HeldStep, startedAt: number): number {
+    const { context, configuration } = this.#options;
+    const name = this.#getClassOfWork(step);
+    const classOfWork = configuration.current()?.declaration?.classes
+      .find((each) => each.name === name);
+    const share = getSpareShare({
+      elapsedMilliseconds: context.clock.monotonic() - startedAt,
+      deadlineMilliseconds: step.manifest.deadlineSeconds * 1000,
+      finishedShare: step.finished / step.plan.length,
+      isDeferrable: classOfWork?.deferrable ?? false,
+    });
+    return countPlannedTokens(step.plan) * share;
+  }
+
   #getTailPolicy(): (typeof TAIL_POLICIES)[TailPolicyName] {
     const name = this.#options.context.settings.stepTailPolicy;
     const isKnown = Object.hasOwn(TAIL_POLICIES, name);
-    return TAIL_POLICIES[isKnown ? name as TailPolicyName : "hedgedTail"];
+    return TAIL_POLICIES[
+      isKnown ? name as TailPolicyName : DEFAULT_TAIL_POLICY
+    ];
   }
 
   #hasMissedDeadline(step: HeldStep, startedAt: number): boolean {
--- a/source/steps/step_runner.ts
+++ b/source/steps/step_runner.ts
@@ -1,29 +1,29 @@
-import { create } from "@bufbuild/protobuf";
-import {
-  type Sample,
-  SampleSchema,
-} from "../../generated/snipepath/v1/records_pb.ts";
+import type { Sample } from "../../generated/snipepath/v1/records_pb.ts";
 import type { Admission } from "../admission/admission.ts";
 import type { UsageCounters } from "../control/usage_counters.ts";
 import type {
   CompletionOutcome,
   Dispatcher,
+  DispatchRefusal,
   FinishedCompletion,
 } from "../dispatch/dispatcher.ts";
 import type { NodeContext } from "../node/node_context.ts";
-import type { LedgerEntry } from "../observability/cause_ledger.ts";
+import type { Cause, LedgerEntry } from "../observability/cause_ledger.ts";
+import { findFault, toSample } from "./finished_sample.ts";
 import type { HeldStep } from "./held_step.ts";
-import { isTooOld } from "./sample_staleness.ts";
+import { getMedian } from "./quantile.ts";
+import { SampleProgress } from "./sample_progress.ts";
 import { SampleRun } from "./sample_run.ts";
+import { isTooOld } from "./sample_staleness.ts";
 import type { PlannedSample } from "./step_plan.ts";
-import type { RunningSample, TailPolicy } from "./tail_policy.ts";
+import type { FinishedRun, SecondRun, TailPolicy } from "./tail_policy.ts";
 
 const RUN_INTERVAL_MILLISECONDS = 50;
 const IDLE_INTERVAL_MILLISECONDS = 1000;
 const MAXIMUM_CONCURRENT_SAMPLES = 256;
-const FIRST_BACKOFF_MILLISECONDS = 50;
-const MAXIMUM_BACKOFF_MILLISECONDS = 5000;
 const MINIMUM_RUN_MILLISECONDS = 10_000;
+const KEPT_FINISHED_RUNS = 256;
+const STRAGGLER_FACTOR = 1.5;
 
 /** What the runner of one step needs. */
 export interface StepRunnerOptions {
@@ -32,8 +32,8 @@
   readonly dispatcher: Dispatcher;
   readonly usage?: UsageCounters;
   readonly tailPolicy: TailPolicy;
-  /** Tokens that second runs may use over the whole step. */
-  readonly spareTokens: number;
+  /** Returns the tokens that second runs may use over the whole step, as things stand. */
+  readonly spareTokens: () => number;
   readonly classOfWork: string;
   readonly ledger: LedgerEntry;
   /** Returns the trainer's newest weight version. */
@@ -42,18 +42,16 @@
   readonly onFinished: (sample: Sample) => void;
 }
 
-interface SampleProgress {
-  readonly runs: Set<SampleRun>;
-  startedAt: number;
-  failures: number;
-  notBefore: number;
-  /** Servers that failed the sample last. */
-  avoidServers: ReadonlyArray<string>;
+/** What the runs of a step came to. */
+export interface StepEffort {
+  /** Tokens of all runs, also of those that were not used. */
+  readonly generatedTokens: number;
+  readonly secondRuns: number;
 }
 
 /**
  * Runs the samples of a step that this node owns until aborted: missing ones, and those that the
- * staleness bound made worthless.
+ * staleness bound made worthless. Groups are begun in their order, so that they finish in it.
  * @example
  * ```ts
  * await new StepRunner(step, options).run(signal);
@@ -62,10 +60,11 @@
 export class StepRunner {
   readonly #step: HeldStep;
   readonly #options: StepRunnerOptions;
-  readonly #progress = new Map<number, SampleProgress>();
-  readonly #finishedMilliseconds: number[] = [];
+  readonly #progress: ReadonlyArray<SampleProgress>;
   readonly #startedAt: number;
-  #spareTokens: number;
+  #finished: ReadonlyArray<FinishedRun> = [];
+  #secondRunTokens = 0;
+  #secondRuns = 0;
   #attempts = 0;
   #generatedTokens = 0;
 
@@ -76,13 +75,18 @@
   constructor(step: HeldStep, options: StepRunnerOptions) {
     this.#step = step;
     this.#options = options;
-    this.#spareTokens = options.spareTokens;
     this.#startedAt = options.context.clock.monotonic();
+    this.#progress = step.plan.map((planned) =>
+      new SampleProgress(planned, options.context)
+    );
   }
 
-  /** Returns the tokens of all finished runs, also of those that were not used. */
-  get generatedTokens(): number {
-    return this.#generatedTokens;
+  /** Returns what the runs came to so far. */
+  get effort(): StepEffort {
+    return {
+      generatedTokens: this.#generatedTokens,
+      secondRuns: this.#secondRuns,
+    };
   }
 
   /** Runs samples until aborted. */
@@ -101,44 +105,51 @@
   }
 
   #startRuns(signal: AbortSignal): number {
-    const now = this.#options.context.clock.monotonic();
+    const { clock } = this.#options.context;
     let free = MAXIMUM_CONCURRENT_SAMPLES - this.#countRuns();
     let waiting = 0;
-    for (const planned of this.#step.plan) {
-      if (!this.#isMissing(planned)) continue;
-      const progress = this.#getProgress(planned.index);
-      if (progress.runs.size > 0) continue;
-      if (free <= 0 || progress.notBefore > now) {
-        waiting += 1;
+    for (const progress of this.#progress) {
+      if (!this.#isMissing(progress.planned)) continue;
+      if (progress.active > 0) {
+        const isSent = progress.runs.some((run) => run.server !== "");
+        if (!isSent) waiting += 1;
         continue;
       }
+      waiting += 1;
+      if (free <= 0 || !progress.mayStart) continue;
       free -= 1;
-      progress.startedAt = now;
       const { avoidServers } = progress;
-      void this.#runOnce(planned, { signal, avoidServers });
+      const run = new SampleRun({ clock, signal, avoidServers });
+      void this.#runOnce(progress, run);
     }
     return waiting;
   }
 
   #startSecondRuns(waiting: number, signal: AbortSignal): void {
     const chosen = this.#options.tailPolicy({
-      running: this.#describeRunning(),
+      running: this.#progress.flatMap((progress) => progress.describe() ?? []),
       waiting,
-      finishedMilliseconds: this.#finishedMilliseconds,
-      spareTokens: this.#spareTokens,
+      finished: this.#finished,
+      spareTokens: this.#options.spareTokens() - this.#secondRunTokens,
     });
-    for (const index of chosen) {
-      const planned = this.#step.plan[index];
-      if (planned === undefined) continue;
-      this.#spareTokens -= planned.maximumTokens;
-      const runs = [...this.#getProgress(index).runs];
-      const avoidServers = runs.map((run) => run.server)
-        .filter((server) => server !== "");
-      this.#options.context.metrics.count("step.second_runs", {
-        trainer: this.#step.manifest.trainer,
-      });
-      void this.#runOnce(planned, { signal, avoidServers });
-    }
+    for (const second of chosen) this.#startSecondRun(second, signal);
+  }
+
+  #startSecondRun(second: SecondRun, signal: AbortSignal): void {
+    const { clock, metrics } = this.#options.context;
+    const progress = this.#progress[second.index];
+    const [source] = progress?.runs ?? [];
+    if (progress === undefined || source === undefined) return;
+    this.#secondRunTokens += second.tokens;
+    this.#secondRuns += 1;
+    metrics.count("step.second_runs", { trainer: this.#step.manifest.trainer });
+    const run = new SampleRun({
+      clock,
+      signal,
+      avoidServers: source.server === "" ? [] : [source.server],
+      ...(second.resumes && source.tokens > 0 ? { source } : {}),
+    });
+    void this.#runOnce(progress, run);
   }
 
   #isMissing(planned: PlannedSample): boolean {
@@ -146,43 +157,32 @@
       !this.#step.heldByTrainer.has(planned.index);
   }
 
-  async #runOnce(
-    planned: PlannedSample,
-    options: {
-      readonly signal: AbortSignal;
-      readonly avoidServers: ReadonlyArray<string>;
-    },
-  ): Promise<void> {
-    const progress = this.#getProgress(planned.index);
-    const { clock } = this.#options.context;
-    const run = new SampleRun(planned, options.signal);
-    progress.runs.add(run);
-    const startedAt = clock.monotonic();
-    const outcome = await this.#complete(planned, run, options.avoidServers);
-    progress.runs.delete(run);
+  async #runOnce(progress: SampleProgress, run: SampleRun): Promise<void> {
+    progress.begin(run);
+    const outcome = await this.#complete(progress.planned, run);
+    progress.end(run);
+    this.#generatedTokens += run.ownTokens;
     if (outcome.kind !== "finished") {
-      this.#noteFailure(progress, outcome, run);
+      this.#noteRefusal(progress, run, outcome);
       return;
     }
-    this.#generatedTokens += outcome.usage.generatedTokens;
-    if (options.signal.aborted || run.signal.aborted) return;
-    if (!this.#take(planned, outcome)) {
-      this.#noteFailure(progress, undefined, run);
+    if (run.signal.aborted) return;
+    if (!this.#take(progress.planned, run, outcome)) {
+      const { server } = outcome;
+      progress.noteFailure({ server, advisedMilliseconds: 0 });
       return;
     }
-    progress.failures = 0;
-    this.#finishedMilliseconds.push(clock.monotonic() - startedAt);
-    for (const other of progress.runs) other.cancel();
+    progress.noteFinished();
+    progress.cancelRuns();
   }
 
   async #complete(
     planned: PlannedSample,
     run: SampleRun,
-    avoidServers: ReadonlyArray<string>,
   ): Promise<CompletionOutcome> {
-    this.#attempts += 1;
     const { manifest } = this.#step;
     const { admission, dispatcher, context } = this.#options;
+    this.#attempts += 1;
     const work = {
       requestIdentifier:
         `${context.nodeStart}-${manifest.epoch}-${planned.index}-${this.#attempts}`,
@@ -203,16 +203,15 @@
       prompt: planned.prompt,
       maximumTokens: planned.maximumTokens,
       minimumWeightVersion: this.#getMinimumVersion(),
-      avoidServers,
+      avoidServers: run.avoidServers,
+      resumeFrom: run.resumedTokens,
       onServer: (address) => run.noteServer(address),
       onTokens: (tokens) => {
         run.noteTokens(tokens);
         if (run.oldestVersion < this.#getMinimumVersion()) run.cancelAsStale();
       },
     });
-    ticket.release(
-      outcome.kind === "finished" ? outcome.usage.generatedTokens : run.tokens,
-    );
+    ticket.release(run.ownTokens);
     return outcome;
   }
 
@@ -230,7 +229,11 @@
     return Math.max(0, this.#options.newestVersion() - bound);
   }
 
-  #take(planned: PlannedSample, outcome: FinishedCompletion): boolean {
+  #take(
+    planned: PlannedSample,
+    run: SampleRun,
+    outcome: FinishedCompletion,
+  ): boolean {
     const reason = findFault(outcome);
     if (reason !== undefined) {
       this.#options.context.log.emit("sampleDiscarded", {
@@ -247,7 +250,11 @@
       newestVersion: this.#options.newestVersion(),
       boundVersions: this.#step.manifest.stalenessBoundVersions,
     });
-    if (isStale) return false;
+    if (isStale) {
+      this.#options.ledger.add("staleSamples", run.ageMilliseconds);
+      return false;
+    }
+    this.#noteDuration(run.describe());
     const result = this.#step.offer(sample, { settled: false });
     if (result === "refused" || result === "known") return true;
     this.#options.usage?.record(this.#step.manifest.organisation, {
@@ -259,91 +266,37 @@
     return true;
   }
 
-  #noteFailure(
+  #noteDuration(run: FinishedRun): void {
+    const usual = getMedian(this.#finished.map((each) => each.milliseconds));
+    const excess = run.milliseconds - usual * STRAGGLER_FACTOR;
+    if (usual > 0 && excess > 0) this.#options.ledger.add("straggler", excess);
+    this.#finished = [...this.#finished, run].slice(-KEPT_FINISHED_RUNS);
+  }
+
+  #noteRefusal(
     progress: SampleProgress,
-    outcome: Exclude<CompletionOutcome, FinishedCompletion> | undefined,
     run: SampleRun,
+    refusal: DispatchRefusal,
   ): void {
     if (run.wasCancelled && !run.isStale) return;
-    const isAvoidable = run.server !== "" && outcome?.reason !== "noCapacity";
-    progress.avoidServers = isAvoidable ? [run.server] : [];
-    const { clock, random } = this.#options.context;
-    progress.failures += 1;
-    const ceiling = Math.min(
-      MAXIMUM_BACKOFF_MILLISECONDS,
-      FIRST_BACKOFF_MILLISECONDS * 2 ** Math.min(progress.failures, 10),
-    );
-    const advised = Math.min(
-      outcome?.retryAfterMilliseconds ?? 0,
-      MAXIMUM_BACKOFF_MILLISECONDS,
-    );
-    progress.notBefore = clock.monotonic() + advised +
-      random.next() * ceiling;
+    // What the run gave may be in doubt, and so is what goes on from it.
+    if (refusal.reason === "backendFailure") progress.cancelRunsFrom(run);
+    const isElsewhere = refusal.reason !== "noCapacity";
+    const wait = progress.noteFailure({
+      server: isElsewhere ? run.server : "",
+      advisedMilliseconds: run.isStale ? 0 : refusal.retryAfterMilliseconds,
+    });
+    if (progress.active > 0) return;
+    const cause = run.isStale ? "staleSamples" : this.#findCause(refusal);
+    this.#options.ledger.add(cause, wait);
   }
 
-  #describeRunning(): ReadonlyArray<RunningSample> {
-    const now = this.#options.context.clock.monotonic();
-    const running: RunningSample[] = [];
-    for (const [index, progress] of this.#progress) {
-      const planned = this.#step.plan[index];
-      if (planned === undefined || progress.runs.size === 0) continue;
-      running.push({
-        index,
-        group: planned.group,
-        ageMilliseconds: now - progress.startedAt,
-        tokens: Math.max(...[...progress.runs].map((run) => run.tokens)),
-        maximumTokens: planned.maximumTokens,
-        runs: progress.runs.size,
-      });
-    }
-    return running;
+  #findCause(refusal: DispatchRefusal): Cause {
+    if (refusal.reason !== "noCapacity") return "retry";
+    return this.#getMinimumVersion() > 0 ? "weightSwap" : "noCapacity";
   }
 
   #countRuns(): number {
-    let count = 0;
-    for (const progress of this.#progress.values()) count += progress.runs.size;
-    return count;
-  }
-
-  #getProgress(index: number): SampleProgress {
-    const known = this.#progress.get(index);
-    if (known !== undefined) return known;
-    const progress = {
-      runs: new Set<SampleRun>(),
-      startedAt: 0,
-      failures: 0,
-      notBefore: 0,
-      avoidServers: [],
-    };
-    this.#progress.set(index, progress);
-    return progress;
+    return this.#progress.reduce((sum, each) => sum + each.active, 0);
   }
 }
-
-function findFault(outcome: FinishedCompletion): string | undefined {
-  if (outcome.stretches.length === 0) return "missing versions";
-  const tokens = outcome.stretches.reduce(
-    (sum, stretch) => sum + stretch.tokens,
-    0,
-  );
-  if (tokens === outcome.usage.generatedTokens) return undefined;
-  return `stretches of ${tokens} tokens for ${outcome.usage.generatedTokens}`;
-}
-
-function toSample(
-  planned: PlannedSample,
-  outcome: FinishedCompletion,
-): Sample {
-  return create(SampleSchema, {
-    index: planned.index,
-    group: planned.group,
-    text: outcome.text,
-    stretches: outcome.stretches.map((stretch) => ({
-      weightVersion: BigInt(stretch.weightVersion),
-      tokens: stretch.tokens,
-    })),
-    finishReason: outcome.finishReason,
-    backendServer: outcome.server,
-    backendServerStart: outcome.serverStart,
-  });
-}
--- a/stand_ins/steps/fake_engine_pool.ts
+++ b/stand_ins/steps/fake_engine_pool.ts
@@ -124,6 +124,10 @@
     const { start } = engine;
     const stretches: { weightVersion: number; tokens: number }[] = [];
     let left = work.maximumTokens;
+    for (const { weightVersion, tokens } of work.resumeFrom ?? []) {
+      addTokens(stretches, weightVersion, tokens);
+      left -= tokens;
+    }
     while (left > 0) {
       const tokens = Math.min(EVENT_TOKENS, left);
       await this.#clock.sleep(
