--- a/experiments/weights/compare.ts
+++ b/experiments/weights/compare.ts
@@ -6,7 +6,7 @@
   type EngineSet,
   SERVICE,
   startEngineSet,
-} from "../steps/engine_set.ts";
+} from "../../stand_ins/steps/engine_set.ts";
 
 const ENGINES = 12;
 const BATCH_SLOTS = 4;
--- a/source/steps/step_ownership.ts
+++ b/source/steps/step_ownership.ts
@@ -159,6 +159,8 @@
   #forgetLater(step: HeldStep): void {
     if (this.#ageOf(step) <= this.#retentionOf(step)) return;
     this.#options.directory.forget(step);
+    const { trainer, step: name } = step.manifest;
+    this.#options.told.retract?.("step", toStepKey(trainer, name));
   }
 
   #retentionOf(step: HeldStep): number {
