--- /dev/null
+++ b/source/node/control.ts
@@ -0,0 +1,75 @@
+import type { EngineClient } from "../backends/engine_client.ts";
+import { LeaseKeeper } from "../control/lease_keeper.ts";
+import { SpendControl } from "../control/spend_control.ts";
+import type { UsageCounters } from "../control/usage_counters.ts";
+import { UsageReporter } from "../control/usage_reporter.ts";
+import { UsageTally } from "../control/usage_tally.ts";
+import {
+  WeightRolloutTasks,
+  type WeightRolloutTasksOptions,
+} from "../control/weight_rollout_tasks.ts";
+import type { Membership } from "../membership/membership.ts";
+import type { NodeContext } from "./node_context.ts";
+
+const USAGE_LEASE = "usage";
+
+/** What control works with. */
+export interface ControlOptions {
+  readonly context: NodeContext;
+  readonly membership: Membership;
+  readonly engines: EngineClient;
+  /** Newest versions that trainers published. */
+  readonly versions: WeightRolloutTasksOptions["versions"];
+  /** Requests of a service that wait at this node. */
+  readonly queued: (service: string) => number;
+}
+
+/** The jobs that one node at a time does under leases, and the counting that every node does. */
+export class Control {
+  readonly #context: NodeContext;
+  readonly #tally: UsageTally;
+  readonly #jobs: ReadonlyArray<{ run(): Promise<void> }>;
+
+  /** @param options - What control works with. */
+  constructor(options: ControlOptions) {
+    const { context, membership, engines, versions, queued } = options;
+    const { told, configuration, backendServers, peers } = membership;
+    function candidates(): number {
+      return peers.peers().length + 1;
+    }
+    this.#context = context;
+    this.#tally = new UsageTally({ context, told });
+    const lease = new LeaseKeeper({ context, name: USAGE_LEASE, candidates });
+    this.#jobs = [
+      lease,
+      new UsageReporter({ context, told, tally: this.#tally, lease }),
+      new SpendControl({
+        context,
+        configuration,
+        servers: backendServers,
+        queued,
+        candidates,
+      }),
+      new WeightRolloutTasks({
+        context,
+        configuration,
+        engines,
+        servers: backendServers,
+        versions,
+        candidates,
+      }),
+    ];
+  }
+
+  /** What the request paths count usage with. */
+  get usage(): UsageCounters {
+    return this.#tally;
+  }
+
+  /** Runs until the node stops; without control enabled, only counts. */
+  async run(): Promise<void> {
+    const isEnabled = this.#context.settings.controlEnabled;
+    const jobs = isEnabled ? this.#jobs : [];
+    await Promise.all([this.#tally.run(), ...jobs.map((job) => job.run())]);
+  }
+}
--- a/source/node/node.ts
+++ b/source/node/node.ts
@@ -1,3 +1,4 @@
+import type { EngineClient } from "../backends/engine_client.ts";
 import { HttpEngineClient } from "../backends/http_engine_client.ts";
 import { HttpPlainClient } from "../backends/http_plain_client.ts";
 import {
@@ -20,10 +21,11 @@
 import { type PeerServer, startPeerServer } from "../membership/peer_server.ts";
 import { addOperatorService } from "../operators/operator_service.ts";
 import { StepService } from "../steps/step_service.ts";
+import { Control } from "./control.ts";
 import { LateHandlers } from "./late_handlers.ts";
 import type { NodeContext } from "./node_context.ts";
 
-const NO_USAGE: UsageCounters = { record(): void {} };
+const STOP_LIMIT_MILLISECONDS = 5000;
 
 /**
  * One node, put together from its parts.
@@ -42,6 +44,7 @@
   readonly #admission: NodeAdmission;
   readonly #dispatcher: NodeDispatcher;
   readonly #steps: StepService;
+  readonly #control: Control;
   readonly #entry: EntryServer;
   readonly #onDrain: () => void;
   #peerServer: PeerServer | undefined;
@@ -68,6 +71,10 @@
       told,
       backends: backendServers,
     });
+    const usage: UsageCounters = {
+      record: (organisation, figures) =>
+        this.#control.usage.record(organisation, figures),
+    };
     this.#steps = new StepService({
       context,
       configuration,
@@ -75,7 +82,14 @@
       peers,
       admission: this.#admission,
       dispatcher: this.#dispatcher,
-      usage: NO_USAGE,
+      usage,
+    });
+    this.#control = new Control({
+      context,
+      membership,
+      engines: options.engines,
+      versions: this.#steps.versions,
+      queued: (service) => this.#admission.queued(service),
     });
     this.#entry = this.#createEntry();
     handlers.connect({
@@ -111,7 +125,14 @@
       configuration: membership.configuration,
     });
     parts.dispatcher = dispatcher;
-    return new Node({ context, membership, dispatcher, handlers, onDrain });
+    return new Node({
+      context,
+      membership,
+      engines,
+      dispatcher,
+      handlers,
+      onDrain,
+    });
   }
 
   /** Begins to serve peers, then callers; returns HOST:PORT for callers. */
@@ -132,6 +153,7 @@
       this.#authority.run(),
       this.#admission.run(),
       this.#steps.run(),
+      this.#control.run(),
     ]);
     await this.#membership.ready();
     const address = await this.#entry.listen();
@@ -151,11 +173,15 @@
   /** Leaves: tells all nodes, then serves on until running requests have ended. */
   async drain(): Promise<void> {
     this.#membership.setLeaving();
-    await this.#entry.drain();
+    await Promise.all([this.#entry.drain(), this.#steps.leave()]);
   }
 
-  /** Closes all servers at once. */
+  /** Waits until the background tasks have given back and saved what they hold, then closes all servers. */
   async close(): Promise<void> {
+    await Promise.race([
+      this.#running,
+      this.#context.clock.sleep(STOP_LIMIT_MILLISECONDS),
+    ]);
     await this.#entry.close();
     await this.#peerServer?.close();
   }
@@ -168,7 +194,7 @@
       configuration,
       admission: this.#admission,
       dispatcher: this.#dispatcher,
-      usage: NO_USAGE,
+      usage: this.#control.usage,
     };
     return new EntryServer({
       context,
@@ -212,6 +238,7 @@
 interface NodeOptions {
   readonly context: NodeContext;
   readonly membership: Membership;
+  readonly engines: EngineClient;
   readonly dispatcher: NodeDispatcher;
   readonly handlers: LateHandlers;
   readonly onDrain: () => void;
