Judge an organisation's part by what it received, not by what it runs elsewhere

Change: an organisation that received no more of a service than the mean over all nodes starts at once, up to its equal part of the slots at this node; sums over ten seconds do not care which node they came from.

--- a/source/admission/policies/admission_policy.ts
+++ b/source/admission/policies/admission_policy.ts
@@ -20,7 +20,10 @@
   readonly reservedSlots: number;
   /** Overdue deferrable requests that run now. */
   readonly overdueRunning: number;
-  /** Returns whether an organisation runs less than its equal part of the service's slots, over all nodes. */
+  /**
+   * Returns whether an organisation received no more of the service than the mean over all nodes, and
+   * runs less than its equal part of the service's slots here.
+   */
   readonly isEntitled: (organisation: string) => boolean;
   /** Returns what an organisation received of the service. */
   readonly received: (organisation: string) => ReceivedService;
--- a/source/admission/policies/slack_fair_policy.ts
+++ b/source/admission/policies/slack_fair_policy.ts
@@ -6,8 +6,8 @@
 
 /**
  * Chooses by the least slack to the class's target across classes; inside a class it is the turn of
- * the organisation that received least through all nodes. An organisation that runs less than its equal
- * part of the service's slots needs no free slot of this node. Deferrable work runs in slots that nothing
+ * the organisation that received least through all nodes. An organisation that received no more than the
+ * others needs no free slot of this node, up to its equal part of the service's slots. Deferrable work runs in slots that nothing
  * else has used lately, or one at a time once it is overdue.
  * @param state - What waits.
  * @example
--- a/source/admission/service_queue.ts
+++ b/source/admission/service_queue.ts
@@ -36,6 +36,7 @@
   readonly #waiting = new WaitingQueue();
   readonly #limit = new SlotLimit();
   #equalPart = 1;
+  #meanReceived = 0;
   #running = 0;
   #runningDeferrable = 0;
   #overdueRunning = 0;
@@ -71,6 +72,7 @@
     const { policy, service, ledger } = this.#options;
     const organisations = ledger.activeOrganisations(service);
     this.#equalPart = Math.max(1, capacity.slots / organisations);
+    this.#meanReceived = ledger.meanReceived(service);
     this.#limit.update(capacity, {
       ownsEqualPart: policy.equalPartsFor === "nodes",
       now: this.#options.clock.monotonic(),
@@ -158,14 +160,19 @@
       freeSlots: this.#limit.slots - this.#running,
       reservedSlots: Math.max(0, this.#peakAt(now) - urgentRunning),
       overdueRunning: this.#overdueRunning,
-      isEntitled: (organisation) =>
-        ledger.use(service, organisation).running +
-            ledger.concurrentElsewhere(service, organisation) <
-          this.#equalPart,
+      isEntitled: (organisation) => this.#isEntitled(organisation),
       received: (organisation) => ledger.received(service, organisation),
     };
   }
 
+  #isEntitled(organisation: string): boolean {
+    const { service, ledger } = this.#options;
+    const { running } = ledger.use(service, organisation);
+    if (running >= this.#equalPart) return false;
+    const { everywhere } = ledger.received(service, organisation);
+    return everywhere <= this.#meanReceived;
+  }
+
   #start(request: WaitingRequest): void {
     const wasWaiting = this.#waiting.remove(request);
     invariant(wasWaiting, "Policy chose a request that does not wait");
--- a/source/admission/use_ledger.ts
+++ b/source/admission/use_ledger.ts
@@ -136,6 +136,21 @@
     return concurrent;
   }
 
+  /** Returns the mean of what organisations with requests at a service received of it, over all nodes. */
+  meanReceived(service: string): number {
+    const now = this.#clock.monotonic();
+    const prefix = `${service}/`;
+    let total = 0;
+    for (const [key, use] of this.#own) {
+      if (key.startsWith(prefix)) total += use.received.value(now);
+    }
+    for (const [key, facts] of this.#told) {
+      if (!key.startsWith(prefix)) continue;
+      for (const fact of facts.values()) total += decayedTokens(fact, now);
+    }
+    return total / this.activeOrganisations(service);
+  }
+
   /** Returns how many organisations have requests running or waiting at a service, over all nodes; at least 1. */
   activeOrganisations(service: string): number {
     const prefix = `${service}/`;
