--- a/source/entry/caller_silence.ts
+++ b/source/entry/caller_silence.ts
@@ -1,5 +1,7 @@
 import type { RunningExchange } from "./exchange_registry.ts";
 
+const CALLER_PATIENCE = 4;
+
 interface Progress {
   readonly bytes: number;
   readonly at: number;
@@ -13,9 +15,9 @@
   readonly #progress = new WeakMap<RunningExchange, Progress>();
   readonly #silenceMilliseconds: number;
 
-  /** @param silenceMilliseconds - How long a connection may be silent. */
+  /** @param silenceMilliseconds - How long a near connection may be silent; callers get a multiple of it. */
   constructor(silenceMilliseconds: number) {
-    this.#silenceMilliseconds = silenceMilliseconds;
+    this.#silenceMilliseconds = silenceMilliseconds * CALLER_PATIENCE;
   }
 
   /**
