Close a step's ledger when it is whole, and give samples to the owner on yielding

Cause: a trainer that stops pulling once it has all samples never shows the full cursor, so that the step's ledger stayed open; a node that yielded kept its samples from the new owner, which ran them again; an archive every second made more objects in 23 minutes than a taker-over reads. Change: the ledger closes when all samples are finished; samples go to the winner on yielding; batches every 5 s; histograms of step time and of sample age.

--- a/source/steps/held_step.ts
+++ b/source/steps/held_step.ts
@@ -74,6 +74,13 @@
     return this.#samples.size;
   }
 
+  /** Returns whether each sample is held here or by the trainer. */
+  isWhole(): boolean {
+    return this.plan.every(({ index }) =>
+      this.#samples.has(index) || this.#heldByTrainer.has(index)
+    );
+  }
+
   /** Marks the step as over and frees its samples. */
   end(): void {
     this.#hasEnded = true;
--- a/source/steps/owned_step.ts
+++ b/source/steps/owned_step.ts
@@ -62,14 +62,24 @@
     return this.#parts.copier.copyRest();
   }
 
+  /**
+   * Closes the ledger, the first time that it is called.
+   * @param isMissed - Whether the step's deadline was missed.
+   * @returns Whether it was open.
+   */
+  closeLedger(isMissed: boolean): boolean {
+    if (this.#isClosed) return false;
+    this.#isClosed = true;
+    this.#parts.ledger.close(isMissed);
+    return true;
+  }
+
   /**
    * Stops the runs and closes the ledger.
    * @param isMissed - Whether the step's deadline was missed.
    */
   stop(isMissed: boolean): void {
     this.#controller.abort();
-    if (this.#isClosed) return;
-    this.#isClosed = true;
-    this.#parts.ledger.close(isMissed);
+    this.closeLedger(isMissed);
   }
 }
--- a/source/steps/sample_copier.ts
+++ b/source/steps/sample_copier.ts
@@ -9,7 +9,7 @@
 import { toStepKey } from "./step_manifests.ts";
 
 const COPY_RETRY_MILLISECONDS = 500;
-const ARCHIVE_INTERVAL_MILLISECONDS = 1000;
+const ARCHIVE_INTERVAL_MILLISECONDS = 5000;
 const MAXIMUM_BATCH_SAMPLES = 128;
 
 /** What the copier of one step needs. */
--- a/source/steps/step_ownership.ts
+++ b/source/steps/step_ownership.ts
@@ -1,5 +1,8 @@
 import { create } from "@bufbuild/protobuf";
-import { StepFactSchema } from "../../generated/snipepath/v1/peer_pb.ts";
+import {
+  StepFactSchema,
+  StoreSamplesRequestSchema,
+} from "../../generated/snipepath/v1/peer_pb.ts";
 import type { HeldStep } from "./held_step.ts";
 import { OwnedStep } from "./owned_step.ts";
 import type { SampleArchive } from "./sample_archive.ts";
@@ -140,12 +143,29 @@
     if (this.#owned.has(step)) {
       this.#yieldIfOthersOwn(step);
       this.#dropTooOldOf(step);
+      this.#noteWhole(step);
       this.tell(step);
       return;
     }
     this.#takeOverIfUnclaimed(step);
   }
 
+  #noteWhole(step: HeldStep): void {
+    const owned = this.#owned.get(step);
+    if (owned === undefined || !step.isWhole()) return;
+    const isMissed = this.#hasMissedDeadline(step, owned.startedAt);
+    if (!owned.closeLedger(isMissed)) return;
+    const { clock, metrics } = this.#options.context;
+    metrics.histogram(
+      "step.milliseconds",
+      clock.monotonic() - owned.startedAt,
+      {
+        trainer: step.manifest.trainer,
+        organisation: step.manifest.organisation,
+      },
+    );
+  }
+
   #isOver(step: HeldStep): boolean {
     if (step.hasEnded) return true;
     const { manifest } = step;
@@ -190,6 +210,23 @@
       owner: winner.node,
     });
     this.tell(step);
+    void this.#giveSamples(step, winner.node);
+  }
+
+  async #giveSamples(step: HeldStep, owner: string): Promise<void> {
+    const { peers } = this.#options;
+    const peer = peers.peers().find((each) => each.node === owner);
+    if (peer === undefined || step.finished === 0) return;
+    const { trainer, step: name, epoch } = step.manifest;
+    await peers.storeSamples(
+      peer,
+      create(StoreSamplesRequestSchema, {
+        trainer,
+        step: name,
+        epoch,
+        samples: [...step.samples()],
+      }),
+    );
   }
 
   #takeOverIfUnclaimed(step: HeldStep): void {
--- a/source/steps/step_pull.ts
+++ b/source/steps/step_pull.ts
@@ -2,10 +2,11 @@
   Sample,
   StepManifest,
 } from "../../generated/snipepath/v1/records_pb.ts";
+import type { Metrics } from "../observability/metrics.ts";
 import type { Clock } from "../utilities/clock.ts";
 import { invariant } from "../utilities/invariant.ts";
 import type { HeldStep } from "./held_step.ts";
-import { isTooOld } from "./sample_staleness.ts";
+import { getOldestVersion, isTooOld } from "./sample_staleness.ts";
 import { decodeCursor, encodeCursor, type StepCursor } from "./step_cursor.ts";
 import type { StepDirectory, StepName } from "./step_directory.ts";
 import type { StepFetcher } from "./step_fetcher.ts";
@@ -44,6 +45,7 @@
 /** What pulls need. */
 export interface StepPullOptions {
   readonly clock: Clock;
+  readonly metrics: Metrics;
   readonly directory: StepDirectory;
   readonly fetcher: StepFetcher;
   readonly versions: WeightVersions;
@@ -176,6 +178,18 @@
     return isStated || this.#options.versions.isConfirmed(request.trainer);
   }
 
+  #measure(
+    pull: OpenPull,
+    samples: ReadonlyArray<Sample>,
+    newestVersion: number,
+  ): void {
+    const { trainer } = pull.step.manifest;
+    for (const sample of samples) {
+      const age = Math.max(0, newestVersion - getOldestVersion(sample));
+      this.#options.metrics.histogram("sample.age_versions", age, { trainer });
+    }
+  }
+
   #handOver(
     pull: OpenPull,
     isLast: boolean,
@@ -204,6 +218,7 @@
     });
     if (samples.length === 0 && !isLast) return false;
     checkHandOver(pull, samples, newestVersion);
+    this.#measure(pull, samples, newestVersion);
     send(toAnswer(pull, { samples, newestVersion }));
     return true;
   }
--- a/source/steps/step_service.ts
+++ b/source/steps/step_service.ts
@@ -102,6 +102,7 @@
     });
     this.#pull = new StepPull({
       clock,
+      metrics: context.metrics,
       directory,
       fetcher,
       versions,
