Begin no second run of a sample that is finished already

Cause: while the cancelled loser of a sample had not ended yet, the tail policy saw one run of it and began another one. Change: policies see missing samples only; the runner checks the budget itself.

--- a/source/steps/hand_over_test.ts
+++ b/source/steps/hand_over_test.ts
@@ -64,6 +64,21 @@
   group.close();
 });
 
+test("a publication is answered when no node goes by an earlier reading any more", async (t) => {
+  const scene = await startScene({ maximum: 1 });
+  const { group, owner, other, trainer } = scene;
+  await group.clock.advance(1000);
+  owner.isCutOff = true;
+  owner.isUnlisted = true;
+  const first = await group.drive(trainer.pullOnce());
+  t.is(first?.samples.length, 1);
+  t.true(await group.drive(trainer.publish(2, other)));
+  group.pool.loadEverywhere(2);
+  await group.drive(trainer.pullOnce());
+  t.is(trainer.findings().tooOld, 0);
+  group.close();
+});
+
 test("a node cut off from the table and its peers asks for the version", async (t) => {
   const scene = await startScene();
   const { group, owner, trainer } = scene;
--- a/source/steps/step_runner.ts
+++ b/source/steps/step_runner.ts
@@ -127,7 +127,9 @@
 
   #startSecondRuns(waiting: number, signal: AbortSignal): void {
     const chosen = this.#options.tailPolicy({
-      running: this.#progress.flatMap((progress) => progress.describe() ?? []),
+      running: this.#progress
+        .filter((progress) => this.#isMissing(progress.planned))
+        .flatMap((progress) => progress.describe() ?? []),
       waiting,
       finished: this.#finished,
       spareTokens: this.#options.spareTokens() - this.#secondRunTokens,
@@ -140,6 +142,8 @@
     const progress = this.#progress[second.index];
     const [source] = progress?.runs ?? [];
     if (progress === undefined || source === undefined) return;
+    const spent = this.#secondRunTokens + second.tokens;
+    if (spent > this.#options.spareTokens()) return;
     this.#secondRunTokens += second.tokens;
     this.#secondRuns += 1;
     metrics.count("step.second_runs", { trainer: this.#step.manifest.trainer });
--- a/stand_ins/steps/fake_node_group.ts
+++ b/stand_ins/steps/fake_node_group.ts
@@ -46,6 +46,8 @@
   diedAt: number;
   /** Whether no peer reaches the node and it reaches none. */
   isCutOff: boolean;
+  /** Whether the other nodes' lists lack the node. */
+  isUnlisted: boolean;
 }
 
 /** Settings of a group. */
@@ -183,6 +185,7 @@
       isAlive: true,
       diedAt: 0,
       isCutOff: false,
+      isUnlisted: false,
     };
     this.#parts.set(node, parts);
     return node;
@@ -284,7 +287,7 @@
   #livePeers(self: FakeNode): ReadonlyArray<Peer> {
     const now = this.clock.monotonic();
     return this.nodes
-      .filter((node) => node !== self)
+      .filter((node) => node !== self && !node.isUnlisted)
       .filter((node) =>
         node.isAlive || now - node.diedAt < DEATH_NOTICE_MILLISECONDS
       )
