--- a/experiments/deployment/deployment.ts
+++ b/experiments/deployment/deployment.ts
@@ -8,6 +8,7 @@
 const NODE_PROGRAM = "build/bin/snipepath-node.mjs";
 const COMMAND_PROGRAM = "build/bin/snipepath.mjs";
 const LISTENING = "listening ";
+const FAULT_TIMEOUT_MILLISECONDS = 500;
 
 /** How a deployment is started. */
 export interface DeploymentOptions {
@@ -17,6 +18,8 @@
   readonly nodeFlags?: ReadonlyArray<string>;
   /** Flags of every engine. */
   readonly engineFlags?: ReadonlyArray<string>;
+  /** Flags of one engine by its index, beside the common ones. */
+  readonly flagsOfEngine?: (index: number) => ReadonlyArray<string>;
   /** Flags of the platform's stand-in. */
   readonly platformFlags?: ReadonlyArray<string>;
   /** Folder for the logs; none keeps only the newest lines in memory. */
@@ -175,6 +178,35 @@
     });
   }
 
+  /**
+   * Makes a stand-in show a fault.
+   * @param address - HOST:PORT of the stand-in.
+   * @param fault - The fault, as the stand-in takes it.
+   */
+  async setFault(
+    address: string,
+    fault: Readonly<Record<string, unknown>>,
+  ): Promise<void> {
+    // A freeze of all connections may take the answer's own with it.
+    await fetch(`http://${address}/faults`, {
+      method: "POST",
+      headers: { "content-type": "application/json" },
+      body: JSON.stringify(fault),
+      signal: AbortSignal.timeout(FAULT_TIMEOUT_MILLISECONDS),
+    }).catch(() => undefined);
+  }
+
+  /**
+   * Ends all faults of a stand-in.
+   * @param address - HOST:PORT of the stand-in.
+   */
+  async clearFaults(address: string): Promise<void> {
+    await fetch(`http://${address}/faults`, {
+      method: "DELETE",
+      signal: AbortSignal.timeout(FAULT_TIMEOUT_MILLISECONDS),
+    }).catch(() => undefined);
+  }
+
   /** Ends every process. */
   async stop(): Promise<void> {
     const processes = [
@@ -192,12 +224,16 @@
         service,
         failureDomain: pick(layout.failureDomains, index),
         name: `${service.name}-${index + 1}`,
+        flags: service.kind === "model"
+          ? this.#options.flagsOfEngine?.(index) ?? []
+          : [],
       }))
     );
-    await Promise.all(wanted.map(async ({ service, failureDomain, name }) => {
+    await Promise.all(wanted.map(async (each) => {
+      const { service, failureDomain, name, flags } = each;
       const process = await this.#startServerProcess(service.name, {
         name,
-        flags: [],
+        flags,
       });
       this.servers.push({
         name,
--- /dev/null
+++ b/experiments/load/measures.ts
@@ -0,0 +1,164 @@
+import { build, type Histogram } from "hdr-histogram-js";
+import type { StepResult } from "../clients/trainer_client.ts";
+import type { RequestRecord } from "./open_loop.ts";
+
+const LONGEST_MILLISECONDS = 120_000;
+
+/** How the requests of one organisation and class fared. */
+export interface ServedMeasures {
+  readonly organisation: string;
+  readonly classOfWork: string;
+  readonly requests: number;
+  readonly answered: number;
+  readonly refused: number;
+  readonly lost: number;
+  /** Milliseconds from the intended time of sending, over answered requests. */
+  readonly p50: number;
+  readonly p99: number;
+  /** Answers within the class's latency target, of 1. */
+  readonly shareMet: number;
+}
+
+/** How a trainer fared. */
+export interface TrainerMeasures {
+  readonly steps: number;
+  readonly wholeSteps: number;
+  readonly stepP50: number;
+  readonly stepLongest: number;
+  /** Share of the run in which the trainer waited for samples. */
+  readonly idleShare: number;
+  /** Newest version less the oldest in a sample, on average at hand-over. */
+  readonly meanStaleness: number;
+}
+
+/** What a run measured. */
+export interface RunMeasures {
+  readonly served: ReadonlyArray<ServedMeasures>;
+  /** The organisation with the smallest share of targets met, among those that keep to their share. */
+  readonly worst: ServedMeasures | undefined;
+  readonly medianShareMet: number;
+  readonly trainer: TrainerMeasures | undefined;
+  readonly refusals: Readonly<Record<string, number>>;
+  readonly answersPerSecond: number;
+}
+
+/** What measures are made of. */
+export interface MeasureOptions {
+  readonly records: ReadonlyArray<RequestRecord>;
+  readonly steps: ReadonlyArray<StepResult>;
+  readonly durationMilliseconds: number;
+  /** Latency targets in milliseconds by class of work. */
+  readonly targets: ReadonlyMap<string, number>;
+  /** Organisations that send more than their share. */
+  readonly flooding: ReadonlyArray<string>;
+}
+
+/**
+ * Sums a run up.
+ * @param options - What was recorded.
+ */
+export function measureRun(options: MeasureOptions): RunMeasures {
+  const { records } = options;
+  const groups = groupRecords(records);
+  const served = [...groups.values()].map((group) =>
+    measureGroup(group, options.targets)
+  );
+  const behaved = served
+    .filter((each) => !options.flooding.includes(each.organisation))
+    .sort((left, right) => left.shareMet - right.shareMet);
+  return {
+    served,
+    worst: behaved[0],
+    medianShareMet: behaved[Math.floor(behaved.length / 2)]?.shareMet ?? 0,
+    trainer: measureTrainer(options.steps, options.durationMilliseconds),
+    refusals: countRefusals(records),
+    answersPerSecond: 1000 *
+      records.filter((record) => record.outcome === "answered").length /
+      options.durationMilliseconds,
+  };
+}
+
+function groupRecords(
+  records: ReadonlyArray<RequestRecord>,
+): ReadonlyMap<string, ReadonlyArray<RequestRecord>> {
+  const groups = new Map<string, RequestRecord[]>();
+  for (const record of records) {
+    const { organisation, classOfWork, kind } = record.stream;
+    const name = `${organisation}/${classOfWork}/${kind}`;
+    const group = groups.get(name) ?? [];
+    group.push(record);
+    groups.set(name, group);
+  }
+  return groups;
+}
+
+function measureGroup(
+  group: ReadonlyArray<RequestRecord>,
+  targets: ReadonlyMap<string, number>,
+): ServedMeasures {
+  const stream = group[0]?.stream;
+  const classOfWork = stream?.classOfWork ?? "";
+  const target = targets.get(classOfWork) ?? LONGEST_MILLISECONDS;
+  const answered = group.filter((record) => record.outcome === "answered");
+  const histogram = createHistogram(answered.map((record) => record.latency));
+  const met = answered.filter((record) => record.latency <= target).length;
+  return {
+    organisation: stream?.organisation ?? "",
+    classOfWork: `${classOfWork} ${stream?.kind ?? ""}`,
+    requests: group.length,
+    answered: answered.length,
+    refused: group.filter((record) => record.outcome === "refused").length,
+    lost: group.filter((record) => record.outcome === "lost").length,
+    p50: histogram.getValueAtPercentile(50),
+    p99: histogram.getValueAtPercentile(99),
+    shareMet: met / Math.max(group.length, 1),
+  };
+}
+
+function createHistogram(latencies: ReadonlyArray<number>): Histogram {
+  const histogram = build({ highestTrackableValue: LONGEST_MILLISECONDS });
+  for (const latency of latencies) {
+    const bounded = Math.min(Math.max(latency, 0), LONGEST_MILLISECONDS);
+    histogram.recordValue(Math.round(bounded));
+  }
+  return histogram;
+}
+
+function measureTrainer(
+  steps: ReadonlyArray<StepResult>,
+  durationMilliseconds: number,
+): TrainerMeasures | undefined {
+  if (steps.length === 0) return undefined;
+  const times = steps.map((step) => step.milliseconds)
+    .sort((left, right) => left - right);
+  const ages = steps.flatMap((step) =>
+    step.samples.map((sample) =>
+      Math.max(
+        0,
+        sample.publishedBeforePull -
+          Math.min(...sample.stretches.map((each) => each.weightVersion)),
+      )
+    )
+  );
+  const waited = times.reduce((sum, time) => sum + time, 0);
+  return {
+    steps: steps.length,
+    wholeSteps: steps.filter((step) => step.isWhole).length,
+    stepP50: times[Math.floor(times.length / 2)] ?? 0,
+    stepLongest: times.at(-1) ?? 0,
+    idleShare: Math.min(1, waited / durationMilliseconds),
+    meanStaleness: ages.reduce((sum, age) => sum + age, 0) /
+      Math.max(ages.length, 1),
+  };
+}
+
+function countRefusals(
+  records: ReadonlyArray<RequestRecord>,
+): Readonly<Record<string, number>> {
+  const counts: Record<string, number> = {};
+  for (const { outcome, refusal } of records) {
+    const name = outcome === "lost" ? "lost" : refusal;
+    if (outcome !== "answered") counts[name] = (counts[name] ?? 0) + 1;
+  }
+  return counts;
+}
--- /dev/null
+++ b/experiments/load/request_plan.ts
@@ -0,0 +1,79 @@
+import {
+  createRandomSource,
+  type RandomSource,
+} from "../../source/utilities/random_source.ts";
+
+/** A stream of requests of one organisation. */
+export interface RequestStream {
+  readonly organisation: string;
+  readonly kind: "completion" | "status" | "order";
+  readonly classOfWork: string;
+  readonly requestsPerSecond: number;
+  readonly tokens: number;
+  /** Number of different prompts; a few make prefixes recur. */
+  readonly prompts: number;
+  /** Index of the only node that is used; undefined for what the addresses say. */
+  readonly onlyNode?: number;
+  /** Milliseconds from the start within which the stream sends; undefined for always. */
+  readonly active?: { readonly from: number; readonly to: number };
+}
+
+/** A request at its intended time. */
+export interface PlannedRequest {
+  readonly stream: RequestStream;
+  /** Milliseconds from the start. */
+  readonly at: number;
+  readonly number: number;
+  readonly prompt: number;
+}
+
+/** What a plan is made for. */
+export interface RequestPlanOptions {
+  readonly seed: number;
+  readonly durationMilliseconds: number;
+  readonly streams: ReadonlyArray<RequestStream>;
+}
+
+/**
+ * Plans all requests of a run with exponentially distributed gaps, whatever the answers will be.
+ * @param options - Seed, duration and streams.
+ * @returns The requests in the order of their intended times.
+ * @example
+ * ```ts
+ * const plan = planRequests({ seed: 1, durationMilliseconds: 10_000, streams });
+ * ```
+ */
+export function planRequests(
+  options: RequestPlanOptions,
+): ReadonlyArray<PlannedRequest> {
+  const plans = options.streams.flatMap((stream, index) =>
+    planStream(stream, {
+      random: createRandomSource(options.seed * 1000 + index),
+      durationMilliseconds: options.durationMilliseconds,
+    })
+  );
+  return plans.sort((left, right) => left.at - right.at);
+}
+
+function planStream(
+  stream: RequestStream,
+  options: {
+    readonly random: RandomSource;
+    readonly durationMilliseconds: number;
+  },
+): PlannedRequest[] {
+  const { random, durationMilliseconds } = options;
+  const from = stream.active?.from ?? 0;
+  const to = Math.min(
+    stream.active?.to ?? durationMilliseconds,
+    durationMilliseconds,
+  );
+  const planned: PlannedRequest[] = [];
+  const meanGap = 1000 / stream.requestsPerSecond;
+  let at = from;
+  for (let number = 0;; number += 1) {
+    at += -Math.log(1 - random.next()) * meanGap;
+    if (at >= to) return planned;
+    planned.push({ stream, at, number, prompt: random.below(stream.prompts) });
+  }
+}
--- a/experiments/soak/fault_actions.ts
+++ b/experiments/soak/fault_actions.ts
@@ -10,7 +10,6 @@
 import type { Journal, SeenFault } from "./journal.ts";
 
 const SLOW_ANSWER_MILLISECONDS = 1500;
-const FAULT_TIMEOUT_MILLISECONDS = 500;
 const LEAVE_REST_MILLISECONDS = 6000;
 
 /** What faults act upon. */
@@ -90,7 +89,7 @@
     }),
   serverFreezeConnections: (context, fault) =>
     withServer(context, fault, async (server) => {
-      await setFault(server.address, {
+      await context.deployment.setFault(server.address, {
         path: "/",
         fault: "freeze",
         existing: true,
@@ -98,9 +97,12 @@
     }),
   serverErrors: (context, fault) =>
     withServer(context, fault, async (server) => {
-      await setFault(server.address, { path: "/v1", fault: "error" });
+      await context.deployment.setFault(server.address, {
+        path: "/v1",
+        fault: "error",
+      });
       await sleep(fault.lasts);
-      await clearFaults(server.address);
+      await context.deployment.clearFaults(server.address);
     }),
   serverLeave: (context, fault) =>
     withServer(context, fault, async (server) => {
@@ -165,9 +167,9 @@
   context.busy.add("platform");
   const address = context.deployment.platformAddress;
   await noting(context, fault, "platform", async () => {
-    await setFault(address, wanted);
+    await context.deployment.setFault(address, wanted);
     await sleep(fault.lasts);
-    await clearFaults(address);
+    await context.deployment.clearFaults(address);
   });
   context.busy.delete("platform");
 }
@@ -190,26 +192,6 @@
   seen.to = journal.now();
 }
 
-async function setFault(
-  address: string,
-  fault: Readonly<Record<string, unknown>>,
-): Promise<void> {
-  // A freeze of all connections may take the answer's own with it.
-  await fetch(`http://${address}/faults`, {
-    method: "POST",
-    headers: { "content-type": "application/json" },
-    body: JSON.stringify(fault),
-    signal: AbortSignal.timeout(FAULT_TIMEOUT_MILLISECONDS),
-  }).catch(() => undefined);
-}
-
-async function clearFaults(address: string): Promise<void> {
-  await fetch(`http://${address}/faults`, {
-    method: "DELETE",
-    signal: AbortSignal.timeout(FAULT_TIMEOUT_MILLISECONDS),
-  }).catch(() => undefined);
-}
-
 function sleep(milliseconds: number): Promise<void> {
   return new Promise((resolve) => setTimeout(resolve, milliseconds));
 }
--- a/scripts/bundle.mjs
+++ b/scripts/bundle.mjs
@@ -2,7 +2,7 @@
 import { build } from "esbuild";
 import { readdirSync } from "node:fs";
 
-const ROOTS = ["source/programs", "stand_ins/programs"];
+const ROOTS = ["source/programs", "stand_ins/programs", "experiments/programs"];
 
 const entryPoints = ROOTS.flatMap((root) =>
   readdirSync(root).filter((name) =>
