--- a/source/steps/step_ownership.ts
+++ b/source/steps/step_ownership.ts
@@ -1,5 +1,8 @@
 import { create } from "@bufbuild/protobuf";
-import { StepFactSchema } from "../../generated/snipepath/v1/peer_pb.ts";
+import {
+  StepFactSchema,
+  StoreSamplesRequestSchema,
+} from "../../generated/snipepath/v1/peer_pb.ts";
 import type { HeldStep } from "./held_step.ts";
 import { OwnedStep } from "./owned_step.ts";
 import type { SampleArchive } from "./sample_archive.ts";
@@ -10,12 +13,13 @@
 import { StepRunner } from "./step_runner.ts";
 import type { StepServiceOptions } from "./step_service_options.ts";
 import { countPlannedTokens } from "./step_plan.ts";
+import { getSpareShare } from "./tail_budget.ts";
 import { TAIL_POLICIES, type TailPolicyName } from "./tail_policy.ts";
 import type { WeightVersions } from "./weight_versions.ts";
 
+const DEFAULT_TAIL_POLICY: TailPolicyName = "resumedTail";
 const TICK_MILLISECONDS = 250;
 const TAKEOVER_MILLISECONDS = 2000;
-const SPARE_TOKENS_SHARE = 0.05;
 const RETENTION_FACTOR = 3;
 const TOLD_PARTS = 16;
 
@@ -76,6 +80,8 @@
       trainer: manifest.trainer,
       step: manifest.step,
       reason,
+      generatedTokens: owned?.effort.generatedTokens ?? 0,
+      secondRuns: owned?.effort.secondRuns ?? 0,
     });
     if (owned !== undefined) void this.#options.archive.remove(manifest);
   }
@@ -137,12 +143,29 @@
     if (this.#owned.has(step)) {
       this.#yieldIfOthersOwn(step);
       this.#dropTooOldOf(step);
+      this.#noteWhole(step);
       this.tell(step);
       return;
     }
     this.#takeOverIfUnclaimed(step);
   }
 
+  #noteWhole(step: HeldStep): void {
+    const owned = this.#owned.get(step);
+    if (owned === undefined || !step.isWhole()) return;
+    const isMissed = this.#hasMissedDeadline(step, owned.startedAt);
+    if (!owned.closeLedger(isMissed)) return;
+    const { clock, metrics } = this.#options.context;
+    metrics.histogram(
+      "step.milliseconds",
+      clock.monotonic() - owned.startedAt,
+      {
+        trainer: step.manifest.trainer,
+        organisation: step.manifest.organisation,
+      },
+    );
+  }
+
   #isOver(step: HeldStep): boolean {
     if (step.hasEnded) return true;
     const { manifest } = step;
@@ -156,6 +179,8 @@
   #forgetLater(step: HeldStep): void {
     if (this.#ageOf(step) <= this.#retentionOf(step)) return;
     this.#options.directory.forget(step);
+    const { trainer, step: name } = step.manifest;
+    this.#options.told.retract?.("step", toStepKey(trainer, name));
   }
 
   #retentionOf(step: HeldStep): number {
@@ -185,6 +210,23 @@
       owner: winner.node,
     });
     this.tell(step);
+    void this.#giveSamples(step, winner.node);
+  }
+
+  async #giveSamples(step: HeldStep, owner: string): Promise<void> {
+    const { peers } = this.#options;
+    const peer = peers.peers().find((each) => each.node === owner);
+    if (peer === undefined || step.finished === 0) return;
+    const { trainer, step: name, epoch } = step.manifest;
+    await peers.storeSamples(
+      peer,
+      create(StoreSamplesRequestSchema, {
+        trainer,
+        step: name,
+        epoch,
+        samples: [...step.samples()],
+      }),
+    );
   }
 
   #takeOverIfUnclaimed(step: HeldStep): void {
@@ -220,6 +262,7 @@
   #own(step: HeldStep): OwnedStep {
     const { context, peers, archive, versions } = this.#options;
     const { clock } = context;
+    const startedAt = clock.monotonic();
     const copier = new SampleCopier(step, { clock, peers, archive });
     const classOfWork = this.#getClassOfWork(step);
     const ledger = context.ledger.open({
@@ -234,11 +277,10 @@
       classOfWork,
       ledger,
       tailPolicy: this.#getTailPolicy(),
-      spareTokens: countPlannedTokens(step.plan) * SPARE_TOKENS_SHARE,
+      spareTokens: () => this.#getSpareTokens(step, startedAt),
       newestVersion: () => versions.newest(step.manifest.trainer),
       onFinished: (sample) => copier.add(sample),
     });
-    const startedAt = clock.monotonic();
     const owned = new OwnedStep(step, { copier, runner, ledger, startedAt });
     this.#owned.set(step, owned);
     this.#options.directory.setOwned(step, true);
@@ -253,10 +295,26 @@
       ?.classOfWork ?? "";
   }
 
+  #getSpareTokens(step: HeldStep, startedAt: number): number {
+    const { context, configuration } = this.#options;
+    const name = this.#getClassOfWork(step);
+    const classOfWork = configuration.current()?.declaration?.classes
+      .find((each) => each.name === name);
+    const share = getSpareShare({
+      elapsedMilliseconds: context.clock.monotonic() - startedAt,
+      deadlineMilliseconds: step.manifest.deadlineSeconds * 1000,
+      finishedShare: step.finished / step.plan.length,
+      isDeferrable: classOfWork?.deferrable ?? false,
+    });
+    return countPlannedTokens(step.plan) * share;
+  }
+
   #getTailPolicy(): (typeof TAIL_POLICIES)[TailPolicyName] {
     const name = this.#options.context.settings.stepTailPolicy;
     const isKnown = Object.hasOwn(TAIL_POLICIES, name);
-    return TAIL_POLICIES[isKnown ? name as TailPolicyName : "hedgedTail"];
+    return TAIL_POLICIES[
+      isKnown ? name as TailPolicyName : DEFAULT_TAIL_POLICY
+    ];
   }
 
   #hasMissedDeadline(step: HeldStep, startedAt: number): boolean {
