--- a/experiments/routing/load_generator.ts
+++ b/experiments/routing/load_generator.ts
@@ -33,6 +33,7 @@
   readonly #seconds: SecondCounts[] = [];
   #sent = 0;
   #arrived = 0;
+  #attempts = 0;
   #inTime = 0;
   #cachedTokens = 0;
   #promptTokens = 0;
@@ -62,9 +63,14 @@
   async #send(dueAt: number, sinceStart: number): Promise<void> {
     const { clock, random, dispatchers, load } = this.#options;
     const dispatcher = dispatchers[random.below(dispatchers.length)]!;
-    const outcome = await dispatcher.runCompletion(this.#nextWork(dueAt));
+    let attempts = 0;
+    const outcome = await dispatcher.runCompletion({
+      ...this.#nextWork(dueAt),
+      onServer: () => attempts += 1,
+    });
     const latency = clock.monotonic() - dueAt;
     if (sinceStart >= load.warmupMilliseconds) {
+      this.#attempts += attempts;
       this.#note(outcome, latency);
       this.#noteSecond(sinceStart, outcome, latency);
     }
@@ -139,6 +145,7 @@
       latencies: this.#latencies,
       arrived: this.#arrived,
       finished: this.#latencies.length,
+      attempts: this.#attempts,
       inTime: this.#inTime,
       refusals: this.#refusals,
       cachedTokens: this.#cachedTokens,
--- a/experiments/routing/messages.ts
+++ b/experiments/routing/messages.ts
@@ -76,6 +76,8 @@
   readonly latencies: ReadonlyArray<number>;
   readonly arrived: number;
   readonly finished: number;
+  /** Requests sent to engines. */
+  readonly attempts: number;
   readonly inTime: number;
   readonly refusals: Readonly<Record<string, number>>;
   readonly cachedTokens: number;
--- a/experiments/routing/trial.ts
+++ b/experiments/routing/trial.ts
@@ -176,6 +176,7 @@
     latencies: results.flatMap(({ latencies }) => latencies),
     arrived: sum(({ arrived }) => arrived),
     finished: sum(({ finished }) => finished),
+    attempts: sum(({ attempts }) => attempts),
     inTime: sum(({ inTime }) => inTime),
     cachedTokens: sum(({ cachedTokens }) => cachedTokens),
     promptTokens: sum(({ promptTokens }) => promptTokens),
