Choose the least loaded of servers whose expected costs are within a twentieth

The choice table showed that of equal servers the first in the list got all work of every node. Equal costs now go by load, then failure domain, then chance.

--- a/source/routing/expected_finish.ts
+++ b/source/routing/expected_finish.ts
@@ -8,6 +8,8 @@
   RoutingPolicy,
 } from "./routing_policy.ts";
 
+const EQUAL_COST_SHARE = 0.05;
+
 /** Takes the server on which the work is expected to be finished first. */
 export class ExpectedFinish implements RoutingPolicy {
   /** Chooses a server; equal ones in this node's failure domain first. */
@@ -24,29 +26,27 @@
       random: knowledge.random,
       loadOf: (server) => estimator.load(server).mean,
     });
-    const choices = few.map((server) => ({
-      server,
-      expectedMilliseconds: estimator.finishMilliseconds(server),
-      cost: estimator.costMilliseconds(server),
-    }));
-    return choices.reduce((best, choice) =>
-      isBetter(choice, best, knowledge.failureDomain) ? choice : best
-    );
+    const costs = few.map((server) => estimator.costMilliseconds(server));
+    const limit = Math.min(...costs) * (1 + EQUAL_COST_SHARE);
+    const equal = few.filter((_, index) => costs[index]! <= limit);
+    const server = pickLeastLoaded(equal, estimator, knowledge);
+    const expectedMilliseconds = estimator.finishMilliseconds(server);
+    return { server, expectedMilliseconds };
   }
 }
 
-interface CostedChoice extends RoutingChoice {
-  readonly cost: number;
-}
-
-function isBetter(
-  choice: CostedChoice,
-  best: CostedChoice,
-  failureDomain: string,
-): boolean {
-  if (choice.cost !== best.cost) return choice.cost < best.cost;
-  return choice.server.failureDomain === failureDomain &&
-    best.server.failureDomain !== failureDomain;
+// Of equally loaded servers those in this node's failure domain come first, then chance.
+function pickLeastLoaded(
+  servers: ReadonlyArray<BackendServerState>,
+  estimator: FinishEstimator,
+  { failureDomain, random }: RoutingKnowledge,
+): BackendServerState {
+  const loads = servers.map((server) => estimator.load(server).mean);
+  const least = Math.min(...loads);
+  const equal = servers.filter((_, index) => loads[index] === least);
+  const near = equal.filter((server) => server.failureDomain === failureDomain);
+  const preferred = near.length > 0 ? near : equal;
+  return preferred[random.below(preferred.length)]!;
 }
 
 function learnSlots(
