--- a/source/backends/silence_watch_test.ts
+++ b/source/backends/silence_watch_test.ts
@@ -60,8 +60,9 @@
   {
     name: "process stood still",
     act: async (_watch, clock) => {
+      await clock.advance(10);
       clock.stallMilliseconds = 200;
-      await clock.advance(200);
+      await clock.advance(240);
     },
   },
 ];
