--- a/source/routing/expected_finish.ts
+++ b/source/routing/expected_finish.ts
@@ -29,21 +29,21 @@
     const costs = few.map((server) => estimator.costMilliseconds(server));
     const limit = Math.min(...costs) * (1 + EQUAL_COST_SHARE);
     const equal = few.filter((_, index) => costs[index]! <= limit);
-    const server = pickLeastLoaded(equal, estimator, knowledge);
+    const server = pickLeastLoaded(equal, knowledge);
     const expectedMilliseconds = estimator.finishMilliseconds(server);
     return { server, expectedMilliseconds };
   }
 }
 
-// Of equally loaded servers those in this node's failure domain come first, then chance.
+// Own requests alone decide, since all nodes have the same reports; of equal servers those
+// in this node's failure domain come first, then chance.
 function pickLeastLoaded(
   servers: ReadonlyArray<BackendServerState>,
-  estimator: FinishEstimator,
-  { failureDomain, random }: RoutingKnowledge,
+  { experience, failureDomain, random }: RoutingKnowledge,
 ): BackendServerState {
-  const loads = servers.map((server) => estimator.load(server).mean);
-  const least = Math.min(...loads);
-  const equal = servers.filter((_, index) => loads[index] === least);
+  const counts = servers.map(({ address }) => experience.running(address));
+  const least = Math.min(...counts);
+  const equal = servers.filter((_, index) => counts[index] === least);
   const near = equal.filter((server) => server.failureDomain === failureDomain);
   const preferred = near.length > 0 ? near : equal;
   return preferred[random.below(preferred.length)]!;
--- a/source/routing/load_estimate.ts
+++ b/source/routing/load_estimate.ts
@@ -21,8 +21,9 @@
  * what peers have told of theirs.
  *
  * This node's own requests are known exactly. Those of others were reported some time ago;
- * as requests end and new ones come, a report says less and less, and the estimate goes
- * from the reported number to the server's mean of some seconds within the time of a request.
+ * as requests end and new ones come, a report says less and less. What it no longer says is
+ * made up for by taking the other nodes to have done as this one did: nodes that all went by
+ * the same late reports would all choose the same server.
  * @param servers - All servers that are compared.
  * @param now - Monotonic time in milliseconds.
  * @returns The estimates by address.
@@ -35,25 +36,37 @@
   servers: ReadonlyArray<ReportedServer>,
   now: number,
 ): ReadonlyMap<string, LoadEstimate> {
-  return new Map(servers.map((reported) => [
+  const others = servers.map((reported) => othersAtReport(reported, now));
+  const own = servers.map(({ record }) => record.running + 1);
+  const othersForEachOwn = sum(others) / Math.max(1, sum(own));
+  return new Map(servers.map((reported, index) => [
     reported.server.address,
-    estimateLoad(reported, now),
+    estimateLoad(reported, { others: others[index]!, othersForEachOwn, now }),
   ]));
 }
 
-function estimateLoad(reported: ReportedServer, now: number): LoadEstimate {
-  const { server, record, serviceMilliseconds } = reported;
-  const others = othersAtReport(reported, now);
-  const mean = record.noteOthers(others, now);
+function estimateLoad(
+  { server, record, serviceMilliseconds }: ReportedServer,
+  { others, othersForEachOwn, now }: {
+    readonly others: number;
+    readonly othersForEachOwn: number;
+    readonly now: number;
+  },
+): LoadEstimate {
   const age = server.loadAgeMilliseconds;
   const lateness = age + record.noteReportAge(age, now);
   const kept = keptShare(lateness, serviceMilliseconds);
-  const estimated = mean + (others - mean) * kept;
+  const alike = (record.running + 1) * othersForEachOwn;
+  const estimated = kept * others + (1 - kept) * alike;
   const count = Math.max(estimated, server.dispatchedByPeers);
-  const deviation = Math.sqrt(Math.max(0, count) * (1 - kept ** 2));
+  const deviation = Math.sqrt(count * (1 - kept ** 2));
   return { mean: record.running + count, deviation };
 }
 
+function sum(counts: ReadonlyArray<number>): number {
+  return counts.reduce((total, count) => total + count, 0);
+}
+
 // A report says nothing of how late it was when it came; it is taken to have been as late
 // as the time between reports.
 function keptShare(lateness: number, serviceMilliseconds: number): number {
--- a/source/routing/server_record.ts
+++ b/source/routing/server_record.ts
@@ -3,7 +3,7 @@
 
 const SPEED_HALF_LIFE_MILLISECONDS = 10_000;
 const FAILURE_HALF_LIFE_MILLISECONDS = 5_000;
-const LOAD_HALF_LIFE_MILLISECONDS = 5_000;
+const REPORT_HALF_LIFE_MILLISECONDS = 5_000;
 const MAXIMUM_RECENT = 512;
 const FAILING_SHARE = 0.5;
 const FEWEST_FAILURES = 2;
@@ -23,8 +23,7 @@
   readonly #tokenTime = new DecayedMean(SPEED_HALF_LIFE_MILLISECONDS);
   readonly #callTime = new DecayedMean(SPEED_HALF_LIFE_MILLISECONDS);
   readonly #headTime = new DecayedMean(SPEED_HALF_LIFE_MILLISECONDS);
-  readonly #reportAge = new DecayedMean(LOAD_HALF_LIFE_MILLISECONDS);
-  readonly #othersRunning = new DecayedMean(LOAD_HALF_LIFE_MILLISECONDS);
+  readonly #reportAge = new DecayedMean(REPORT_HALF_LIFE_MILLISECONDS);
   #slots: number | undefined;
 
   /** Requests that this node has running there. */
@@ -79,12 +78,6 @@
     this.#callTime.add(milliseconds, { weight: 1, now });
   }
 
-  /** Notes how many requests of other nodes were reported; returns their mean over some seconds. */
-  noteOthers(count: number, now: number): number {
-    this.#othersRunning.add(count, { weight: 1, now });
-    return this.#othersRunning.value(now) ?? count;
-  }
-
   /** Notes the age of the newest report; returns the mean time between reports. */
   noteReportAge(age: number, now: number): number {
     this.#reportAge.add(age, { weight: 1, now });
