--- a/experiments/deployment/child_process.ts
+++ b/experiments/deployment/child_process.ts
@@ -12,6 +12,8 @@
   /** Path of the program's file. */
   readonly program: string;
   readonly arguments: ReadonlyArray<string>;
+  /** Flags of Node.js. */
+  readonly runtimeFlags?: ReadonlyArray<string>;
   /** File for the log; none keeps only the newest lines. */
   readonly logFile?: string;
   /** Text at the start of the line that tells readiness. */
@@ -49,6 +51,7 @@
 ): Promise<RunningProcess> {
   const child = spawn(process.execPath, [
     "--enable-source-maps",
+    ...options.runtimeFlags ?? [],
     options.program,
     ...options.arguments,
   ], { stdio: ["ignore", "pipe", "pipe"] });
--- a/experiments/deployment/deployment.ts
+++ b/experiments/deployment/deployment.ts
@@ -16,6 +16,8 @@
   readonly nodes: number;
   /** Flags of every node, besides names and addresses. */
   readonly nodeFlags?: ReadonlyArray<string>;
+  /** Flags of Node.js for every node, such as "--cpu-prof". */
+  readonly runtimeFlags?: ReadonlyArray<string>;
   /** Flags of every engine. */
   readonly engineFlags?: ReadonlyArray<string>;
   /** Flags of one engine by its index, beside the common ones. */
@@ -120,6 +122,7 @@
     const process = await startProcess({
       name,
       program: NODE_PROGRAM,
+      runtimeFlags: this.#options.runtimeFlags ?? [],
       arguments: [
         `--node=${name}`,
         `--failure-domain=${failureDomain}`,
