Count only reachable servers as running, and stop dead ones

A started server that is listed but does not answer let the keeper stop good ones, and a dead one stayed for ever. Surplus servers are stopped only if those left are enough after the loss of a failure domain too.

--- a/source/control/plan_orders.ts
+++ b/source/control/plan_orders.ts
@@ -1,9 +1,13 @@
 import type { Tier } from "../platform/orders_client.ts";
-import type { ServerCount, ServerSlot } from "./spend_planner.ts";
+import {
+  countAfterLoss,
+  type ServerCount,
+  type ServerSlot,
+} from "./spend_planner.ts";
 
 /** A server that runs or is being started. */
 export interface PlannedServer extends ServerSlot {
-  /** Empty while it is being started. */
+  /** Empty while it is being started or cannot be reached. */
   readonly address: string;
   readonly leaving: boolean;
 }
@@ -55,13 +59,35 @@
     );
     surplus.push(...idleFirst.slice(0, Math.max(0, present.length - wanted)));
   }
-  const running = staying.filter((server) => server.address !== "").length;
-  const spare = Math.max(0, running - input.neededServers);
-  const stop = surplus.map(({ address }) => address)
-    .filter((address) => address !== "").slice(0, spare);
+  const stop = chooseStops(surplus, staying, input);
   return { start: withinBounds(start, staying, input), stop };
 }
 
+/** Chooses surplus servers without which enough run, also after the loss of a domain. */
+function chooseStops(
+  surplus: ReadonlyArray<PlannedServer>,
+  staying: ReadonlyArray<PlannedServer>,
+  input: OrderPlanInput,
+): ReadonlyArray<string> {
+  const { neededServers, wanted } = input;
+  const neededAfterLoss = Math.min(neededServers, countAfterLoss(wanted));
+  let running = staying.filter((server) => server.address !== "");
+  const stop: string[] = [];
+  for (const { address } of surplus) {
+    const left = running.filter((server) => server.address !== address);
+    const afterLoss = countAfterLoss(left.map(toCount));
+    if (left.length === running.length || left.length < neededServers) continue;
+    if (afterLoss < neededAfterLoss) continue;
+    running = left;
+    stop.push(address);
+  }
+  return stop;
+}
+
+function toCount({ failureDomain, tier }: PlannedServer): ServerCount {
+  return { failureDomain, tier, servers: 1 };
+}
+
 function withinBounds(
   start: ReadonlyArray<ServerSlot>,
   staying: ReadonlyArray<PlannedServer>,
--- a/source/control/spend_keeper.ts
+++ b/source/control/spend_keeper.ts
@@ -67,6 +67,7 @@
   });
   readonly #starting = new Map<string, ServerSlot>();
   readonly #keptSince = new Map<string, number>();
+  readonly #silentSince = new Map<string, number>();
   readonly #unavailableSince = new Map<string, number>();
   #slotsOfServer = ASSUMED_SLOTS;
   #isSaturationSeen = false;
@@ -137,6 +138,7 @@
     const plan = this.#plan(service, present);
     this.#measure(plan, present);
     await this.#order(plan, present);
+    await this.#stopDead(present);
   }
 
   #plan(service: Service, present: ReadonlyArray<ListedInstance>): SpendPlan {
@@ -202,7 +204,38 @@
       }));
     const starting = [...this.#starting.values(), ...ordered]
       .map((slot) => ({ ...slot, address: "", leaving: false }));
-    return [...present, ...starting];
+    const reachable = this.#findReachable();
+    const listed = present.map((server) => ({
+      ...server,
+      address: reachable.has(server.address) ? server.address : "",
+    }));
+    return [...listed, ...starting];
+  }
+
+  #findReachable(): ReadonlySet<string> {
+    const servers = this.#options.servers.servers(this.#options.name);
+    return new Set(
+      servers.filter(({ reachable }) => reachable).map(({ address }) =>
+        address
+      ),
+    );
+  }
+
+  /** Stops servers that no node can reach, unless this node may be cut off itself. */
+  async #stopDead(present: ReadonlyArray<ListedInstance>): Promise<void> {
+    const now = this.#options.context.clock.monotonic();
+    const reachable = this.#findReachable();
+    const silent = present.filter(({ address }) => !reachable.has(address));
+    for (const address of this.#silentSince.keys()) {
+      const isSilent = silent.some((server) => server.address === address);
+      if (!isSilent) this.#silentSince.delete(address);
+    }
+    for (const { address } of silent) {
+      const since = this.#silentSince.get(address) ?? now;
+      this.#silentSince.set(address, since);
+      if (2 * silent.length >= present.length) continue;
+      if (now - since > START_TIMEOUT_MILLISECONDS) await this.#stop(address);
+    }
   }
 
   async #start(slot: ServerSlot): Promise<void> {
--- a/source/control/spend_keeper_test.ts
+++ b/source/control/spend_keeper_test.ts
@@ -34,6 +34,19 @@
   /** Requests that run or wait, over all servers. */
   load = 0;
   mostServers = 0;
+  /** Addresses that are listed and cannot be reached. */
+  readonly dead = new Set<string>();
+
+  /** Makes the first server of the list unreachable. */
+  killFirstServer(): void {
+    this.dead.add(this.#servers()[0]?.address ?? "");
+  }
+
+  /** Dead servers that are listed still. */
+  listedDead(): number {
+    return this.#servers().filter(({ address }) => this.dead.has(address))
+      .length;
+  }
 
   async advance(milliseconds: number): Promise<void> {
     const end = this.clock.monotonic() + milliseconds;
@@ -83,7 +96,7 @@
           ...server,
           service,
           startIdentity: server.address,
-          reachable: true,
+          reachable: !this.dead.has(server.address),
           running: Math.min(SLOTS, Math.max(0, this.load - index * SLOTS)),
           waiting: index === 0
             ? Math.max(0, this.load - servers.length * SLOTS)
@@ -122,6 +135,12 @@
     void bench.state.orders.reclaim("iasi-b", "cheap", 5_000);
     await bench.advance(SETTLE_MILLISECONDS);
   },
+  "a server dies and stays listed": async (bench) => {
+    bench.load = 12;
+    await bench.advance(SETTLE_MILLISECONDS);
+    bench.killFirstServer();
+    await bench.advance(SETTLE_MILLISECONDS);
+  },
   "no cheap server can be had": async (bench) => {
     for (const domain of SERVICE.failureDomains) {
       bench.state.orders.setAvailable(domain, "cheap", false);
@@ -171,6 +190,7 @@
       bench.mostServers <= MAXIMUM_SERVERS,
       `${bench.mostServers} servers`,
     );
+    t.is(bench.listedDead(), 0);
     t.snapshot({ servers: bench.counts(), most: bench.mostServers });
   });
 }
--- a/stand_ins/platform/platform_command.ts
+++ b/stand_ins/platform/platform_command.ts
@@ -62,7 +62,8 @@
     }),
     startEngines: flag({
       long: "start-engines",
-      description: "Start a backend server in this process for each order",
+      description:
+        "Start a backend server in this process for each order; else none can be had",
     }),
     plainServices: option({
       type: string,
@@ -96,7 +97,7 @@
     weightBytes: settings.weightBytes,
     weightBytesPerSecond: settings.weightBytesPerSecond,
     checksFencing: !settings.ignoresFencing,
-    ...(settings.startEngines && { startServer }),
+    ...(settings.startEngines ? { startServer } : { capacity: () => 0 }),
   });
   weightStoreAddress = `http://${platform.address}`;
   return platform;
