Draw by lot which candidates poll a lease, and log silent connections

Spread polls would have made a take-over wait for the spread interval twice (84 s at 330 nodes), because a node has to see the same row twice. About 8 candidates poll at the full rate now. 100 nodes on a hand-moved clock: under 20 reads a second, and 5 of 5 take-overs within twice lease and order deadline.

--- a/source/control/lease_keeper.ts
+++ b/source/control/lease_keeper.ts
@@ -12,7 +12,8 @@
 export const LEASE_TABLE = "leases";
 
 const RENEWALS_IN_A_LEASE = 3;
-const CANDIDATES_POLLING_AT_FULL_RATE = 8;
+const POLLING_CANDIDATES = 8;
+const POLLS_BETWEEN_DRAWS = 20;
 const CLOCK_RATE_MARGIN = 1.02;
 const POLL_JITTER_SHARE = 0.2;
 const MAXIMUM_PENDING_WRITES = 16;
@@ -23,7 +24,7 @@
   readonly context: NodeContext;
   /** Such as "usage" or "orders/dot-models". */
   readonly name: string;
-  /** Returns the number of nodes that try for the lease; polls are spread over them. */
+  /** Returns the number of nodes that try for the lease; about 8 of them poll at a time. */
   readonly candidates?: () => number;
 }
 
@@ -81,6 +82,8 @@
   #highestFencingNumber = 0;
   #announced: number | undefined;
   #isReleased = false;
+  #isPolling = true;
+  #drawnUntil = 0;
   #turning: Promise<void> = Promise.resolve();
 
   /** @param options - The lease's name and the node's context. */
@@ -275,11 +278,14 @@
   #pauseMilliseconds(): number {
     const interval = this.#durationMilliseconds / RENEWALS_IN_A_LEASE;
     if (this.#holding !== undefined) return interval;
-    const spread = Math.ceil(
-      this.#candidates() / CANDIDATES_POLLING_AT_FULL_RATE,
-    );
-    const jitter = 1 + POLL_JITTER_SHARE * (this.#context.random.next() - 0.5);
-    return interval * Math.max(1, spread) * jitter;
+    const { clock, random } = this.#context;
+    const jitter = 1 + POLL_JITTER_SHARE * (random.next() - 0.5);
+    const now = clock.monotonic();
+    if (now >= this.#drawnUntil) {
+      this.#drawnUntil = now + POLLS_BETWEEN_DRAWS * interval * jitter;
+      this.#isPolling = random.next() < POLLING_CANDIDATES / this.#candidates();
+    }
+    return this.#isPolling ? interval * jitter : this.#drawnUntil - now;
   }
 
   #announce(): void {
--- a/source/control/lease_keeper_test.ts
+++ b/source/control/lease_keeper_test.ts
@@ -4,7 +4,10 @@
   LEASE_MILLISECONDS,
   ORDER_DEADLINE_MILLISECONDS,
 } from "../../stand_ins/control/control_node.ts";
-import type { CallFate } from "../../stand_ins/platform/local_platform.ts";
+import {
+  type CallFate,
+  PROMPT_ANSWER,
+} from "../../stand_ins/platform/local_platform.ts";
 import { createPlatformState } from "../../stand_ins/platform/platform_state.ts";
 import { ManualClock } from "../utilities/manual_clock.ts";
 import { LeaseKeeper } from "./lease_keeper.ts";
@@ -194,6 +197,39 @@
   t.true(vacant < WAIT_MILLISECONDS, `${vacant} ms`);
 });
 
+test("many candidates read little and take over as fast", async (t) => {
+  const clock = new ManualClock();
+  const state = createPlatformState({ clock });
+  let reads = 0;
+  const contestants = Array.from({ length: 100 }, (_, seed) => {
+    const name = `node-${seed}`;
+    const node = new ControlNode({ name, clock, state, seed });
+    node.decideFate = (_area, writtenTable) => {
+      reads += writtenTable === "" ? 1 : 0;
+      return PROMPT_ANSWER;
+    };
+    const candidates = (): number => 100;
+    const { context } = node;
+    const lease = new LeaseKeeper({ context, name: "usage", candidates });
+    void lease.run();
+    return { node, lease };
+  });
+  const findHolder = (): typeof contestants[number] | undefined =>
+    contestants.find(({ node, lease }) =>
+      !node.clock.isStopped && lease.ifHeld() !== undefined
+    );
+  await clock.advance(2 * LEASE_MILLISECONDS);
+  reads = 0;
+  await clock.advance(60_000);
+  const readsPerSecond = reads / 60;
+  t.true(readsPerSecond < 20, `${readsPerSecond} reads a second`);
+  for (let kill = 0; kill < 5; kill++) {
+    findHolder()?.node.kill();
+    await clock.advance(2 * WAIT_MILLISECONDS);
+    t.not(findHolder(), undefined);
+  }
+});
+
 test("nodes that race for an absent lease get one holder", async (t) => {
   const contest = new Contest();
   void contest.firstLease.run();
--- a/source/platform/platform_connection.ts
+++ b/source/platform/platform_connection.ts
@@ -1,4 +1,5 @@
 import { type Dispatcher, Pool } from "undici";
+import type { EventLog } from "../observability/event_log.ts";
 import type { Clock } from "../utilities/clock.ts";
 import type { PlatformFailure, PlatformOutcome } from "./platform_outcome.ts";
 import type { SendGuard } from "./send_guard.ts";
@@ -17,6 +18,8 @@
   readonly silenceMilliseconds: number;
   /** Bound on a call, its wait for a free connection included. */
   readonly timeoutMilliseconds: number;
+  /** Where silent connections and foreign answers are noted; nowhere when absent. */
+  readonly log?: EventLog;
 }
 
 /** One call to the platform. */
@@ -39,6 +42,8 @@
 
 interface Exchange {
   readonly identifier: string;
+  /** Path without its query. */
+  readonly path: string;
   readonly pool: Pool;
   readonly done: (outcome: PlatformOutcome<PlatformHttpAnswer>) => void;
   readonly finished: AbortSignal;
@@ -108,6 +113,7 @@
       (resolve) => {
         const exchange: Exchange = {
           identifier,
+          path: call.path.split("?")[0] ?? "",
           pool: this.#pool,
           done: resolve,
           finished: finish.signal,
@@ -187,6 +193,8 @@
   #end(exchange: Exchange): void {
     if (exchange.answeredIdentifier !== exchange.identifier) {
       this.#replacePool(exchange.pool);
+      const { path } = exchange;
+      this.#options.log?.emit("platformAnswerMismatched", { path });
       fail(exchange, "The answer belongs to another call");
       return;
     }
@@ -212,6 +220,8 @@
 
   #giveUp(exchange: Exchange, reason: string): void {
     this.#replacePool(exchange.pool);
+    const { path } = exchange;
+    this.#options.log?.emit("platformSilent", { path, reason });
     fail(exchange, `Given up: ${reason}`);
     exchange.controller?.abort(new Error(reason));
   }
--- a/source/platform/platform_connection_test.ts
+++ b/source/platform/platform_connection_test.ts
@@ -3,6 +3,7 @@
   type RunningPlatform,
   startPlatform,
 } from "../../stand_ins/platform/start_platform.ts";
+import { RecordingEventLog } from "../observability/event_log.ts";
 import { ManualClock } from "../utilities/manual_clock.ts";
 import { PlatformConnection } from "./platform_connection.ts";
 
@@ -12,12 +13,14 @@
 function connect(
   running: RunningPlatform,
   clock: ManualClock,
+  log = new RecordingEventLog(),
 ): PlatformConnection {
   return new PlatformConnection({
     address: `http://${running.address}`,
     clock,
     silenceMilliseconds: SILENCE_MILLISECONDS,
     timeoutMilliseconds: 3 * SILENCE_MILLISECONDS,
+    log,
   });
 }
 
@@ -33,13 +36,18 @@
 test("one silent call gives up all connections that were open", async (t) => {
   const running = await startPlatform();
   const clock = new ManualClock();
-  const connection = connect(running, clock);
+  const log = new RecordingEventLog();
+  const connection = connect(running, clock, log);
   await Promise.all(Array.from({ length: 8 }, () => connection.call(LIST)));
   running.faults.set({ fault: "freeze", existing: true });
   const silent = connection.call(LIST);
   await waitForHits(running, 1);
   await clock.advance(SILENCE_MILLISECONDS);
   t.like(await silent, { kind: "unknown" });
+  t.deepEqual(log.events, [{
+    name: "platformSilent",
+    fields: { path: "/instances", reason: "silent connection" },
+  }]);
   for (let call = 0; call < 20; call++) {
     t.is((await connection.call(LIST)).kind, "ok");
   }
