Keep a lease void once the clocks disagreed about it

A disagreement that was seen once now voids all that was sent before it; the lease's table has the case.

--- a/source/control/lease_keeper.ts
+++ b/source/control/lease_keeper.ts
@@ -6,7 +6,12 @@
 import type { NodeContext } from "../node/node_context.ts";
 import type { Row } from "../platform/table_client.ts";
 import { invariant } from "../utilities/invariant.ts";
-import { isFresh, takeTimeStamp, type TimeStamp } from "./time_stamp.ts";
+import {
+  doClocksAgree,
+  isFresh,
+  takeTimeStamp,
+  type TimeStamp,
+} from "./time_stamp.ts";
 
 /** Name of the table of leases. */
 export const LEASE_TABLE = "leases";
@@ -41,12 +46,14 @@
   readonly fencingNumber: number;
   readonly rowVersion: number;
   readonly sent: TimeStamp;
+  readonly clockEpoch: number;
 }
 
 interface PendingWrite {
   readonly fencingNumber: number;
   readonly renewals: number;
   readonly sent: TimeStamp;
+  readonly clockEpoch: number;
 }
 
 interface SeenRow {
@@ -81,6 +88,7 @@
   #writes = 0;
   #highestFencingNumber = 0;
   #announced: number | undefined;
+  #clockEpoch = 0;
   #isReleased = false;
   #isPolling = true;
   #drawnUntil = 0;
@@ -98,6 +106,9 @@
     const holding = this.#holding;
     if (holding === undefined || this.#isReleased) return undefined;
     const { clock } = this.#context;
+    // What was sent before a disagreement stays void, also when a later step hides it.
+    if (holding.clockEpoch !== this.#clockEpoch) return undefined;
+    if (!doClocksAgree(holding.sent, clock)) this.#clockEpoch += 1;
     if (!isFresh(holding.sent, clock, this.#durationMilliseconds)) {
       return undefined;
     }
@@ -127,6 +138,7 @@
   }
 
   async #turn(): Promise<void> {
+    this.ifHeld();
     if (this.#mustRead && !(await this.#read())) return;
     if (this.#holding !== undefined) return await this.#renew(this.#holding);
     if (this.#mayTakeOver()) await this.#takeOver();
@@ -171,14 +183,14 @@
   }
 
   #hold(write: PendingWrite, rowVersion: number): Holding {
-    const { fencingNumber, sent } = write;
+    const { fencingNumber, sent, clockEpoch } = write;
     invariant(
       fencingNumber >= this.#highestFencingNumber,
       `Lease ${this.name} got fencing number ${fencingNumber} after ${this.#highestFencingNumber}`,
     );
     this.#highestFencingNumber = fencingNumber;
     this.#pending = [];
-    return { fencingNumber, rowVersion, sent };
+    return { fencingNumber, rowVersion, sent, clockEpoch };
   }
 
   async #renew(holding: Holding): Promise<void> {
@@ -221,6 +233,7 @@
       fencingNumber,
       renewals: this.#writes,
       sent: takeTimeStamp(clock),
+      clockEpoch: this.#clockEpoch,
     };
     this.#pending = [...this.#pending, write].slice(-MAXIMUM_PENDING_WRITES);
     const value = this.#encode(write, this.#context.settings.node);
@@ -267,6 +280,7 @@
       fencingNumber: held.fencingNumber,
       renewals: this.#writes,
       sent: takeTimeStamp(this.#context.clock),
+      clockEpoch: this.#clockEpoch,
     };
     const key = this.name;
     await this.#context.platform.table.commit({
--- a/source/control/lease_keeper_test.ts
+++ b/source/control/lease_keeper_test.ts
@@ -114,6 +114,18 @@
     isHeldAfter: true,
     holders: ["node-1:1", "node-2:2"],
   },
+  "a suspension is hidden by a step of the wall clock soon after": {
+    happens: async ({ first, clock }) => {
+      const milliseconds = 20_000;
+      void first.clock.stop({ milliseconds, haltsMonotonic: true });
+      // Too short for the next renewal after the suspension to come back.
+      first.decideFate = always("answered");
+      await clock.advance(milliseconds + 50);
+      first.clock.stepWall(-milliseconds);
+    },
+    isHeldAfter: false,
+    holders: ["node-1:1", "node-2:2"],
+  },
   "the wall clock is stepped forward": {
     happens: ({ first }) => first.clock.stepWall(3_600_000),
     isHeldAfter: false,
--- a/source/control/order_takeover_test.ts
+++ b/source/control/order_takeover_test.ts
@@ -169,6 +169,19 @@
     results: [],
     effects: ["2 load-7"],
   },
+  "the holder's machine is paused and neither clock shows it": {
+    happens: async (bench) => {
+      const milliseconds = TAKE_OVER_MILLISECONDS;
+      const { clock } = bench.first.node;
+      void clock.stop({ milliseconds, haltsMonotonic: true });
+      clock.stepWall(-milliseconds);
+      await bench.clock.advance(milliseconds);
+      const isBelieved = bench.first.lease.ifHeld() !== undefined;
+      return [`believed held: ${isBelieved}`, await bench.give(7)];
+    },
+    results: ["believed held: true", "notRun"],
+    effects: [],
+  },
   "a newer version follows an unknown one at once": {
     happens: async (bench) => {
       bench.fates.push("dropped", "dropped", "dropped");
--- a/source/control/time_stamp.ts
+++ b/source/control/time_stamp.ts
@@ -13,9 +13,25 @@
   return { monotonic: clock.monotonic(), wall: clock.wall() };
 }
 
+/**
+ * Tells whether both clocks agree on the time since a moment. A suspended machine halts the
+ * monotonic clock, and a step changes the wall clock.
+ * @param since - The moment.
+ * @param clock - The same clock that gave the moment.
+ * @example
+ * ```ts
+ * const sent = takeTimeStamp(clock);
+ * doClocksAgree(sent, clock); // true
+ * ```
+ */
+export function doClocksAgree(since: TimeStamp, clock: Clock): boolean {
+  const monotonic = clock.monotonic() - since.monotonic;
+  const wall = clock.wall() - since.wall;
+  return Math.abs(monotonic - wall) <= CLOCK_DISAGREEMENT_MILLISECONDS;
+}
+
 /**
  * Tells whether a moment is less than a duration ago by both clocks, and the clocks agree.
- * A stopped machine halts the monotonic clock, and a stepped wall clock can hide that.
  * @param since - The moment.
  * @param clock - The same clock that gave the moment.
  * @param durationMilliseconds - The duration.
@@ -32,7 +48,6 @@
 ): boolean {
   const monotonic = clock.monotonic() - since.monotonic;
   const wall = clock.wall() - since.wall;
-  const disagreement = Math.abs(monotonic - wall);
   return monotonic < durationMilliseconds && wall < durationMilliseconds &&
-    disagreement <= CLOCK_DISAGREEMENT_MILLISECONDS;
+    doClocksAgree(since, clock);
 }
--- a/stand_ins/control/stoppable_clock.ts
+++ b/stand_ins/control/stoppable_clock.ts
@@ -7,6 +7,8 @@
   readonly haltsMonotonic: boolean;
 }
 
+const HIDDEN_MILLISECONDS = 250;
+
 /** Clock of one node that can be stopped and whose wall clock can be stepped. */
 export class StoppableClock implements Clock {
   readonly #true: Clock;
@@ -14,6 +16,7 @@
   #halted = 0;
   #running: Promise<void> = Promise.resolve();
   #stops = 0;
+  #hasHiddenStop = false;
 
   /** @param trueClock - The clock that all nodes share. */
   constructor(trueClock: Clock) {
@@ -25,6 +28,11 @@
     return this.#stops > 0;
   }
 
+  /** Whether a step during a suspension hid it, so that neither clock shows it. */
+  get hasHiddenStop(): boolean {
+    return this.#hasHiddenStop;
+  }
+
   /** Returns the node's monotonic time. */
   monotonic(): number {
     return this.#true.monotonic() - this.#halted;
@@ -54,11 +62,17 @@
   /** Stops the node for some time. */
   async stop(options: StopOptions): Promise<void> {
     this.#stops += 1;
+    const wallStep = this.#wallStep;
     this.#running = this.#running.then(() =>
       this.#true.sleep(options.milliseconds)
     );
     await this.#running;
     if (options.haltsMonotonic) this.#halted += options.milliseconds;
+    const stepped = this.#wallStep - wallStep;
+    const halted = options.haltsMonotonic ? options.milliseconds : 0;
+    if (stepped !== 0 && Math.abs(stepped + halted) <= HIDDEN_MILLISECONDS) {
+      this.#hasHiddenStop = true;
+    }
     this.#stops -= 1;
   }
 }
