Send open orders again 32 at a time at a take-over

One after the other, a successor would have needed minutes for the open orders of hundreds of engines of which some do not answer.

--- a/source/control/order_ledger.ts
+++ b/source/control/order_ledger.ts
@@ -16,6 +16,7 @@
 
 const MAXIMUM_SENDS = 3;
 const RESEND_MILLISECONDS = 100;
+const CONCURRENT_RESENDS = 32;
 
 /** An order as its giver states it. */
 export interface LedgerOrder {
@@ -337,32 +338,50 @@
     const past = this.#unresolved.past();
     const listed = await this.#intents.list();
     if (listed.kind !== "ok") return listed.reason;
-    const open = new Set(listed.value.map((row) => row.intent.idempotencyKey));
+    const keys = new Set(listed.value.map((row) => row.intent.idempotencyKey));
     for (const key of past) {
       // Its row was never written, and can no longer be.
-      if (!open.has(key)) this.#unresolved.remove(key);
+      if (!keys.has(key)) this.#unresolved.remove(key);
     }
-    for (const { intent, rowVersion } of listed.value) {
+    for (const { intent } of listed.value) {
       if (intent.state === IntentState.DONE) {
         this.#kept.set(intent.idempotencyKey, intent);
-        continue;
       }
-      if (this.#isUnderWay(intent)) continue;
-      const outcome = await this.#track(
-        intent,
-        () => this.#openAndSend(intent, this.#resend, rowVersion),
+    }
+    const open = listed.value.filter(({ intent }) =>
+      intent.state !== IntentState.DONE
+    );
+    for (let from = 0; from < open.length; from += CONCURRENT_RESENDS) {
+      const batch = open.slice(from, from + CONCURRENT_RESENDS);
+      const obstacles = await Promise.all(
+        batch.map((row) => this.#sendAgain(row)),
       );
-      if (outcome.kind === "notHeld") return "The lease is not held";
-      if (outcome.kind === "notRun") return outcome.reason;
+      const obstacle = obstacles.find((reason) => reason !== "");
+      if (obstacle !== undefined) return obstacle;
     }
     this.#takenOverAt = fencingNumber;
-    if (listed.value.length === 0) return "";
+    this.#noteTakenOver(open.length);
+    return "";
+  }
+
+  /** Sends an open order again; returns what prevented it. */
+  async #sendAgain({ intent, rowVersion }: OpenIntent): Promise<string> {
+    if (this.#isUnderWay(intent)) return "";
+    const outcome = await this.#track(
+      intent,
+      () => this.#openAndSend(intent, this.#resend, rowVersion),
+    );
+    if (outcome.kind === "notHeld") return "The lease is not held";
+    return outcome.kind === "notRun" ? outcome.reason : "";
+  }
+
+  #noteTakenOver(open: number): void {
+    if (open === 0) return;
     this.#context.log.emit("intentsTakenOver", {
       lease: this.#lease.name,
-      open: listed.value.length,
+      open,
       unresolved: this.#unresolved.intents().length,
     });
-    return "";
   }
 }
 
--- a/source/control/usage_stand_in_test.ts
+++ b/source/control/usage_stand_in_test.ts
@@ -3,24 +3,36 @@
 import { NodeSettingsSchema } from "../../generated/snipepath/v1/settings_pb.ts";
 import { ControlNode } from "../../stand_ins/control/control_node.ts";
 import { ToldBus } from "../../stand_ins/entry/told_bus.ts";
+import type { Fault } from "../../stand_ins/faults/fault_switch.ts";
 import { startPlatform } from "../../stand_ins/platform/start_platform.ts";
+import {
+  createPlatformState,
+  type PlatformState,
+} from "../../stand_ins/platform/platform_state.ts";
 import type { NodeContext } from "../node/node_context.ts";
 import { createPlatform } from "../platform/create_platform.ts";
+import type { UsageReport } from "../platform/usage_report_client.ts";
 import { SystemClock } from "../utilities/system_clock.ts";
 import { LeaseKeeper } from "./lease_keeper.ts";
 import { UsageReporter } from "./usage_reporter.ts";
 import { UsageTally } from "./usage_tally.ts";
 
 const WINDOW_MILLISECONDS = 400;
+const FAULTS_BY_ROUND: Readonly<
+  Record<number, Pick<Fault, "fault"> & Partial<Fault>>
+> = {
+  2: { fault: "freeze", existing: true },
+  4: { fault: "loseAnswer", count: 3 },
+  5: { path: "/usage-reports", fault: "loseAnswer", count: 2 },
+  7: { fault: "down", count: 4 },
+  9: { fault: "freeze", count: 2 },
+};
 const FIGURES = { requests: 1, promptTokens: 1, generatedTokens: 1 };
 
 function createContext(name: string, address: string): NodeContext {
   const clock = new SystemClock();
-  const { context } = new ControlNode({
-    name,
-    clock,
-    state: undefined as never,
-  });
+  const state = createPlatformState();
+  const { context } = new ControlNode({ name, clock, state });
   return {
     ...context,
     clock,
@@ -39,6 +51,32 @@
   };
 }
 
+/** Returns the different contents of each window's reports. */
+function readContents(
+  state: PlatformState,
+): ReadonlyMap<string, ReadonlySet<string>> {
+  const contents = new Map<string, Set<string>>();
+  for (const { report } of state.usageReports.received()) {
+    const { windowStart, organisation, figures, adjustments } = report;
+    const key = `${windowStart}/${organisation}`;
+    const known = contents.get(key) ?? new Set();
+    contents.set(key, known.add(JSON.stringify({ figures, adjustments })));
+  }
+  return contents;
+}
+
+function sumRequests(state: PlatformState): number {
+  const reports = [...readContents(state).values()].flatMap((known) =>
+    [...known].map((text) =>
+      JSON.parse(text) as Pick<UsageReport, "figures" | "adjustments">
+    )
+  );
+  return reports.flatMap(({ figures, adjustments }) => [
+    figures.requests,
+    ...adjustments.map((adjustment) => adjustment.figures.requests),
+  ]).reduce((sum, requests) => sum + requests, 0);
+}
+
 test("two nodes report once to the platform's stand-in while it fails", async (t) => {
   const platform = await startPlatform();
   const bus = new ToldBus({ clock: new SystemClock(), delayMilliseconds: 5 });
@@ -57,44 +95,21 @@
     return tally;
   });
   const { faults, state } = platform;
-  const figuresOf = new Map<string, Set<string>>();
   let recorded = 0;
-  const sum = (): number => {
-    let requests = 0;
-    for (const { report } of state.usageReports.received()) {
-      const key = `${report.windowStart}/${report.organisation}`;
-      const figures = JSON.stringify([report.figures, report.adjustments]);
-      const known = figuresOf.get(key) ?? new Set();
-      figuresOf.set(key, known.add(figures));
-    }
-    for (
-      const [figures, adjustments] of [...figuresOf.values()].flatMap((known) =>
-        [...known].map((text) => JSON.parse(text))
-      )
-    ) {
-      requests += figures.requests;
-      for (const { figures } of adjustments) requests += figures.requests;
-    }
-    return requests;
-  };
   for (let round = 0; round < 12; round++) {
     for (const tally of tallies) tally.record("school", FIGURES);
     recorded += tallies.length;
-    if (round === 2) faults.set({ fault: "freeze", existing: true });
-    if (round === 4) faults.set({ fault: "loseAnswer", count: 3 });
-    if (round === 5) {
-      faults.set({ path: "/usage-reports", fault: "loseAnswer", count: 2 });
-    }
-    if (round === 7) faults.set({ fault: "down", count: 4 });
-    if (round === 9) faults.set({ fault: "freeze", count: 2 });
+    const fault = FAULTS_BY_ROUND[round];
+    if (fault !== undefined) faults.set(fault);
     await new Promise((resolve) => setTimeout(resolve, 150));
   }
   faults.clear();
-  for (let wait = 0; wait < 400 && sum() < recorded; wait++) {
+  for (let wait = 0; wait < 400 && sumRequests(state) < recorded; wait++) {
     await new Promise((resolve) => setTimeout(resolve, 50));
   }
-  t.is(sum(), recorded);
-  t.true([...figuresOf.values()].every((known) => known.size === 1));
+  t.is(sumRequests(state), recorded);
+  const contents = [...readContents(state).values()];
+  t.true(contents.every((known) => known.size === 1));
   const numbers = state.usageReports.received().map(({ report }) =>
     report.fencingNumber
   );
