Send no older order about a server after a newer one at a take-over

A successor that was asked for version 8 at once, while the earlier holder's order of version 7 was open, skipped the older one as being about a server in use, and sent it later: an engine without fencing check went back. Orders count as under way for others only once they may be sent, which is after the take-over. A row that could not be deleted after its order was done is withdrawn before a newer order, too.

--- a/source/control/order_ledger.ts
+++ b/source/control/order_ledger.ts
@@ -8,11 +8,8 @@
 import type { SendGuard } from "../platform/send_guard.ts";
 import type { LeaseKeeper } from "./lease_keeper.ts";
 import { type OpenIntent, OrderIntents } from "./order_intents.ts";
-import {
-  isAboutSameServer,
-  type OrderTarget,
-  UnresolvedOrders,
-} from "./unresolved_orders.ts";
+import { OrdersUnderWay } from "./orders_under_way.ts";
+import { UnresolvedOrders } from "./unresolved_orders.ts";
 
 const MAXIMUM_SENDS = 3;
 const RESEND_MILLISECONDS = 100;
@@ -66,11 +63,6 @@
   sending: OrderSending,
 ) => Promise<SendOutcome<Result>>;
 
-interface OrderUnderWay {
-  readonly order: OrderTarget;
-  readonly outcome: Promise<OrderOutcome<unknown>>;
-}
-
 /** What a ledger needs. */
 export interface OrderLedgerOptions {
   readonly context: NodeContext;
@@ -111,7 +103,7 @@
   readonly #lease: LeaseKeeper;
   readonly #resend: SendOrder<unknown>;
   readonly #intents: OrderIntents;
-  readonly #underWay = new Map<string, OrderUnderWay>();
+  readonly #underWay = new OrdersUnderWay();
   readonly #unresolved: UnresolvedOrders;
   readonly #kept = new Map<string, OrderIntent>();
   #takenOverAt = 0;
@@ -174,22 +166,9 @@
     order: LedgerOrder,
     send: SendOrder<Result>,
   ): Promise<OrderOutcome<Result>> {
-    const earlier = this.#underWay.get(order.idempotencyKey);
-    if (earlier !== undefined) {
-      return earlier.outcome as Promise<OrderOutcome<Result>>;
-    }
-    return this.#track(order, () => this.#perform(order, send));
-  }
-
-  #track<Result>(
-    order: OrderTarget,
-    give: () => Promise<OrderOutcome<Result>>,
-  ): Promise<OrderOutcome<Result>> {
-    const outcome = give().finally(() =>
-      this.#underWay.delete(order.idempotencyKey)
-    );
-    this.#underWay.set(order.idempotencyKey, { order, outcome });
-    return outcome;
+    const earlier = this.#underWay.find(order.idempotencyKey);
+    if (earlier !== undefined) return earlier as Promise<OrderOutcome<Result>>;
+    return this.#underWay.track(order, () => this.#perform(order, send));
   }
 
   async #perform<Result>(
@@ -199,7 +178,9 @@
     if (this.#lease.ifHeld() === undefined) return { kind: "notHeld" };
     const obstacle = await this.#ensureTakenOver();
     if (obstacle !== "") return { kind: "notRun", reason: obstacle };
-    if (!(await this.#isAlone(order))) {
+    const isAlone = this.#underWay.startSending(order) &&
+      await this.#unresolved.supersede(order);
+    if (!isAlone) {
       const reason = "An earlier order to the same server may be under way";
       return { kind: "notRun", reason };
     }
@@ -295,27 +276,14 @@
       });
     }
     const closed = await this.#intents.close(open);
-    const wasSent = outcome.kind === "done" || outcome.kind === "refused";
-    if (wasSent || closed === "deleted") return outcome;
+    if (closed === "deleted") return outcome;
+    // The row that was left has to be withdrawn before a newer order about the server.
+    this.#unresolved.add(open.intent);
+    if (outcome.kind === "done" || outcome.kind === "refused") return outcome;
     // A later holder may have taken the row over and send the order.
     return { kind: "unknown", reason: "The order's intent was not withdrawn" };
   }
 
-  #isUnderWay(order: OrderTarget): boolean {
-    return [...this.#underWay.values()].some((other) =>
-      other.order.idempotencyKey === order.idempotencyKey ||
-      isAboutSameServer(other.order, order)
-    );
-  }
-
-  /** Tells whether no other order about the same server can still take effect. */
-  async #isAlone(order: LedgerOrder): Promise<boolean> {
-    const isTogether = [...this.#underWay.values()].some((other) =>
-      isAboutSameServer(other.order, order)
-    );
-    return !isTogether && await this.#unresolved.supersede(order);
-  }
-
   async #ensureTakenOver(): Promise<string> {
     const held = this.#lease.ifHeld();
     if (held === undefined) return "The lease is not held";
@@ -366,11 +334,12 @@
 
   /** Sends an open order again; returns what prevented it. */
   async #sendAgain({ intent, rowVersion }: OpenIntent): Promise<string> {
-    if (this.#isUnderWay(intent)) return "";
-    const outcome = await this.#track(
-      intent,
-      () => this.#openAndSend(intent, this.#resend, rowVersion),
-    );
+    if (this.#underWay.find(intent.idempotencyKey) !== undefined) return "";
+    const outcome = await this.#underWay.track(intent, async () => {
+      const isAlone = this.#underWay.startSending(intent);
+      if (!isAlone) return OVERTAKEN;
+      return await this.#openAndSend(intent, this.#resend, rowVersion);
+    });
     if (outcome.kind === "notHeld") return "The lease is not held";
     return outcome.kind === "notRun" ? outcome.reason : "";
   }
@@ -385,6 +354,11 @@
   }
 }
 
+const OVERTAKEN = {
+  kind: "unknown",
+  reason: "Another order about the server is under way",
+} as const;
+
 const GONE = { kind: "unknown", reason: "Another order voided it" } as const;
 
 function toIntent(order: LedgerOrder): OrderIntent {
--- a/source/control/order_takeover_test.ts
+++ b/source/control/order_takeover_test.ts
@@ -182,6 +182,20 @@
     results: ["believed held: true", "notRun"],
     effects: [],
   },
+  "a successor is asked for a newer version while an older order is open": {
+    happens: async (bench) => {
+      bench.fates.push("dropped", "dropped", "dropped");
+      const older = await bench.give(7);
+      bench.first.node.kill();
+      const { lease, ledger } = bench.second;
+      while (lease.ifHeld() === undefined) await bench.clock.advance(10);
+      const newer = ledger.perform(loadOrder(8), bench.send);
+      await bench.clock.advance(GIVEN_MILLISECONDS);
+      return [older, (await newer).kind];
+    },
+    results: ["unknown", "done"],
+    effects: ["2 load-7", "2 load-8"],
+  },
   "a newer version follows an unknown one at once": {
     happens: async (bench) => {
       bench.fates.push("dropped", "dropped", "dropped");
--- a/source/control/unresolved_orders.ts
+++ b/source/control/unresolved_orders.ts
@@ -2,6 +2,7 @@
 import type { NodeContext } from "../node/node_context.ts";
 import type { LeaseKeeper } from "./lease_keeper.ts";
 import type { OrderIntents } from "./order_intents.ts";
+import { isAboutSameServer, type OrderTarget } from "./orders_under_way.ts";
 
 interface UnresolvedOrder {
   readonly intent: OrderIntent;
@@ -11,14 +12,6 @@
   readonly leaseVersion: number;
 }
 
-/** What an order is about. */
-export interface OrderTarget {
-  readonly idempotencyKey: string;
-  readonly operation: string;
-  /** Address of a backend server. */
-  readonly server?: string;
-}
-
 /** Orders whose effect is unknown. */
 export class UnresolvedOrders {
   readonly #context: NodeContext;
@@ -99,13 +92,3 @@
       leaseVersion !== undefined && leaseVersion !== order.leaseVersion;
   }
 }
-
-/** Tells whether two different orders do the same to the same backend server. */
-export function isAboutSameServer(
-  older: OrderTarget,
-  newer: OrderTarget,
-): boolean {
-  return newer.operation !== "start" &&
-    older.idempotencyKey !== newer.idempotencyKey &&
-    older.operation === newer.operation && older.server === newer.server;
-}
