--- a/source/control/lease_keeper.ts
+++ b/source/control/lease_keeper.ts
@@ -6,13 +6,19 @@
 import type { NodeContext } from "../node/node_context.ts";
 import type { Row } from "../platform/table_client.ts";
 import { invariant } from "../utilities/invariant.ts";
-import { isFresh, takeTimeStamp, type TimeStamp } from "./time_stamp.ts";
+import {
+  doClocksAgree,
+  isFresh,
+  takeTimeStamp,
+  type TimeStamp,
+} from "./time_stamp.ts";
 
 /** Name of the table of leases. */
 export const LEASE_TABLE = "leases";
 
 const RENEWALS_IN_A_LEASE = 3;
-const CANDIDATES_POLLING_AT_FULL_RATE = 8;
+const POLLING_CANDIDATES = 8;
+const POLLS_BETWEEN_DRAWS = 20;
 const CLOCK_RATE_MARGIN = 1.02;
 const POLL_JITTER_SHARE = 0.2;
 const MAXIMUM_PENDING_WRITES = 16;
@@ -23,7 +29,7 @@
   readonly context: NodeContext;
   /** Such as "usage" or "orders/dot-models". */
   readonly name: string;
-  /** Returns the number of nodes that try for the lease; polls are spread over them. */
+  /** Returns the number of nodes that try for the lease; about 8 of them poll at a time. */
   readonly candidates?: () => number;
 }
 
@@ -40,12 +46,14 @@
   readonly fencingNumber: number;
   readonly rowVersion: number;
   readonly sent: TimeStamp;
+  readonly clockEpoch: number;
 }
 
 interface PendingWrite {
   readonly fencingNumber: number;
   readonly renewals: number;
   readonly sent: TimeStamp;
+  readonly clockEpoch: number;
 }
 
 interface SeenRow {
@@ -80,7 +88,10 @@
   #writes = 0;
   #highestFencingNumber = 0;
   #announced: number | undefined;
+  #clockEpoch = 0;
   #isReleased = false;
+  #isPolling = true;
+  #drawnUntil = 0;
   #turning: Promise<void> = Promise.resolve();
 
   /** @param options - The lease's name and the node's context. */
@@ -95,6 +106,9 @@
     const holding = this.#holding;
     if (holding === undefined || this.#isReleased) return undefined;
     const { clock } = this.#context;
+    // What was sent before a disagreement stays void, also when a later step hides it.
+    if (holding.clockEpoch !== this.#clockEpoch) return undefined;
+    if (!doClocksAgree(holding.sent, clock)) this.#clockEpoch += 1;
     if (!isFresh(holding.sent, clock, this.#durationMilliseconds)) {
       return undefined;
     }
@@ -124,6 +138,7 @@
   }
 
   async #turn(): Promise<void> {
+    this.ifHeld();
     if (this.#mustRead && !(await this.#read())) return;
     if (this.#holding !== undefined) return await this.#renew(this.#holding);
     if (this.#mayTakeOver()) await this.#takeOver();
@@ -168,14 +183,14 @@
   }
 
   #hold(write: PendingWrite, rowVersion: number): Holding {
-    const { fencingNumber, sent } = write;
+    const { fencingNumber, sent, clockEpoch } = write;
     invariant(
       fencingNumber >= this.#highestFencingNumber,
       `Lease ${this.name} got fencing number ${fencingNumber} after ${this.#highestFencingNumber}`,
     );
     this.#highestFencingNumber = fencingNumber;
     this.#pending = [];
-    return { fencingNumber, rowVersion, sent };
+    return { fencingNumber, rowVersion, sent, clockEpoch };
   }
 
   async #renew(holding: Holding): Promise<void> {
@@ -218,6 +233,7 @@
       fencingNumber,
       renewals: this.#writes,
       sent: takeTimeStamp(clock),
+      clockEpoch: this.#clockEpoch,
     };
     this.#pending = [...this.#pending, write].slice(-MAXIMUM_PENDING_WRITES);
     const value = this.#encode(write, this.#context.settings.node);
@@ -264,6 +280,7 @@
       fencingNumber: held.fencingNumber,
       renewals: this.#writes,
       sent: takeTimeStamp(this.#context.clock),
+      clockEpoch: this.#clockEpoch,
     };
     const key = this.name;
     await this.#context.platform.table.commit({
@@ -275,11 +292,14 @@
   #pauseMilliseconds(): number {
     const interval = this.#durationMilliseconds / RENEWALS_IN_A_LEASE;
     if (this.#holding !== undefined) return interval;
-    const spread = Math.ceil(
-      this.#candidates() / CANDIDATES_POLLING_AT_FULL_RATE,
-    );
-    const jitter = 1 + POLL_JITTER_SHARE * (this.#context.random.next() - 0.5);
-    return interval * Math.max(1, spread) * jitter;
+    const { clock, random } = this.#context;
+    const jitter = 1 + POLL_JITTER_SHARE * (random.next() - 0.5);
+    const now = clock.monotonic();
+    if (now >= this.#drawnUntil) {
+      this.#drawnUntil = now + POLLS_BETWEEN_DRAWS * interval * jitter;
+      this.#isPolling = random.next() < POLLING_CANDIDATES / this.#candidates();
+    }
+    return this.#isPolling ? interval * jitter : this.#drawnUntil - now;
   }
 
   #announce(): void {
