--- a/source/entry/completion_route.ts
+++ b/source/entry/completion_route.ts
@@ -15,7 +15,12 @@
   findDeadline,
 } from "./declared_work.ts";
 import type { EntryExchange, EntryRoute } from "./entry_handler.ts";
-import { type Refusal, sendRefusal, toRefusal } from "./refusal.ts";
+import {
+  NO_CONFIGURATION,
+  type Refusal,
+  sendRefusal,
+  toRefusal,
+} from "./refusal.ts";
 import { readJsonBody } from "./request_body.ts";
 import {
   type ServedAmount,
@@ -173,10 +178,3 @@
     generatedTokens: stream.tokens,
   });
 }
-
-const NO_CONFIGURATION: Refusal = {
-  error: "platformUnavailable",
-  message: "This node has no configuration yet",
-  ran: "notRun",
-  retryAfterMilliseconds: 1000,
-};
--- a/source/entry/entry_refusals_test.ts
+++ b/source/entry/entry_refusals_test.ts
@@ -5,6 +5,7 @@
 import {
   createEntryBench,
   type EntryBench,
+  type EntryBenchOptions,
 } from "../../stand_ins/entry/entry_bench.ts";
 
 const ABSENT_KEY = `sp_${"0".repeat(16)}_${"0".repeat(64)}`;
@@ -90,6 +91,14 @@
   });
 }
 
+for (const call of [completion({}), { path: "/orders/1" }]) {
+  test(`a node without a configuration refuses as not run: ${call.path}`, async (t) => {
+    const bench = await startBench(t, { unconfigured: true });
+    const { status, text, retryAfter } = await send(bench, call);
+    t.snapshot({ status, retryAfter, ...JSON.parse(text) });
+  });
+}
+
 const KEY_PLACES: Readonly<Record<string, (key: string) => Call>> = {
   "bearer header": () => ({ path: "/orders/1" }),
   "x-api-key header": (key) => ({
@@ -233,8 +242,11 @@
   readonly shown: Readonly<Record<string, string>>;
 }
 
-async function startBench(t: ExecutionContext): Promise<KeyedBench> {
-  const bench = createEntryBench();
+async function startBench(
+  t: ExecutionContext,
+  options: EntryBenchOptions = {},
+): Promise<KeyedBench> {
+  const bench = createEntryBench(options);
   bench.address = await bench.server.listen();
   t.teardown(() => bench.stop());
   await bench.keys.refresh();
--- a/source/entry/plain_route.ts
+++ b/source/entry/plain_route.ts
@@ -16,7 +16,7 @@
 import type { EntryExchange } from "./entry_handler.ts";
 import type { DeclaredRoute } from "./entry_server.ts";
 import { type PlainCall, serveUnclaimedCall } from "./plain_call.ts";
-import { type Refusal, sendRefusal } from "./refusal.ts";
+import { NO_CONFIGURATION, type Refusal, sendRefusal } from "./refusal.ts";
 import type { WorkHandlerOptions } from "./served_work.ts";
 
 /**
@@ -33,7 +33,7 @@
   const claims = new ClaimKeeper(options.context);
   return (path) => {
     const declaration = options.configuration.current()?.declaration;
-    if (declaration === undefined) return undefined;
+    if (declaration === undefined) return NOT_READY;
     const route = findRoute(declaration, path);
     if (route === undefined) return undefined;
     // Model engines are reached by completions alone, which keep organisations' caches apart.
@@ -94,6 +94,11 @@
   return { service, classOfWork };
 }
 
+const NOT_READY: DeclaredRoute = {
+  authentication: "none",
+  handler: async ({ response }) => sendRefusal(response, NO_CONFIGURATION),
+};
+
 const NOT_DECLARED: Refusal = {
   error: "unknownRoute",
   message: "The route's service or class of work is not declared",
--- a/source/entry/refusal.ts
+++ b/source/entry/refusal.ts
@@ -25,6 +25,14 @@
   readonly retryAfterMilliseconds?: number;
 }
 
+/** The node knows no configuration yet. */
+export const NO_CONFIGURATION: Refusal = {
+  error: "platformUnavailable",
+  message: "This node has no configuration yet",
+  ran: "notRun",
+  retryAfterMilliseconds: 1000,
+};
+
 const STATUS_BY_ERROR: Readonly<Record<Refusal["error"], number>> = {
   invalidRequest: 400,
   tooLarge: 413,
--- a/stand_ins/entry/entry_bench.ts
+++ b/stand_ins/entry/entry_bench.ts
@@ -37,6 +37,8 @@
   readonly clock?: Clock;
   readonly told?: ToldState;
   readonly admission?: Admission;
+  /** Whether the node has no configuration. */
+  readonly unconfigured?: boolean;
   readonly settings?: Omit<
     MessageInitShape<typeof NodeSettingsSchema>,
     "$typeName"
@@ -171,7 +173,7 @@
   const keys = new KeyDirectory({ context, peers: directory, told });
   const work = {
     context,
-    configuration: createConfigurationView(),
+    configuration: createConfigurationView(options.unconfigured ?? false),
     admission: options.admission ?? OPEN_ADMISSION,
     dispatcher,
     usage: {
@@ -217,10 +219,14 @@
   });
 }
 
-function createConfigurationView(): ConfigurationView {
+function createConfigurationView(isEmpty: boolean): ConfigurationView {
   const record: ConfigurationRecord = create(ConfigurationRecordSchema, {
     revision: 1n,
     declaration: BENCH_DECLARATION,
   });
-  return { current: () => record, adopt: () => {}, watch: () => () => {} };
+  return {
+    current: () => isEmpty ? undefined : record,
+    adopt: () => {},
+    watch: () => () => {},
+  };
 }
