Keep targets when everybody overloads, and concurrent limits exact

A limit of 4 concurrent requests reached 6 at once when requests ended together, and its parts could have rounded to nothing at many nodes. Change: slots beyond a node's are bounded by the node's equal part and closed to an organisation that is alone; slackFair refuses a request once it can't end while it is useful; a request is judged hopeless by its organisation's rate where two or more starts were seen, else by the node's; concurrent limits are strict by Little's law, in whole parts that add up.

--- a/experiments/admission/compare.ts
+++ b/experiments/admission/compare.ts
@@ -6,7 +6,12 @@
 import { type Callers, type Flood, runFlood } from "./flood_run.ts";
 import type { OrganisationMeasure } from "./organisation_measure.ts";
 
-const FLOODS: ReadonlyArray<Flood> = ["none", "one node", "all nodes"];
+const FLOODS: ReadonlyArray<Flood> = [
+  "none",
+  "one node",
+  "all nodes",
+  "everybody",
+];
 const CALLERS: ReadonlyArray<Callers> = ["spread", "one address"];
 const DEFAULT_SECONDS = 40;
 const WARM_UP_SECONDS = 10;
--- a/experiments/admission/flood_run.ts
+++ b/experiments/admission/flood_run.ts
@@ -17,13 +17,17 @@
 const ORGANISATIONS = 8;
 const SHARE_IN_USE = 0.6;
 const FLOOD_TIMES = 10;
+const EVERYBODY_TIMES = 2;
 const STEP_MILLISECONDS = 20;
 const TARGET_MILLISECONDS = 2000;
 const DEADLINE_PER_TARGET = 2;
 const ADDRESS_KEEP_MILLISECONDS = 5000;
 
-/** Through which nodes the first organisation sends ten times its share. */
-export type Flood = "none" | "one node" | "all nodes";
+/**
+ * Through which nodes the first organisation sends ten times its share; "everybody" when each one
+ * sends twice its share instead.
+ */
+export type Flood = "none" | "one node" | "all nodes" | "everybody";
 
 /** Whether the callers of an organisation use all nodes at once, or one at a time, each for some seconds. */
 export type Callers = "spread" | "one address";
@@ -122,7 +126,9 @@
     const perSecond = ENGINES * SLOTS_OF_AN_ENGINE / MEAN_RUN_MILLISECONDS *
       1000;
     const share = perSecond / ORGANISATIONS;
-    const floods = organisation === 0 && this.#options.flood !== "none";
+    const { flood } = this.#options;
+    if (flood === "everybody") return share * EVERYBODY_TIMES;
+    const floods = organisation === 0 && flood !== "none";
     return share * (floods ? FLOOD_TIMES : SHARE_IN_USE);
   }
 
@@ -162,7 +168,8 @@
 
   #pickIndex(organisation: number): number {
     const { flood, callers } = this.#options;
-    const isFlooding = organisation === 0 && flood !== "none";
+    const isFlooding = organisation === 0 &&
+      (flood === "one node" || flood === "all nodes");
     if (isFlooding && flood === "one node") return 0;
     if (isFlooding || callers === "spread") return this.#random.below(NODES);
     const now = this.#clock.monotonic();
--- a/experiments/admission/flood_run_test.ts
+++ b/experiments/admission/flood_run_test.ts
@@ -4,6 +4,7 @@
 
 const SEED = 1;
 const LEAST_KEPT_PERMILLE = 950;
+const LEAST_KEPT_OVERLOADED_PERMILLE = 300;
 
 for (const flood of ["one node", "all nodes"] as const) {
   test(`a flood through ${flood} leaves the worst-served other organisation its target`, async (t) => {
@@ -14,6 +15,11 @@
   });
 }
 
+test("twice the capacity asked by everybody still serves each organisation in time", async (t) => {
+  const kept = await worstKept("slackFair", "everybody");
+  t.true(kept >= LEAST_KEPT_OVERLOADED_PERMILLE, `${kept} permille`);
+});
+
 async function worstKept(
   policy: AdmissionPolicyName,
   flood: Flood,
--- a/source/admission/node_admission.ts
+++ b/source/admission/node_admission.ts
@@ -143,7 +143,10 @@
   ): Omit<WaitingRequest, "settle"> {
     const now = this.#options.context.clock.monotonic();
     const declared = this.#findClass(work.classOfWork);
-    const target = declared?.latencyP99Milliseconds ?? 0;
+    const target = declared?.latencyP99Milliseconds ||
+      DEFAULT_TARGET_MILLISECONDS;
+    const deferrable = declared?.deferrable ?? false;
+    const dueAt = now + target;
     this.#sequence += 1;
     return {
       organisation: work.organisation,
@@ -151,9 +154,12 @@
       cost,
       sequence: this.#sequence,
       enqueuedAt: now,
-      dueAt: now + (target === 0 ? DEFAULT_TARGET_MILLISECONDS : target),
+      dueAt,
+      usefulUntil: deferrable
+        ? work.deadline
+        : Math.max(dueAt, work.deadline - target),
       deadline: work.deadline,
-      deferrable: declared?.deferrable ?? false,
+      deferrable,
     };
   }
 
@@ -176,6 +182,9 @@
       cost,
       now: this.#options.context.clock.monotonic(),
       liveNodes: this.#liveNodes(),
+      node: this.#options.context.settings.node,
+      meanRunMilliseconds:
+        this.#queues.get(work.service)?.meanRunMilliseconds ?? 0,
     });
     if (decision.kind === "allowed") return undefined;
     const { retryAfterMilliseconds } = decision;
--- a/source/admission/node_admission_test.ts
+++ b/source/admission/node_admission_test.ts
@@ -142,6 +142,8 @@
   const clock = new ManualClock();
   const { nodes: [node] } = createBench(clock, { policy: "slackFair" });
   await node?.admit(work(clock, arrival("large lookups")));
+  await clock.advance(300);
+  node?.tick();
   const refused: string[] = [];
   for (let index = 0; index < 100; index += 1) {
     void node?.admit(work(clock, arrival("large lookups"), 100_000)).then(
@@ -237,6 +239,25 @@
   });
 }
 
+test("a limit of concurrent requests lets light use through any node", async (t) => {
+  const clock = new ManualClock();
+  const bench = createBench(clock, {
+    policy: "slackFair",
+    slots: 1000,
+    nodes: 9,
+  });
+  let refused = 0;
+  for (let index = 0; index < 60; index += 1) {
+    const asked = work(clock, arrival("narrow lookups"));
+    const answer = await bench.nodes[index % 9]?.admit(asked);
+    if (answer?.kind === "notRun") refused += 1;
+    void clock.sleep(900).then(() => release(answer));
+    await clock.advance(500);
+    for (const node of bench.nodes) node.tick();
+  }
+  t.is(refused, 0);
+});
+
 interface Flood {
   readonly bench: AdmissionBench;
   readonly targets: AdmissionBench["nodes"];
--- a/source/admission/organisation_limits.ts
+++ b/source/admission/organisation_limits.ts
@@ -3,6 +3,7 @@
 import type { OrganisationDemand } from "./use_ledger.ts";
 
 const STRICT_FROM = 0.5;
+const SHORTEST_RETRY_MILLISECONDS = 500;
 const BURST_SECONDS = 1;
 
 /** Whether an organisation's limits leave room for a request. */
@@ -24,6 +25,10 @@
   readonly now: number;
   /** Live nodes, this one included. */
   readonly liveNodes: number;
+  /** Name of this node. */
+  readonly node: string;
+  /** Mean duration of the service's requests of late; 0 before the first. */
+  readonly meanRunMilliseconds: number;
 }
 
 interface Bucket {
@@ -53,7 +58,7 @@
     const { organisation, now } = request;
     const state = this.#state(organisation.name, now);
     const share = state.share.update(request);
-    const concurrent = decideConcurrent(request, share);
+    const concurrent = decideConcurrent(request);
     if (concurrent.kind === "over") return concurrent;
     const requestRate = partOf(organisation.requestsPerSecond, {
       share,
@@ -106,17 +111,37 @@
   return isLight ? limit : limit * options.share;
 }
 
-function decideConcurrent(
-  request: LimitRequest,
-  share: number,
-): LimitDecision {
-  const limit = request.organisation.concurrentRequests;
+// By Little's law: strict while more is asked than the limit could run at once.
+function decideConcurrent(request: LimitRequest): LimitDecision {
+  const { organisation, demand, meanRunMilliseconds } = request;
+  const limit = organisation.concurrentRequests;
   if (limit === 0) return { kind: "allowed" };
-  const { concurrentHere, concurrentEverywhere } = request.demand;
-  const isLight = concurrentEverywhere < limit * STRICT_FROM;
-  const part = isLight ? limit : Math.floor(limit * share);
-  if (concurrentHere < part) return { kind: "allowed" };
-  return over("concurrent_requests", 1000);
+  const asked = demand.here + sum(demand.elsewhere.values());
+  const wanted = asked * meanRunMilliseconds / 1000;
+  const isHeavy = meanRunMilliseconds === 0
+    ? demand.concurrentEverywhere >= limit * STRICT_FROM
+    : wanted > limit;
+  const isAllowed = isHeavy
+    ? demand.concurrentHere < partOfConcurrent(request)
+    : demand.concurrentEverywhere < limit;
+  if (isAllowed) return { kind: "allowed" };
+  const retry = Math.max(SHORTEST_RETRY_MILLISECONDS, meanRunMilliseconds);
+  return over("concurrent_requests", retry);
+}
+
+// Whole requests in proportion to demand; what is left over goes to the first nodes by name.
+function partOfConcurrent(request: LimitRequest): number {
+  const { organisation, demand, node } = request;
+  const limit = organisation.concurrentRequests;
+  const demands = new Map(demand.elsewhere).set(node, demand.here);
+  const total = sum(demands.values());
+  if (total === 0) return limit;
+  const asking = [...demands].filter(([, rate]) => rate > 0)
+    .sort(([left], [right]) => left < right ? -1 : 1);
+  const parts = asking.map(([, rate]) => Math.floor(limit * rate / total));
+  const leftOver = limit - sum(parts);
+  const index = asking.findIndex(([name]) => name === node);
+  return (parts[index] ?? 0) + (index >= 0 && index < leftOver ? 1 : 0);
 }
 
 function fill(bucket: Bucket, rate: number, now: number): void {
--- a/source/admission/organisation_use.ts
+++ b/source/admission/organisation_use.ts
@@ -4,6 +4,7 @@
 const DEMAND_HALF_LIFE_MILLISECONDS = 1000;
 const DRAIN_HALF_LIFE_MILLISECONDS = 2000;
 const LEAST_OBSERVED_MILLISECONDS = 500;
+const LEAST_OBSERVED_STARTS = 2;
 
 /** Half-life of the weight of received service, in milliseconds. */
 export const RECEIVED_HALF_LIFE_MILLISECONDS = SERVICE_HALF_LIFE_MILLISECONDS;
@@ -62,12 +63,14 @@
     this.#running -= 1;
   }
 
-  /** Returns how many requests a second were started of late while some waited; undefined when too few waited. */
+  /** Returns how many requests a second were started of late while some waited; undefined when too few were. */
   startedPerSecond(now: number): number | undefined {
     this.#noteWaitingTime(now);
     const observed = this.#waitingTime.value(now);
-    if (observed < LEAST_OBSERVED_MILLISECONDS) return undefined;
-    return this.#started.value(now) / observed * 1000;
+    const started = this.#started.value(now);
+    const isTooLittle = observed < LEAST_OBSERVED_MILLISECONDS ||
+      started < LEAST_OBSERVED_STARTS;
+    return isTooLittle ? undefined : started / observed * 1000;
   }
 
   #noteWaitingTime(now: number): void {
--- a/source/admission/policies/admission_policy.ts
+++ b/source/admission/policies/admission_policy.ts
@@ -22,7 +22,7 @@
   readonly overdueRunning: number;
   /**
    * Returns whether an organisation received no more of the service than the mean over all nodes, and
-   * runs less than its equal part of the service's slots here.
+   * runs less than its equal part of the service's slots here, and this node is not too far beyond its own.
    */
   readonly isEntitled: (organisation: string) => boolean;
   /** Returns what an organisation received of the service. */
@@ -35,4 +35,6 @@
   readonly choose: (state: AdmissionState) => WaitingRequest | undefined;
   /** To whom an equal part of a service's slots is always open: each node, or each organisation. */
   readonly equalPartsFor: "nodes" | "organisations";
+  /** Whether requests are refused as soon as they can't end while they are useful; else only at their deadline. */
+  readonly refusesLate: boolean;
 }
--- a/source/admission/policies/policy_table.ts
+++ b/source/admission/policies/policy_table.ts
@@ -13,9 +13,21 @@
 export const ADMISSION_POLICIES: Readonly<
   Record<AdmissionPolicyName, AdmissionPolicy>
 > = {
-  fifo: { choose: chooseFifo, equalPartsFor: "nodes" },
-  perNodeFair: { choose: choosePerNodeFair, equalPartsFor: "nodes" },
-  slackFair: { choose: chooseSlackFair, equalPartsFor: "organisations" },
+  fifo: {
+    choose: chooseFifo,
+    equalPartsFor: "nodes",
+    refusesLate: false,
+  },
+  perNodeFair: {
+    choose: choosePerNodeFair,
+    equalPartsFor: "nodes",
+    refusesLate: false,
+  },
+  slackFair: {
+    choose: chooseSlackFair,
+    equalPartsFor: "organisations",
+    refusesLate: true,
+  },
 };
 
 /**
--- a/source/admission/service_queue.ts
+++ b/source/admission/service_queue.ts
@@ -15,6 +15,7 @@
 const MINIMUM_QUEUE = 64;
 const QUEUE_PER_SLOT = 16;
 const MEAN_RUN_BEFORE_THE_FIRST_MILLISECONDS = 1000;
+const NEARLY_ALL = 0.9;
 const SLOWEST_DRAIN = 0.01;
 const WEIGHT_OF_THE_NEWEST_RUN = 0.1;
 const PEAK_HALF_LIFE_MILLISECONDS = 5000;
@@ -36,7 +37,9 @@
   readonly #waiting = new WaitingQueue();
   readonly #limit = new SlotLimit();
   #equalPart = 1;
-  #meanReceived = 0;
+  #receivedByAll = 0;
+  #organisations = 1;
+  #extraSlots = 1;
   #running = 0;
   #runningDeferrable = 0;
   #overdueRunning = 0;
@@ -59,6 +62,11 @@
     return this.#running;
   }
 
+  /** Returns the mean duration of the requests that ended of late, in milliseconds; 0 before the first. */
+  get meanRunMilliseconds(): number {
+    return this.#meanRun;
+  }
+
   /** Returns how many requests may run at once through this node. */
   get slots(): number {
     return this.#limit.slots;
@@ -72,13 +80,15 @@
     const { policy, service, ledger } = this.#options;
     const organisations = ledger.activeOrganisations(service);
     this.#equalPart = Math.max(1, capacity.slots / organisations);
-    this.#meanReceived = ledger.meanReceived(service);
+    this.#receivedByAll = ledger.receivedByAll(service);
+    this.#organisations = organisations;
+    this.#extraSlots = Math.max(1, capacity.slots / nodes.live);
     this.#limit.update(capacity, {
       ownsEqualPart: policy.equalPartsFor === "nodes",
       now: this.#options.clock.monotonic(),
       running: this.#running,
       liveNodes: nodes.live,
-      hungryNodes: nodes.hungry + (this.#waiting.size > 0 ? 1 : 0),
+      hungryNodes: nodes.hungry + (this.waiting > 0 ? 1 : 0),
     });
   }
 
@@ -90,7 +100,7 @@
     this.#waiting.add(request);
     this.#use(request).noteWaiting(this.#options.clock.monotonic());
     this.startNext();
-    if (this.#waiting.size > this.#maximumWaiting()) this.#refuseNewest();
+    if (this.waiting > this.#maximumWaiting()) this.#refuseNewest();
   }
 
   /** Takes a waiting request out and refuses it; nothing happens when it no longer waits. */
@@ -110,33 +120,31 @@
     }
   }
 
-  /** Refuses the waiting requests whose deadline can't be met any more. */
+  /** Refuses the waiting requests that come too late by now. */
   refuseLate(): void {
     const now = this.#options.clock.monotonic();
-    const fastest = this.#fastestRun(now);
     for (const request of this.#waiting.requests()) {
-      if (now + fastest >= request.deadline) this.giveUp(request, "deadline");
+      if (this.#isLate(request, now)) this.giveUp(request, "deadline");
     }
   }
 
   /**
-   * Returns whether the requests of its organisation that wait already will keep a new one past its target
-   * (deferrable work: past its deadline).
+   * Returns whether the requests of its organisation that wait already will keep a new one past the time
+   * it is useful.
    */
   isHopeless(request: WaitingRequest): boolean {
     const ahead = this.#waiting.sizeOf(request.organisation);
-    if (ahead < this.#equalPart || this.#meanRun === 0) return false;
+    if (ahead === 0 || this.#meanRun === 0) return false;
     const now = this.#options.clock.monotonic();
     const perSecond = this.#use(request).startedPerSecond(now) ??
       this.#drainRate() / this.#waiting.organisations;
     const wait = (ahead + 1) / Math.max(perSecond, SLOWEST_DRAIN) * 1000;
-    const latest = request.deferrable ? request.deadline : request.dueAt;
-    return now + wait + this.#meanRun > latest;
+    return now + wait + this.#meanRun > request.usefulUntil;
   }
 
   /** Returns after how long the present backlog will have been served, in milliseconds. */
   retryAfterMilliseconds(): number {
-    const backlog = this.#waiting.size + 1;
+    const backlog = this.waiting + 1;
     const milliseconds = backlog / this.#drainRate() * 1000;
     const atLeast = Math.max(SHORTEST_RETRY_MILLISECONDS, milliseconds);
     return Math.ceil(Math.min(LONGEST_RETRY_MILLISECONDS, atLeast));
@@ -150,6 +158,12 @@
     return this.#limit.slots / mean * 1000;
   }
 
+  #isLate(request: WaitingRequest, now: number): boolean {
+    if (now + this.#fastestRun(now) >= request.deadline) return true;
+    if (!this.#options.policy.refusesLate) return false;
+    return now + this.#meanRun > request.usefulUntil;
+  }
+
   #state(): AdmissionState {
     const { service, ledger, clock } = this.#options;
     const now = clock.monotonic();
@@ -168,9 +182,12 @@
   #isEntitled(organisation: string): boolean {
     const { service, ledger } = this.#options;
     const { running } = ledger.use(service, organisation);
-    if (running >= this.#equalPart) return false;
+    const isFull = this.#running >= this.#limit.slots + this.#extraSlots;
+    if (isFull || running >= this.#equalPart) return false;
     const { everywhere } = ledger.received(service, organisation);
-    return everywhere <= this.#meanReceived;
+    // An organisation that is alone is no reason to go beyond the slots.
+    if (everywhere >= this.#receivedByAll * NEARLY_ALL) return false;
+    return everywhere <= this.#receivedByAll / this.#organisations;
   }
 
   #start(request: WaitingRequest): void {
@@ -237,7 +254,7 @@
     return {
       kind: "notRun",
       reason,
-      detail: `${this.#waiting.size} requests wait for the service`,
+      detail: `${this.waiting} requests wait for the service`,
       retryAfterMilliseconds: this.retryAfterMilliseconds(),
     };
   }
--- a/source/admission/use_ledger.ts
+++ b/source/admission/use_ledger.ts
@@ -136,8 +136,8 @@
     return concurrent;
   }
 
-  /** Returns the mean of what organisations with requests at a service received of it, over all nodes. */
-  meanReceived(service: string): number {
+  /** Returns what all organisations together received of a service, over all nodes. */
+  receivedByAll(service: string): number {
     const now = this.#clock.monotonic();
     const prefix = `${service}/`;
     let total = 0;
@@ -148,7 +148,7 @@
       if (!key.startsWith(prefix)) continue;
       for (const fact of facts.values()) total += decayedTokens(fact, now);
     }
-    return total / this.activeOrganisations(service);
+    return total;
   }
 
   /** Returns how many organisations have requests running or waiting at a service, over all nodes; at least 1. */
--- a/source/admission/waiting_request.ts
+++ b/source/admission/waiting_request.ts
@@ -12,9 +12,13 @@
   readonly cost: number;
   /** Order of arrival at this node. */
   readonly sequence: number;
-  /** Monotonic times in milliseconds: arrival, the class's target, and when it is given up. */
+  /** Monotonic time of arrival, in milliseconds. */
   readonly enqueuedAt: number;
+  /** When the class's target passes. */
   readonly dueAt: number;
+  /** Until when an answer is worth its cost: the target, or later where the caller gave a longer deadline. */
+  readonly usefulUntil: number;
+  /** When it is given up. */
   readonly deadline: number;
   /** Whether it uses only what other classes leave over. */
   readonly deferrable: boolean;
