Let second runs take the place of stragglers instead of racing them

Cause: second runs that race cost up to all their tokens, so that a budget of 2 % allowed two; and they were begun while samples still waited at healthy engines, where they waited too. Change: a second run goes on from the first one's tokens and takes its place with its own first token, unless the first one is ahead by then; samples at the servers of stragglers move too, once nothing waits elsewhere; at most two second runs of a sample.

--- a/experiments/steps/compare.ts
+++ b/experiments/steps/compare.ts
@@ -211,7 +211,7 @@
       `${GROUPS * SAMPLES_PER_GROUP} samples in groups of ${SAMPLES_PER_GROUP}`,
   );
   console.log(
-    "policy       trouble         p50 step  p99 step  mean idle",
+    "policy       trouble       mean step  p50 step  p99 step mean idle",
   );
   for (const { policy, steps } of results) {
     for (const trouble of [...TROUBLE_ORDER, undefined]) {
@@ -221,9 +221,12 @@
       const idle = some.map((step) => step.idleMilliseconds);
       console.log(
         `${policy.padEnd(13)}${(trouble ?? "all").padEnd(13)}` +
-          `${toSeconds(getQuantile(times, 0.5))}${
-            toSeconds(getQuantile(times, 0.99))
-          }${toSeconds(idle.reduce((sum, each) => sum + each) / idle.length)}`,
+          [
+            getMean(times),
+            getQuantile(times, 0.5),
+            getQuantile(times, 0.99),
+            getMean(idle),
+          ].map(toSeconds).join(""),
       );
     }
   }
@@ -238,6 +241,10 @@
   }
 }
 
+function getMean(values: ReadonlyArray<number>): number {
+  return values.reduce((sum, value) => sum + value, 0) / values.length;
+}
+
 function toSeconds(milliseconds: number): string {
   return `${(milliseconds / 1000).toFixed(2)} s`.padStart(10);
 }
--- a/source/steps/sample_progress.ts
+++ b/source/steps/sample_progress.ts
@@ -35,6 +35,8 @@
   readonly planned: PlannedSample;
   readonly #options: SampleProgressOptions;
   readonly #runs = new Set<SampleRun>();
+  #secondRuns = 0;
+  #winner: SampleRun | undefined;
   #failures = 0;
   #notBefore = 0;
   #avoidServers: ReadonlyArray<string> = [];
@@ -70,6 +72,7 @@
 
   /** Notes that a run begins. */
   begin(run: SampleRun): void {
+    if (this.#runs.size > 0) this.#secondRuns += 1;
     this.#runs.add(run);
   }
 
@@ -110,10 +113,20 @@
   }
 
   /** Notes that a run gave a whole sample. */
-  noteFinished(): void {
+  noteFinished(run: SampleRun): void {
+    this.#winner = run;
     this.#failures = 0;
   }
 
+  /** Returns the tokens of a run that ended as the loser which the winner did not go on from. */
+  countDoubledTokens(loser: SampleRun): number {
+    if (this.#winner === undefined) return 0;
+    const used = this.#winner.source === loser
+      ? this.#winner.resumedCount - loser.resumedCount
+      : 0;
+    return Math.max(0, loser.ownTokens - used);
+  }
+
   /** Describes the sample to a tail policy; undefined while no server runs it. */
   describe(): RunningSample | undefined {
     const sent = this.runs.filter((run) => run.server !== "");
@@ -126,12 +139,14 @@
     return {
       index: this.planned.index,
       group: this.planned.group,
+      server: furthest.server,
       ageMilliseconds: first.ageMilliseconds,
       silentMilliseconds: furthest.silentMilliseconds,
       generatingMilliseconds: furthest.generatingMilliseconds,
       tokens: furthest.tokens,
       maximumTokens: this.planned.maximumTokens,
       runs: this.#runs.size,
+      secondRuns: this.#secondRuns,
     };
   }
 }
--- a/source/steps/sample_run.ts
+++ b/source/steps/sample_run.ts
@@ -7,7 +7,7 @@
   readonly clock: Clock;
   /** Ends the run with its step. */
   readonly signal: AbortSignal;
-  /** The run whose tokens this one goes on from. */
+  /** The run that this one goes on from and replaces with its first token. */
   readonly source?: SampleRun;
   readonly avoidServers: ReadonlyArray<string>;
 }
@@ -23,7 +23,7 @@
 export class SampleRun {
   /** Aborted when the run is cancelled or the step ends. */
   readonly signal: AbortSignal;
-  /** The run whose tokens this one goes on from. */
+  /** The run that this one goes on from and replaces with its first token. */
   readonly source: SampleRun | undefined;
   /** The tokens that this one goes on from. */
   readonly resumedTokens: ReadonlyArray<EngineTokens>;
@@ -64,6 +64,11 @@
     return this.#given.reduce((sum, each) => sum + each.tokens, 0);
   }
 
+  /** Number of tokens that this one goes on from. */
+  get resumedCount(): number {
+    return this.resumedTokens.reduce((sum, each) => sum + each.tokens, 0);
+  }
+
   /** Number of tokens that this run generated itself. */
   get ownTokens(): number {
     return this.#ownTokens;
@@ -104,6 +109,18 @@
     return this.#lastTokenAt - this.#firstTokenAt;
   }
 
+  /** Returns how long the rest would take at the speed seen so far, in milliseconds. */
+  estimateRest(
+    maximumTokens: number,
+    usualMillisecondsPerToken: number,
+  ): number {
+    const left = maximumTokens - this.tokens;
+    const millisecondsPerToken = this.#ownTokens > 0
+      ? this.generatingMilliseconds / this.#ownTokens
+      : usualMillisecondsPerToken;
+    return Math.max(left * millisecondsPerToken, this.silentMilliseconds);
+  }
+
   /** Notes the server that runs the sample from now on. */
   noteServer(address: string): void {
     if (this.#server === "") this.#sentAt = this.#clock.monotonic();
--- a/source/steps/step_runner.ts
+++ b/source/steps/step_runner.ts
@@ -16,7 +16,12 @@
 import { SampleRun } from "./sample_run.ts";
 import { isTooOld } from "./sample_staleness.ts";
 import type { PlannedSample } from "./step_plan.ts";
-import type { FinishedRun, SecondRun, TailPolicy } from "./tail_policy.ts";
+import {
+  type FinishedRun,
+  getUsualMillisecondsPerToken,
+  type SecondRun,
+  type TailPolicy,
+} from "./tail_policy.ts";
 
 const RUN_INTERVAL_MILLISECONDS = 50;
 const IDLE_INTERVAL_MILLISECONDS = 1000;
@@ -32,7 +37,7 @@
   readonly dispatcher: Dispatcher;
   readonly usage?: UsageCounters;
   readonly tailPolicy: TailPolicy;
-  /** Returns the tokens that second runs may use over the whole step, as things stand. */
+  /** Returns the tokens that may be generated twice over the whole step, as things stand. */
   readonly spareTokens: () => number;
   readonly classOfWork: string;
   readonly ledger: LedgerEntry;
@@ -63,7 +68,8 @@
   readonly #progress: ReadonlyArray<SampleProgress>;
   readonly #startedAt: number;
   #finished: ReadonlyArray<FinishedRun> = [];
-  #secondRunTokens = 0;
+  readonly #reservedTokens = new Map<SampleRun, number>();
+  #doubledTokens = 0;
   #secondRuns = 0;
   #attempts = 0;
   #generatedTokens = 0;
@@ -111,7 +117,7 @@
     for (const progress of this.#progress) {
       if (!this.#isMissing(progress.planned)) continue;
       if (progress.active > 0) {
-        const isSent = progress.runs.some((run) => run.server !== "");
+        const isSent = progress.runs.every((run) => run.server !== "");
         if (!isSent) waiting += 1;
         continue;
       }
@@ -132,7 +138,7 @@
         .flatMap((progress) => progress.describe() ?? []),
       waiting,
       finished: this.#finished,
-      spareTokens: this.#options.spareTokens() - this.#secondRunTokens,
+      spareTokens: this.#getSpareTokens(),
     });
     for (const second of chosen) this.#startSecondRun(second, signal);
   }
@@ -142,20 +148,25 @@
     const progress = this.#progress[second.index];
     const [source] = progress?.runs ?? [];
     if (progress === undefined || source === undefined) return;
-    const spent = this.#secondRunTokens + second.tokens;
-    if (spent > this.#options.spareTokens()) return;
-    this.#secondRunTokens += second.tokens;
+    if (second.tokens > this.#getSpareTokens()) return;
     this.#secondRuns += 1;
     metrics.count("step.second_runs", { trainer: this.#step.manifest.trainer });
     const run = new SampleRun({
       clock,
       signal,
       avoidServers: source.server === "" ? [] : [source.server],
-      ...(second.resumes && source.tokens > 0 ? { source } : {}),
+      ...(second.resumes && { source }),
     });
+    this.#reservedTokens.set(run, second.tokens);
     void this.#runOnce(progress, run);
   }
 
+  #getSpareTokens(): number {
+    const reserved = [...this.#reservedTokens.values()]
+      .reduce((sum, tokens) => sum + tokens, 0);
+    return this.#options.spareTokens() - this.#doubledTokens - reserved;
+  }
+
   #isMissing(planned: PlannedSample): boolean {
     return !this.#step.has(planned.index) &&
       !this.#step.heldByTrainer.has(planned.index);
@@ -165,7 +176,11 @@
     progress.begin(run);
     const outcome = await this.#complete(progress.planned, run);
     progress.end(run);
+    this.#reservedTokens.delete(run);
     this.#generatedTokens += run.ownTokens;
+    if (run.wasCancelled && !run.isStale) {
+      this.#doubledTokens += progress.countDoubledTokens(run);
+    }
     if (outcome.kind !== "finished") {
       this.#noteRefusal(progress, run, outcome);
       return;
@@ -176,7 +191,7 @@
       progress.noteFailure({ server, advisedMilliseconds: 0 });
       return;
     }
-    progress.noteFinished();
+    progress.noteFinished(run);
     progress.cancelRuns();
   }
 
@@ -211,6 +226,7 @@
       resumeFrom: run.resumedTokens,
       onServer: (address) => run.noteServer(address),
       onTokens: (tokens) => {
+        if (run.ownTokens === 0) this.#replaceSource(planned, run);
         run.noteTokens(tokens);
         if (run.oldestVersion < this.#getMinimumVersion()) run.cancelAsStale();
       },
@@ -219,6 +235,20 @@
     return outcome;
   }
 
+  // The first run may have begun to go on while the second one waited for its server.
+  #replaceSource(planned: PlannedSample, run: SampleRun): void {
+    const { source } = run;
+    if (source === undefined || source.signal.aborted) return;
+    const usual = getUsualMillisecondsPerToken(this.#finished);
+    const left = planned.maximumTokens - run.resumedCount;
+    if (source.estimateRest(planned.maximumTokens, usual) <= left * usual) {
+      run.cancel();
+      return;
+    }
+    this.#doubledTokens += Math.max(0, source.tokens - run.resumedCount);
+    source.cancel();
+  }
+
   #getDeadline(): number {
     const { clock } = this.#options.context;
     const seconds = this.#step.manifest.deadlineSeconds;
--- a/source/steps/step_runner_test.ts
+++ b/source/steps/step_runner_test.ts
@@ -89,6 +89,23 @@
   };
 }
 
+test("a second run that goes on from the first one takes its place with its first token", async (t) => {
+  const { clock, step, calls, runner, stop } = startScene();
+  await clock.advance(10);
+  calls[0]?.work.onTokens?.(TEN_TOKENS);
+  await clock.advance(100);
+  t.false(calls[0]?.work.signal.aborted);
+  calls[1]?.work.onTokens?.(TEN_TOKENS);
+  t.true(calls[0]?.work.signal.aborted);
+  calls[0]?.end({ ...FAILED, reason: "cancelled" });
+  calls[1]?.end(toFinished("second"));
+  await clock.advance(1000);
+  t.deepEqual(step.samples().map((sample) => sample.text), ["second"]);
+  t.is(runner.effort.generatedTokens, 20);
+  t.is(calls.length, 2);
+  stop();
+});
+
 test("the first whole answer wins and the other run is cancelled", async (t) => {
   const { clock, step, calls, runner, stop } = startScene();
   await clock.advance(10);
--- a/source/steps/tail_policy.ts
+++ b/source/steps/tail_policy.ts
@@ -4,6 +4,8 @@
 export interface RunningSample {
   readonly index: number;
   readonly group: number;
+  /** Address of the server of the run that is furthest. */
+  readonly server: string;
   /** Time since the sample was sent to a server, in milliseconds. */
   readonly ageMilliseconds: number;
   /** Time since its last token, or since it was sent, in milliseconds. */
@@ -15,6 +17,8 @@
   readonly maximumTokens: number;
   /** Runs of the sample that are active. */
   readonly runs: number;
+  /** Second runs that were begun so far. */
+  readonly secondRuns: number;
 }
 
 /** A run that ended with a whole sample. */
@@ -41,9 +45,12 @@
 /** A second run of a sample. */
 export interface SecondRun {
   readonly index: number;
-  /** Whether it goes on from the tokens that the first run has, or begins anew. */
+  /**
+   * Whether it goes on from the tokens that the first run has, and takes its place with its own
+   * first token; else it begins anew and both race.
+   */
   readonly resumes: boolean;
-  /** Tokens that it may use. */
+  /** Tokens that are expected to be generated twice. */
   readonly tokens: number;
 }
 
@@ -55,6 +62,8 @@
 
 const MINIMUM_FINISHED_RUNS = 4;
 const STRAGGLER_FACTOR = 1.5;
+const START_FACTOR = 2;
+const MAXIMUM_SECOND_RUNS = 2;
 const STRAGGLER_QUANTILE = 0.95;
 const MINIMUM_GAIN_MILLISECONDS = 100;
 
@@ -93,8 +102,9 @@
 }
 
 /**
- * Chooses samples whose rest would be done much sooner by a run of usual speed, once no sample
- * waits. The second run goes on from the tokens that the first one has.
+ * Chooses samples whose rest would be done much sooner by a run of usual speed, and those that
+ * wait at the servers of such samples, once nothing waits elsewhere. The second run goes on from
+ * the tokens that the first one has.
  * @param view - The step's samples.
  * @example
  * ```ts
@@ -104,21 +114,53 @@
 export function chooseByProgress(view: TailView): ReadonlyArray<SecondRun> {
   if (!isTail(view)) return [];
   const usual = describeUsualRun(view.finished);
-  const stragglers = view.running
+  const begun = view.running.filter((sample) => sample.tokens > 0);
+  const slow = begun
+    .filter((sample) => isWorthwhile(estimateEnds(sample, usual)));
+  const slowServers = new Set(slow.map((sample) => sample.server));
+  const queued = view.running.filter((sample) => sample.tokens === 0);
+  const busyServers = new Set(begun.map((sample) => sample.server));
+  const stuck = queued.filter((sample) =>
+    slowServers.has(sample.server) ||
+    (!busyServers.has(sample.server) &&
+      sample.silentMilliseconds > usual.latestStartMilliseconds * START_FACTOR)
+  );
+  if (stuck.length < queued.length) return [];
+  const stragglers = [...slow, ...stuck]
     .filter((sample) => sample.runs === 1)
-    .map((sample) => ({ sample, gain: estimateGain(sample, usual) }))
-    .filter(({ gain }) => gain > 0)
-    .sort((left, right) => right.gain - left.gain)
+    .filter((sample) => sample.secondRuns < MAXIMUM_SECOND_RUNS)
+    .map((sample) => ({ sample, ends: estimateEnds(sample, usual) }))
+    .sort((left, right) => getGain(right.ends) - getGain(left.ends))
     .map(({ sample }) => ({
       index: sample.index,
       resumes: true,
-      tokens: sample.maximumTokens - sample.tokens,
+      tokens: estimateDoubledTokens(sample, usual),
     }));
   return takeWithin(stragglers, view.spareTokens);
 }
 
+/**
+ * Returns the median time that finished runs took for a token, in milliseconds.
+ * @param finished - The runs.
+ * @example
+ * ```ts
+ * getUsualMillisecondsPerToken([{ milliseconds: 1100, startMilliseconds: 100, tokens: 100 }]); // 10
+ * ```
+ */
+export function getUsualMillisecondsPerToken(
+  finished: ReadonlyArray<FinishedRun>,
+): number {
+  return getMedian(
+    finished.map((run) =>
+      (run.milliseconds - run.startMilliseconds) / Math.max(1, run.tokens)
+    ),
+  );
+}
+
 interface UsualRun {
   readonly startMilliseconds: number;
+  /** Start of nearly the slowest runs. */
+  readonly latestStartMilliseconds: number;
   readonly millisecondsPerToken: number;
 }
 
@@ -127,17 +169,22 @@
 }
 
 function describeUsualRun(finished: ReadonlyArray<FinishedRun>): UsualRun {
+  const starts = finished.map((run) => run.startMilliseconds);
   return {
-    startMilliseconds: getMedian(finished.map((run) => run.startMilliseconds)),
-    millisecondsPerToken: getMedian(
-      finished.map((run) =>
-        (run.milliseconds - run.startMilliseconds) / Math.max(1, run.tokens)
-      ),
-    ),
+    startMilliseconds: getMedian(starts),
+    latestStartMilliseconds: getQuantile(starts, STRAGGLER_QUANTILE),
+    millisecondsPerToken: getUsualMillisecondsPerToken(finished),
   };
 }
 
-function estimateGain(sample: RunningSample, usual: UsualRun): number {
+interface ExpectedEnds {
+  /** Time until the first run would end, in milliseconds. */
+  readonly byItself: number;
+  /** Time until a second run would end, in milliseconds. */
+  readonly bySecond: number;
+}
+
+function estimateEnds(sample: RunningSample, usual: UsualRun): ExpectedEnds {
   const left = sample.maximumTokens - sample.tokens;
   const usualRest = left * usual.millisecondsPerToken;
   const rate = sample.tokens > 0
@@ -145,10 +192,26 @@
     : usual.millisecondsPerToken;
   // A server that was silent for some time is taken to stay so as long again.
   const byItself = Math.max(left * rate, sample.silentMilliseconds + usualRest);
-  const bySecond = usual.startMilliseconds + usualRest;
-  const isWorthwhile = byItself > bySecond * STRAGGLER_FACTOR &&
-    byItself - bySecond > MINIMUM_GAIN_MILLISECONDS;
-  return isWorthwhile ? byItself - bySecond : 0;
+  return { byItself, bySecond: usual.startMilliseconds + usualRest };
+}
+
+function getGain({ byItself, bySecond }: ExpectedEnds): number {
+  return byItself - bySecond;
+}
+
+function isWorthwhile(ends: ExpectedEnds): boolean {
+  return ends.byItself > ends.bySecond * STRAGGLER_FACTOR &&
+    getGain(ends) > MINIMUM_GAIN_MILLISECONDS;
+}
+
+// The first run goes on until the second one gives its first token.
+function estimateDoubledTokens(sample: RunningSample, usual: UsualRun): number {
+  if (sample.tokens === 0) return 0;
+  const millisecondsPerToken = Math.max(
+    sample.generatingMilliseconds / sample.tokens,
+    sample.silentMilliseconds,
+  );
+  return Math.ceil(usual.startMilliseconds / Math.max(1, millisecondsPerToken));
 }
 
 function takeWithin(
--- a/source/steps/tail_policy_test.ts
+++ b/source/steps/tail_policy_test.ts
@@ -14,18 +14,21 @@
   return {
     index: 0,
     group: 0,
+    server: "engine-0",
     ageMilliseconds: 600,
     silentMilliseconds: 10,
     generatingMilliseconds: 500,
     tokens: 50,
     maximumTokens: 100,
     runs: 1,
+    secondRuns: 0,
     ...parts,
   };
 }
 
 const SLOW = toRunning({
   index: 1,
+  server: "engine-1",
   ageMilliseconds: 2500,
   generatingMilliseconds: 2400,
   tokens: 24,
@@ -43,6 +46,7 @@
 });
 const NOT_BEGUN = toRunning({
   index: 4,
+  server: "engine-2",
   ageMilliseconds: 5000,
   silentMilliseconds: 5000,
   generatingMilliseconds: 0,
@@ -59,11 +63,23 @@
   };
 }
 
+const QUEUED = toRunning({
+  index: 5,
+  silentMilliseconds: 150,
+  generatingMilliseconds: 0,
+  tokens: 0,
+});
+
 const VIEWS: Readonly<Record<string, TailView>> = {
   "stragglers at the end": toView({}),
   "samples wait": toView({ waiting: 1 }),
+  "a sample waits at a usual server": toView({ running: [SLOW, QUEUED] }),
+  "a sample waits at a slow server": toView({
+    running: [SLOW, { ...QUEUED, server: SLOW.server }],
+  }),
   "few finished": toView({ finished: [USUAL] }),
   "little to spare": toView({ spareTokens: 110 }),
+  "one token to spare": toView({ spareTokens: 1 }),
   "nothing to spare": toView({ spareTokens: 0 }),
   "second runs are under way": toView({
     running: [{ ...SLOW, runs: 2 }, { ...SILENT, runs: 2 }],
