--- a/experiments/deployment/deployment.ts
+++ b/experiments/deployment/deployment.ts
@@ -8,6 +8,7 @@
 const NODE_PROGRAM = "build/bin/snipepath-node.mjs";
 const COMMAND_PROGRAM = "build/bin/snipepath.mjs";
 const LISTENING = "listening ";
+const FAULT_TIMEOUT_MILLISECONDS = 500;
 
 /** How a deployment is started. */
 export interface DeploymentOptions {
@@ -17,6 +18,8 @@
   readonly nodeFlags?: ReadonlyArray<string>;
   /** Flags of every engine. */
   readonly engineFlags?: ReadonlyArray<string>;
+  /** Flags of one engine by its index, beside the common ones. */
+  readonly flagsOfEngine?: (index: number) => ReadonlyArray<string>;
   /** Flags of the platform's stand-in. */
   readonly platformFlags?: ReadonlyArray<string>;
   /** Folder for the logs; none keeps only the newest lines in memory. */
@@ -25,6 +28,7 @@
 
 /** A running backend server. */
 export interface RunningServer {
+  readonly name: string;
   readonly address: string;
   readonly service: string;
   readonly failureDomain: string;
@@ -162,6 +166,47 @@
     return { status: child.exitCode, output };
   }
 
+  /**
+   * Starts a backend server again at its old address, after its process has ended.
+   * @param server - The server.
+   */
+  async restartServer(server: RunningServer): Promise<void> {
+    const port = server.address.slice(server.address.lastIndexOf(":") + 1);
+    server.process = await this.#startServerProcess(server.service, {
+      name: server.name,
+      flags: [`--port=${port}`],
+    });
+  }
+
+  /**
+   * Makes a stand-in show a fault.
+   * @param address - HOST:PORT of the stand-in.
+   * @param fault - The fault, as the stand-in takes it.
+   */
+  async setFault(
+    address: string,
+    fault: Readonly<Record<string, unknown>>,
+  ): Promise<void> {
+    // A freeze of all connections may take the answer's own with it.
+    await fetch(`http://${address}/faults`, {
+      method: "POST",
+      headers: { "content-type": "application/json" },
+      body: JSON.stringify(fault),
+      signal: AbortSignal.timeout(FAULT_TIMEOUT_MILLISECONDS),
+    }).catch(() => undefined);
+  }
+
+  /**
+   * Ends all faults of a stand-in.
+   * @param address - HOST:PORT of the stand-in.
+   */
+  async clearFaults(address: string): Promise<void> {
+    await fetch(`http://${address}/faults`, {
+      method: "DELETE",
+      signal: AbortSignal.timeout(FAULT_TIMEOUT_MILLISECONDS),
+    }).catch(() => undefined);
+  }
+
   /** Ends every process. */
   async stop(): Promise<void> {
     const processes = [
@@ -179,24 +224,19 @@
         service,
         failureDomain: pick(layout.failureDomains, index),
         name: `${service.name}-${index + 1}`,
+        flags: service.kind === "model"
+          ? this.#options.flagsOfEngine?.(index) ?? []
+          : [],
       }))
     );
-    await Promise.all(wanted.map(async ({ service, failureDomain, name }) => {
-      const isModel = service.kind === "model";
-      const process = await startProcess({
+    await Promise.all(wanted.map(async (each) => {
+      const { service, failureDomain, name, flags } = each;
+      const process = await this.#startServerProcess(service.name, {
         name,
-        program: STAND_IN_PROGRAM,
-        arguments: isModel
-          ? [
-            "engine",
-            `--weight-store=http://${this.platformAddress}`,
-            ...this.#options.engineFlags ?? [],
-          ]
-          : ["plain"],
-        readyPrefix: LISTENING,
-        ...logFileOf(this.#options, name),
+        flags,
       });
       this.servers.push({
+        name,
         address: process.ready,
         service: service.name,
         failureDomain,
@@ -206,6 +246,27 @@
     }));
   }
 
+  #startServerProcess(
+    service: string,
+    started: { readonly name: string; readonly flags: ReadonlyArray<string> },
+  ): Promise<RunningProcess> {
+    const isModel = this.#options.layout.services.some((each) =>
+      each.name === service && each.kind === "model"
+    );
+    const engineArguments = [
+      "engine",
+      `--weight-store=http://${this.platformAddress}`,
+      ...this.#options.engineFlags ?? [],
+    ];
+    return startProcess({
+      name: started.name,
+      program: STAND_IN_PROGRAM,
+      arguments: [...isModel ? engineArguments : ["plain"], ...started.flags],
+      readyPrefix: LISTENING,
+      ...logFileOf(this.#options, started.name),
+    });
+  }
+
   async #registerServer(
     address: string,
     service: string,
--- a/source/admission/service_queue.ts
+++ b/source/admission/service_queue.ts
@@ -3,7 +3,10 @@
 import { invariant } from "../utilities/invariant.ts";
 import type { AdmissionTicket } from "./admission.ts";
 import type { ServiceCapacity } from "./capacity_estimate.ts";
-import type { AdmissionPolicy } from "./policies/admission_policy.ts";
+import type {
+  AdmissionPolicy,
+  AdmissionState,
+} from "./policies/admission_policy.ts";
 import { SlotLimit } from "./slot_limit.ts";
 import type { UseLedger } from "./use_ledger.ts";
 import { WaitingQueue } from "./waiting_queue.ts";
@@ -12,6 +15,7 @@
 const MINIMUM_QUEUE = 64;
 const QUEUE_PER_SLOT = 16;
 const MEAN_RUN_BEFORE_THE_FIRST_MILLISECONDS = 1000;
+const SLOWEST_DRAIN = 0.01;
 const WEIGHT_OF_THE_NEWEST_RUN = 0.1;
 const PEAK_HALF_LIFE_MILLISECONDS = 5000;
 const FASTEST_HALF_LIFE_MILLISECONDS = 10_000;
@@ -31,6 +35,8 @@
   readonly #options: ServiceQueueOptions;
   readonly #waiting = new WaitingQueue();
   readonly #limit = new SlotLimit();
+  #equalPart = 1;
+  #meanReceived = 0;
   #running = 0;
   #runningDeferrable = 0;
   #overdueRunning = 0;
@@ -63,7 +69,12 @@
     capacity: ServiceCapacity,
     nodes: { readonly live: number; readonly hungry: number },
   ): void {
+    const { policy, service, ledger } = this.#options;
+    const organisations = ledger.activeOrganisations(service);
+    this.#equalPart = Math.max(1, capacity.slots / organisations);
+    this.#meanReceived = ledger.meanReceived(service);
     this.#limit.update(capacity, {
+      ownsEqualPart: policy.equalPartsFor === "nodes",
       now: this.#options.clock.monotonic(),
       running: this.#running,
       liveNodes: nodes.live,
@@ -77,15 +88,15 @@
    */
   add(request: WaitingRequest): void {
     this.#waiting.add(request);
-    this.#use(request).waiting += 1;
-    if (this.#waiting.size > this.#maximumWaiting()) this.#refuseNewest();
+    this.#use(request).noteWaiting(this.#options.clock.monotonic());
     this.startNext();
+    if (this.#waiting.size > this.#maximumWaiting()) this.#refuseNewest();
   }
 
   /** Takes a waiting request out and refuses it; nothing happens when it no longer waits. */
   giveUp(request: WaitingRequest, reason: DispatchRefusal["reason"]): void {
     if (!this.#waiting.remove(request)) return;
-    this.#use(request).waiting -= 1;
+    this.#use(request).noteGivenUp(this.#options.clock.monotonic());
     request.settle(this.#refusal(reason));
   }
 
@@ -93,7 +104,7 @@
   startNext(): void {
     for (;;) {
       if (this.#waiting.size === 0) return;
-      const next = this.#options.policy(this.#state());
+      const next = this.#options.policy.choose(this.#state());
       if (next === undefined) return;
       this.#start(next);
     }
@@ -108,14 +119,19 @@
     }
   }
 
-  /** Returns whether the requests of its organisation that wait already will keep a new one past its deadline. */
+  /**
+   * Returns whether the requests of its organisation that wait already will keep a new one past its target
+   * (deferrable work: past its deadline).
+   */
   isHopeless(request: WaitingRequest): boolean {
     const ahead = this.#waiting.sizeOf(request.organisation);
-    if (ahead === 0 || this.#meanRun === 0) return false;
+    if (ahead < this.#equalPart || this.#meanRun === 0) return false;
     const now = this.#options.clock.monotonic();
-    const perSecond = this.#drainRate() / this.#waiting.organisations;
-    const wait = ahead / perSecond * 1000;
-    return now + wait + this.#fastestRun(now) > request.deadline;
+    const perSecond = this.#use(request).startedPerSecond(now) ??
+      this.#drainRate() / this.#waiting.organisations;
+    const wait = (ahead + 1) / Math.max(perSecond, SLOWEST_DRAIN) * 1000;
+    const latest = request.deferrable ? request.deadline : request.dueAt;
+    return now + wait + this.#meanRun > latest;
   }
 
   /** Returns after how long the present backlog will have been served, in milliseconds. */
@@ -134,7 +150,7 @@
     return this.#limit.slots / mean * 1000;
   }
 
-  #state(): Parameters<AdmissionPolicy>[0] {
+  #state(): AdmissionState {
     const { service, ledger, clock } = this.#options;
     const now = clock.monotonic();
     const urgentRunning = this.#running - this.#runningDeferrable;
@@ -144,17 +160,25 @@
       freeSlots: this.#limit.slots - this.#running,
       reservedSlots: Math.max(0, this.#peakAt(now) - urgentRunning),
       overdueRunning: this.#overdueRunning,
+      isEntitled: (organisation) => this.#isEntitled(organisation),
       received: (organisation) => ledger.received(service, organisation),
     };
   }
 
+  #isEntitled(organisation: string): boolean {
+    const { service, ledger } = this.#options;
+    const { running } = ledger.use(service, organisation);
+    if (running >= this.#equalPart) return false;
+    const { everywhere } = ledger.received(service, organisation);
+    return everywhere <= this.#meanReceived;
+  }
+
   #start(request: WaitingRequest): void {
     const wasWaiting = this.#waiting.remove(request);
     invariant(wasWaiting, "Policy chose a request that does not wait");
     const now = this.#options.clock.monotonic();
     const use = this.#use(request);
-    use.waiting -= 1;
-    use.running += 1;
+    use.noteStarted(now);
     use.received.add(request.cost, now);
     this.#running += 1;
     const isOverdue = request.deferrable && request.dueAt <= now;
@@ -189,7 +213,7 @@
   ): void {
     const now = this.#options.clock.monotonic();
     const use = this.#use(request);
-    use.running -= 1;
+    use.noteEnded();
     this.#running -= 1;
     if (request.deferrable) this.#runningDeferrable -= 1;
     if (run.isOverdue) this.#overdueRunning -= 1;
