Keep damaged rows and impossible manifests of peers from breaking a node

Cause: a manifest that asks for four thousand million samples, from a peer, would be planned in memory; a damaged row of the table threw in a background task. Lifetimes of steps moved to a class.

--- a/source/entry/trainer_handlers_input.ts
+++ b/source/entry/trainer_handlers_input.ts
@@ -1,6 +1,6 @@
+import { MAXIMUM_SAMPLES } from "../steps/step_plan.ts";
 import type { Refusal } from "./refusal.ts";
 
-const MAXIMUM_SAMPLES = 2048;
 const MAXIMUM_TOKENS = 1_000_000;
 const MAXIMUM_PROMPT_CHARACTERS = 1_000_000;
 const MAXIMUM_LOCATION_CHARACTERS = 2048;
--- a/source/steps/step_directory.ts
+++ b/source/steps/step_directory.ts
@@ -14,6 +14,7 @@
   type StepManifests,
   toStepKey,
 } from "./step_manifests.ts";
+import { isPlannable } from "./step_plan.ts";
 import { refuse, type StepRefusal } from "./step_refusal.ts";
 
 /** What finding steps needs. */
@@ -122,7 +123,8 @@
     }
     for (const holder of this.holders(name)) {
       const response = await this.#fetchManifest(holder, name);
-      if (response?.manifest !== undefined) this.learn(response.manifest);
+      const manifest = response?.manifest;
+      if (manifest !== undefined && isPlannable(manifest)) this.learn(manifest);
     }
     const step = this.get(name);
     if (step !== undefined) return { kind: "step", step };
--- a/source/steps/step_manifests.ts
+++ b/source/steps/step_manifests.ts
@@ -1,15 +1,11 @@
-import {
-  clone,
-  equals,
-  fromJsonString,
-  toJsonString,
-} from "@bufbuild/protobuf";
+import { clone, equals, toJsonString } from "@bufbuild/protobuf";
 import {
   type StepManifest,
   StepManifestSchema,
 } from "../../generated/snipepath/v1/records_pb.ts";
 import type { PlatformOutcome } from "../platform/platform_outcome.ts";
 import type { TableClient } from "../platform/table_client.ts";
+import { readRecord } from "./read_record.ts";
 import { refuse, type StepRefusal } from "./step_refusal.ts";
 
 /** Table that holds the manifests of steps. */
@@ -138,7 +134,10 @@
     if (outcome.kind !== "ok") return outcome;
     const row = outcome.value;
     if (row === undefined) return { kind: "ok", value: undefined };
-    const manifest = fromJsonString(StepManifestSchema, row.value);
+    const manifest = readRecord(StepManifestSchema, row.value);
+    if (manifest === undefined) {
+      return { kind: "notRun", reason: `The row of step ${key} is damaged` };
+    }
     return { kind: "ok", value: { manifest, rowVersion: row.version } };
   }
 
--- a/source/steps/step_ownership.ts
+++ b/source/steps/step_ownership.ts
@@ -9,6 +9,7 @@
 import { SampleCopier } from "./sample_copier.ts";
 import type { StepDirectory } from "./step_directory.ts";
 import type { StepFetcher } from "./step_fetcher.ts";
+import { StepLifetime } from "./step_lifetime.ts";
 import { toStepKey } from "./step_manifests.ts";
 import { StepRunner } from "./step_runner.ts";
 import type { StepServiceOptions } from "./step_service_options.ts";
@@ -20,7 +21,6 @@
 const DEFAULT_TAIL_POLICY: TailPolicyName = "resumedTail";
 const TICK_MILLISECONDS = 250;
 const TAKEOVER_MILLISECONDS = 2000;
-const RETENTION_FACTOR = 3;
 const TOLD_PARTS = 16;
 
 /** What the owner of steps needs. */
@@ -42,15 +42,19 @@
  */
 export class StepOwnership {
   readonly #options: StepOwnershipOptions;
+  readonly #lifetime: StepLifetime;
   readonly #owned = new Map<HeldStep, OwnedStep>();
   readonly #unclaimedSince = new WeakMap<HeldStep, number>();
-  readonly #learnedAt = new WeakMap<HeldStep, number>();
   #isLeaving = false;
   readonly #told = new WeakMap<HeldStep, string>();
 
   /** @param options - What the owner of steps needs. */
   constructor(options: StepOwnershipOptions) {
     this.#options = options;
+    this.#lifetime = new StepLifetime({
+      clock: options.context.clock,
+      told: options.told,
+    });
   }
 
   /** Begins to run a step that was submitted here. */
@@ -135,7 +139,7 @@
   }
 
   #tick(step: HeldStep): void {
-    if (this.#isOver(step)) {
+    if (this.#lifetime.isOver(step)) {
       if (!step.hasEnded) this.end(step, "told");
       this.#forgetLater(step);
       return;
@@ -166,34 +170,13 @@
     );
   }
 
-  #isOver(step: HeldStep): boolean {
-    if (step.hasEnded) return true;
-    const { manifest } = step;
-    const key = toStepKey(manifest.trainer, manifest.step);
-    return this.#options.told.facts("step").some((fact) =>
-      fact.key === key && fact.value.epoch === manifest.epoch &&
-      fact.value.ended
-    ) || this.#ageOf(step) > this.#retentionOf(step);
-  }
-
   #forgetLater(step: HeldStep): void {
-    if (this.#ageOf(step) <= this.#retentionOf(step)) return;
+    if (!this.#lifetime.isForgettable(step)) return;
     this.#options.directory.forget(step);
     const { trainer, step: name } = step.manifest;
     this.#options.told.retract?.("step", toStepKey(trainer, name));
   }
 
-  #retentionOf(step: HeldStep): number {
-    return step.manifest.deadlineSeconds * 1000 * RETENTION_FACTOR;
-  }
-
-  #ageOf(step: HeldStep): number {
-    const now = this.#options.context.clock.monotonic();
-    const learnedAt = this.#learnedAt.get(step) ?? now;
-    this.#learnedAt.set(step, learnedAt);
-    return now - learnedAt;
-  }
-
   #yieldIfOthersOwn(step: HeldStep): void {
     const { node } = this.#options.context.settings;
     const winner = this.#options.directory.claims(step.manifest)
--- a/source/steps/step_plan.ts
+++ b/source/steps/step_plan.ts
@@ -24,6 +24,22 @@
   return manifest.groups.reduce((sum, group) => sum + group.samples, 0);
 }
 
+/** Largest number of samples of a step. */
+export const MAXIMUM_SAMPLES = 2048;
+
+/**
+ * Returns whether a manifest asks for a number of samples that a step can have.
+ * @param manifest - The step.
+ * @example
+ * ```ts
+ * if (!isPlannable(manifest)) return;
+ * ```
+ */
+export function isPlannable(manifest: StepManifest): boolean {
+  const samples = countSamples(manifest);
+  return samples > 0 && samples <= MAXIMUM_SAMPLES;
+}
+
 /**
  * Lists the samples of a step in the order of their indices.
  * @param manifest - The step.
--- a/source/steps/step_service.ts
+++ b/source/steps/step_service.ts
@@ -20,6 +20,7 @@
 import { StepDirectory, type StepName } from "./step_directory.ts";
 import { StepFetcher } from "./step_fetcher.ts";
 import { StepManifests, toStepKey } from "./step_manifests.ts";
+import { isPlannable } from "./step_plan.ts";
 import { StepOwnership } from "./step_ownership.ts";
 import { type PullAnswer, type PullRequest, StepPull } from "./step_pull.ts";
 import type { StepRefusal } from "./step_refusal.ts";
@@ -257,8 +258,9 @@
   }
 
   #storeSamples(request: StoreSamplesRequest): void {
-    if (request.manifest !== undefined) {
-      this.#directory.learn(request.manifest);
+    const { manifest } = request;
+    if (manifest !== undefined && isPlannable(manifest)) {
+      this.#directory.learn(manifest);
     }
     const step = this.#directory.get(request);
     if (step === undefined || step.manifest.epoch !== request.epoch) return;
@@ -267,8 +269,16 @@
   }
 
   #fetchSamples(request: FetchSamplesRequest): FetchSamplesResponse {
-    const newestVersion = BigInt(this.versions.newest(request.trainer));
     const step = this.#directory.get(request);
+    if (step !== undefined) {
+      this.versions.learn({
+        trainer: request.trainer,
+        service: step.manifest.service,
+        version: Number(request.newestVersion),
+        location: "",
+      });
+    }
+    const newestVersion = BigInt(this.versions.newest(request.trainer));
     if (step === undefined) {
       return create(FetchSamplesResponseSchema, { newestVersion });
     }
--- a/source/steps/weight_publisher.ts
+++ b/source/steps/weight_publisher.ts
@@ -1,12 +1,10 @@
-import { create, fromJsonString, toJsonString } from "@bufbuild/protobuf";
+import { create, toJsonString } from "@bufbuild/protobuf";
 import { ConfirmWeightVersionRequestSchema } from "../../generated/snipepath/v1/peer_pb.ts";
-import {
-  type WeightRecord,
-  WeightRecordSchema,
-} from "../../generated/snipepath/v1/records_pb.ts";
+import { WeightRecordSchema } from "../../generated/snipepath/v1/records_pb.ts";
 import type { PeerDirectory } from "../membership/peer_directory.ts";
 import type { Row, TableClient } from "../platform/table_client.ts";
 import type { Clock } from "../utilities/clock.ts";
+import { readRecord } from "./read_record.ts";
 import { refuse, type StepRefusal } from "./step_refusal.ts";
 import {
   type PublishedVersion,
@@ -134,7 +132,8 @@
   row: Row | undefined,
 ): SaveOutcome | undefined {
   if (row === undefined) return undefined;
-  const record: WeightRecord = fromJsonString(WeightRecordSchema, row.value);
+  const record = readRecord(WeightRecordSchema, row.value);
+  if (record === undefined) return undefined;
   const newest = Number(record.newestVersion);
   if (newest < published.version) return undefined;
   if (newest === published.version && record.location === published.location) {
--- a/source/steps/weight_versions.ts
+++ b/source/steps/weight_versions.ts
@@ -1,8 +1,8 @@
-import { fromJsonString } from "@bufbuild/protobuf";
 import { WeightRecordSchema } from "../../generated/snipepath/v1/records_pb.ts";
 import type { ToldState } from "../membership/told_state.ts";
 import type { TableClient } from "../platform/table_client.ts";
 import type { Clock } from "../utilities/clock.ts";
+import { readRecord } from "./read_record.ts";
 
 /** Table that holds each trainer's newest weight version. */
 export const WEIGHTS_TABLE = "weights";
@@ -136,7 +136,8 @@
   }
 
   #learnRow(value: string): void {
-    const record = fromJsonString(WeightRecordSchema, value);
+    const record = readRecord(WeightRecordSchema, value);
+    if (record === undefined) return;
     this.learn({
       trainer: record.trainer,
       service: record.service,
