Number names on each stream, and never take a dead origin's rest for its log

And after a failure domain came back, some nodes missed others for good: a peer that counted an origin as dead served what was left of its log (usage) as the whole log.

Ruled out: lost ranges on the stream; the state showed complete versions without the facts below them.

Change: ranges of dead origins are marked as ended and stand for nothing but the facts in them, and a node asks for a dead origin from version 0. Names travel once on a stream, then as numbers.

--- /dev/null
+++ b/source/membership/fact_encoder.ts
@@ -0,0 +1,91 @@
+import { create } from "@bufbuild/protobuf";
+import {
+  type BackendServerFact,
+  type Fact,
+  type FactBatch,
+  FactBatchSchema,
+  type PackedBackendServerFact,
+  PackedBackendServerFactSchema,
+  type PackedFact,
+  PackedFactSchema,
+  type PackedRange,
+  PackedRangeSchema,
+} from "../../generated/snipepath/v1/peer_pb.ts";
+import { NameNumberer } from "./name_numbers.ts";
+import type { OriginLog } from "./origin_log.ts";
+
+/** A part of an origin's log to send. */
+export interface LogPart {
+  readonly log: OriginLog;
+  /** Version after which the part starts. */
+  readonly from: number;
+  readonly ageMilliseconds: number;
+}
+
+/** Packs the facts of one direction of a stream, numbering the names in them. */
+export class FactEncoder {
+  readonly #names = new NameNumberer();
+  readonly #ends = new Map<string, number>();
+
+  /** Packs parts of logs and facts that belong to no origin. */
+  encode(
+    parts: ReadonlyArray<LogPart>,
+    shared: ReadonlyArray<Fact>,
+  ): FactBatch {
+    const namesReset = this.#names.isFull;
+    if (namesReset) this.#names.reset();
+    const packed = parts.map((part) => this.#packRange(part));
+    return create(FactBatchSchema, {
+      facts: [...shared],
+      packed,
+      newNames: this.#names.takeUnsent(),
+      namesReset,
+    });
+  }
+
+  #packRange({ log, from, ageMilliseconds }: LogPart): PackedRange {
+    const { identity, through } = log;
+    const end = this.#ends.get(identity) ?? 0;
+    this.#ends.set(identity, through);
+    return create(PackedRangeSchema, {
+      origin: this.#names.numberOf(log.origin),
+      originStart: this.#names.numberOf(log.start),
+      fromChange: from - end,
+      length: through - from,
+      ended: log.isDead,
+      ageMilliseconds,
+      facts: log.factsAfter(from).map((fact) => this.#packFact(fact, through)),
+    });
+  }
+
+  #packFact(fact: Fact, through: number): PackedFact {
+    return create(PackedFactSchema, {
+      key: this.#names.numberOf(fact.key),
+      versionsBack: through - Number(fact.version),
+      value: this.#packValue(fact.value),
+    });
+  }
+
+  #packValue(value: Fact["value"]): PackedFact["value"] {
+    if (value.case !== "backendServer") return value as PackedFact["value"];
+    return { case: "backendServer", value: this.#packServer(value.value) };
+  }
+
+  #packServer(fact: BackendServerFact): PackedBackendServerFact {
+    return create(PackedBackendServerFactSchema, {
+      service: this.#names.numberOf(fact.service),
+      startIdentity: this.#names.numberOf(fact.startIdentity),
+      failureDomain: this.#names.numberOf(fact.failureDomain),
+      tier: this.#names.numberOf(fact.tier),
+      running: fact.running,
+      waiting: fact.waiting,
+      cacheFreePermille: fact.cacheFreePermille,
+      weightVersions: fact.weightVersions,
+      leaving: fact.leaving,
+      unreachable: !fact.reachable,
+      dispatched: fact.dispatched,
+      tokensPerSecond: fact.tokensPerSecond,
+      microsPerHour: fact.microsPerHour,
+    });
+  }
+}
--- a/source/membership/fact_store.ts
+++ b/source/membership/fact_store.ts
@@ -15,7 +15,7 @@
   MAXIMUM_FACTS_OF_ORIGIN,
   MAXIMUM_ORIGINS,
 } from "./fact_limits.ts";
-import { isShared, isUrgentChange } from "./fact_rules.ts";
+import { FACT_RULES, isShared, isUrgentChange } from "./fact_rules.ts";
 import { FactWatchers } from "./fact_watchers.ts";
 import {
   kindOf,
@@ -247,9 +247,11 @@
     if (held === undefined) {
       if (this.#logs.size >= MAXIMUM_ORIGINS) return false;
       const log = new OriginLog(range.origin, range.originStart, heardAt);
+      log.isDead = range.ended;
       this.#logs.set(identity, log);
       return true;
     }
+    if (range.ended) return true;
     if (Number(range.through) <= held.through) return false;
     if (held.isDead) held.revive();
     return true;
@@ -264,7 +266,8 @@
     const log = this.#logs.get(originIdentity(fact.origin, fact.originStart));
     if (log === this.#own) return undefined;
     if (log === undefined) return "origin without a range";
-    if (log.isDead) return undefined;
+    const isKept = FACT_RULES[kind].scope === "originKept";
+    if (log.isDead && !isKept) return undefined;
     const held = log.get(kind, fact.key);
     if (held === undefined && log.size >= MAXIMUM_FACTS_OF_ORIGIN) {
       return "too many facts of one origin";
@@ -300,6 +303,10 @@
     const identity = originIdentity(range.origin, range.originStart);
     const log = this.#logs.get(identity);
     if (log === undefined) return [];
+    if (range.ended) {
+      if (log.isDead) log.completeThrough(Number(range.through), log.heardAt);
+      return [];
+    }
     if (Number(range.from) > log.through) {
       return [{ origin: log.origin, start: log.start, through: log.through }];
     }
--- a/source/membership/fact_store_test.ts
+++ b/source/membership/fact_store_test.ts
@@ -153,6 +153,27 @@
   t.deepEqual(describeState(store), []);
 });
 
+test("what is left of a dead origin never stands for its whole log", (t) => {
+  const clock = new ManualClock();
+  const origin = createStore("a", clock).store;
+  const { store } = createStore("receiver", clock);
+  tell(origin, { kind: "node", key: 0, value: 1 });
+  tell(origin, { kind: "usage", key: 0, value: 7 });
+  const whole = createDelta(origin, 0);
+  const left = create(FactBatchSchema, {
+    facts: whole.facts.filter(({ value }) => value.case === "usage"),
+    ranges: whole.ranges.map((each) => ({ ...each, ended: true })),
+  });
+  store.applyBatch(left);
+  t.is(store.facts("usage").length, 1);
+  tell(origin, { kind: "node", key: 1, value: 1 });
+  t.is(store.applyBatch(createDelta(origin, 2)).length, 1);
+  store.applyBatch(left);
+  t.is(store.applyBatch(createDelta(origin, 2)).length, 1);
+  store.applyBatch(createDelta(origin, 0));
+  t.is(store.facts("node").length, 2);
+});
+
 const range = create(OriginRangeSchema, {
   origin: "a",
   originStart: "s",
--- a/source/membership/peer_session.ts
+++ b/source/membership/peer_session.ts
@@ -2,20 +2,20 @@
 import {
   type Fact,
   type FactBatch,
-  FactBatchSchema,
   type FactSummary,
   FactSummarySchema,
   type Heartbeat,
   HeartbeatSchema,
   type Hello,
   type OriginRange,
-  OriginRangeSchema,
   type OriginVersion,
   OriginVersionSchema,
   type PeerMessage,
   PeerMessageSchema,
 } from "../../generated/snipepath/v1/peer_pb.ts";
 import type { Clock } from "../utilities/clock.ts";
+import { FactDecoder } from "./fact_decoder.ts";
+import { FactEncoder, type LogPart } from "./fact_encoder.ts";
 import type { Feed, FeedTree } from "./feed_tree.ts";
 import type { FactStore } from "./fact_store.ts";
 import type { KeyFreshness } from "./key_freshness.ts";
@@ -23,7 +23,8 @@
 
 /** Shortest time between two batches on one stream, in milliseconds. */
 export const BATCH_INTERVAL_MILLISECONDS = 100;
-const MAXIMUM_BATCH_FACTS = 2000;
+const MAXIMUM_BATCH_PARTS = 200;
+const NEGLIGIBLE_AGE_MILLISECONDS = 500;
 const MAXIMUM_SUMMARY_ORIGINS = 4096;
 /** Age that stands for "never", below the range of the message's field. */
 const MAXIMUM_AGE_MILLISECONDS = 2 ** 31;
@@ -56,6 +57,8 @@
   readonly #options: PeerSessionOptions;
   /** Version of each origin's log that the other side holds, as far as known. */
   readonly #known = new Map<string, number>();
+  readonly #encoder = new FactEncoder();
+  readonly #decoder = new FactDecoder();
   readonly #grown = new Set<string>();
   /** Origins whose grown logs hold an urgent change. */
   readonly #urgent = new Set<string>();
@@ -156,7 +159,8 @@
     heartbeat: (heartbeat) => this.#receiveHeartbeat(heartbeat),
   };
 
-  #receiveFacts(batch: FactBatch): void {
+  #receiveFacts(packed: FactBatch): void {
+    const batch = this.#decoder.decode(packed);
     for (const range of batch.ranges) {
       const identity = originIdentity(range.origin, range.originStart);
       const through = Number(range.through);
@@ -173,6 +177,7 @@
   }
 
   #noteFeed(range: OriginRange): void {
+    if (range.ended) return;
     const { feeds, store } = this.#options;
     const identity = originIdentity(range.origin, range.originStart);
     const isNews = Number(range.through) > (store.log(identity)?.through ?? 0);
@@ -242,34 +247,30 @@
   }
 
   #takeBatch(): FactBatch | undefined {
-    const facts: Fact[] = [...this.#pendingShared.values()];
-    const ranges: OriginRange[] = [];
+    const shared = [...this.#pendingShared.values()];
     this.#pendingShared.clear();
+    const parts: LogPart[] = [];
     for (const identity of this.#grown) {
-      if (facts.length >= MAXIMUM_BATCH_FACTS) break;
+      if (parts.length >= MAXIMUM_BATCH_PARTS) break;
       this.#grown.delete(identity);
       const isUrgent = this.#urgent.delete(identity);
       if (this.#fedElsewhere.has(identity) && !isUrgent) continue;
       const log = this.#options.store.log(identity);
       const known = this.#known.get(identity) ?? 0;
       if (log === undefined || log.through <= known) continue;
-      ranges.push(this.#createRange(log, known));
-      facts.push(...log.factsAfter(known));
+      parts.push({ log, from: known, ageMilliseconds: this.#ageOf(log) });
       this.#known.set(identity, log.through);
     }
-    if (facts.length === 0 && ranges.length === 0) return undefined;
-    return create(FactBatchSchema, { facts, ranges });
+    if (shared.length === 0 && parts.length === 0) return undefined;
+    return this.#encoder.encode(parts, shared);
   }
 
-  #createRange(log: OriginLog, known: number): OriginRange {
+  /** Ages below the time between two batches count as none, which needs no bytes. */
+  #ageOf(log: OriginLog): number {
+    if (log.isDead) return 0;
     const age = this.#options.store.originAge(log.origin, log.start);
-    return create(OriginRangeSchema, {
-      origin: log.origin,
-      originStart: log.start,
-      from: BigInt(known),
-      through: BigInt(log.through),
-      ageMilliseconds: Math.round(Math.min(age, MAXIMUM_AGE_MILLISECONDS)),
-    });
+    if (age < NEGLIGIBLE_AGE_MILLISECONDS) return 0;
+    return Math.round(Math.min(age, MAXIMUM_AGE_MILLISECONDS));
   }
 
   #completeSummary(): FactSummary {
@@ -321,7 +322,8 @@
   return create(OriginVersionSchema, {
     origin: log.origin,
     originStart: log.start,
-    version: BigInt(log.through),
+    // Of a dead origin everything is wanted anew, should the other side hear it.
+    version: BigInt(log.isDead ? 0 : log.through),
     fedElsewhere,
   });
 }
