--- a/experiments/deployment/deployment.ts
+++ b/experiments/deployment/deployment.ts
@@ -308,13 +308,20 @@
     : { logFile: `${options.logFolder}/${name}.log` };
 }
 
+const usedPorts = new Set<number>();
+
+// The kernel may give a port again once it was closed, so those given before are left out.
 async function findFreeAddress(): Promise<string> {
-  const server = createServer();
-  server.listen(0, "127.0.0.1");
-  await once(server, "listening");
-  const address = server.address();
-  const port = typeof address === "object" ? address?.port ?? 0 : 0;
-  server.close();
-  await once(server, "close");
-  return `127.0.0.1:${port}`;
+  for (;;) {
+    const server = createServer();
+    server.listen(0, "127.0.0.1");
+    await once(server, "listening");
+    const address = server.address();
+    const port = typeof address === "object" ? address?.port ?? 0 : 0;
+    server.close();
+    await once(server, "close");
+    if (usedPorts.has(port)) continue;
+    usedPorts.add(port);
+    return `127.0.0.1:${port}`;
+  }
 }
