--- a/experiments/routing/dispatcher_process.ts
+++ b/experiments/routing/dispatcher_process.ts
@@ -45,6 +45,11 @@
       startDispatcher(node, { command, client, reports, index, stopping }),
     ]),
   );
+  if (command.readsCacheEvents) {
+    for (const dispatcher of dispatchers.values()) {
+      background.push(dispatcher.run());
+    }
+  }
   background.push(tellRunning(dispatchers, command, stopping.signal));
   const result = await new LoadGenerator({
     dispatchers: [...dispatchers.values()],
--- a/source/dispatch/create_dispatcher.ts
+++ b/source/dispatch/create_dispatcher.ts
@@ -1,3 +1,4 @@
+import { CacheEventReader } from "../routing/cache_event_reader.ts";
 import {
   createRoutingPolicy,
   isRoutingPolicyName,
@@ -20,6 +21,8 @@
 export interface NodeDispatcher extends Dispatcher {
   /** Requests that this node has running on a backend server. */
   runningAt(address: string): number;
+  /** Reads cache events in the background until the process ends. */
+  run(): Promise<void>;
 }
 
 /**
@@ -33,9 +36,14 @@
  */
 export function createDispatcher(options: DispatcherOptions): NodeDispatcher {
   const tools = createTools(options);
+  const reader = new CacheEventReader({
+    ...options,
+    experience: tools.experience,
+  });
   return {
     runCompletion: (work) => new CompletionRun(work, tools).run(),
     runPlain: (work) => new PlainRun(work, tools).run(),
+    run: () => reader.run(),
     runningAt: (address) => tools.experience.running(address),
   };
 }
--- a/source/routing/cache_knowledge.ts
+++ b/source/routing/cache_knowledge.ts
@@ -3,13 +3,15 @@
 import { TOKENS_OF_A_BLOCK } from "../backends/prefix_digest.ts";
 
 const MAXIMUM_DIGESTS = 20_000;
+const MAXIMUM_SERVERS = 2_000;
 
 /** Believes which servers have which prefixes cached; events about it come late and with gaps. */
 export class CacheKnowledge {
   readonly #holders = new LRUCache<string, Set<string>>({
     max: MAXIMUM_DIGESTS,
   });
-  readonly #sequences = new Map<string, number>();
+  readonly #sequences = new LRUCache<string, number>({ max: MAXIMUM_SERVERS });
+  readonly #starts = new LRUCache<string, string>({ max: MAXIMUM_SERVERS });
 
   /** Expects a server to cache the prefixes of a prompt that was sent there. */
   expect(address: string, digests: ReadonlyArray<string>): void {
@@ -27,8 +29,11 @@
     }
   }
 
-  /** Forgets a server, such as one that restarted. */
-  forget(address: string): void {
+  /** Forgets what was known of a server when another process answers at its address. */
+  noteStart(address: string, startIdentity: string): void {
+    const known = this.#starts.get(address);
+    this.#starts.set(address, startIdentity);
+    if (known === undefined || known === startIdentity) return;
     this.#sequences.delete(address);
     for (const holders of this.#holders.values()) holders.delete(address);
   }
--- a/source/routing/server_experience.ts
+++ b/source/routing/server_experience.ts
@@ -42,6 +42,14 @@
     return created;
   }
 
+  /** Services to which completions were given. */
+  completionServices(): ReadonlyArray<string> {
+    const services = [...this.#services.entries()];
+    return services
+      .filter(([, record]) => record.hasCompletions)
+      .map(([name]) => name);
+  }
+
   /** Notes that work was given to a server. */
   start(address: string, placement: Placement, now: number): DispatchRecord {
     return new DispatchRecord({
--- a/source/routing/service_record.ts
+++ b/source/routing/service_record.ts
@@ -13,6 +13,12 @@
   readonly #callTime = new DecayedMean(HALF_LIFE_MILLISECONDS);
   readonly #promptTimes: number[] = [];
   #mostRunning = 1;
+  #hasCompletions = false;
+
+  /** Whether a completion was ever finished. */
+  get hasCompletions(): boolean {
+    return this.#hasCompletions;
+  }
 
   /** Most requests that were seen running at once on any server. */
   get mostRunning(): number {
@@ -32,6 +38,7 @@
       readonly now: number;
     },
   ): void {
+    this.#hasCompletions = true;
     this.#tokens.add(tokens, { weight: 1, now });
     this.#lengthShare.add(tokens, { weight: maximumTokens, now });
   }
