--- a/source/dispatch/completion_run.ts
+++ b/source/dispatch/completion_run.ts
@@ -19,6 +19,7 @@
   FinishedCompletion,
   RefusalReason,
 } from "./dispatcher.ts";
+import { countRefusal, countRetry } from "./dispatch_metrics.ts";
 import { FAILURE_TREATMENTS } from "./failure_treatment.ts";
 import { RunBounds } from "./run_bounds.ts";
 import { Transcript, type TranscriptMark } from "./transcript.ts";
@@ -202,19 +203,22 @@
     );
     await options.context.clock.sleep(backoff, this.#bounds.signal);
     this.#work.ledger.add("retry", backoff);
+    countRetry(options.context.metrics, this.#work);
     return undefined;
   }
 
   #refuse(reason: RefusalReason, detail: string): DispatchRefusal {
-    const { service } = this.#work;
-    return {
+    const { advisor, options } = this.#tools;
+    const refusal: DispatchRefusal = {
       kind: this.#mayHaveRun ? "unknown" : "notRun",
       reason,
       detail,
-      retryAfterMilliseconds: this.#tools.advisor.retryAfterMilliseconds(
-        service,
+      retryAfterMilliseconds: advisor.retryAfterMilliseconds(
+        this.#work.service,
       ),
     };
+    countRefusal(options.context.metrics, this.#work, refusal);
+    return refusal;
   }
 }
 
--- /dev/null
+++ b/source/dispatch/dispatch_metrics.ts
@@ -0,0 +1,42 @@
+import type { Metrics } from "../observability/metrics.ts";
+import type { DispatchRefusal, Work } from "./dispatcher.ts";
+
+/**
+ * Counts a retry.
+ * @param metrics - Where to.
+ * @param work - The work that is tried again.
+ * @example
+ * ```ts
+ * countRetry(context.metrics, work);
+ * ```
+ */
+export function countRetry(metrics: Metrics, work: Work): void {
+  metrics.count("dispatch.retries", {
+    service: work.service,
+    class: work.classOfWork,
+  });
+}
+
+/**
+ * Counts a refusal by what it is.
+ * @param metrics - Where to.
+ * @param work - The refused work.
+ * @param refusal - The refusal.
+ * @example
+ * ```ts
+ * countRefusal(context.metrics, work, refusal);
+ * ```
+ */
+export function countRefusal(
+  metrics: Metrics,
+  work: Work,
+  { kind, reason }: Pick<DispatchRefusal, "kind" | "reason">,
+): void {
+  const { service, classOfWork } = work;
+  metrics.count("dispatch.refusals", {
+    service,
+    class: classOfWork,
+    ran: kind,
+    reason,
+  });
+}
--- a/source/dispatch/plain_run.ts
+++ b/source/dispatch/plain_run.ts
@@ -12,6 +12,7 @@
   PlainWork,
   RefusalReason,
 } from "./dispatcher.ts";
+import { countRefusal, countRetry } from "./dispatch_metrics.ts";
 import { FAILURE_TREATMENTS } from "./failure_treatment.ts";
 import { type PlainBody, takePlainBody } from "./plain_body.ts";
 import { relayAnswer } from "./relay_answer.ts";
@@ -167,6 +168,7 @@
     const backoff = advisor.backoffMilliseconds(attempt, remaining);
     await options.context.clock.sleep(backoff, this.#bounds.signal);
     this.#work.ledger.add("retry", backoff);
+    countRetry(options.context.metrics, this.#work);
     return undefined;
   }
 
@@ -179,14 +181,17 @@
   }
 
   #refuse(reason: RefusalReason, detail: string): DispatchRefusal {
-    return {
+    const { advisor, options } = this.#tools;
+    const refusal: DispatchRefusal = {
       kind: this.#unknownAttempts > 0 ? "unknown" : "notRun",
       reason,
       detail,
-      retryAfterMilliseconds: this.#tools.advisor.retryAfterMilliseconds(
+      retryAfterMilliseconds: advisor.retryAfterMilliseconds(
         this.#work.service,
       ),
     };
+    countRefusal(options.context.metrics, this.#work, refusal);
+    return refusal;
   }
 }
 
