--- a/experiments/load/node_overhead.ts
+++ b/experiments/load/node_overhead.ts
@@ -1,4 +1,6 @@
-import { readFileSync } from "node:fs";
+import { mkdtempSync, readFileSync, writeFileSync } from "node:fs";
+import { tmpdir } from "node:os";
+import { join } from "node:path";
 import { build, type Histogram } from "hdr-histogram-js";
 import { Agent, request } from "undici";
 import { formatTable } from "../../source/command/command_output.ts";
@@ -38,7 +40,10 @@
     engineFlags: ["--tokens-per-second=2000", "--batch-slots=64"],
   });
   try {
-    await deployment.runCommand(["apply", layout.declaration]);
+    await deployment.runCommand([
+      "apply",
+      writeWithoutLimits(layout.declaration),
+    ]);
     const given = await deployment.runCommand(["key", "give", "atbr-iasi"]);
     await sleep(2000);
     return await measure(deployment, given.output.trim(), seconds);
@@ -47,6 +52,16 @@
   }
 }
 
+function writeWithoutLimits(declaration: string): string {
+  const path = join(
+    mkdtempSync(join(tmpdir(), "snipepath-")),
+    "declaration.yaml",
+  );
+  const text = readFileSync(declaration, "utf8");
+  writeFileSync(path, text.replaceAll(/^ +requestsPerSecond:.*\n/gm, ""));
+  return path;
+}
+
 async function measure(
   deployment: Deployment,
   key: string,
