Keep the fencing number over a lapse without another holder

A renewal on the unchanged row proves that nobody else held the lease, so the number stays; a receiver that checks numbers no longer refuses such an order.

--- a/source/control/lease_keeper.ts
+++ b/source/control/lease_keeper.ts
@@ -194,10 +194,8 @@
   }
 
   async #renew(holding: Holding): Promise<void> {
-    // After a lapse the number grows, so that what was sent before it can be told apart.
-    const hasLapsed = this.ifHeld() === undefined;
-    const fencingNumber = holding.fencingNumber + (hasLapsed ? 1 : 0);
-    await this.#write(fencingNumber, holding.rowVersion);
+    // Also after a lapse: the unchanged row shows that no other node held the lease since.
+    await this.#write(holding.fencingNumber, holding.rowVersion);
   }
 
   #mayTakeOver(): boolean {
