--- a/experiments/deployment/deployment.ts
+++ b/experiments/deployment/deployment.ts
@@ -16,6 +16,8 @@
   readonly nodes: number;
   /** Flags of every node, besides names and addresses. */
   readonly nodeFlags?: ReadonlyArray<string>;
+  /** Flags of Node.js for every node, such as "--cpu-prof". */
+  readonly runtimeFlags?: ReadonlyArray<string>;
   /** Flags of every engine. */
   readonly engineFlags?: ReadonlyArray<string>;
   /** Flags of one engine by its index, beside the common ones. */
@@ -120,6 +122,7 @@
     const process = await startProcess({
       name,
       program: NODE_PROGRAM,
+      runtimeFlags: this.#options.runtimeFlags ?? [],
       arguments: [
         `--node=${name}`,
         `--failure-domain=${failureDomain}`,
@@ -305,13 +308,20 @@
     : { logFile: `${options.logFolder}/${name}.log` };
 }
 
+const usedPorts = new Set<number>();
+
+// The kernel may give a port again once it was closed, so those given before are left out.
 async function findFreeAddress(): Promise<string> {
-  const server = createServer();
-  server.listen(0, "127.0.0.1");
-  await once(server, "listening");
-  const address = server.address();
-  const port = typeof address === "object" ? address?.port ?? 0 : 0;
-  server.close();
-  await once(server, "close");
-  return `127.0.0.1:${port}`;
+  for (;;) {
+    const server = createServer();
+    server.listen(0, "127.0.0.1");
+    await once(server, "listening");
+    const address = server.address();
+    const port = typeof address === "object" ? address?.port ?? 0 : 0;
+    server.close();
+    await once(server, "close");
+    if (usedPorts.has(port)) continue;
+    usedPorts.add(port);
+    return `127.0.0.1:${port}`;
+  }
 }
