--- a/source/control/lease_keeper_test.ts
+++ b/source/control/lease_keeper_test.ts
@@ -200,6 +200,24 @@
   );
 });
 
+test("a lease counts from the send of the renewal, not from its answer", async (t) => {
+  const contest = new Contest();
+  await contest.start();
+  const { first, clock, firstLease } = contest;
+  let sentAt = -1;
+  first.decideFate = (_area, writtenTable) => {
+    if (sentAt >= 0 || writtenTable === "") return always("refused")();
+    sentAt = clock.monotonic();
+    return { kind: "answered", sendMilliseconds: 1, answerMilliseconds: 2_000 };
+  };
+  while (sentAt < 0) await clock.advance(1);
+  const end = sentAt + LEASE_MILLISECONDS;
+  await clock.advance(end - 10 - clock.monotonic());
+  t.not(firstLease.ifHeld(), undefined);
+  await clock.advance(10);
+  t.is(firstLease.ifHeld(), undefined);
+});
+
 test("a lease given back waits for the order deadline only", async (t) => {
   const contest = new Contest();
   await contest.start();
