--- a/source/routing/cache_event_reader.ts
+++ b/source/routing/cache_event_reader.ts
@@ -1,3 +1,4 @@
+import { setMaxListeners } from "node:events";
 import xxhash from "xxhash-wasm";
 import type {
   BackendServerState,
@@ -32,6 +33,8 @@
   /** Reads until the process ends. */
   async run(): Promise<void> {
     const { clock, random, stopping } = this.#options.context;
+    // Each read in flight listens for the end of the process.
+    setMaxListeners(0, stopping);
     while (!stopping.aborted) {
       await Promise.all(this.#chosen().map((server) => this.#read(server)));
       const jitter = 0.9 + 0.2 * random.next();
