--- a/source/node/node.ts
+++ b/source/node/node.ts
@@ -24,6 +24,7 @@
 import { Control } from "./control.ts";
 import { LateHandlers } from "./late_handlers.ts";
 import type { NodeContext } from "./node_context.ts";
+import { reportNodeGauges } from "./node_gauges.ts";
 
 const STOP_LIMIT_MILLISECONDS = 5000;
 
@@ -158,6 +159,11 @@
     await this.#membership.ready();
     const address = await this.#entry.listen();
     void this.#entry.run();
+    void reportNodeGauges({
+      context: this.#context,
+      membership: this.#membership,
+      entry: this.#entry,
+    });
     log.emit("nodeStarted", {
       address,
       peerAddress: this.#peerServer.address,
--- a/source/node/run_node.ts
+++ b/source/node/run_node.ts
@@ -1,3 +1,4 @@
+import { setMaxListeners } from "node:events";
 import type { NodeSettings } from "../../generated/snipepath/v1/settings_pb.ts";
 import { createNodeContext } from "./create_node_context.ts";
 import { Node } from "./node.ts";
@@ -12,6 +13,8 @@
  */
 export async function runNode(settings: NodeSettings): Promise<number> {
   const stopping = new AbortController();
+  // Every waiting task listens for the stop.
+  setMaxListeners(0, stopping.signal);
   const context = createNodeContext(settings, stopping.signal);
   stopOnBrokenInvariant(context);
   const leaving = new AbortController();
