--- a/source/control/weight_rollout_test.ts
+++ b/source/control/weight_rollout_test.ts
@@ -120,6 +120,11 @@
     await bench.clock.advance(4000);
     engineAt(bench, 2).fault = "none";
   },
+  "orders to one engine are lost": async (bench) => {
+    engineAt(bench, 2).fault = "losesOrder";
+    await bench.clock.advance(4000);
+    engineAt(bench, 2).fault = "none";
+  },
   "an engine restarts with its first version": async (bench) => {
     await bench.clock.advance(1500);
     bench.engines.restart(engineAt(bench, 0), 1);
--- a/stand_ins/steps/fake_weight_engines.ts
+++ b/stand_ins/steps/fake_weight_engines.ts
@@ -15,7 +15,13 @@
 const VERSION_BYTES = 10 * 64 * 1024;
 
 /** What an engine does wrong with an order. */
-export type LoadFault = "none" | "fails" | "liesDone" | "losesAnswer";
+export type LoadFault =
+  | "none"
+  | "fails"
+  | "liesDone"
+  | "losesAnswer"
+  /** The order is lost on its way, and nobody is told. */
+  | "losesOrder";
 
 /** One engine that loads versions. */
 export interface FakeWeightEngine {
@@ -151,6 +157,9 @@
       return { kind: "notRun", reason: "may not start" };
     }
     await clock.sleep(NETWORK_MILLISECONDS);
+    if (engine.fault === "losesOrder") {
+      return { kind: "unknown", reason: "order lost" };
+    }
     const loaded = this.#receive(engine, order);
     const cut = new Promise<EngineOrderOutcome>((resolve) =>
       options.signal.addEventListener(
