Keep long-waiting work from starving work on time

Cause: samples of a step wait past their class's target, so least slack first gave them every slot: 0 of 200 lookups ran beside them. Durations were kept for the service as a whole, so lookups were refused by the length of samples; the queue's bound dropped the newest request of the organisation, whatever its class. Change: work past its target starts only beyond what other classes' work on time has used of late, but for one overdue request at a time; durations and drain rates by class; the queue's bound drops the newest of the longest class and organisation. Peaks, durations and drain rates are modules of their own.

--- a/source/admission/node_admission_test.ts
+++ b/source/admission/node_admission_test.ts
@@ -128,6 +128,45 @@
   t.true(deferredStarted >= 1);
 });
 
+test("work long past its target neither starves work on time nor is starved by it", async (t) => {
+  const clock = new ManualClock();
+  const { nodes: [node] } = createBench(clock, {
+    policy: "slackFair",
+    slots: 8,
+  });
+  const started = { rollouts: 0, lookups: 0 };
+  const runs = { rollouts: 2000, lookups: 200 };
+  async function ask(name: keyof typeof started): Promise<void> {
+    const within = name === "lookups" ? 2000 : 600_000;
+    const asked = work(clock, arrival(`large ${name}`), within);
+    const answer = await node?.admit(asked);
+    if (answer?.kind !== "admitted") return;
+    started[name] += 1;
+    await clock.sleep(runs[name]);
+    release(answer);
+  }
+  async function load(
+    lookupsPerSecond: number,
+    seconds: number,
+  ): Promise<void> {
+    for (let step = 0; step < seconds * 10; step += 1) {
+      void ask("rollouts");
+      for (let count = 0; count < lookupsPerSecond / 10; count += 1) {
+        void ask("lookups");
+      }
+      await clock.advance(100);
+      node?.tick();
+    }
+  }
+  await load(0, 40);
+  await load(10, 20);
+  t.true(started.lookups >= 150, `${started.lookups} of 200 lookups`);
+  const before = started.rollouts;
+  await load(80, 20);
+  const later = started.rollouts - before;
+  t.true(later >= 5, `${later} rollouts beside too many lookups`);
+});
+
 test("a request that can't meet its deadline any more is refused as not run", async (t) => {
   const clock = new ManualClock();
   const { nodes: [node] } = createBench(clock, { policy: "slackFair" });
--- a/source/admission/policies/admission_policy.ts
+++ b/source/admission/policies/admission_policy.ts
@@ -16,9 +16,9 @@
   readonly now: number;
   /** Slots that no request of this node uses. */
   readonly freeSlots: number;
-  /** Slots that classes which are not deferrable have used lately beyond their present use. */
-  readonly reservedSlots: number;
-  /** Overdue deferrable requests that run now. */
+  /** Returns the slots that work on time of other classes has used lately beyond its present use. */
+  readonly reservedFrom: (classOfWork: string) => number;
+  /** Requests that run now and were past their target when they started. */
   readonly overdueRunning: number;
   /**
    * Returns whether an organisation received no more of the service than the mean over all nodes, and
--- a/source/admission/policies/slack_fair_policy.ts
+++ b/source/admission/policies/slack_fair_policy.ts
@@ -7,8 +7,9 @@
 /**
  * Chooses by the least slack to the class's target across classes; inside a class it is the turn of
  * the organisation that received least through all nodes. An organisation that received no more than the
- * others needs no free slot of this node, up to its equal part of the service's slots. Deferrable work runs in slots that nothing
- * else has used lately, or one at a time once it is overdue.
+ * others needs no free slot of this node, up to its equal part of the service's slots. Deferrable
+ * work and work past its target run in slots that work on time has not used lately, but for one overdue
+ * request at a time, so that neither starves the other.
  * @param state - What waits.
  * @example
  * ```ts
@@ -21,35 +22,52 @@
   const classes = state.waiting.heads();
   const urgent = classes.filter((each) => !each.deferrable);
   if (state.freeSlots <= 0) return chooseEntitled(state, urgent);
-  const deferrable = classes.filter((each) => each.deferrable);
-  const overdue = chooseOverdue(state, deferrable);
+  const overdue = chooseOverdue(state, classes);
   if (overdue !== undefined) return overdue;
-  const candidates = urgent.map((each) => leastServed(state, each));
-  const next = leastSlack(candidates);
+  const next = chooseOnTime(state, urgent);
   if (next !== undefined) return next;
-  if (state.freeSlots <= state.reservedSlots) return undefined;
-  return leastSlack(deferrable.map((each) => leastServed(state, each)));
+  return chooseLeftOver(state, urgent) ?? chooseLeftOver(state, classes);
 }
 
 function chooseEntitled(
   state: AdmissionState,
   urgent: ReadonlyArray<ClassHeads>,
 ): WaitingRequest | undefined {
-  const candidates = urgent.map((each) => {
-    const heads = each.heads.filter(({ organisation }) =>
+  const entitled = urgent.map((each) => ({
+    ...each,
+    heads: each.heads.filter(({ organisation }) =>
       state.isEntitled(organisation)
-    );
-    return leastServed(state, { ...each, heads });
-  });
-  return leastSlack(candidates);
+    ),
+  }));
+  return chooseOnTime(state, entitled);
+}
+
+function chooseOnTime(
+  state: AdmissionState,
+  urgent: ReadonlyArray<ClassHeads>,
+): WaitingRequest | undefined {
+  const candidates = urgent.map((each) => leastServed(state, each));
+  return leastSlack(
+    candidates.filter((head) => head !== undefined && head.dueAt > state.now),
+  );
+}
+
+function chooseLeftOver(
+  state: AdmissionState,
+  classes: ReadonlyArray<ClassHeads>,
+): WaitingRequest | undefined {
+  const open = classes.filter(({ classOfWork }) =>
+    state.freeSlots > state.reservedFrom(classOfWork)
+  );
+  return leastSlack(open.map((each) => leastServed(state, each)));
 }
 
 function chooseOverdue(
   state: AdmissionState,
-  deferrable: ReadonlyArray<ClassHeads>,
+  classes: ReadonlyArray<ClassHeads>,
 ): WaitingRequest | undefined {
   if (state.overdueRunning >= MAXIMUM_OVERDUE_RUNNING) return undefined;
-  const overdue = deferrable
+  const overdue = classes
     .map((each) => leastServed(state, each))
     .filter((head) => head !== undefined && head.dueAt <= state.now);
   return leastSlack(overdue);
--- a/source/admission/service_queue.ts
+++ b/source/admission/service_queue.ts
@@ -1,3 +1,4 @@
+import { LRUCache } from "lru-cache";
 import type { DispatchRefusal } from "../dispatch/dispatcher.ts";
 import type { Clock } from "../utilities/clock.ts";
 import { invariant } from "../utilities/invariant.ts";
@@ -8,18 +9,19 @@
   AdmissionState,
 } from "./policies/admission_policy.ts";
 import { SlotLimit } from "./slot_limit.ts";
-import type { UseLedger } from "./use_ledger.ts";
+import { DrainRate } from "./drain_rate.ts";
+import { RecentPeaks } from "./recent_peaks.ts";
+import { RunDurations } from "./run_durations.ts";
+import { useKey, type UseLedger } from "./use_ledger.ts";
 import { WaitingQueue } from "./waiting_queue.ts";
 import type { WaitingRequest } from "./waiting_request.ts";
 
+const MAXIMUM_DRAINS = 10_000;
 const MINIMUM_QUEUE = 64;
 const QUEUE_PER_SLOT = 16;
 const MEAN_RUN_BEFORE_THE_FIRST_MILLISECONDS = 1000;
 const NEARLY_ALL = 0.9;
 const SLOWEST_DRAIN = 0.01;
-const WEIGHT_OF_THE_NEWEST_RUN = 0.1;
-const PEAK_HALF_LIFE_MILLISECONDS = 5000;
-const FASTEST_HALF_LIFE_MILLISECONDS = 10_000;
 const LONGEST_RETRY_MILLISECONDS = 60_000;
 const SHORTEST_RETRY_MILLISECONDS = 100;
 
@@ -36,16 +38,15 @@
   readonly #options: ServiceQueueOptions;
   readonly #waiting = new WaitingQueue();
   readonly #limit = new SlotLimit();
+  readonly #durations = new RunDurations();
+  readonly #drains = new LRUCache<string, DrainRate>({ max: MAXIMUM_DRAINS });
   #equalPart = 1;
   #receivedByAll = 0;
   #organisations = 1;
   #extraSlots = 1;
   #running = 0;
-  #runningDeferrable = 0;
   #overdueRunning = 0;
-  #peak = { value: 0, at: 0 };
-  #fastest = { milliseconds: 0, at: 0 };
-  #meanRun = 0;
+  readonly #peaks = new RecentPeaks();
 
   /** @param options - The service, its policy and the use of organisations. */
   constructor(options: ServiceQueueOptions) {
@@ -64,7 +65,7 @@
 
   /** Returns the mean duration of the requests that ended of late, in milliseconds; 0 before the first. */
   get meanRunMilliseconds(): number {
-    return this.#meanRun;
+    return this.#durations.mean;
   }
 
   /** Returns how many requests may run at once through this node. */
@@ -93,12 +94,13 @@
   }
 
   /**
-   * Adds a request; if the queue is full, the newest request of the organisation that has most
-   * waiting is refused in its place.
+   * Adds a request; if the queue is full, the newest request of the class and organisation that
+   * have most waiting is refused in its place.
    */
   add(request: WaitingRequest): void {
     this.#waiting.add(request);
-    this.#use(request).noteWaiting(this.#options.clock.monotonic());
+    this.#use(request).waiting += 1;
+    this.#drain(request).noteWaiting(this.#options.clock.monotonic());
     this.startNext();
     if (this.waiting > this.#maximumWaiting()) this.#refuseNewest();
   }
@@ -106,7 +108,8 @@
   /** Takes a waiting request out and refuses it; nothing happens when it no longer waits. */
   giveUp(request: WaitingRequest, reason: DispatchRefusal["reason"]): void {
     if (!this.#waiting.remove(request)) return;
-    this.#use(request).noteGivenUp(this.#options.clock.monotonic());
+    this.#use(request).waiting -= 1;
+    this.#drain(request).noteGivenUp(this.#options.clock.monotonic());
     request.settle(this.#refusal(reason));
   }
 
@@ -129,17 +132,17 @@
   }
 
   /**
-   * Returns whether the requests of its organisation that wait already will keep a new one past the time
+   * Returns whether the requests of its class and organisation that wait already will keep a new one past the time
    * it is useful.
    */
   isHopeless(request: WaitingRequest): boolean {
-    const ahead = this.#waiting.sizeOf(request.organisation);
-    if (ahead === 0 || this.#meanRun === 0) return false;
+    const ahead = this.#waiting.sizeAhead(request);
+    if (ahead === 0 || this.#durations.mean === 0) return false;
     const now = this.#options.clock.monotonic();
-    const perSecond = this.#use(request).startedPerSecond(now) ??
+    const perSecond = this.#drain(request).perSecond(now) ??
       this.#drainRate() / this.#waiting.organisations;
     const wait = (ahead + 1) / Math.max(perSecond, SLOWEST_DRAIN) * 1000;
-    return now + wait + this.#meanRun > request.usefulUntil;
+    return now + wait + this.#expectedRun(request) > request.usefulUntil;
   }
 
   /** Returns after how long the present backlog will have been served, in milliseconds. */
@@ -152,27 +155,33 @@
 
   // Requests a second that this node's slots carry at the present mean duration.
   #drainRate(): number {
-    const mean = this.#meanRun === 0
+    const mean = this.#durations.mean === 0
       ? MEAN_RUN_BEFORE_THE_FIRST_MILLISECONDS
-      : this.#meanRun;
+      : this.#durations.mean;
     return this.#limit.slots / mean * 1000;
   }
 
   #isLate(request: WaitingRequest, now: number): boolean {
-    if (now + this.#fastestRun(now) >= request.deadline) return true;
+    const fastest = this.#durations.fastest(request.classOfWork, now);
+    if (now + fastest >= request.deadline) return true;
     if (!this.#options.policy.refusesLate) return false;
-    return now + this.#meanRun > request.usefulUntil;
+    return now + this.#expectedRun(request) > request.usefulUntil;
+  }
+
+  // At most half of the time a request is useful, so that a slow service refuses only what has waited.
+  #expectedRun(request: WaitingRequest): number {
+    const mean = this.#durations.meanOf(request.classOfWork);
+    return Math.min(mean, (request.usefulUntil - request.enqueuedAt) / 2);
   }
 
   #state(): AdmissionState {
     const { service, ledger, clock } = this.#options;
     const now = clock.monotonic();
-    const urgentRunning = this.#running - this.#runningDeferrable;
     return {
       waiting: this.#waiting,
       now,
       freeSlots: this.#limit.slots - this.#running,
-      reservedSlots: Math.max(0, this.#peakAt(now) - urgentRunning),
+      reservedFrom: (classOfWork) => this.#peaks.reservedFrom(classOfWork, now),
       overdueRunning: this.#overdueRunning,
       isEntitled: (organisation) => this.#isEntitled(organisation),
       received: (organisation) => ledger.received(service, organisation),
@@ -195,13 +204,15 @@
     invariant(wasWaiting, "Policy chose a request that does not wait");
     const now = this.#options.clock.monotonic();
     const use = this.#use(request);
-    use.noteStarted(now);
+    use.waiting -= 1;
+    use.running += 1;
+    this.#drain(request).noteStarted(now);
     use.received.add(request.cost, now);
     this.#running += 1;
-    const isOverdue = request.deferrable && request.dueAt <= now;
-    if (request.deferrable) this.#runningDeferrable += 1;
+    const isOverdue = request.dueAt <= now;
+    const isOnTime = !request.deferrable && !isOverdue;
+    if (isOnTime) this.#peaks.noteStarted(request.classOfWork, now);
     if (isOverdue) this.#overdueRunning += 1;
-    this.#notePeak(now);
     request.settle(this.#ticket(request, { startedAt: now, isOverdue }));
   }
 
@@ -230,9 +241,10 @@
   ): void {
     const now = this.#options.clock.monotonic();
     const use = this.#use(request);
-    use.noteEnded();
+    use.running -= 1;
     this.#running -= 1;
-    if (request.deferrable) this.#runningDeferrable -= 1;
+    const wasOnTime = !request.deferrable && !run.isOverdue;
+    if (wasOnTime) this.#peaks.noteEnded(request.classOfWork, now);
     if (run.isOverdue) this.#overdueRunning -= 1;
     invariant(
       this.#running >= 0 && use.running >= 0 && use.waiting >= 0,
@@ -241,7 +253,7 @@
     if (run.servedTokens > 0) {
       use.received.add(run.servedTokens - request.cost, now);
     }
-    this.#noteDuration(now - run.startedAt, now);
+    this.#durations.note(request.classOfWork, now - run.startedAt, now);
     this.startNext();
   }
 
@@ -263,33 +275,15 @@
     return Math.max(MINIMUM_QUEUE, this.#limit.slots * QUEUE_PER_SLOT);
   }
 
+  #drain(request: WaitingRequest): DrainRate {
+    const key = useKey(request.classOfWork, request.organisation);
+    const known = this.#drains.get(key) ?? new DrainRate();
+    this.#drains.set(key, known);
+    return known;
+  }
+
   #use(request: WaitingRequest): ReturnType<UseLedger["use"]> {
     const { ledger, service } = this.#options;
     return ledger.use(service, request.organisation);
   }
-
-  #notePeak(now: number): void {
-    const urgentRunning = this.#running - this.#runningDeferrable;
-    const value = Math.max(urgentRunning, this.#peakAt(now));
-    this.#peak = { value, at: now };
-  }
-
-  #peakAt(now: number): number {
-    const { value, at } = this.#peak;
-    return value * 2 ** (-(now - at) / PEAK_HALF_LIFE_MILLISECONDS);
-  }
-
-  // The fastest run of late; older ones count for less, so that it can't refuse everything for ever.
-  #fastestRun(now: number): number {
-    const { milliseconds, at } = this.#fastest;
-    return milliseconds * 2 ** (-(now - at) / FASTEST_HALF_LIFE_MILLISECONDS);
-  }
-
-  #noteDuration(milliseconds: number, now: number): void {
-    const isFirst = this.#meanRun === 0;
-    const known = isFirst ? milliseconds : this.#fastestRun(now);
-    this.#fastest = { milliseconds: Math.min(known, milliseconds), at: now };
-    const change = (milliseconds - this.#meanRun) * WEIGHT_OF_THE_NEWEST_RUN;
-    this.#meanRun = isFirst ? milliseconds : this.#meanRun + change;
-  }
 }
--- a/source/admission/waiting_queue.ts
+++ b/source/admission/waiting_queue.ts
@@ -30,6 +30,12 @@
     return this.#byOrganisation.get(organisation) ?? 0;
   }
 
+  /** Returns how many requests of the same class and organisation wait. */
+  sizeAhead(request: WaitingRequest): number {
+    const organisations = this.#classes.get(request.classOfWork);
+    return organisations?.get(request.organisation)?.size ?? 0;
+  }
+
   /** Adds a request behind those of its class and organisation. */
   add(request: WaitingRequest): void {
     const { classOfWork, organisation } = request;
@@ -80,21 +86,15 @@
     return found;
   }
 
-  /** Returns the newest request of the organisation that has most waiting. */
+  /** Returns the newest request of the class and organisation that have most waiting. */
   findNewestOfLongest(): WaitingRequest | undefined {
-    let longest = "";
-    for (const [organisation, size] of this.#byOrganisation) {
-      if (size > this.sizeOf(longest)) longest = organisation;
+    let longest: RequestsInOrder = new Map();
+    for (const organisations of this.#classes.values()) {
+      for (const requests of organisations.values()) {
+        if (requests.size > longest.size) longest = requests;
+      }
     }
-    return this.requests()
-      .filter((request) => request.organisation === longest)
-      .reduce<WaitingRequest | undefined>(
-        (newest, request) =>
-          newest === undefined || request.sequence > newest.sequence
-            ? request
-            : newest,
-        undefined,
-      );
+    return [...longest.values()].at(-1);
   }
 
   #count(organisation: string, change: number): void {
