--- a/experiments/deployment/deployment.ts
+++ b/experiments/deployment/deployment.ts
@@ -1,12 +1,13 @@
 import { spawn } from "node:child_process";
-import { createServer } from "node:net";
 import { once } from "node:events";
 import { type RunningProcess, startProcess } from "./child_process.ts";
+import { findFreePort } from "./free_port.ts";
 import type { DeploymentLayout } from "./layout.ts";
 
 const STAND_IN_PROGRAM = "build/bin/snipepath-stand-in.mjs";
 const NODE_PROGRAM = "build/bin/snipepath-node.mjs";
 const COMMAND_PROGRAM = "build/bin/snipepath.mjs";
+const HOST = "127.0.0.1";
 const LISTENING = "listening ";
 const FAULT_TIMEOUT_MILLISECONDS = 500;
 
@@ -16,6 +17,8 @@
   readonly nodes: number;
   /** Flags of every node, besides names and addresses. */
   readonly nodeFlags?: ReadonlyArray<string>;
+  /** Flags of Node.js for every node, such as "--cpu-prof". */
+  readonly runtimeFlags?: ReadonlyArray<string>;
   /** Flags of every engine. */
   readonly engineFlags?: ReadonlyArray<string>;
   /** Flags of one engine by its index, beside the common ones. */
@@ -115,11 +118,12 @@
     const { layout, nodeFlags } = this.#options;
     const name = `node-${index + 1}`;
     const failureDomain = pick(layout.failureDomains, index);
-    const callerAddress = await findFreeAddress();
-    const peerAddress = await findFreeAddress();
+    const callerAddress = `${HOST}:${await findFreePort()}`;
+    const peerAddress = `${HOST}:${await findFreePort()}`;
     const process = await startProcess({
       name,
       program: NODE_PROGRAM,
+      runtimeFlags: this.#options.runtimeFlags ?? [],
       arguments: [
         `--node=${name}`,
         `--failure-domain=${failureDomain}`,
@@ -233,7 +237,7 @@
       const { service, failureDomain, name, flags } = each;
       const process = await this.#startServerProcess(service.name, {
         name,
-        flags,
+        flags: [...flags, `--port=${await findFreePort()}`],
       });
       this.servers.push({
         name,
@@ -304,14 +308,3 @@
     ? {}
     : { logFile: `${options.logFolder}/${name}.log` };
 }
-
-async function findFreeAddress(): Promise<string> {
-  const server = createServer();
-  server.listen(0, "127.0.0.1");
-  await once(server, "listening");
-  const address = server.address();
-  const port = typeof address === "object" ? address?.port ?? 0 : 0;
-  server.close();
-  await once(server, "close");
-  return `127.0.0.1:${port}`;
-}
--- a/source/control/lease_keeper_test.ts
+++ b/source/control/lease_keeper_test.ts
@@ -4,7 +4,10 @@
   LEASE_MILLISECONDS,
   ORDER_DEADLINE_MILLISECONDS,
 } from "../../stand_ins/control/control_node.ts";
-import type { CallFate } from "../../stand_ins/platform/local_platform.ts";
+import {
+  type CallFate,
+  PROMPT_ANSWER,
+} from "../../stand_ins/platform/local_platform.ts";
 import { createPlatformState } from "../../stand_ins/platform/platform_state.ts";
 import { ManualClock } from "../utilities/manual_clock.ts";
 import { LeaseKeeper } from "./lease_keeper.ts";
@@ -111,15 +114,27 @@
     isHeldAfter: true,
     holders: ["node-1:1", "node-2:2"],
   },
+  "a suspension is hidden by a step of the wall clock soon after": {
+    happens: async ({ first, clock }) => {
+      const milliseconds = 20_000;
+      void first.clock.stop({ milliseconds, haltsMonotonic: true });
+      // Too short for the next renewal after the suspension to come back.
+      first.decideFate = always("answered");
+      await clock.advance(milliseconds + 50);
+      first.clock.stepWall(-milliseconds);
+    },
+    isHeldAfter: false,
+    holders: ["node-1:1", "node-2:2"],
+  },
   "the wall clock is stepped forward": {
     happens: ({ first }) => first.clock.stepWall(3_600_000),
     isHeldAfter: false,
-    holders: ["node-1:1", "node-1:2"],
+    holders: ["node-1:1"],
   },
   "the wall clock is stepped back": {
     happens: ({ first }) => first.clock.stepWall(-3_600_000),
     isHeldAfter: false,
-    holders: ["node-1:1", "node-1:2"],
+    holders: ["node-1:1"],
   },
   "every renewal's answer is lost and only reads are answered": {
     happens: async (contest) => {
@@ -158,7 +173,7 @@
       contest.second.decideFate = always("answered");
     },
     isHeldAfter: false,
-    holders: ["node-1:1", "node-1:2"],
+    holders: ["node-1:1"],
   },
 };
 
@@ -185,6 +200,24 @@
   );
 });
 
+test("a lease counts from the send of the renewal, not from its answer", async (t) => {
+  const contest = new Contest();
+  await contest.start();
+  const { first, clock, firstLease } = contest;
+  let sentAt = -1;
+  first.decideFate = (_area, writtenTable) => {
+    if (sentAt >= 0 || writtenTable === "") return always("refused")();
+    sentAt = clock.monotonic();
+    return { kind: "answered", sendMilliseconds: 1, answerMilliseconds: 2_000 };
+  };
+  while (sentAt < 0) await clock.advance(1);
+  const end = sentAt + LEASE_MILLISECONDS;
+  await clock.advance(end - 10 - clock.monotonic());
+  t.not(firstLease.ifHeld(), undefined);
+  await clock.advance(10);
+  t.is(firstLease.ifHeld(), undefined);
+});
+
 test("a lease given back waits for the order deadline only", async (t) => {
   const contest = new Contest();
   await contest.start();
@@ -194,6 +227,39 @@
   t.true(vacant < WAIT_MILLISECONDS, `${vacant} ms`);
 });
 
+test("many candidates read little and take over as fast", async (t) => {
+  const clock = new ManualClock();
+  const state = createPlatformState({ clock });
+  let reads = 0;
+  const contestants = Array.from({ length: 100 }, (_, seed) => {
+    const name = `node-${seed}`;
+    const node = new ControlNode({ name, clock, state, seed });
+    node.decideFate = (_area, writtenTable) => {
+      reads += writtenTable === "" ? 1 : 0;
+      return PROMPT_ANSWER;
+    };
+    const candidates = (): number => 100;
+    const { context } = node;
+    const lease = new LeaseKeeper({ context, name: "usage", candidates });
+    void lease.run();
+    return { node, lease };
+  });
+  const findHolder = (): typeof contestants[number] | undefined =>
+    contestants.find(({ node, lease }) =>
+      !node.clock.isStopped && lease.ifHeld() !== undefined
+    );
+  await clock.advance(2 * LEASE_MILLISECONDS);
+  reads = 0;
+  await clock.advance(60_000);
+  const readsPerSecond = reads / 60;
+  t.true(readsPerSecond < 20, `${readsPerSecond} reads a second`);
+  for (let kill = 0; kill < 5; kill++) {
+    findHolder()?.node.kill();
+    await clock.advance(2 * WAIT_MILLISECONDS);
+    t.not(findHolder(), undefined);
+  }
+});
+
 test("nodes that race for an absent lease get one holder", async (t) => {
   const contest = new Contest();
   void contest.firstLease.run();
--- a/source/routing/server_record.ts
+++ b/source/routing/server_record.ts
@@ -3,6 +3,7 @@
 
 const SPEED_HALF_LIFE_MILLISECONDS = 10_000;
 const FAILURE_HALF_LIFE_MILLISECONDS = 5_000;
+const REPORT_HALF_LIFE_MILLISECONDS = 5_000;
 const MAXIMUM_RECENT = 512;
 const FAILING_SHARE = 0.5;
 const FEWEST_FAILURES = 2;
@@ -22,6 +23,7 @@
   readonly #tokenTime = new DecayedMean(SPEED_HALF_LIFE_MILLISECONDS);
   readonly #callTime = new DecayedMean(SPEED_HALF_LIFE_MILLISECONDS);
   readonly #headTime = new DecayedMean(SPEED_HALF_LIFE_MILLISECONDS);
+  readonly #reportAge = new DecayedMean(REPORT_HALF_LIFE_MILLISECONDS);
   #slots: number | undefined;
 
   /** Requests that this node has running there. */
@@ -76,12 +78,16 @@
     this.#callTime.add(milliseconds, { weight: 1, now });
   }
 
+  /** Notes the age of the newest report; returns the mean time between reports. */
+  noteReportAge(age: number, now: number): number {
+    this.#reportAge.add(age, { weight: 1, now });
+    return 2 * (this.#reportAge.value(now) ?? age);
+  }
+
   /** Learns from a load report how many requests run at once. */
   noteLoad(running: number, waiting: number): void {
     if (waiting > 0 && running > 0) this.#slots = running;
-    if (this.#slots !== undefined && running > this.#slots) {
-      this.#slots = running;
-    }
+    if (running > (this.#slots ?? Infinity)) this.#slots = running;
   }
 
   /** Change that own requests made to the server's load since a moment. */
--- a/source/routing/service_record.ts
+++ b/source/routing/service_record.ts
@@ -12,6 +12,23 @@
   readonly #tokenTime = new DecayedMean(HALF_LIFE_MILLISECONDS);
   readonly #callTime = new DecayedMean(HALF_LIFE_MILLISECONDS);
   readonly #promptTimes: number[] = [];
+  #mostRunning = 1;
+  #hasCompletions = false;
+
+  /** Whether a completion was ever finished. */
+  get hasCompletions(): boolean {
+    return this.#hasCompletions;
+  }
+
+  /** Most requests that were seen running at once on any server. */
+  get mostRunning(): number {
+    return this.#mostRunning;
+  }
+
+  /** Notes how many requests run on a server. */
+  noteRunning(running: number): void {
+    this.#mostRunning = Math.max(this.#mostRunning, running);
+  }
 
   /** Notes a finished completion. */
   noteCompletion(
@@ -21,6 +38,7 @@
       readonly now: number;
     },
   ): void {
+    this.#hasCompletions = true;
     this.#tokens.add(tokens, { weight: 1, now });
     this.#lengthShare.add(tokens, { weight: maximumTokens, now });
   }
