--- a/source/membership/load_quantisation.ts
+++ b/source/membership/load_quantisation.ts
@@ -1,7 +1,7 @@
 import type { EngineLoad } from "../backends/engine_client.ts";
 
-const EXACT_BELOW = 8;
-const STEPS_PER_OCTAVE = 4;
+const EXACT_BELOW = 4;
+const STEPS_PER_OCTAVE = 3;
 const CACHE_STEP_PERMILLE = 100;
 
 /** Load figures as they are told: coarse, so that small changes need no telling. */
@@ -13,12 +13,12 @@
 }
 
 /**
- * Rounds a figure to a step of about a fifth of itself; small ones stay exact.
+ * Rounds a figure to a step of about a quarter of itself; small ones stay exact.
  * @param value - A figure of at least 0.
  * @example
  * ```ts
  * quantise(5); // 5
- * quantise(100); // 95
+ * quantise(100); // 102
  * ```
  */
 export function quantise(value: number): number {
--- a/source/membership/peer_session.ts
+++ b/source/membership/peer_session.ts
@@ -169,6 +169,7 @@
     }
     for (const range of batch.ranges) this.#noteFeed(range);
     const missing = this.#options.store.applyBatch(batch);
+    for (const fact of batch.facts) this.#dropEcho(fact);
     if (missing.length === 0) return;
     for (const { origin, start } of missing) {
       this.ask(originIdentity(origin, start));
@@ -176,6 +177,13 @@
     this.#wake.abort();
   }
 
+  /** A shared fact that came over this stream need not go back over it. */
+  #dropEcho(fact: Fact): void {
+    const slot = `${fact.value.case}\n${fact.key}`;
+    if (this.#pendingShared.get(slot)?.value.value !== fact.value.value) return;
+    this.#pendingShared.delete(slot);
+  }
+
   #noteFeed(range: OriginRange): void {
     if (range.ended) return;
     const { feeds, store } = this.#options;
