Take a dead owner's step over once it leaves questions unanswered

Cause: a step whose owner was killed waited until the owner's facts expired (10 s) and then 2 s more; the log of the demo showed both waits. Ruled out: a shorter expiry for all facts, which would drop live nodes in every stall. Change: holders of the step ask an owner that has been quiet for 2.5 s; two questions without an answer end its claim. The first form kept the claim in the yielding rule, so that the new owner yielded to the dead one twice (14.5 and 14.9 s); both rules now go by the same claims.

--- a/source/node/create_node_context.ts
+++ b/source/node/create_node_context.ts
@@ -23,21 +23,23 @@
 ): NodeContext {
   const clock = new SystemClock();
   const metrics = createMetrics(settings);
+  const log = createEventLog({
+    source: settings.node,
+    level: settings.logLevel as EventLevel,
+  });
   return {
     settings,
     nodeStart: randomUUID(),
     clock,
     random: createRandomSource(settings.randomSeed || randomInt(LARGEST_SEED)),
-    log: createEventLog({
-      source: settings.node,
-      level: settings.logLevel as EventLevel,
-    }),
+    log,
     metrics,
     platform: createPlatform({
       address: settings.platformAddress,
       clock,
       silenceMilliseconds: settings.silenceMilliseconds,
       timeoutMilliseconds: 2 * settings.silenceMilliseconds,
+      log,
     }),
     ledger: new MemoryCauseLedger({ clock, metrics }),
     stopping,
--- a/source/settings/node_setting_definitions.ts
+++ b/source/settings/node_setting_definitions.ts
@@ -101,9 +101,10 @@
     "perNodeFair",
     "slackFair",
   ]),
-  stepTailPolicy: choice("What is done about stragglers", "hedgedTail", [
+  stepTailPolicy: choice("What is done about stragglers", "resumedTail", [
     "none",
     "hedgedTail",
+    "resumedTail",
   ]),
   spendPolicy: choice(
     "How backend servers are bought",
--- a/source/steps/step_directory.ts
+++ b/source/steps/step_directory.ts
@@ -42,6 +42,8 @@
 export interface OwnershipClaim {
   readonly node: string;
   readonly epoch: string;
+  /** The owner as membership knows it. */
+  readonly peer: Peer;
 }
 
 /**
@@ -158,12 +160,13 @@
     const peers = this.#options.peers.peers();
     return this.#options.told.facts("step")
       .filter((fact) => fact.key === key && fact.value.owner === fact.origin)
-      .filter((fact) =>
-        peers.some((peer) =>
-          peer.node === fact.origin && peer.nodeStart === fact.originStart
-        )
-      )
-      .map((fact) => ({ node: fact.origin, epoch: fact.value.epoch }));
+      .flatMap((fact) => {
+        const peer = peers.find((each) =>
+          each.node === fact.origin && each.nodeStart === fact.originStart
+        );
+        if (peer === undefined) return [];
+        return [{ node: fact.origin, epoch: fact.value.epoch, peer }];
+      });
   }
 
   /** Asks a peer for finished samples of a step. */
--- a/source/steps/step_ownership.ts
+++ b/source/steps/step_ownership.ts
@@ -7,7 +7,9 @@
 import { OwnedStep } from "./owned_step.ts";
 import type { SampleArchive } from "./sample_archive.ts";
 import { SampleCopier } from "./sample_copier.ts";
-import type { StepDirectory } from "./step_directory.ts";
+import type { Peer } from "../membership/peer_directory.ts";
+import { OwnerProbe } from "./owner_probe.ts";
+import type { OwnershipClaim, StepDirectory } from "./step_directory.ts";
 import type { StepFetcher } from "./step_fetcher.ts";
 import { StepLifetime } from "./step_lifetime.ts";
 import { toStepKey } from "./step_manifests.ts";
@@ -43,6 +45,7 @@
 export class StepOwnership {
   readonly #options: StepOwnershipOptions;
   readonly #lifetime: StepLifetime;
+  readonly #probe: OwnerProbe;
   readonly #owned = new Map<HeldStep, OwnedStep>();
   readonly #unclaimedSince = new WeakMap<HeldStep, number>();
   #isLeaving = false;
@@ -55,6 +58,10 @@
       clock: options.context.clock,
       told: options.told,
     });
+    this.#probe = new OwnerProbe({
+      clock: options.context.clock,
+      ask: (peer) => this.#canReach(peer),
+    });
   }
 
   /** Begins to run a step that was submitted here. */
@@ -179,10 +186,8 @@
 
   #yieldIfOthersOwn(step: HeldStep): void {
     const { node } = this.#options.context.settings;
-    const winner = this.#options.directory.claims(step.manifest)
-      .find((claim) =>
-        claim.epoch === step.manifest.epoch && claim.node < node
-      );
+    const winner = this.#standingClaims(step)
+      .find((claim) => claim.node < node);
     if (winner === undefined) return;
     this.#owned.get(step)?.stop(false);
     this.#owned.delete(step);
@@ -215,9 +220,7 @@
   #takeOverIfUnclaimed(step: HeldStep): void {
     if (this.#isLeaving) return;
     const now = this.#options.context.clock.monotonic();
-    const isClaimed = this.#options.directory.claims(step.manifest)
-      .some((claim) => claim.epoch === step.manifest.epoch);
-    if (isClaimed) {
+    if (this.#standingClaims(step).length > 0) {
       this.#unclaimedSince.delete(step);
       return;
     }
@@ -228,6 +231,18 @@
     void this.#takeOver(step);
   }
 
+  #standingClaims(step: HeldStep): ReadonlyArray<OwnershipClaim> {
+    return this.#options.directory.claims(step.manifest)
+      .filter((claim) => claim.epoch === step.manifest.epoch)
+      .filter((claim) => !this.#probe.isGone(claim.peer));
+  }
+
+  async #canReach(peer: Peer): Promise<boolean> {
+    const request = { trainer: "", step: "", maximum: 1 };
+    const answer = await this.#options.directory.fetch(peer, request);
+    return answer !== undefined;
+  }
+
   async #takeOver(step: HeldStep): Promise<void> {
     await this.#options.fetcher.gather(step);
     if (step.hasEnded || this.#owned.has(step)) return;
