--- a/experiments/demo/demo.ts
+++ b/experiments/demo/demo.ts
@@ -43,13 +43,15 @@
 
 async function runDemo(deployment: Deployment): Promise<number> {
   const layout = LAYOUTS.atbr;
-  await runOrFail(deployment, ["apply", layout.declaration]);
+  await deployment.runCommandOrFail(["apply", layout.declaration]);
   const organisation = layout.trainerOrganisation;
-  const key = await runOrFail(deployment, ["key", "give", organisation]);
-  const trainerKey = await runOrFail(
-    deployment,
-    ["key", "give", organisation, "--trainer"],
-  );
+  const key = await deployment.runCommandOrFail(["key", "give", organisation]);
+  const trainerKey = await deployment.runCommandOrFail([
+    "key",
+    "give",
+    organisation,
+    "--trainer",
+  ]);
   const callerAddresses = deployment.nodes.map((node) => node.callerAddress);
   const seeds = (): ReadonlyArray<string> => callerAddresses;
   const trainer = new TrainerClient({
@@ -184,19 +186,6 @@
   return false;
 }
 
-async function runOrFail(
-  deployment: Deployment,
-  commandArguments: ReadonlyArray<string>,
-): Promise<string> {
-  const result = await deployment.runCommand(commandArguments);
-  if (result.status !== 0) {
-    throw new Error(
-      `snipepath ${commandArguments.join(" ")}: ${result.output}`,
-    );
-  }
-  return result.output.trim();
-}
-
 function sleep(milliseconds: number): Promise<void> {
   return new Promise((resolve) => setTimeout(resolve, milliseconds));
 }
--- a/experiments/deployment/deployment.ts
+++ b/experiments/deployment/deployment.ts
@@ -170,6 +170,21 @@
     return { status: child.exitCode, output };
   }
 
+  /**
+   * Runs the operators' command and returns what it wrote.
+   * @param commandArguments - Its arguments.
+   * @throws When its exit status is not 0.
+   */
+  async runCommandOrFail(
+    commandArguments: ReadonlyArray<string>,
+  ): Promise<string> {
+    const result = await this.runCommand(commandArguments);
+    if (result.status === 0) return result.output.trim();
+    throw new Error(
+      `snipepath ${commandArguments.join(" ")}: ${result.output}`,
+    );
+  }
+
   /**
    * Starts a backend server again at its old address, after its process has ended.
    * @param server - The server.
--- a/experiments/load/run_scenario.ts
+++ b/experiments/load/run_scenario.ts
@@ -71,7 +71,7 @@
   options: RunOptions,
 ): Promise<RunResult> {
   const { scenario, seed } = options;
-  await runOrFail(deployment, ["apply", layout.declaration]);
+  await deployment.runCommandOrFail(["apply", layout.declaration]);
   const keys = await giveKeys(deployment, layout);
   const trainer = await createTrainer(deployment, layout);
   await sleep(SETTLE_MILLISECONDS);
@@ -157,7 +157,11 @@
 ): Promise<ReadonlyMap<string, string>> {
   const given = await Promise.all(
     layout.organisations.map(async (organisation) => {
-      const key = await runOrFail(deployment, ["key", "give", organisation]);
+      const key = await deployment.runCommandOrFail([
+        "key",
+        "give",
+        organisation,
+      ]);
       return [organisation, key] as const;
     }),
   );
@@ -168,7 +172,7 @@
   deployment: Deployment,
   layout: DeploymentLayout,
 ): Promise<TrainerClient> {
-  const key = await runOrFail(deployment, [
+  const key = await deployment.runCommandOrFail([
     "key",
     "give",
     layout.trainerOrganisation,
@@ -220,7 +224,7 @@
 }
 
 async function explain(deployment: Deployment): Promise<string> {
-  const text = await runOrFail(deployment, [
+  const text = await deployment.runCommandOrFail([
     "explain",
     "all",
     `--within=${EXPLAIN_SECONDS}`,
@@ -233,19 +237,6 @@
   return answer.targetsMissed === 0 ? "" : answer.condition;
 }
 
-async function runOrFail(
-  deployment: Deployment,
-  commandArguments: ReadonlyArray<string>,
-): Promise<string> {
-  const result = await deployment.runCommand(commandArguments);
-  if (result.status !== 0) {
-    throw new Error(
-      `snipepath ${commandArguments.join(" ")}: ${result.output}`,
-    );
-  }
-  return result.output.trim();
-}
-
 function sleep(milliseconds: number): Promise<void> {
   return new Promise((resolve) =>
     setTimeout(resolve, Math.max(0, milliseconds))
--- a/source/command/apply_command.ts
+++ b/source/command/apply_command.ts
@@ -55,44 +55,63 @@
   return undefined;
 }
 
+type Concluded = Extract<Outcome, { readonly case: string }>;
+type Conclusion<Case extends Concluded["case"]> = (
+  context: CommandContext,
+  value: Extract<Concluded, { readonly case: Case }>["value"],
+  options: ApplyOptions,
+) => Promise<ExitStatus>;
+
+const CONCLUSIONS: {
+  readonly [Case in Concluded["case"]]: Conclusion<Case>;
+} = {
+  accepted: (context, { revision }, { waitMilliseconds }) =>
+    waitUntilInForce(context, {
+      revision: Number(revision),
+      isChanged: true,
+      waitMilliseconds,
+    }),
+  unchanged: (context, { revision }, { waitMilliseconds }) =>
+    waitUntilInForce(context, {
+      revision: Number(revision),
+      isChanged: false,
+      waitMilliseconds,
+    }),
+  conflict: (context, { revision, note }) => {
+    context.output.note(
+      `Revision ${revision} won ("${note}"); nothing was changed. ` +
+        "Compare with `snipepath diff`, then apply again",
+    );
+    return Promise.resolve(EXIT_STATUS.conflict);
+  },
+  invalid: (context, { faults }) => {
+    for (const { field, problem, remedy } of faults) {
+      context.output.note(`${field}: ${problem}. ${remedy}.`);
+    }
+    return Promise.resolve(EXIT_STATUS.invalid);
+  },
+  unavailable: (context, { reason, unknown }) => {
+    const effect = unknown
+      ? "the change may have taken effect; run the same command again"
+      : "nothing was changed; try again later";
+    context.output.note(
+      `The platform's table did not answer (${reason}); ${effect}`,
+    );
+    return Promise.resolve(EXIT_STATUS.unavailable);
+  },
+};
+
 async function concludeApply(
   context: CommandContext,
   outcome: Outcome,
   options: ApplyOptions,
 ): Promise<ExitStatus> {
-  switch (outcome.case) {
-    case "accepted":
-    case "unchanged":
-      return await waitUntilInForce(context, {
-        revision: Number(outcome.value.revision),
-        isChanged: outcome.case === "accepted",
-        waitMilliseconds: options.waitMilliseconds,
-      });
-    case "conflict":
-      context.output.note(
-        `Revision ${outcome.value.revision} won ("${outcome.value.note}"); nothing was changed. ` +
-          "Compare with `snipepath diff`, then apply again",
-      );
-      return EXIT_STATUS.conflict;
-    case "invalid":
-      for (const fault of outcome.value.faults) {
-        context.output.note(
-          `${fault.field}: ${fault.problem}. ${fault.remedy}.`,
-        );
-      }
-      return EXIT_STATUS.invalid;
-    default:
-      context.output.note(describeUnavailable(outcome));
-      return EXIT_STATUS.unavailable;
+  if (outcome.case === undefined) {
+    context.output.note("The node sent no outcome");
+    return EXIT_STATUS.unavailable;
   }
-}
-
-function describeUnavailable(outcome: Outcome): string {
-  if (outcome.case !== "unavailable") return "The node sent no outcome";
-  const effect = outcome.value.unknown
-    ? "the change may have taken effect; run the same command again"
-    : "nothing was changed; try again later";
-  return `The platform's table did not answer (${outcome.value.reason}); ${effect}`;
+  const conclude = CONCLUSIONS[outcome.case] as Conclusion<typeof outcome.case>;
+  return await conclude(context, outcome.value as never, options);
 }
 
 interface InForceOptions {
--- a/source/command/operator_client.ts
+++ b/source/command/operator_client.ts
@@ -15,9 +15,25 @@
 /** A generated client of one node's operators' service. */
 export type OperatorServiceClient = Client<typeof OperatorService>;
 
+/** What a node answered. */
+export interface NodeAnswer<Value> {
+  readonly kind: "ok";
+  readonly value: Value;
+  /** HOST:PORT of the node. */
+  readonly address: string;
+}
+
+/** That a node did not answer. */
+export interface NodeUnavailable {
+  readonly kind: "unavailable";
+  readonly reason: string;
+  /** Whether the call can't have taken effect. */
+  readonly wasNeverReached: boolean;
+}
+
 /** Result of a call to some node. */
 export type OperatorOutcome<Value> =
-  | { readonly kind: "ok"; readonly value: Value; readonly address: string }
+  | NodeAnswer<Value>
   | { readonly kind: "unavailable"; readonly reason: string };
 
 /** Which nodes are asked, and how. */
@@ -57,33 +73,16 @@
    * Asks the first node that answers. Use only for calls that may run twice.
    * @param call - The call.
    */
-  async call<Value>(
-    call: OperatorCall<Value>,
-  ): Promise<OperatorOutcome<Value>> {
-    const reasons: string[] = [];
-    for (const address of this.#options.addresses) {
-      const outcome = await this.callNode(address, call);
-      if (outcome.kind === "ok") return outcome;
-      reasons.push(`${address}: ${outcome.reason}`);
-    }
-    return { kind: "unavailable", reason: reasons.join("; ") };
+  call<Value>(call: OperatorCall<Value>): Promise<OperatorOutcome<Value>> {
+    return this.#askInTurn(call, () => true);
   }
 
   /**
    * Asks one node, and another only when the first was never reached.
    * @param call - The call.
    */
-  async callOnce<Value>(
-    call: OperatorCall<Value>,
-  ): Promise<OperatorOutcome<Value>> {
-    const reasons: string[] = [];
-    for (const address of this.#options.addresses) {
-      const outcome = await this.callNode(address, call);
-      if (outcome.kind === "ok") return outcome;
-      reasons.push(`${address}: ${outcome.reason}`);
-      if (!outcome.wasNeverReached) break;
-    }
-    return { kind: "unavailable", reason: reasons.join("; ") };
+  callOnce<Value>(call: OperatorCall<Value>): Promise<OperatorOutcome<Value>> {
+    return this.#askInTurn(call, (failure) => failure.wasNeverReached);
   }
 
   /**
@@ -94,14 +93,7 @@
   async callNode<Value>(
     address: string,
     call: OperatorCall<Value>,
-  ): Promise<
-    | { readonly kind: "ok"; readonly value: Value; readonly address: string }
-    | {
-      readonly kind: "unavailable";
-      readonly reason: string;
-      readonly wasNeverReached: boolean;
-    }
-  > {
+  ): Promise<NodeAnswer<Value> | NodeUnavailable> {
     try {
       const value = await call(this.#clientOf(address));
       return { kind: "ok", value, address };
@@ -116,6 +108,20 @@
     }
   }
 
+  async #askInTurn<Value>(
+    call: OperatorCall<Value>,
+    mayAskNext: (failure: NodeUnavailable) => boolean,
+  ): Promise<OperatorOutcome<Value>> {
+    const reasons: string[] = [];
+    for (const address of this.#options.addresses) {
+      const outcome = await this.callNode(address, call);
+      if (outcome.kind === "ok") return outcome;
+      reasons.push(`${address}: ${outcome.reason}`);
+      if (!mayAskNext(outcome)) break;
+    }
+    return { kind: "unavailable", reason: reasons.join("; ") };
+  }
+
   #clientOf(address: string): OperatorServiceClient {
     const known = this.#clients.get(address);
     if (known !== undefined) return known;
