Tell a start that failed apart from a broken invariant

A node whose address was in use ended with the event of a broken invariant. Errors of the system at the start are now event 1004 and exit status 1, and the node gives back what it had taken.

--- a/source/node/run_node.ts
+++ b/source/node/run_node.ts
@@ -4,6 +4,7 @@
 import { Node } from "./node.ts";
 import type { NodeContext } from "./node_context.ts";
 
+const START_FAILED_EXIT_STATUS = 1;
 const FAULT_EXIT_STATUS = 70;
 
 /**
@@ -19,7 +20,12 @@
   stopOnBrokenInvariant(context);
   const leaving = new AbortController();
   const node = await Node.create(context, () => leaving.abort("drain"));
-  const address = await node.start();
+  const address = await startOrReport(context, node);
+  if (address === undefined) {
+    stopping.abort();
+    await node.close();
+    return START_FAILED_EXIT_STATUS;
+  }
   console.log(`listening ${address}`);
   void node.ended.catch((error) => stopOnFault(context, error));
   await waitForLeave(leaving);
@@ -30,6 +36,24 @@
   return 0;
 }
 
+async function startOrReport(
+  context: NodeContext,
+  node: Node,
+): Promise<string | undefined> {
+  try {
+    return await node.start();
+  } catch (error) {
+    if (!isSystemError(error)) throw error;
+    context.log.emit("startFailed", { reason: error.message });
+    return undefined;
+  }
+}
+
+// Errors of the system, such as an address in use, are no fault of the program.
+function isSystemError(error: unknown): error is Error {
+  return error instanceof Error && "syscall" in error;
+}
+
 function waitForLeave(leaving: AbortController): Promise<void> {
   for (const signal of ["SIGTERM", "SIGINT"] as const) {
     process.once(signal, () => leaving.abort(signal));
--- a/source/observability/events/node_events.ts
+++ b/source/observability/events/node_events.ts
@@ -20,4 +20,10 @@
     action: "Report the event with its stack as a fault of the program",
     fields: ["detail"],
   }),
+  startFailed: defineEvent(1004, {
+    level: "error",
+    message: "The node could not start",
+    action: "Correct the setting that the reason is about, and start again",
+    fields: ["reason"],
+  }),
 } as const;
