--- a/source/entry/declared_work.ts
+++ b/source/entry/declared_work.ts
@@ -6,6 +6,7 @@
   ServiceKind,
 } from "../../generated/snipepath/v1/declaration_pb.ts";
 import type { Caller } from "./entry_handler.ts";
+import { FORBIDDEN, KEY_MISSING } from "./common_refusals.ts";
 import type { Refusal } from "./refusal.ts";
 
 const DEADLINE_PER_TARGET = 2;
@@ -165,17 +166,3 @@
 function invalid(field: string, message: string): Refusal {
   return { error: "invalidRequest", message, ran: "notRun", field };
 }
-
-const KEY_MISSING: Refusal = {
-  error: "keyMissing",
-  message: "No key was shown; send the header authorization: Bearer KEY",
-  ran: "notRun",
-  field: "header authorization",
-};
-
-const FORBIDDEN: Refusal = {
-  error: "forbidden",
-  message: "The key's organisation may not use this service",
-  ran: "notRun",
-  field: "header authorization",
-};
--- a/source/entry/entry_server.ts
+++ b/source/entry/entry_server.ts
@@ -18,6 +18,13 @@
   type RunningExchange,
 } from "./exchange_registry.ts";
 import { GuardedRequest } from "./guarded_request.ts";
+import {
+  HANDLER_FAILED,
+  INVALID_URL,
+  KEY_MISSING,
+  NO_TRAINER_KEY,
+  UNKNOWN_ROUTE,
+} from "./common_refusals.ts";
 import { type Refusal, sendRefusal } from "./refusal.ts";
 import { refuseUnreadable } from "./refuse_unreadable.ts";
 import { RouteTable } from "./route_table.ts";
@@ -393,37 +400,3 @@
     response.once("close", resolve);
   });
 }
-
-const INVALID_URL: Refusal = {
-  error: "invalidRequest",
-  message: "The path can't be read",
-  ran: "notRun",
-  field: "path",
-};
-
-const UNKNOWN_ROUTE: Refusal = {
-  error: "unknownRoute",
-  message: "No route has this path",
-  ran: "notRun",
-  field: "path",
-};
-
-const KEY_MISSING: Refusal = {
-  error: "keyMissing",
-  message: "No key was shown; send the header authorization: Bearer KEY",
-  ran: "notRun",
-  field: "header authorization",
-};
-
-const NO_TRAINER_KEY: Refusal = {
-  error: "forbidden",
-  message: "The key may not use the trainers' interface",
-  ran: "notRun",
-  field: "header authorization",
-};
-
-const HANDLER_FAILED: Refusal = {
-  error: "backendFailure",
-  message: "The node failed to serve the request",
-  ran: "unknown",
-};
