--- a/source/entry/entry_server.ts
+++ b/source/entry/entry_server.ts
@@ -26,6 +26,7 @@
   UNKNOWN_ROUTE,
 } from "./common_refusals.ts";
 import { type Refusal, sendRefusal } from "./refusal.ts";
+import { waitForEnd } from "./response_end.ts";
 import { refuseUnreadable } from "./refuse_unreadable.ts";
 import { RouteTable } from "./route_table.ts";
 import { type ShownKey, takeShownKey } from "./shown_key.ts";
@@ -335,7 +336,7 @@
       this.#noteFailure(parts.requestIdentifier, error);
       sendRefusal(response, HANDLER_FAILED);
     } finally {
-      await finished(response);
+      await waitForEnd(response);
       this.#registry.remove(running);
       request.resume();
     }
@@ -391,12 +392,3 @@
   sendRefusal(response, refusal);
   request.resume();
 }
-
-// Waits until the answer has been handed to the kernel or the connection has gone.
-function finished(response: ServerResponse): Promise<void> {
-  if (response.writableFinished || response.destroyed) return Promise.resolve();
-  return new Promise((resolve) => {
-    response.once("finish", resolve);
-    response.once("close", resolve);
-  });
-}
