--- a/source/entry/entry_server.ts
+++ b/source/entry/entry_server.ts
@@ -18,7 +18,15 @@
   type RunningExchange,
 } from "./exchange_registry.ts";
 import { GuardedRequest } from "./guarded_request.ts";
+import {
+  HANDLER_FAILED,
+  INVALID_URL,
+  KEY_MISSING,
+  NO_TRAINER_KEY,
+  UNKNOWN_ROUTE,
+} from "./common_refusals.ts";
 import { type Refusal, sendRefusal } from "./refusal.ts";
+import { waitForEnd } from "./response_end.ts";
 import { refuseUnreadable } from "./refuse_unreadable.ts";
 import { RouteTable } from "./route_table.ts";
 import { type ShownKey, takeShownKey } from "./shown_key.ts";
@@ -328,7 +336,7 @@
       this.#noteFailure(parts.requestIdentifier, error);
       sendRefusal(response, HANDLER_FAILED);
     } finally {
-      await finished(response);
+      await waitForEnd(response);
       this.#registry.remove(running);
       request.resume();
     }
@@ -384,46 +392,3 @@
   sendRefusal(response, refusal);
   request.resume();
 }
-
-// Waits until the answer has been handed to the kernel or the connection has gone.
-function finished(response: ServerResponse): Promise<void> {
-  if (response.writableFinished || response.destroyed) return Promise.resolve();
-  return new Promise((resolve) => {
-    response.once("finish", resolve);
-    response.once("close", resolve);
-  });
-}
-
-const INVALID_URL: Refusal = {
-  error: "invalidRequest",
-  message: "The path can't be read",
-  ran: "notRun",
-  field: "path",
-};
-
-const UNKNOWN_ROUTE: Refusal = {
-  error: "unknownRoute",
-  message: "No route has this path",
-  ran: "notRun",
-  field: "path",
-};
-
-const KEY_MISSING: Refusal = {
-  error: "keyMissing",
-  message: "No key was shown; send the header authorization: Bearer KEY",
-  ran: "notRun",
-  field: "header authorization",
-};
-
-const NO_TRAINER_KEY: Refusal = {
-  error: "forbidden",
-  message: "The key may not use the trainers' interface",
-  ran: "notRun",
-  field: "header authorization",
-};
-
-const HANDLER_FAILED: Refusal = {
-  error: "backendFailure",
-  message: "The node failed to serve the request",
-  ran: "unknown",
-};
