--- a/source/admission/node_admission_test.ts
+++ b/source/admission/node_admission_test.ts
@@ -24,6 +24,8 @@
   ],
 };
 
+const LEARNING_MILLISECONDS = 250;
+
 interface Arrival {
   readonly organisation: string;
   readonly classOfWork: string;
@@ -69,8 +71,17 @@
 for (const { title, policy, arrivals } of ORDER_CASES) {
   test(title, async (t) => {
     const clock = new ManualClock();
-    const { nodes: [node] } = createBench(clock, { policy, slots: 1 });
-    const blocker = await node?.admit(work(clock, arrival("large lookups")));
+    const { nodes: [node] } = createBench(clock, { policy, slots: 2 });
+    const first = await node?.admit(work(clock, arrival("large lookups")));
+    await clock.advance(300);
+    node?.tick();
+    const second = await node?.admit(work(clock, arrival("large lookups")));
+    // Keeps "small" at its equal part of the slots.
+    if (policy === "slackFair") {
+      await node?.admit(work(clock, arrival("small lookups")));
+    }
+    await clock.advance(300);
+    node?.tick();
     const order: string[] = [];
     for (const text of arrivals) {
       void node?.admit(work(clock, arrival(text))).then((ticket) => {
@@ -79,7 +90,8 @@
       });
     }
     await clock.advance(10);
-    release(blocker);
+    release(first);
+    release(second);
     for (let step = 0; step < 40; step += 1) {
       await clock.advance(500);
       node?.tick();
@@ -116,20 +128,61 @@
   t.true(deferredStarted >= 1);
 });
 
+test("work long past its target neither starves work on time nor is starved by it", async (t) => {
+  const clock = new ManualClock();
+  const { nodes: [node] } = createBench(clock, {
+    policy: "slackFair",
+    slots: 8,
+  });
+  const started = { rollouts: 0, lookups: 0 };
+  const runs = { rollouts: 2000, lookups: 200 };
+  async function ask(name: keyof typeof started): Promise<void> {
+    const within = name === "lookups" ? 2000 : 600_000;
+    const asked = work(clock, arrival(`large ${name}`), within);
+    const answer = await node?.admit(asked);
+    if (answer?.kind !== "admitted") return;
+    started[name] += 1;
+    await clock.sleep(runs[name]);
+    release(answer);
+  }
+  async function load(
+    lookupsPerSecond: number,
+    seconds: number,
+  ): Promise<void> {
+    for (let step = 0; step < seconds * 10; step += 1) {
+      void ask("rollouts");
+      for (let count = 0; count < lookupsPerSecond / 10; count += 1) {
+        void ask("lookups");
+      }
+      await clock.advance(100);
+      node?.tick();
+    }
+  }
+  await load(0, 40);
+  await load(10, 20);
+  t.true(started.lookups >= 150, `${started.lookups} of 200 lookups`);
+  const before = started.rollouts;
+  await load(80, 20);
+  const later = started.rollouts - before;
+  t.true(later >= 5, `${later} rollouts beside too many lookups`);
+});
+
 test("a request that can't meet its deadline any more is refused as not run", async (t) => {
   const clock = new ManualClock();
   const { nodes: [node] } = createBench(clock, { policy: "slackFair" });
   await node?.admit(work(clock, arrival("large lookups")));
-  const late = node?.admit(work(clock, arrival("small lookups"), 500));
+  const late = node?.admit(work(clock, arrival("large lookups"), 500));
   await clock.advance(600);
   node?.tick();
   t.snapshot(await late);
 });
 
-test("a full queue refuses the organisation that waits most", async (t) => {
+test("a full queue refuses the organisation that waits most, and admits one below its part", async (t) => {
   const clock = new ManualClock();
   const { nodes: [node] } = createBench(clock, { policy: "slackFair" });
-  const blocker = await node?.admit(work(clock, arrival("large lookups")));
+  await node?.admit(work(clock, arrival("large lookups")));
+  await clock.advance(300);
+  node?.tick();
   const refused: string[] = [];
   for (let index = 0; index < 100; index += 1) {
     void node?.admit(work(clock, arrival("large lookups"), 100_000)).then(
@@ -142,7 +195,6 @@
   await clock.advance(0);
   t.is(node?.queued("assist-lm"), 64);
   t.deepEqual([...new Set(refused)], ["queueFull"]);
-  release(blocker);
   t.is((await small)?.kind, "admitted");
 });
 
@@ -152,7 +204,7 @@
   await node?.admit(work(clock, arrival("large lookups")));
   const controller = new AbortController();
   const waiting = node?.admit({
-    ...work(clock, arrival("small lookups")),
+    ...work(clock, arrival("large lookups")),
     signal: controller.signal,
   });
   controller.abort("keyWithdrawn");
@@ -226,6 +278,25 @@
   });
 }
 
+test("a limit of concurrent requests lets light use through any node", async (t) => {
+  const clock = new ManualClock();
+  const bench = createBench(clock, {
+    policy: "slackFair",
+    slots: 1000,
+    nodes: 9,
+  });
+  let refused = 0;
+  for (let index = 0; index < 60; index += 1) {
+    const asked = work(clock, arrival("narrow lookups"));
+    const answer = await bench.nodes[index % 9]?.admit(asked);
+    if (answer?.kind === "notRun") refused += 1;
+    void clock.sleep(900).then(() => release(answer));
+    await clock.advance(500);
+    for (const node of bench.nodes) node.tick();
+  }
+  t.is(refused, 0);
+});
+
 interface Flood {
   readonly bench: AdmissionBench;
   readonly targets: AdmissionBench["nodes"];
@@ -260,6 +331,7 @@
   return admitted;
 }
 
+// The fake server reports what runs now: full at its slots, and idle otherwise.
 function createBench(
   clock: ManualClock,
   options: {
@@ -269,18 +341,36 @@
   },
 ): AdmissionBench {
   const slots = options.slots ?? 1;
-  const server = describeServer("127.0.0.1:1", {
-    running: slots,
-    waiting: 1,
-  });
-  return createAdmissionBench({
+  let running = 0;
+  const bench = createAdmissionBench({
     clock,
     nodes: options.nodes ?? 1,
     policy: options.policy,
     declaration: DECLARATION,
     toldDelayMilliseconds: 800,
-    servers: () => [server],
+    servers: () => {
+      const isFull = clock.monotonic() < LEARNING_MILLISECONDS ||
+        running >= slots;
+      const load = isFull ? { running: slots, waiting: 1 } : { running };
+      return [describeServer("127.0.0.1:1", load)];
+    },
   });
+  for (const node of bench.nodes) {
+    const admit = node.admit.bind(node);
+    node.admit = async (asked) => {
+      const answer = await admit(asked);
+      if (answer.kind !== "admitted") return answer;
+      running += 1;
+      return {
+        kind: "admitted",
+        release: (tokens) => {
+          answer.release(tokens);
+          running -= 1;
+        },
+      };
+    };
+  }
+  return bench;
 }
 
 function work(
--- a/source/platform/platform_connection.ts
+++ b/source/platform/platform_connection.ts
@@ -1,6 +1,8 @@
 import { type Dispatcher, Pool } from "undici";
+import type { EventLog } from "../observability/event_log.ts";
 import type { Clock } from "../utilities/clock.ts";
 import type { PlatformFailure, PlatformOutcome } from "./platform_outcome.ts";
+import type { SendGuard } from "./send_guard.ts";
 
 const MAXIMUM_CONNECTIONS = 16;
 const MAXIMUM_WAITING_CALLS = 512;
@@ -16,6 +18,8 @@
   readonly silenceMilliseconds: number;
   /** Bound on a call, its wait for a free connection included. */
   readonly timeoutMilliseconds: number;
+  /** Where silent connections and foreign answers are noted; nowhere when absent. */
+  readonly log?: EventLog;
 }
 
 /** One call to the platform. */
@@ -24,6 +28,8 @@
   /** Path and query, encoded. */
   readonly path: string;
   readonly body?: string | Uint8Array;
+  /** Must still hold when the first byte leaves. */
+  readonly guard?: SendGuard;
 }
 
 /** An answer of the platform, read whole. */
@@ -36,6 +42,8 @@
 
 interface Exchange {
   readonly identifier: string;
+  /** Path without its query. */
+  readonly path: string;
   readonly pool: Pool;
   readonly done: (outcome: PlatformOutcome<PlatformHttpAnswer>) => void;
   readonly finished: AbortSignal;
@@ -105,6 +113,7 @@
       (resolve) => {
         const exchange: Exchange = {
           identifier,
+          path: call.path.split("?")[0] ?? "",
           pool: this.#pool,
           done: resolve,
           finished: finish.signal,
@@ -138,11 +147,14 @@
         headers,
         body: call.body ?? null,
       },
-      this.#createHandler(exchange),
+      this.#createHandler(exchange, call.guard ?? alwaysAllow),
     );
   }
 
-  #createHandler(exchange: Exchange): Dispatcher.DispatchHandler {
+  #createHandler(
+    exchange: Exchange,
+    guard: SendGuard,
+  ): Dispatcher.DispatchHandler {
     const { clock } = this.#options;
     return {
       onRequestStart(controller): void {
@@ -150,6 +162,10 @@
           controller.abort(new Error("The call was given up"));
           return;
         }
+        if (!guard()) {
+          controller.abort(new Error("The call may no longer be sent"));
+          return;
+        }
         exchange.controller = controller;
         exchange.lastByteAt = clock.monotonic();
       },
@@ -177,6 +193,8 @@
   #end(exchange: Exchange): void {
     if (exchange.answeredIdentifier !== exchange.identifier) {
       this.#replacePool(exchange.pool);
+      const { path } = exchange;
+      this.#options.log?.emit("platformAnswerMismatched", { path });
       fail(exchange, "The answer belongs to another call");
       return;
     }
@@ -202,6 +220,8 @@
 
   #giveUp(exchange: Exchange, reason: string): void {
     this.#replacePool(exchange.pool);
+    const { path } = exchange;
+    this.#options.log?.emit("platformSilent", { path, reason });
     fail(exchange, `Given up: ${reason}`);
     exchange.controller?.abort(new Error(reason));
   }
@@ -223,6 +243,10 @@
   }
 }
 
+function alwaysAllow(): boolean {
+  return true;
+}
+
 function fail(exchange: Exchange, reason: string): void {
   const kind: PlatformFailure["kind"] = exchange.controller === undefined
     ? "notRun"
--- a/source/steps/owned_step.ts
+++ b/source/steps/owned_step.ts
@@ -1,7 +1,7 @@
 import type { LedgerEntry } from "../observability/cause_ledger.ts";
 import type { HeldStep } from "./held_step.ts";
 import type { SampleCopier } from "./sample_copier.ts";
-import type { StepRunner } from "./step_runner.ts";
+import type { StepEffort, StepRunner } from "./step_runner.ts";
 
 /** What the owner of a step runs. */
 export interface OwnedStepParts {
@@ -38,6 +38,11 @@
     this.#parts = parts;
   }
 
+  /** Returns what the runs came to so far. */
+  get effort(): StepEffort {
+    return this.#parts.runner.effort;
+  }
+
   /** Runs and copies samples until stopped. */
   async run(stopping: AbortSignal): Promise<void> {
     const signal = AbortSignal.any([this.#controller.signal, stopping]);
@@ -57,14 +62,24 @@
     return this.#parts.copier.copyRest();
   }
 
+  /**
+   * Closes the ledger, the first time that it is called.
+   * @param isMissed - Whether the step's deadline was missed.
+   * @returns Whether it was open.
+   */
+  closeLedger(isMissed: boolean): boolean {
+    if (this.#isClosed) return false;
+    this.#isClosed = true;
+    this.#parts.ledger.close(isMissed);
+    return true;
+  }
+
   /**
    * Stops the runs and closes the ledger.
    * @param isMissed - Whether the step's deadline was missed.
    */
   stop(isMissed: boolean): void {
     this.#controller.abort();
-    if (this.#isClosed) return;
-    this.#isClosed = true;
-    this.#parts.ledger.close(isMissed);
+    this.closeLedger(isMissed);
   }
 }
--- a/source/steps/step_directory.ts
+++ b/source/steps/step_directory.ts
@@ -14,6 +14,7 @@
   type StepManifests,
   toStepKey,
 } from "./step_manifests.ts";
+import { isPlannable } from "./step_plan.ts";
 import { refuse, type StepRefusal } from "./step_refusal.ts";
 
 /** What finding steps needs. */
@@ -41,6 +42,8 @@
 export interface OwnershipClaim {
   readonly node: string;
   readonly epoch: string;
+  /** The owner as membership knows it. */
+  readonly peer: Peer;
 }
 
 /**
@@ -122,7 +125,8 @@
     }
     for (const holder of this.holders(name)) {
       const response = await this.#fetchManifest(holder, name);
-      if (response?.manifest !== undefined) this.learn(response.manifest);
+      const manifest = response?.manifest;
+      if (manifest !== undefined && isPlannable(manifest)) this.learn(manifest);
     }
     const step = this.get(name);
     if (step !== undefined) return { kind: "step", step };
@@ -156,12 +160,13 @@
     const peers = this.#options.peers.peers();
     return this.#options.told.facts("step")
       .filter((fact) => fact.key === key && fact.value.owner === fact.origin)
-      .filter((fact) =>
-        peers.some((peer) =>
-          peer.node === fact.origin && peer.nodeStart === fact.originStart
-        )
-      )
-      .map((fact) => ({ node: fact.origin, epoch: fact.value.epoch }));
+      .flatMap((fact) => {
+        const peer = peers.find((each) =>
+          each.node === fact.origin && each.nodeStart === fact.originStart
+        );
+        if (peer === undefined) return [];
+        return [{ node: fact.origin, epoch: fact.value.epoch, peer }];
+      });
   }
 
   /** Asks a peer for finished samples of a step. */
--- a/source/steps/step_ownership.ts
+++ b/source/steps/step_ownership.ts
@@ -1,22 +1,28 @@
 import { create } from "@bufbuild/protobuf";
-import { StepFactSchema } from "../../generated/snipepath/v1/peer_pb.ts";
+import {
+  StepFactSchema,
+  StoreSamplesRequestSchema,
+} from "../../generated/snipepath/v1/peer_pb.ts";
 import type { HeldStep } from "./held_step.ts";
 import { OwnedStep } from "./owned_step.ts";
 import type { SampleArchive } from "./sample_archive.ts";
 import { SampleCopier } from "./sample_copier.ts";
-import type { StepDirectory } from "./step_directory.ts";
+import type { Peer } from "../membership/peer_directory.ts";
+import { OwnerProbe } from "./owner_probe.ts";
+import type { OwnershipClaim, StepDirectory } from "./step_directory.ts";
 import type { StepFetcher } from "./step_fetcher.ts";
+import { StepLifetime } from "./step_lifetime.ts";
 import { toStepKey } from "./step_manifests.ts";
 import { StepRunner } from "./step_runner.ts";
 import type { StepServiceOptions } from "./step_service_options.ts";
 import { countPlannedTokens } from "./step_plan.ts";
+import { getSpareShare } from "./tail_budget.ts";
 import { TAIL_POLICIES, type TailPolicyName } from "./tail_policy.ts";
 import type { WeightVersions } from "./weight_versions.ts";
 
+const DEFAULT_TAIL_POLICY: TailPolicyName = "resumedTail";
 const TICK_MILLISECONDS = 250;
 const TAKEOVER_MILLISECONDS = 2000;
-const SPARE_TOKENS_SHARE = 0.05;
-const RETENTION_FACTOR = 3;
 const TOLD_PARTS = 16;
 
 /** What the owner of steps needs. */
@@ -38,15 +44,24 @@
  */
 export class StepOwnership {
   readonly #options: StepOwnershipOptions;
+  readonly #lifetime: StepLifetime;
+  readonly #probe: OwnerProbe;
   readonly #owned = new Map<HeldStep, OwnedStep>();
   readonly #unclaimedSince = new WeakMap<HeldStep, number>();
-  readonly #learnedAt = new WeakMap<HeldStep, number>();
   #isLeaving = false;
   readonly #told = new WeakMap<HeldStep, string>();
 
   /** @param options - What the owner of steps needs. */
   constructor(options: StepOwnershipOptions) {
     this.#options = options;
+    this.#lifetime = new StepLifetime({
+      clock: options.context.clock,
+      told: options.told,
+    });
+    this.#probe = new OwnerProbe({
+      clock: options.context.clock,
+      ask: (peer) => this.#canReach(peer),
+    });
   }
 
   /** Begins to run a step that was submitted here. */
@@ -76,6 +91,8 @@
       trainer: manifest.trainer,
       step: manifest.step,
       reason,
+      generatedTokens: owned?.effort.generatedTokens ?? 0,
+      secondRuns: owned?.effort.secondRuns ?? 0,
     });
     if (owned !== undefined) void this.#options.archive.remove(manifest);
   }
@@ -129,7 +146,7 @@
   }
 
   #tick(step: HeldStep): void {
-    if (this.#isOver(step)) {
+    if (this.#lifetime.isOver(step)) {
       if (!step.hasEnded) this.end(step, "told");
       this.#forgetLater(step);
       return;
@@ -137,44 +154,40 @@
     if (this.#owned.has(step)) {
       this.#yieldIfOthersOwn(step);
       this.#dropTooOldOf(step);
+      this.#noteWhole(step);
       this.tell(step);
       return;
     }
     this.#takeOverIfUnclaimed(step);
   }
 
-  #isOver(step: HeldStep): boolean {
-    if (step.hasEnded) return true;
-    const { manifest } = step;
-    const key = toStepKey(manifest.trainer, manifest.step);
-    return this.#options.told.facts("step").some((fact) =>
-      fact.key === key && fact.value.epoch === manifest.epoch &&
-      fact.value.ended
-    ) || this.#ageOf(step) > this.#retentionOf(step);
+  #noteWhole(step: HeldStep): void {
+    const owned = this.#owned.get(step);
+    if (owned === undefined || !step.isWhole()) return;
+    const isMissed = this.#hasMissedDeadline(step, owned.startedAt);
+    if (!owned.closeLedger(isMissed)) return;
+    const { clock, metrics } = this.#options.context;
+    metrics.histogram(
+      "step.milliseconds",
+      clock.monotonic() - owned.startedAt,
+      {
+        trainer: step.manifest.trainer,
+        organisation: step.manifest.organisation,
+      },
+    );
   }
 
   #forgetLater(step: HeldStep): void {
-    if (this.#ageOf(step) <= this.#retentionOf(step)) return;
+    if (!this.#lifetime.isForgettable(step)) return;
     this.#options.directory.forget(step);
-  }
-
-  #retentionOf(step: HeldStep): number {
-    return step.manifest.deadlineSeconds * 1000 * RETENTION_FACTOR;
-  }
-
-  #ageOf(step: HeldStep): number {
-    const now = this.#options.context.clock.monotonic();
-    const learnedAt = this.#learnedAt.get(step) ?? now;
-    this.#learnedAt.set(step, learnedAt);
-    return now - learnedAt;
+    const { trainer, step: name } = step.manifest;
+    this.#options.told.retract?.("step", toStepKey(trainer, name));
   }
 
   #yieldIfOthersOwn(step: HeldStep): void {
     const { node } = this.#options.context.settings;
-    const winner = this.#options.directory.claims(step.manifest)
-      .find((claim) =>
-        claim.epoch === step.manifest.epoch && claim.node < node
-      );
+    const winner = this.#standingClaims(step)
+      .find((claim) => claim.node < node);
     if (winner === undefined) return;
     this.#owned.get(step)?.stop(false);
     this.#owned.delete(step);
@@ -185,14 +198,29 @@
       owner: winner.node,
     });
     this.tell(step);
+    void this.#giveSamples(step, winner.node);
+  }
+
+  async #giveSamples(step: HeldStep, owner: string): Promise<void> {
+    const { peers } = this.#options;
+    const peer = peers.peers().find((each) => each.node === owner);
+    if (peer === undefined || step.finished === 0) return;
+    const { trainer, step: name, epoch } = step.manifest;
+    await peers.storeSamples(
+      peer,
+      create(StoreSamplesRequestSchema, {
+        trainer,
+        step: name,
+        epoch,
+        samples: [...step.samples()],
+      }),
+    );
   }
 
   #takeOverIfUnclaimed(step: HeldStep): void {
     if (this.#isLeaving) return;
     const now = this.#options.context.clock.monotonic();
-    const isClaimed = this.#options.directory.claims(step.manifest)
-      .some((claim) => claim.epoch === step.manifest.epoch);
-    if (isClaimed) {
+    if (this.#standingClaims(step).length > 0) {
       this.#unclaimedSince.delete(step);
       return;
     }
@@ -203,6 +231,18 @@
     void this.#takeOver(step);
   }
 
+  #standingClaims(step: HeldStep): ReadonlyArray<OwnershipClaim> {
+    return this.#options.directory.claims(step.manifest)
+      .filter((claim) => claim.epoch === step.manifest.epoch)
+      .filter((claim) => !this.#probe.isGone(claim.peer));
+  }
+
+  async #canReach(peer: Peer): Promise<boolean> {
+    const request = { trainer: "", step: "", maximum: 1 };
+    const answer = await this.#options.directory.fetch(peer, request);
+    return answer !== undefined;
+  }
+
   async #takeOver(step: HeldStep): Promise<void> {
     await this.#options.fetcher.gather(step);
     if (step.hasEnded || this.#owned.has(step)) return;
@@ -220,6 +260,7 @@
   #own(step: HeldStep): OwnedStep {
     const { context, peers, archive, versions } = this.#options;
     const { clock } = context;
+    const startedAt = clock.monotonic();
     const copier = new SampleCopier(step, { clock, peers, archive });
     const classOfWork = this.#getClassOfWork(step);
     const ledger = context.ledger.open({
@@ -234,11 +275,10 @@
       classOfWork,
       ledger,
       tailPolicy: this.#getTailPolicy(),
-      spareTokens: countPlannedTokens(step.plan) * SPARE_TOKENS_SHARE,
+      spareTokens: () => this.#getSpareTokens(step, startedAt),
       newestVersion: () => versions.newest(step.manifest.trainer),
       onFinished: (sample) => copier.add(sample),
     });
-    const startedAt = clock.monotonic();
     const owned = new OwnedStep(step, { copier, runner, ledger, startedAt });
     this.#owned.set(step, owned);
     this.#options.directory.setOwned(step, true);
@@ -253,10 +293,26 @@
       ?.classOfWork ?? "";
   }
 
+  #getSpareTokens(step: HeldStep, startedAt: number): number {
+    const { context, configuration } = this.#options;
+    const name = this.#getClassOfWork(step);
+    const classOfWork = configuration.current()?.declaration?.classes
+      .find((each) => each.name === name);
+    const share = getSpareShare({
+      elapsedMilliseconds: context.clock.monotonic() - startedAt,
+      deadlineMilliseconds: step.manifest.deadlineSeconds * 1000,
+      finishedShare: step.finished / step.plan.length,
+      isDeferrable: classOfWork?.deferrable ?? false,
+    });
+    return countPlannedTokens(step.plan) * share;
+  }
+
   #getTailPolicy(): (typeof TAIL_POLICIES)[TailPolicyName] {
     const name = this.#options.context.settings.stepTailPolicy;
     const isKnown = Object.hasOwn(TAIL_POLICIES, name);
-    return TAIL_POLICIES[isKnown ? name as TailPolicyName : "hedgedTail"];
+    return TAIL_POLICIES[
+      isKnown ? name as TailPolicyName : DEFAULT_TAIL_POLICY
+    ];
   }
 
   #hasMissedDeadline(step: HeldStep, startedAt: number): boolean {
