Account waiting at engines and slow servers apart from generation

A request that an engine five times slower had served was explained as generation alone, since the time of a finished attempt had one cause.

--- a/source/dispatch/completion_run.ts
+++ b/source/dispatch/completion_run.ts
@@ -10,6 +10,7 @@
 import type { DispatchEnd } from "../routing/dispatch_record.ts";
 import type { Placement, RoutingChoice } from "../routing/routing_policy.ts";
 import { invariant } from "../utilities/invariant.ts";
+import { accountCompletion } from "./account_completion.ts";
 import { CompletionAttempt } from "./completion_attempt.ts";
 import type { DispatchTools } from "./dispatch_tools.ts";
 import type {
@@ -29,6 +30,12 @@
 type Finish = Extract<EngineOutcome, { readonly kind: "finished" }>;
 type Failure = Exclude<EngineOutcome, Finish>;
 
+interface AttemptTimes {
+  readonly address: string;
+  readonly whole: number;
+  readonly untilFirstToken: number;
+}
+
 /** Runs one completion on one engine after the other until it is whole. */
 export class CompletionRun {
   readonly #work: CompletionWork;
@@ -92,6 +99,7 @@
     const { address } = choice.server;
     const startedAt = clock.monotonic();
     const record = experience.start(address, this.#placement, startedAt);
+    let firstTokenAt = Infinity;
     const newConnection = this.#tried.length > 0;
     this.#tried.push(address);
     this.#work.onServer?.(address);
@@ -103,24 +111,38 @@
       signal: this.#bounds.signal,
       onHead: () => record.noteHead(clock.monotonic()),
       onTokens: (tokens) => {
+        firstTokenAt = Math.min(firstTokenAt, clock.monotonic());
         record.noteTokens(tokens.tokens, clock.monotonic());
         this.#take(tokens);
       },
     }, this.#tools);
     const outcome = await attempt.run();
-    record.end(toDispatchEnd(outcome), clock.monotonic());
-    this.#account(outcome, clock.monotonic() - startedAt);
+    const endedAt = clock.monotonic();
+    record.end(toDispatchEnd(outcome), endedAt);
+    this.#account(outcome, {
+      address,
+      whole: endedAt - startedAt,
+      untilFirstToken: firstTokenAt - startedAt,
+    });
     return outcome;
   }
 
-  #account(outcome: EngineOutcome, took: number): void {
+  #account(outcome: EngineOutcome, attempt: AttemptTimes): void {
     const { ledger, service } = this.#work;
-    if (outcome.kind === "finished") {
-      ledger.add("generation", took);
-      this.#tools.advisor.noteServiceTime(service, took);
-    } else {
-      ledger.add(treat(outcome).ledgerCause, took);
+    if (outcome.kind !== "finished") {
+      ledger.add(treat(outcome).ledgerCause, attempt.whole);
+      return;
     }
+    const now = this.#tools.options.context.clock.monotonic();
+    const serviceRecord = this.#tools.experience.service(service);
+    const serverRecord = this.#tools.experience.server(attempt.address);
+    accountCompletion(ledger, outcome.usage, {
+      ...attempt,
+      tokenHere: serverRecord.tokenMilliseconds(now) ?? 0,
+      tokenUsual: serviceRecord.tokenMilliseconds(now) ?? 0,
+      promptToken: serviceRecord.promptTokenMilliseconds(),
+    });
+    this.#tools.advisor.noteServiceTime(service, attempt.whole);
   }
 
   #toRequest(): EngineRequest {
