--- a/source/node/node.ts
+++ b/source/node/node.ts
@@ -27,6 +27,7 @@
 import { reportNodeGauges } from "./node_gauges.ts";
 
 const STOP_LIMIT_MILLISECONDS = 5000;
+const LOAD_INTERVAL_MILLISECONDS = 500;
 
 /**
  * One node, put together from its parts.
@@ -58,7 +59,7 @@
     this.#membership = membership;
     this.#dispatcher = options.dispatcher;
     this.#onDrain = options.onDrain;
-    this.#keys = new KeyDirectory({ context, peers, told });
+    this.#keys = options.keys;
     this.#authority = new KeyAuthority({
       context,
       directory: this.#keys,
@@ -112,11 +113,13 @@
     const { clock } = context;
     const handlers = new LateHandlers();
     const engines = new HttpEngineClient({ clock });
-    const parts: { dispatcher?: NodeDispatcher } = {};
+    const parts: { dispatcher?: NodeDispatcher; keys?: KeyDirectory } = {};
     const membership = await createMembership(context, {
       handlers: handlers.handlers,
       engines,
       dispatched: (address) => parts.dispatcher?.runningAt(address) ?? 0,
+      keyTableAgeMilliseconds: () =>
+        parts.keys?.tableAgeMilliseconds() ?? Infinity,
     });
     const dispatcher = createDispatcher({
       context,
@@ -125,9 +128,12 @@
       plainServices: new HttpPlainClient({ clock }),
       configuration: membership.configuration,
     });
-    parts.dispatcher = dispatcher;
+    const { peers, told } = membership;
+    const keys = new KeyDirectory({ context, peers, told });
+    Object.assign(parts, { dispatcher, keys });
     return new Node({
       context,
+      keys,
       membership,
       engines,
       dispatcher,
@@ -164,6 +170,7 @@
       membership: this.#membership,
       entry: this.#entry,
     });
+    void this.#tellLoad();
     log.emit("nodeStarted", {
       address,
       peerAddress: this.#peerServer.address,
@@ -192,6 +199,14 @@
     await this.#peerServer?.close();
   }
 
+  async #tellLoad(): Promise<void> {
+    const { clock, stopping } = this.#context;
+    while (!stopping.aborted) {
+      this.#membership.setLoadPermille(this.#admission.loadPermille());
+      await clock.sleep(LOAD_INTERVAL_MILLISECONDS, stopping);
+    }
+  }
+
   #createEntry(): EntryServer {
     const { configuration, peers, told } = this.#membership;
     const context = this.#context;
@@ -243,6 +258,7 @@
 
 interface NodeOptions {
   readonly context: NodeContext;
+  readonly keys: KeyDirectory;
   readonly membership: Membership;
   readonly engines: EngineClient;
   readonly dispatcher: NodeDispatcher;
