--- a/experiments/clients/trainer_client.ts
+++ b/experiments/clients/trainer_client.ts
@@ -4,6 +4,7 @@
 const RETRY_MILLISECONDS = 200;
 const PULL_WAIT_MILLISECONDS = 1000;
 const PULL_MAXIMUM = 16;
+const CONFIRM_TIMEOUT_MILLISECONDS = 2000;
 
 /** Prompts of a step, each with its samples. */
 export interface StepGroup {
@@ -128,6 +129,7 @@
       cursor = body.cursor;
       isWhole = body.isWhole;
     }
+    if (isWhole && cursor !== undefined) await this.#confirmWhole(step, cursor);
     return {
       samples,
       isWhole,
@@ -136,6 +138,18 @@
     };
   }
 
+  // A pull that holds every sample lets the nodes forget the step.
+  async #confirmWhole(step: string, cursor: string): Promise<void> {
+    const { addresses, key } = this.#options;
+    await call({
+      address: await addresses.choose(),
+      method: "GET",
+      path: this.#pullPath(step, cursor, this.#newestVersion),
+      key,
+      timeoutMilliseconds: CONFIRM_TIMEOUT_MILLISECONDS,
+    });
+  }
+
   #pullPath(step: string, cursor: string, newestVersion: number): string {
     const query = new URLSearchParams({
       cursor,
