--- a/source/entry/claims/claimed_call_test.ts
+++ b/source/entry/claims/claimed_call_test.ts
@@ -194,10 +194,7 @@
     createEntryBench({
       node,
       clock,
-      platform: Object.assign(new MemoryPlatform(), {
-        rows: platform.rows,
-        stored: platform.stored,
-      }),
+      platform: new MemoryPlatform(platform.state),
       settings: { keyFreshnessMilliseconds: LONG_MILLISECONDS },
     })
   ) as [EntryBench, EntryBench];
--- a/source/keys/key_withdrawal_test.ts
+++ b/source/keys/key_withdrawal_test.ts
@@ -81,15 +81,16 @@
     const withdrawal = nodes.first.authority.withdraw(identifier);
     await nodes.clock.advance(3000);
     t.like(await withdrawal, { kind: "withdrawn", saved: false });
-    const store = nodes.platform.rows;
-    t.regex(store.get(`keys/${identifier}`)?.value ?? "", /organisation/);
-    t.notRegex(store.get(`keys/${identifier}`)?.value ?? "", /withdrawn/);
+    const row = nodes.platform.state.rows.get("keys", identifier);
+    t.regex(row?.value ?? "", /organisation/);
+    t.notRegex(row?.value ?? "", /withdrawn/);
     if (saver === "first") nodes.first.platform.fault = "none";
     for (let step = 0; step < 15; step += 1) {
       await nodes.clock.advance(1000);
       await nodes[saver].authority.saveDue();
     }
-    t.regex(store.get(`keys/${identifier}`)?.value ?? "", /"withdrawn":true/);
+    const saved = nodes.platform.state.rows.get("keys", identifier);
+    t.regex(saved?.value ?? "", /"withdrawn":true/);
   }
 });
 
@@ -117,14 +118,17 @@
   const nodes = await createNodes({ told: true });
   const generated = generateKey();
   const key = generated.key;
-  nodes.platform.rows.set(`keys/${generated.identifier}`, {
-    key: generated.identifier,
-    version: 1,
-    value: JSON.stringify({
-      keyIdentifier: generated.identifier,
-      secretDigest: generated.secretDigest,
-      organisation: "school",
-    }),
+  nodes.platform.state.rows.commit({
+    conditions: [],
+    writes: [{
+      table: "keys",
+      key: generated.identifier,
+      value: JSON.stringify({
+        keyIdentifier: generated.identifier,
+        secretDigest: generated.secretDigest,
+        organisation: "school",
+      }),
+    }],
   });
   t.is((await nodes.second.keys.resolve(key)).kind, "accepted");
   const resolving = nodes.first.keys.resolve(key);
@@ -146,7 +150,11 @@
   const nodes = await createNodes({ told: true });
   const key = await giveKey(nodes);
   await nodes.first.keys.resolve(key);
-  const kept = [...nodes.platform.rows.values()].map(({ value }) => value);
+  const { rows } = nodes.platform.state;
+  const kept = ["keys", "key_changes"].flatMap((table) =>
+    rows.list(table, { prefix: "" }).map(({ value }) => value)
+  );
+  t.true(kept.length > 0);
   const secret = key.split("_")[2] ?? "";
   t.false(kept.join().includes(secret));
   t.false(JSON.stringify(nodes.first.log.events).includes(secret));
@@ -179,8 +187,7 @@
 
 // Each node has faults of its own over the same rows.
 function shareRows(platform: MemoryPlatform): MemoryPlatform {
-  const shared = new MemoryPlatform();
-  return Object.assign(shared, { rows: platform.rows });
+  return new MemoryPlatform(platform.state);
 }
 
 async function giveKey(nodes: Nodes): Promise<string> {
--- a/stand_ins/entry/memory_platform.ts
+++ b/stand_ins/entry/memory_platform.ts
@@ -1,12 +1,9 @@
 import type { ObjectStoreClient } from "../../source/platform/object_store_client.ts";
 import type { Platform } from "../../source/platform/platform.ts";
 import type { PlatformOutcome } from "../../source/platform/platform_outcome.ts";
-import type {
-  Row,
-  TableClient,
-  Transaction,
-  TransactionResult,
-} from "../../source/platform/table_client.ts";
+import type { TableClient } from "../../source/platform/table_client.ts";
+import { ObjectStore } from "../platform/object_store.ts";
+import { TableStore } from "../platform/table_store.ts";
 
 /** How the platform in memory answers. */
 export type PlatformFault =
@@ -18,43 +15,47 @@
   /** Effect and answer come only once they are released. */
   | "late";
 
+/** Agreed state that several platforms in memory may share, each with faults of its own. */
+export interface MemoryPlatformState {
+  readonly rows: TableStore;
+  readonly stored: ObjectStore;
+}
+
 /** A platform in the test's own memory, with faults; orders, reports and the list are not there. */
 export class MemoryPlatform implements Platform {
   /** The fault of every call from now on. */
   fault: PlatformFault = "none";
   /** Faults of the next calls, in their order, before the lasting one counts. */
   readonly nextFaults: PlatformFault[] = [];
-  /** Rows by "table/key". */
-  readonly rows = new Map<string, Row>();
-  /** Objects by key. */
-  readonly stored = new Map<string, Uint8Array>();
+  /** The rows and objects. */
+  readonly state: MemoryPlatformState;
   /** Number of calls so far. */
   calls = 0;
+  readonly table: TableClient;
+  readonly objects: ObjectStoreClient;
   readonly #late: Array<() => void> = [];
 
-  readonly table: TableClient = {
-    get: (table, key) => this.#call(() => this.rows.get(`${table}/${key}`)),
-    list: (table, range) =>
-      this.#call(() =>
-        [...this.rows.entries()]
-          .filter(([path]) => path.startsWith(`${table}/${range.prefix}`))
-          .map(([, row]) => row)
-          .filter((row) => row.key > (range.after ?? ""))
-          .sort((left, right) => left.key < right.key ? -1 : 1)
-          .slice(0, range.maximum ?? Infinity)
-      ),
-    commit: (transaction) => this.#call(() => this.#commit(transaction)),
-  };
-
-  readonly objects: ObjectStoreClient = {
-    put: (key, body) => this.#call(() => void this.stored.set(key, body)),
-    get: (key) => this.#call(() => this.stored.get(key)),
-    list: (prefix) =>
-      this.#call(() =>
-        [...this.stored.keys()].filter((key) => key.startsWith(prefix)).sort()
-      ),
-    delete: (key) => this.#call(() => void this.stored.delete(key)),
-  };
+  /** @param state - State shared with other nodes; new when absent. */
+  constructor(
+    state: MemoryPlatformState = {
+      rows: new TableStore(),
+      stored: new ObjectStore(),
+    },
+  ) {
+    const { rows, stored } = state;
+    this.state = state;
+    this.table = {
+      get: (table, key) => this.#call(() => rows.get(table, key)),
+      list: (table, range) => this.#call(() => rows.list(table, range)),
+      commit: (transaction) => this.#call(() => rows.commit(transaction)),
+    };
+    this.objects = {
+      put: (key, body) => this.#call(() => stored.put(key, body)),
+      get: (key) => this.#call(() => stored.get(key)),
+      list: (prefix) => this.#call(() => stored.list(prefix)),
+      delete: (key) => this.#call(() => stored.delete(key)),
+    };
+  }
 
   get orders(): never {
     throw new Error("No orders in this stand-in");
@@ -86,26 +87,4 @@
     if (fault === "loseAnswer") return { kind: "unknown", reason: "lost" };
     return { kind: "ok", value };
   }
-
-  #commit(transaction: Transaction): TransactionResult {
-    for (const { table, key, version } of transaction.conditions) {
-      const found = this.rows.get(`${table}/${key}`)?.version ?? 0;
-      if (found !== version) return { kind: "conflict", table, key };
-    }
-    const versions = transaction.writes.map(({ table, key, value }) => {
-      const version = nextVersion();
-      if (value === undefined) this.rows.delete(`${table}/${key}`);
-      else this.rows.set(`${table}/${key}`, { key, value, version });
-      return version;
-    });
-    return { kind: "committed", versions };
-  }
-}
-
-let newestVersion = 0;
-
-// Several platforms may share their rows, so versions are never used twice.
-function nextVersion(): number {
-  newestVersion += 1;
-  return newestVersion;
 }
--- a/stand_ins/membership/memory_platform.ts
+++ b/stand_ins/membership/memory_platform.ts
@@ -10,13 +10,13 @@
   PlatformOutcome,
 } from "../../source/platform/platform_outcome.ts";
 import type {
-  Row,
   TableClient,
   Transaction,
   TransactionResult,
 } from "../../source/platform/table_client.ts";
 import type { UsageReportClient } from "../../source/platform/usage_report_client.ts";
 import { SystemClock } from "../../source/utilities/system_clock.ts";
+import { TableStore } from "../platform/table_store.ts";
 
 /** Faults of the table, by name. */
 export type TableFault = "none" | "down" | "loseAnswer" | "freeze";
@@ -47,22 +47,13 @@
   isListDown = false;
   /** Reads and writes that the table got. */
   tableCalls = 0;
-  readonly #rows = new Map<string, Row>();
+  readonly #rows = new TableStore();
   readonly #listed = new Map<string, ListedInstance>();
-  #version = 0;
 
   constructor() {
     this.table = {
-      get: (table, key) => this.#read(() => this.#rows.get(`${table}\n${key}`)),
-      list: (table, range) =>
-        this.#read(() =>
-          [...this.#rows].filter(([slot]) =>
-            slot.startsWith(`${table}\n${range.prefix}`)
-          ).map(([, row]) => row)
-            .filter(({ key }) => key > (range.after ?? ""))
-            .sort((left, right) => left.key < right.key ? -1 : 1)
-            .slice(0, range.maximum ?? Infinity)
-        ),
+      get: (table, key) => this.#read(() => this.#rows.get(table, key)),
+      list: (table, range) => this.#read(() => this.#rows.list(table, range)),
       commit: (transaction) => this.#commit(transaction),
     };
     this.instances = {
@@ -92,8 +83,7 @@
 
   /** Writes a row without conditions. */
   write(table: string, key: string, value: string): void {
-    this.#version += 1;
-    this.#rows.set(`${table}\n${key}`, { key, value, version: this.#version });
+    this.#rows.commit({ conditions: [], writes: [{ table, key, value }] });
   }
 
   async #read<Value>(
@@ -115,20 +105,7 @@
     this.faultyCommits -= 1;
     if (fault === "down") return DOWN;
     if (fault === "freeze") return await stayed();
-    const result = this.#apply(transaction);
+    const result = this.#rows.commit(transaction);
     return fault === "loseAnswer" ? LOST : { kind: "ok", value: result };
   }
-
-  #apply({ conditions, writes }: Transaction): TransactionResult {
-    for (const { table, key, version } of conditions) {
-      const held = this.#rows.get(`${table}\n${key}`)?.version ?? 0;
-      if (held !== version) return { kind: "conflict", table, key };
-    }
-    const versions = writes.map(({ table, key, value }) => {
-      if (value === undefined) this.#rows.delete(`${table}\n${key}`);
-      else this.write(table, key, value);
-      return this.#version;
-    });
-    return { kind: "committed", versions };
-  }
 }
