--- a/source/node/node.ts
+++ b/source/node/node.ts
@@ -159,6 +159,7 @@
       this.#keys.run(),
       this.#authority.run(),
       this.#admission.run(),
+      this.#dispatcher.run(),
       this.#steps.run(),
       this.#control.run(),
     ]);
