--- a/experiments/deployment/child_process.ts
+++ b/experiments/deployment/child_process.ts
@@ -50,7 +50,6 @@
   options: StartOptions,
 ): Promise<RunningProcess> {
   const child = spawn(process.execPath, [
-    "--enable-source-maps",
     ...options.runtimeFlags ?? [],
     options.program,
     ...options.arguments,
