--- a/experiments/soak/fault_schedule.ts
+++ b/experiments/soak/fault_schedule.ts
@@ -45,10 +45,11 @@
   readonly targets: "nodes" | "servers" | "none";
 }
 
+const SKIPPED_NUMBERS = 64;
 const FIRST_FAULT_MILLISECONDS = 2000;
 const QUIET_END_MILLISECONDS = 3000;
 const SHORTEST_GAP_MILLISECONDS = 500;
-const LONGEST_GAP_MILLISECONDS = 5000;
+const LONGEST_GAP_MILLISECONDS = 3500;
 const CLOSE_GAP_MILLISECONDS = 100;
 const CLOSE_GAP_SHARE = 0.3;
 
@@ -84,6 +85,8 @@
   options: ScheduleOptions,
 ): ReadonlyArray<ScheduledFault> {
   const random = createRandomSource(options.seed);
+  // The first numbers of neighbouring seeds are alike.
+  for (let number = 0; number < SKIPPED_NUMBERS; number += 1) random.next();
   const faults: ScheduledFault[] = [];
   const end = options.durationMilliseconds - QUIET_END_MILLISECONDS;
   let at = FIRST_FAULT_MILLISECONDS;
--- a/source/node/node.ts
+++ b/source/node/node.ts
@@ -33,7 +33,7 @@
  * One node, put together from its parts.
  * @example
  * ```ts
- * const node = await Node.create(context, { onDrain: () => stop("drain") });
+ * const node = await Node.create(context, () => leaving.abort("drain"));
  * const address = await node.start();
  * await node.drain();
  * ```
