--- a/source/entry/claims/claim_keeper.ts
+++ b/source/entry/claims/claim_keeper.ts
@@ -23,6 +23,7 @@
   ClaimTable,
   type VersionedClaim,
 } from "./claim_table.ts";
+import { within } from "../../utilities/within.ts";
 
 const MAXIMUM_ATTEMPTS = 3;
 const CLAIM_MILLISECONDS = 1000;
@@ -69,7 +70,10 @@
     const rowKey = claimRowKey(request.name);
     const record = this.#createRecord(request);
     const claiming = this.#attemptAll(rowKey, record);
-    const outcome = await this.#within(CLAIM_MILLISECONDS, claiming);
+    const outcome = await within(claiming, {
+      clock: this.#context.clock,
+      milliseconds: CLAIM_MILLISECONDS,
+    });
     if (outcome === undefined || outcome === STORE_AWAY) {
       this.#settler.add({ rowKey, record, state: "notRun" });
       return STORE_AWAY;
@@ -111,7 +115,10 @@
     settlement: Parameters<ClaimSettler["add"]>[0],
   ): Promise<void> {
     this.#settler.add(settlement);
-    await this.#within(SETTLE_MILLISECONDS, this.#settler.settleAll());
+    await within(this.#settler.settleAll(), {
+      clock: this.#context.clock,
+      milliseconds: SETTLE_MILLISECONDS,
+    });
   }
 
   #createRecord(request: ClaimRequest): ClaimRecord {
@@ -173,18 +180,6 @@
     if (object.value === undefined) return ANSWER_NOT_KEPT;
     return parseAnswer(object.value);
   }
-
-  async #within<Value>(
-    milliseconds: number,
-    promise: Promise<Value>,
-  ): Promise<Value | undefined> {
-    const done = new AbortController();
-    const late = this.#context.clock.sleep(milliseconds, done.signal)
-      .then(() => undefined);
-    const value = await Promise.race([promise, late]);
-    done.abort();
-    return value;
-  }
 }
 
 function parseAnswer(bytes: Uint8Array): ClaimOutcome {
--- a/source/entry/trainer_handlers.ts
+++ b/source/entry/trainer_handlers.ts
@@ -11,6 +11,7 @@
   checkPublication,
   checkPull,
   checkStep,
+  type Input,
 } from "./trainer_handlers_input.ts";
 
 const MAXIMUM_BODY_BYTES = 16 * 1024 * 1024;
@@ -115,24 +116,34 @@
   return { error: "forbidden", message, ran: "notRun", field: "trainer" };
 }
 
+// Reads and checks a body; undefined when the exchange has been answered or its caller has gone.
+async function readInput<Value>(
+  exchange: EntryExchange,
+  check: (body: unknown) => Input<Value>,
+): Promise<Value | undefined> {
+  const body = await readJsonBody(exchange.request, {
+    signal: exchange.signal,
+    maximumBytes: MAXIMUM_BODY_BYTES,
+  });
+  if (body.kind === "gone") return undefined;
+  const input = body.kind === "refused" ? body : check(body.value);
+  if (input.kind === "input") return input.value;
+  sendRefusal(exchange.response, input.refusal);
+  return undefined;
+}
+
 async function publishWeights(
   steps: StepService,
   exchange: EntryExchange,
   trainer: Trainer,
 ): Promise<void> {
   const { response } = exchange;
-  const body = await readJsonBody(exchange.request, {
-    signal: exchange.signal,
-    maximumBytes: MAXIMUM_BODY_BYTES,
-  });
-  if (body.kind === "gone") return;
-  if (body.kind === "refused") return sendRefusal(response, body.refusal);
-  const input = checkPublication(body.value);
-  if (input.kind === "refused") return sendRefusal(response, input.refusal);
+  const input = await readInput(exchange, checkPublication);
+  if (input === undefined) return;
   const outcome = await steps.publish({
     trainer: trainer.name,
     service: trainer.service,
-    ...input.value,
+    ...input,
   });
   if (outcome.kind === "refused") return sendStepRefusal(response, outcome);
   sendJson(response, {
@@ -149,15 +160,9 @@
   trainer: Trainer,
 ): Promise<void> {
   const { response } = exchange;
-  const body = await readJsonBody(exchange.request, {
-    signal: exchange.signal,
-    maximumBytes: MAXIMUM_BODY_BYTES,
-  });
-  if (body.kind === "gone") return;
-  if (body.kind === "refused") return sendRefusal(response, body.refusal);
-  const input = checkStep(body.value);
-  if (input.kind === "refused") return sendRefusal(response, input.refusal);
-  const submission = { trainer: trainer.name, ...input.value };
+  const input = await readInput(exchange, checkStep);
+  if (input === undefined) return;
+  const submission = { trainer: trainer.name, ...input };
   const outcome = await steps.submit(submission, trainer);
   if (outcome.kind === "refused") return sendStepRefusal(response, outcome);
   const { manifest } = outcome;
--- a/source/keys/key_authority.ts
+++ b/source/keys/key_authority.ts
@@ -11,6 +11,7 @@
 import type { KeyDirectory } from "./key_directory.ts";
 import { generateKey, isKeyIdentifier } from "./key_format.ts";
 import { KeyTable } from "./key_table.ts";
+import { within } from "../utilities/within.ts";
 
 const MAXIMUM_ATTEMPTS = 5;
 const RETRY_INTERVAL_MILLISECONDS = 1000;
@@ -149,7 +150,10 @@
     });
     const [confirmations, save] = await Promise.all([
       this.#peers.confirmWithdrawal(request),
-      this.#within(SAVE_WAIT_MILLISECONDS, this.#save(identifier)),
+      within(this.#save(identifier), {
+        clock: this.#context.clock,
+        milliseconds: SAVE_WAIT_MILLISECONDS,
+      }),
     ]);
     return {
       kind: "withdrawn",
@@ -188,22 +192,13 @@
   // A slow table must not hold the withdrawal back: then it is told without knowing.
   async #isUnknown(identifier: string): Promise<boolean> {
     const read = this.#table.read(identifier);
-    const known = await this.#within(LOOKUP_WAIT_MILLISECONDS, read);
+    const known = await within(read, {
+      clock: this.#context.clock,
+      milliseconds: LOOKUP_WAIT_MILLISECONDS,
+    });
     return known?.kind === "ok" && known.value === undefined;
   }
 
-  async #within<Value>(
-    milliseconds: number,
-    promise: Promise<Value>,
-  ): Promise<Value | undefined> {
-    const done = new AbortController();
-    const late = this.#context.clock.sleep(milliseconds, done.signal)
-      .then(() => undefined);
-    const value = await Promise.race([promise, late]);
-    done.abort();
-    return value;
-  }
-
   async #save(identifier: string): Promise<SaveOutcome> {
     for (let attempt = 0; attempt < MAXIMUM_ATTEMPTS; attempt += 1) {
       const outcome = await this.#trySave(identifier);
--- a/source/membership/peer_session.ts
+++ b/source/membership/peer_session.ts
@@ -30,7 +30,7 @@
 const MAXIMUM_AGE_MILLISECONDS = 2 ** 31;
 const MAXIMUM_OPEN_HEARTBEATS = 64;
 
-/** What a session needs. */
+/** What a peer session needs. */
 export interface PeerSessionOptions {
   readonly store: FactStore;
   readonly freshness: KeyFreshness;
