Send no caller to a peer that was not heard of lately

The node's log shows that it cut nothing and closed its port 3.5 s after SIGTERM; meanwhile another node was stopped for 7.5 s. On waking, that node answered address questions from what it had heard before its stop. The soak did not record why the call was lost, so the refused connection is inferred; its message now gives the reason and the time. Change: address answers leave out peers not heard of for 3.5 s, and a leaving node serves on for that long and a margin before callers' answers run out. Ruled out: a longer linger alone, which no stop is short enough for.

--- a/experiments/soak/checks/control_checks.ts
+++ b/experiments/soak/checks/control_checks.ts
@@ -132,7 +132,11 @@
       .filter((attempt) => attempt.outcome.kind === "lost")
       .filter((attempt) => !isExcused(attempt, journal.faults, drain))
       .map((attempt) =>
-        `${attempt.call} was cut by the shutdown of ${drain.node}`
+        `${attempt.call}, sent ${
+          Math.round(attempt.sentAt - drain.from)
+        } ms after ${drain.node} was told to leave, was lost: ${
+          attempt.outcome.kind === "lost" ? attempt.outcome.reason : ""
+        }`
       );
     if (drain.exitStatus !== 0) {
       problems.push(
--- a/source/entry/address_route.ts
+++ b/source/entry/address_route.ts
@@ -7,6 +7,12 @@
 
 const FAILURE_DOMAIN_PATTERN = /^[A-Za-z0-9._-]{1,64}$/;
 
+/**
+ * Age past which what was heard of a peer no longer tells that it stays, in milliseconds. A node that
+ * stood still would otherwise send callers to peers that left meanwhile.
+ */
+export const PEER_VIEW_MILLISECONDS = 3500;
+
 /** What the address answers are made from. */
 export interface AddressRouteOptions {
   readonly context: NodeContext;
@@ -78,6 +84,7 @@
   };
   const others = options.peers.peers()
     .filter((peer) => peer.node !== settings.node && peer.callerAddress !== "")
+    .filter((peer) => peer.ageMilliseconds <= PEER_VIEW_MILLISECONDS)
     .map((peer): ListedNode => ({
       node: peer.node,
       address: peer.callerAddress,
--- a/source/entry/entry_server.ts
+++ b/source/entry/entry_server.ts
@@ -30,12 +30,13 @@
 import { refuseUnreadable } from "./refuse_unreadable.ts";
 import { RouteTable } from "./route_table.ts";
 import { type ShownKey, takeShownKey } from "./shown_key.ts";
+import { PEER_VIEW_MILLISECONDS } from "./address_route.ts";
 
 const HEADERS_TIMEOUT_MILLISECONDS = 10_000;
 const SHORTEST_KEEP_ALIVE_MILLISECONDS = 1000;
 const LONGEST_KEEP_ALIVE_MILLISECONDS = 5000;
 const ADDRESS_KEEP_MARGIN = 1.5;
-const TOLD_MILLISECONDS = 2000;
+const TOLD_MARGIN_MILLISECONDS = 500;
 const LAST_REQUEST_MILLISECONDS = 500;
 const DRAIN_CHECK_MILLISECONDS = 20;
 const MAXIMUM_HEADER_BYTES = 16_384;
@@ -192,7 +193,8 @@
     const { addressKeepMilliseconds } = this.#context.settings;
     const kept = addressKeepMilliseconds * ADDRESS_KEEP_MARGIN;
     const idle = keepAliveMilliseconds(addressKeepMilliseconds);
-    return TOLD_MILLISECONDS + Math.max(kept, idle);
+    const told = PEER_VIEW_MILLISECONDS + TOLD_MARGIN_MILLISECONDS;
+    return told + Math.max(kept, idle);
   }
 
   // Connections without a request yet get a moment too: their first request may be on its way.
