--- a/experiments/load/scenarios.ts
+++ b/experiments/load/scenarios.ts
@@ -38,7 +38,7 @@
   "slow-engine": createScenario({
     description: "One engine runs five times slower",
     engineFlags: (index) => index === 0 ? ["--slow-factor=5"] : [],
-    causes: ["slowServer", "straggler", "queue"],
+    causes: ["slowServer", "straggler"],
   }),
   "error-engine": createScenario({
     description: "One engine answers fast, with errors",
--- a/source/dispatch/account_completion.ts
+++ b/source/dispatch/account_completion.ts
@@ -42,7 +42,8 @@
     ? usage.generatedTokens * (times.tokenHere - times.tokenUsual)
     : 0;
   const slow = Math.min(excess, times.whole - waited);
-  ledger.add("queue", waited);
+  // Requests pile up at a slow server because it is slow.
+  ledger.add(isSlow ? "slowServer" : "queue", waited);
   ledger.add("slowServer", slow);
   ledger.add("generation", times.whole - waited - slow);
 }
