--- a/source/entry/entry_server.ts
+++ b/source/entry/entry_server.ts
@@ -30,6 +30,7 @@
 import { refuseUnreadable } from "./refuse_unreadable.ts";
 import { RouteTable } from "./route_table.ts";
 import { type ShownKey, takeShownKey } from "./shown_key.ts";
+import { accountStaleKeys } from "./account_stale_keys.ts";
 import { PEER_VIEW_MILLISECONDS } from "./address_route.ts";
 
 const HEADERS_TIMEOUT_MILLISECONDS = 10_000;
@@ -249,7 +250,10 @@
     const target = this.#findTarget(request.method ?? "", url.pathname);
     if ("error" in target) return refuse(request, response, target);
     const caller = await this.#authenticate(shown, target.authentication);
-    if ("error" in caller) return refuse(request, response, caller);
+    if ("error" in caller) {
+      accountStaleKeys(this.#context.ledger, requestIdentifier, caller);
+      return refuse(request, response, caller);
+    }
     await this.#run(target.handler, {
       requestIdentifier,
       caller,
