--- a/experiments/soak/fault_actions.ts
+++ b/experiments/soak/fault_actions.ts
@@ -1,3 +1,4 @@
+import type { RunningProcess } from "../deployment/child_process.ts";
 import type {
   Deployment,
   RunningNode,
@@ -39,9 +40,7 @@
     }),
   nodePause: (context, fault) =>
     withNode(context, fault, async (node) => {
-      node.process.child.kill("SIGSTOP");
-      await sleep(fault.lasts);
-      node.process.child.kill("SIGCONT");
+      await pauseProcess(node.process, fault.lasts);
     }),
   nodeDrain: (context, fault) =>
     withNode(context, fault, async (node, index) => {
@@ -83,9 +82,7 @@
     }),
   serverPause: (context, fault) =>
     withServer(context, fault, async (server) => {
-      server.process.child.kill("SIGSTOP");
-      await sleep(fault.lasts);
-      server.process.child.kill("SIGCONT");
+      await pauseProcess(server.process, fault.lasts);
     }),
   serverFreezeConnections: (context, fault) =>
     withServer(context, fault, async (server) => {
@@ -192,6 +189,15 @@
   seen.to = journal.now();
 }
 
+async function pauseProcess(
+  paused: RunningProcess,
+  milliseconds: number,
+): Promise<void> {
+  paused.child.kill("SIGSTOP");
+  await sleep(milliseconds);
+  paused.child.kill("SIGCONT");
+}
+
 function sleep(milliseconds: number): Promise<void> {
   return new Promise((resolve) => setTimeout(resolve, milliseconds));
 }
