Serve the users' platform: store, callers, durable steps, weights and usage

Cause: the product had no program that speaks the published wire of the users' platform. Change: platform/ translates; the product grows durable steps, a view of the operator's rows, a node register, call forwarding and duties, all kept in the platform's store.

--- /dev/null
+++ b/scripts/bundle_installation.mjs
@@ -0,0 +1,15 @@
+// Bundles the program of an installation's nodes into one file under target/.
+import { build } from "esbuild";
+
+await build({
+  entryPoints: ["source/programs/snipepath_installation.ts"],
+  outfile: "target/snipepath.cjs",
+  bundle: true,
+  platform: "node",
+  target: "node20",
+  format: "cjs",
+  minify: true,
+  keepNames: true,
+  external: ["unix-dgram"],
+  logLevel: "warning",
+});
--- a/source/control/lease_keeper.ts
+++ b/source/control/lease_keeper.ts
@@ -4,7 +4,7 @@
   LeaseRecordSchema,
 } from "../../generated/snipepath/v1/records_pb.ts";
 import type { NodeContext } from "../node/node_context.ts";
-import type { Row } from "../platform/table_client.ts";
+import type { Row, TableClient } from "../platform/table_client.ts";
 import { invariant } from "../utilities/invariant.ts";
 import {
   doClocksAgree,
@@ -23,10 +23,23 @@
 const POLL_JITTER_SHARE = 0.2;
 const MAXIMUM_PENDING_WRITES = 16;
 
+/** What a lease keeper works with; every node context is one. */
+export interface LeaseContext extends
+  Pick<
+    NodeContext,
+    "nodeStart" | "clock" | "random" | "log" | "stopping"
+  > {
+  readonly settings: Pick<
+    NodeContext["settings"],
+    "node" | "leaseMilliseconds" | "orderDeadlineMilliseconds"
+  >;
+  readonly platform: { readonly table: Pick<TableClient, "get" | "commit"> };
+}
+
 /** How a lease is kept. */
 export interface LeaseKeeperOptions {
   /** Gives the lease's duration and the order deadline in its settings. */
-  readonly context: NodeContext;
+  readonly context: LeaseContext;
   /** Such as "usage" or "orders/dot-models". */
   readonly name: string;
   /** Returns the number of nodes that try for the lease; about 8 of them poll at a time. */
@@ -79,7 +92,7 @@
 export class LeaseKeeper {
   /** The lease's name. */
   readonly name: string;
-  readonly #context: NodeContext;
+  readonly #context: LeaseContext;
   readonly #candidates: () => number;
   #holding: Holding | undefined;
   #seen: SeenRow | undefined;
--- /dev/null
+++ b/source/durable_steps/engine_pool.ts
@@ -0,0 +1,252 @@
+import type { BackendServerEntry } from "../installation/backend_server_entry.ts";
+import type { ServerView } from "../installation/server_view.ts";
+import type { Clock } from "../utilities/clock.ts";
+
+/** Pause of an engine that refused a request because it was full or loading. */
+const REFUSED_PAUSE_MILLISECONDS = 60;
+const FAILED_PAUSE_MILLISECONDS = 500;
+const LONGEST_PAUSE_MILLISECONDS = 4000;
+const PACE_WEIGHT = 0.15;
+/** An engine that takes this many times the usual time for an event counts as slow. */
+const SLOW_FACTOR = 2;
+/** How long a measured pace is believed after the last event. */
+const PACE_LIFE_MILLISECONDS = 4000;
+
+/** What a sample needs of an engine. */
+export interface EngineNeed {
+  readonly service: string;
+  readonly model: string;
+  /** Oldest weight version that may be used. */
+  readonly minimumVersion: number;
+  /** The only weight version that may be used; any from the oldest on when undefined. */
+  readonly exactVersion: number | undefined;
+  /** Smaller is served first. */
+  readonly rank: number;
+  /** An engine to be avoided while there is another. */
+  readonly avoid: string | undefined;
+}
+
+interface Waiting {
+  readonly need: EngineNeed;
+  readonly resolve: (engine: BackendServerEntry | undefined) => void;
+}
+
+interface EngineUse {
+  running: number;
+  failures: number;
+  restUntil: number;
+  /** Milliseconds an event takes; undefined before the first. */
+  pace: number | undefined;
+  pacedAt: number;
+  /** Weight versions seen in answers and orders since the entry was written. */
+  readonly versions: Map<string, number>;
+}
+
+/**
+ * Gives engines to samples: as many to each engine as it runs at once, the first ranks first.
+ */
+export class EnginePool {
+  readonly #clock: Clock;
+  readonly #servers: ServerView;
+  readonly #uses = new Map<string, EngineUse>();
+  #waiting: Waiting[] = [];
+  #isPumpDue = false;
+
+  /**
+   * @param clock - Time.
+   * @param servers - The registered engines.
+   */
+  constructor(clock: Clock, servers: ServerView) {
+    this.#clock = clock;
+    this.#servers = servers;
+    servers.watch(() => {
+      this.#forgetGone();
+      this.#pump();
+    });
+  }
+
+  /** Samples that wait for an engine. */
+  get waiting(): number {
+    return this.#waiting.length;
+  }
+
+  /** Samples that run at an engine. */
+  running(identifier: string): number {
+    return this.#uses.get(identifier)?.running ?? 0;
+  }
+
+  /**
+   * Waits for a free place at an engine; it must be given back with `release`.
+   * @returns The engine; undefined when the signal was aborted first.
+   */
+  acquire(
+    need: EngineNeed,
+    signal: AbortSignal,
+  ): Promise<BackendServerEntry | undefined> {
+    if (signal.aborted) return Promise.resolve(undefined);
+    return new Promise((resolve) => {
+      const waiting: Waiting = {
+        need,
+        resolve: (engine) => {
+          signal.removeEventListener("abort", onAbort);
+          resolve(engine);
+        },
+      };
+      const onAbort = (): void => {
+        this.#waiting = this.#waiting.filter((other) => other !== waiting);
+        resolve(undefined);
+      };
+      signal.addEventListener("abort", onAbort, { once: true });
+      const index = this.#waiting.findIndex((other) =>
+        other.need.rank > need.rank
+      );
+      if (index < 0) this.#waiting.push(waiting);
+      else this.#waiting.splice(index, 0, waiting);
+      this.#pump();
+    });
+  }
+
+  /** Gives a place back. */
+  release(identifier: string): void {
+    this.#use(identifier).running -= 1;
+    this.#pump();
+  }
+
+  /** Notes that an engine refused a request without running it. */
+  noteRefused(identifier: string): void {
+    this.#rest(identifier, REFUSED_PAUSE_MILLISECONDS);
+  }
+
+  /** Notes that an engine failed; it rests, longer each time in a row. */
+  noteFailure(identifier: string): void {
+    const use = this.#use(identifier);
+    const pause = FAILED_PAUSE_MILLISECONDS * 2 ** use.failures;
+    use.failures += 1;
+    this.#rest(identifier, Math.min(pause, LONGEST_PAUSE_MILLISECONDS));
+  }
+
+  /** Notes events and the time that they took each. */
+  notePace(identifier: string, milliseconds: number): void {
+    const use = this.#use(identifier);
+    use.failures = 0;
+    const pace = use.pace ?? milliseconds;
+    use.pace = pace + PACE_WEIGHT * (milliseconds - pace);
+    use.pacedAt = this.#clock.monotonic();
+  }
+
+  /** Notes the weight version that an engine was seen to use. */
+  noteVersion(identifier: string, model: string, version: number): void {
+    const { versions } = this.#use(identifier);
+    versions.set(model, Math.max(version, versions.get(model) ?? 0));
+  }
+
+  /** Returns the weight version of a model at an engine, as far as it is known. */
+  versionOf(engine: BackendServerEntry, model: string): number | undefined {
+    const told = engine.weightVersions.get(model);
+    const seen = this.#uses.get(engine.identifier)?.versions.get(model);
+    if (told === undefined) return undefined;
+    return Math.max(told, seen ?? 0);
+  }
+
+  /** Whether an engine is much slower than a free one that could go on with the sample. */
+  hasFasterFree(identifier: string, need: EngineNeed): boolean {
+    const pace = this.#pace(identifier);
+    if (pace === undefined) return false;
+    return this.#candidates(need).some((engine) => {
+      if (engine.identifier === identifier) return false;
+      const other = this.#pace(engine.identifier);
+      return other !== undefined && pace > SLOW_FACTOR * other;
+    });
+  }
+
+  #pace(identifier: string): number | undefined {
+    const use = this.#uses.get(identifier);
+    if (use?.pace === undefined) return undefined;
+    const age = this.#clock.monotonic() - use.pacedAt;
+    return age < PACE_LIFE_MILLISECONDS ? use.pace : undefined;
+  }
+
+  #pump(): void {
+    const left: Waiting[] = [];
+    for (const waiting of this.#waiting) {
+      const engine = this.#choose(waiting.need);
+      if (engine === undefined) {
+        left.push(waiting);
+        continue;
+      }
+      this.#use(engine.identifier).running += 1;
+      waiting.resolve(engine);
+    }
+    this.#waiting = left;
+  }
+
+  #choose(need: EngineNeed): BackendServerEntry | undefined {
+    let best: BackendServerEntry | undefined;
+    let lowest = Infinity;
+    for (const engine of this.#candidates(need)) {
+      const cost = this.#cost(engine, need);
+      if (cost < lowest) [best, lowest] = [engine, cost];
+    }
+    return best;
+  }
+
+  #candidates(need: EngineNeed): ReadonlyArray<BackendServerEntry> {
+    const now = this.#clock.monotonic();
+    return this.#servers.ofService(need.service).filter((engine) => {
+      const version = this.versionOf(engine, need.model);
+      if (version === undefined || version < need.minimumVersion) return false;
+      if (need.exactVersion !== undefined && version !== need.exactVersion) {
+        return false;
+      }
+      const use = this.#uses.get(engine.identifier);
+      return use === undefined ||
+        (use.running < engine.slots && use.restUntil <= now);
+    });
+  }
+
+  // The places taken count most, then the pace; an old version will need a load sooner.
+  #cost(engine: BackendServerEntry, need: EngineNeed): number {
+    const use = this.#uses.get(engine.identifier);
+    const taken = (use?.running ?? 0) / engine.slots;
+    const pace = this.#pace(engine.identifier);
+    const version = this.versionOf(engine, need.model) ?? 0;
+    const isAvoided = engine.identifier === need.avoid;
+    return (1 + taken) * (pace ?? 1) + (isAvoided ? 1e6 : 0) -
+      0.01 * Math.min(50, version - need.minimumVersion);
+  }
+
+  #rest(identifier: string, milliseconds: number): void {
+    const use = this.#use(identifier);
+    const until = this.#clock.monotonic() + milliseconds;
+    use.restUntil = Math.max(use.restUntil, until);
+    if (this.#isPumpDue) return;
+    this.#isPumpDue = true;
+    void this.#clock.sleep(milliseconds + 1).then(() => {
+      this.#isPumpDue = false;
+      this.#pump();
+    });
+  }
+
+  #forgetGone(): void {
+    for (const [identifier, use] of this.#uses) {
+      const isGone = !this.#servers.servers.has(identifier);
+      if (isGone && use.running === 0) this.#uses.delete(identifier);
+    }
+  }
+
+  #use(identifier: string): EngineUse {
+    let use = this.#uses.get(identifier);
+    if (use === undefined) {
+      use = {
+        running: 0,
+        failures: 0,
+        restUntil: 0,
+        pace: undefined,
+        pacedAt: 0,
+        versions: new Map(),
+      };
+      this.#uses.set(identifier, use);
+    }
+    return use;
+  }
+}
--- /dev/null
+++ b/source/durable_steps/sample_scoring.ts
@@ -0,0 +1,77 @@
+import { findRoute, type ServiceRoute } from "../installation/configuration.ts";
+import type { ScoringRequest } from "./step_submission.ts";
+import type { StepTools } from "./step_tools.ts";
+
+const PAUSE_MILLISECONDS = 100;
+const FAILED_STATUS = 500;
+const CONTENT_TYPE = "application/octet-stream";
+
+/** How scoring ended. */
+export type ScoringOutcome =
+  | { readonly kind: "scored"; readonly score: string }
+  /** The scoring service failed as often as its route allows. */
+  | { readonly kind: "failed" }
+  | { readonly kind: "cancelled" };
+
+/** Names the signature of a served answer. */
+export type ReadSignature = (
+  headers: Readonly<Record<string, string | string[] | undefined>>,
+) => string | undefined;
+
+/**
+ * Sends a sample's scoring request until it has a signed answer.
+ * @param tools - How calls are forwarded.
+ * @param options - The request, its time and when to stop.
+ */
+export async function scoreSample(
+  tools: StepTools,
+  options: {
+    readonly scoring: ScoringRequest;
+    readonly readSignature: ReadSignature;
+    readonly signal: AbortSignal;
+  },
+): Promise<ScoringOutcome> {
+  const { clock } = tools;
+  const { scoring, signal, readSignature } = options;
+  let failures = 0;
+  while (!signal.aborted) {
+    const route = findScoringRoute(tools, scoring);
+    if (route !== undefined) {
+      const outcome = await tools.forwarder.forward({
+        request: {
+          identifier: scoring.identifier,
+          method: "POST",
+          path: scoring.path,
+          host: scoring.host,
+          headers: { "content-type": CONTENT_TYPE },
+          body: scoring.body,
+        },
+        route,
+        deadline: clock.monotonic() + route.timeoutMilliseconds,
+        signal,
+        onAnswered: (status) => {
+          if (status === FAILED_STATUS) failures += 1;
+        },
+      });
+      if (outcome.kind === "answered") {
+        const score = readSignature(outcome.headers);
+        const isServed = outcome.status >= 200 && outcome.status < 300;
+        if (isServed && score !== undefined) return { kind: "scored", score };
+      }
+    }
+    if (failures >= (route?.maximumAttempts ?? Infinity)) {
+      return { kind: "failed" };
+    }
+    await clock.sleep(PAUSE_MILLISECONDS, signal);
+  }
+  return { kind: "cancelled" };
+}
+
+function findScoringRoute(
+  tools: StepTools,
+  { host, path }: ScoringRequest,
+): ServiceRoute | undefined {
+  const configuration = tools.configuration();
+  if (configuration === undefined) return undefined;
+  return findRoute(configuration, host, path.split("?")[0] ?? "");
+}
--- /dev/null
+++ b/source/durable_steps/step_run.ts
@@ -0,0 +1,287 @@
+import { setMaxListeners } from "node:events";
+import { findRoute, type ServiceRoute } from "../installation/configuration.ts";
+import { type ReadSignature, scoreSample } from "./sample_scoring.ts";
+import type { SampleResult } from "./sample_result.ts";
+import { type SampleText, SampleTextRun } from "./sample_text_run.ts";
+import type { StepManifest } from "./step_manifest.ts";
+import type { SampleRequest, StepSubmission } from "./step_submission.ts";
+import type { StepTools } from "./step_tools.ts";
+
+const STORE_PAUSE_MILLISECONDS = 100;
+/** Listings of results that end closer together share a transaction. */
+const APPEND_PAUSE_MILLISECONDS = 25;
+/** Keeps a step's ranks apart from those of the next one. */
+const RANKS_PER_STEP = 100_000;
+
+/** How one node runs one step. */
+export interface StepRunOptions {
+  readonly tools: StepTools;
+  readonly manifest: StepManifest;
+  readonly readSignature: ReadSignature;
+  /** Texts begun at this node, by model and sample. */
+  readonly texts: Map<string, SampleText>;
+}
+
+/**
+ * Runs the samples of a step that are not listed yet, and lists each result as it is whole.
+ */
+export class StepRun {
+  readonly #options: StepRunOptions;
+  readonly #stop = new AbortController();
+  readonly #listed = new Set<string>();
+  readonly #finished: SampleResult[] = [];
+  #position = 0;
+  #wake = new AbortController();
+
+  /** @param options - The step and what it is run with. */
+  constructor(options: StepRunOptions) {
+    this.#options = options;
+    // Each sample listens for the end of the run.
+    setMaxListeners(0, this.#stop.signal);
+  }
+
+  /** Ends the run; what is listed stays. */
+  stop(): void {
+    this.#stop.abort();
+    this.#wake.abort();
+  }
+
+  /** Whether the run was ended. */
+  get isStopped(): boolean {
+    return this.#stop.signal.aborted;
+  }
+
+  /** Runs until all samples are listed or the run is ended. */
+  async run(): Promise<void> {
+    const { tools, manifest } = this.#options;
+    const submission = await this.#load();
+    if (submission === undefined) return;
+    await this.#catchUp();
+    await this.#takeEarlierResults(submission);
+    const open = submission.samples.filter(({ identifier }) =>
+      !this.#listed.has(identifier) && !this.#isFinished(identifier)
+    );
+    tools.log.emit("durableStepRunStarted", {
+      step: manifest.identifier,
+      model: manifest.model,
+      number: manifest.step,
+      samples: open.length,
+      listed: this.#listed.size,
+    });
+    const runs = open.map((sample, index) =>
+      this.#runSample(sample, { submission, index })
+    );
+    await this.#listFinished(manifest.total);
+    this.stop();
+    await Promise.all(runs);
+  }
+
+  #isFinished(identifier: string): boolean {
+    return this.#finished.some((result) => result.identifier === identifier);
+  }
+
+  async #load(): Promise<StepSubmission | undefined> {
+    const { tools, manifest } = this.#options;
+    while (!this.isStopped) {
+      const outcome = await tools.archive.load(manifest);
+      if (outcome.kind === "ok") return outcome.value;
+      await this.#sleep(STORE_PAUSE_MILLISECONDS);
+    }
+    return undefined;
+  }
+
+  // Reads what is listed beyond the known positions.
+  async #catchUp(): Promise<void> {
+    const { tools, manifest } = this.#options;
+    while (!this.isStopped) {
+      const outcome = await tools.results.readAll(
+        manifest.identifier,
+        this.#position,
+      );
+      if (outcome.kind === "ok") {
+        for (const { identifier } of outcome.value) {
+          this.#listed.add(identifier);
+        }
+        this.#position += outcome.value.length;
+        return;
+      }
+      await this.#sleep(STORE_PAUSE_MILLISECONDS);
+    }
+  }
+
+  // A sample that came back from an earlier step may have been listed there.
+  async #takeEarlierResults(submission: StepSubmission): Promise<void> {
+    const { tools, manifest } = this.#options;
+    const wanted = new Set(submission.samples.map((each) => each.identifier));
+    for (const { manifest: earlier } of tools.book.entries) {
+      const isEarlier = earlier.model === manifest.model &&
+        earlier.organisation === manifest.organisation &&
+        earlier.step < manifest.step &&
+        earlier.step >= manifest.step - 2;
+      if (!isEarlier || this.isStopped) continue;
+      const outcome = await tools.results.readAll(earlier.identifier, 0);
+      if (outcome.kind !== "ok") continue;
+      for (const result of outcome.value) {
+        const { identifier } = result;
+        if (!wanted.has(identifier) || this.#listed.has(identifier)) continue;
+        if (this.#isFinished(identifier)) continue;
+        if (this.#fits(result, submission)) this.#finished.push(result);
+      }
+    }
+  }
+
+  #fits(result: SampleResult, submission: StepSubmission): boolean {
+    if (result.kind !== "completed") return false;
+    const { weightVersions } = result;
+    if (this.#route()?.isSingleVersion && weightVersions.length > 1) {
+      return false;
+    }
+    return weightVersions.every((version) =>
+      version >= submission.minimumVersion
+    );
+  }
+
+  async #runSample(
+    sample: SampleRequest,
+    place: { readonly submission: StepSubmission; readonly index: number },
+  ): Promise<void> {
+    const { tools, manifest, readSignature } = this.#options;
+    const { identifier } = sample;
+    const life = this.#startLife();
+    const { signal } = life;
+    const key = `${manifest.model}/${identifier}`;
+    const text = this.#takeText(key, place.submission);
+    const outcome = await new SampleTextRun({
+      ...tools,
+      sample,
+      text,
+      host: manifest.host,
+      organisation: manifest.organisation,
+      model: manifest.model,
+      minimumVersion: place.submission.minimumVersion,
+      rank: manifest.step * RANKS_PER_STEP + place.index,
+      route: () => this.#route(),
+      leftMilliseconds: () => this.#leftMilliseconds(),
+      signal,
+    }).run();
+    if (outcome.kind === "failed") {
+      this.#finish({ kind: "terminated", identifier }, outcome.reason);
+    } else if (outcome.kind === "whole") {
+      const scoring = sample.scoring === undefined
+        ? undefined
+        : await scoreSample(tools, {
+          scoring: sample.scoring,
+          readSignature,
+          signal,
+        });
+      if (scoring?.kind === "failed") {
+        this.#finish({ kind: "terminated", identifier }, "scoring failed");
+      } else if (scoring?.kind !== "cancelled") {
+        this.#options.texts.delete(key);
+        this.#finish({
+          kind: "completed",
+          identifier,
+          text: text.parts.join("\n"),
+          weightVersions: text.versions,
+          ...(scoring === undefined ? {} : { score: scoring.score }),
+        }, "whole");
+      }
+    }
+    life.end();
+    if (!this.isStopped && signal.aborted && !this.#isFinished(identifier)) {
+      this.#finish({ kind: "terminated", identifier }, "its time is over");
+    }
+  }
+
+  // Ends with the run, and when the sample may be given up.
+  #startLife(): { readonly signal: AbortSignal; readonly end: () => void } {
+    const controller = new AbortController();
+    const { signal } = this.#stop;
+    const onStop = (): void => controller.abort();
+    signal.addEventListener("abort", onStop, { once: true });
+    if (signal.aborted) controller.abort();
+    const timer = setTimeout(
+      () => controller.abort(),
+      Math.max(0, this.#leftMilliseconds()),
+    );
+    const end = (): void => {
+      clearTimeout(timer);
+      signal.removeEventListener("abort", onStop);
+    };
+    return { signal: controller.signal, end };
+  }
+
+  // A text begun earlier goes on if its versions may be used in this step.
+  #takeText(key: string, submission: StepSubmission): SampleText {
+    const kept = this.#options.texts.get(key);
+    const isUsable = kept !== undefined &&
+      kept.versions.every((version) => version >= submission.minimumVersion) &&
+      !(this.#route()?.isSingleVersion && kept.versions.length > 1);
+    if (kept !== undefined && isUsable) return kept;
+    const text: SampleText = { parts: [], versions: [], lastEvent: undefined };
+    this.#options.texts.set(key, text);
+    return text;
+  }
+
+  #finish(result: SampleResult, reason: string): void {
+    const { tools, manifest } = this.#options;
+    if (this.isStopped || this.#isFinished(result.identifier)) return;
+    if (result.kind === "terminated") {
+      tools.log.emit("sampleTerminated", {
+        step: manifest.identifier,
+        sample: result.identifier,
+        reason,
+      });
+    }
+    this.#finished.push(result);
+    this.#wake.abort();
+  }
+
+  async #listFinished(total: number): Promise<void> {
+    const { tools, manifest } = this.#options;
+    while (!this.isStopped && this.#listed.size < total) {
+      const results = this.#finished.filter(({ identifier }) =>
+        !this.#listed.has(identifier)
+      );
+      if (results.length === 0) {
+        this.#wake = new AbortController();
+        await this.#sleep(1000);
+        await this.#sleep(APPEND_PAUSE_MILLISECONDS);
+        continue;
+      }
+      const outcome = await tools.results.append(manifest.identifier, {
+        position: this.#position,
+        results,
+      });
+      if (outcome.kind === "ok" && outcome.value.kind === "appended") {
+        const { count } = outcome.value;
+        for (const { identifier } of results.slice(0, count)) {
+          this.#listed.add(identifier);
+        }
+        this.#position += count;
+        continue;
+      }
+      if (outcome.kind !== "ok") await this.#sleep(STORE_PAUSE_MILLISECONDS);
+      await this.#catchUp();
+    }
+  }
+
+  #route(): ServiceRoute | undefined {
+    const { tools, manifest } = this.#options;
+    const configuration = tools.configuration();
+    return configuration === undefined
+      ? undefined
+      : findRoute(configuration, manifest.host, manifest.path);
+  }
+
+  #leftMilliseconds(): number {
+    const { tools, manifest } = this.#options;
+    const life = this.#route()?.sampleLifeMilliseconds ?? Infinity;
+    const left = manifest.submittedAt + life - tools.clock.wall();
+    return Math.min(left, 0x7fff_ffff);
+  }
+
+  #sleep(milliseconds: number): Promise<void> {
+    return this.#options.tools.clock.sleep(milliseconds, this.#wake.signal);
+  }
+}
--- /dev/null
+++ b/source/duties/lease_table.ts
@@ -0,0 +1,75 @@
+import type {
+  DurableTable,
+  RowPlace,
+  StoredRow,
+} from "../platform/durable_table.ts";
+import type { PlatformOutcome } from "../platform/platform_outcome.ts";
+import type {
+  Row,
+  TableClient,
+  Transaction,
+  TransactionResult,
+} from "../platform/table_client.ts";
+
+/** Gives lease keepers single rows of a durable table. */
+export class LeaseTable implements Pick<TableClient, "get" | "commit"> {
+  readonly #table: DurableTable;
+
+  /** @param table - The durable table. */
+  constructor(table: DurableTable) {
+    this.#table = table;
+  }
+
+  /** Reads a row; undefined when it is absent. */
+  async get(
+    table: string,
+    key: string,
+  ): Promise<PlatformOutcome<Row | undefined>> {
+    const outcome = await this.#table.read(table, {
+      partition: "",
+      from: key,
+      to: `${key}\u0000`,
+    });
+    if (outcome.kind !== "ok") return outcome;
+    const [row] = outcome.value.rows;
+    return { kind: "ok", value: row === undefined ? undefined : toRow(row) };
+  }
+
+  /** Commits a transaction, or tells the condition that did not hold. */
+  async commit(
+    transaction: Transaction,
+  ): Promise<PlatformOutcome<TransactionResult>> {
+    const { conditions, writes } = transaction;
+    const outcome = await this.#table.commit({
+      conditions: conditions.map((condition) => ({
+        ...toPlace(condition),
+        version: condition.version,
+      })),
+      puts: writes.flatMap((write) =>
+        write.value === undefined
+          ? []
+          : [{ ...toPlace(write), value: Buffer.from(write.value) }]
+      ),
+      deletes: writes.filter(({ value }) => value === undefined).map(toPlace),
+    });
+    if (outcome.kind !== "ok") return outcome;
+    if (outcome.value.kind === "committed") {
+      const versions = writes.map(() =>
+        outcome.value.kind === "committed" ? outcome.value.version : 0
+      );
+      return { kind: "ok", value: { kind: "committed", versions } };
+    }
+    const { table = "", key = "" } = conditions[0] ?? {};
+    return { kind: "ok", value: { kind: "conflict", table, key } };
+  }
+}
+
+function toPlace(
+  place: { readonly table: string; readonly key: string },
+): RowPlace {
+  return { table: place.table, partition: "", key: place.key };
+}
+
+function toRow({ key, value, version }: StoredRow): Row {
+  return { key, value: value.toString(), version };
+}
--- /dev/null
+++ b/source/installation/node_register.ts
@@ -0,0 +1,185 @@
+import type { EventLog } from "../observability/event_log.ts";
+import type { DurableTable } from "../platform/durable_table.ts";
+import type { Clock } from "../utilities/clock.ts";
+
+const TABLE = "nodes";
+/** Three of them without a sign make a node count as lost. */
+const SIGN_INTERVAL_MILLISECONDS = 500;
+/** At most this many signs a second over all nodes, a small share of the store's writes. */
+const SIGNS_PER_SECOND = 200;
+const SILENT_SIGNS = 3.4;
+/** Rows of nodes that are gone for longer are deleted by whoever sees them. */
+const FORGET_MILLISECONDS = 60_000;
+
+/** What a node tells of itself. */
+export interface NodeRecord {
+  /** Name of the node. */
+  readonly node: string;
+  /** Identity of its process, new at each start. */
+  readonly nodeStart: string;
+  readonly failureDomain: string;
+  /** HOST:PORT for callers. */
+  readonly callerAddress: string;
+  /** Whether new callers should be sent there. */
+  readonly isServing: boolean;
+}
+
+/** What a node register works with. */
+export interface NodeRegisterOptions {
+  readonly clock: Clock;
+  readonly log: EventLog;
+  readonly table: DurableTable;
+  /** What this node tells of itself now. */
+  readonly self: () => NodeRecord;
+  readonly stopping: AbortSignal;
+}
+
+interface SeenNode {
+  readonly record: NodeRecord;
+  readonly version: number;
+  /** When the row's present version was first seen, by this node's clock. */
+  changedAt: number;
+}
+
+/**
+ * Tells the other nodes through the store that this one runs, and reads which others run.
+ *
+ * A node counts as lost when its row did not change for some intervals in which this node
+ * could read the store, or when its name belongs to a newer process.
+ */
+export class NodeRegister {
+  readonly #options: NodeRegisterOptions;
+  readonly #seen = new Map<string, SeenNode>();
+  readonly #watchers: (() => void)[] = [];
+  #isReadFailing = false;
+  #isRead = false;
+
+  /** @param options - The store and this node's record. */
+  constructor(options: NodeRegisterOptions) {
+    this.#options = options;
+  }
+
+  /** Whether the register was read at least once. */
+  get isRead(): boolean {
+    return this.#isRead;
+  }
+
+  /** The nodes that run, this one included. */
+  get running(): ReadonlyArray<NodeRecord> {
+    const { clock, self } = this.#options;
+    const own = self();
+    const now = clock.monotonic();
+    const others = [...this.#seen.values()]
+      .filter(({ record, changedAt }) =>
+        record.node !== own.node &&
+        now - changedAt < SILENT_SIGNS * this.#intervalMilliseconds
+      )
+      .map(({ record }) => record);
+    return [own, ...others];
+  }
+
+  /** Whether a process runs, as far as this node can tell. */
+  isRunning(nodeStart: string): boolean {
+    return this.running.some((record) => record.nodeStart === nodeStart);
+  }
+
+  /** Calls a function after each reading of the register. */
+  watch(onRead: () => void): void {
+    this.#watchers.push(onRead);
+  }
+
+  /** Writes and reads until the node stops. */
+  async run(): Promise<void> {
+    await Promise.all([this.#keepSigning(), this.#keepReading()]);
+  }
+
+  /** Writes this node's record at once. */
+  async sign(): Promise<void> {
+    const { table, self } = this.#options;
+    const record = self();
+    const value = Buffer.from(JSON.stringify(record));
+    await table.commit({
+      conditions: [],
+      puts: [{ table: TABLE, partition: "", key: record.node, value }],
+    });
+  }
+
+  get #intervalMilliseconds(): number {
+    return Math.max(
+      SIGN_INTERVAL_MILLISECONDS,
+      1000 * this.#seen.size / SIGNS_PER_SECOND,
+    );
+  }
+
+  async #keepSigning(): Promise<void> {
+    const { clock, stopping } = this.#options;
+    while (!stopping.aborted) {
+      await this.sign();
+      await clock.sleep(this.#intervalMilliseconds, stopping);
+    }
+  }
+
+  async #keepReading(): Promise<void> {
+    const { clock, stopping } = this.#options;
+    while (!stopping.aborted) {
+      await this.#read();
+      await clock.sleep(this.#intervalMilliseconds, stopping);
+    }
+  }
+
+  async #read(): Promise<void> {
+    const outcome = await this.#options.table.read(TABLE, { partition: "" });
+    if (outcome.kind !== "ok") {
+      this.#isReadFailing = true;
+      return;
+    }
+    const now = this.#options.clock.monotonic();
+    // Nodes may have been unable to write too: their silence counts from now on.
+    if (this.#isReadFailing) {
+      for (const node of this.#seen.values()) node.changedAt = now;
+    }
+    this.#isReadFailing = false;
+    const names = new Set<string>();
+    for (const { key, value, version } of outcome.value.rows) {
+      names.add(key);
+      if (this.#seen.get(key)?.version === version) continue;
+      const record = readRecord(value);
+      if (record === undefined) continue;
+      this.#noteStart(key, record);
+      this.#seen.set(key, { record, version, changedAt: now });
+    }
+    for (const name of this.#seen.keys()) {
+      if (!names.has(name)) this.#seen.delete(name);
+    }
+    this.#forgetLost(now);
+    this.#isRead = true;
+    for (const onRead of this.#watchers) onRead();
+  }
+
+  #noteStart(node: string, record: NodeRecord): void {
+    if (this.#seen.get(node)?.record.nodeStart === record.nodeStart) return;
+    const { nodeStart } = record;
+    this.#options.log.emit("nodeSeen", { node, nodeStart });
+  }
+
+  #forgetLost(now: number): void {
+    for (const [name, { changedAt, version }] of this.#seen) {
+      if (now - changedAt < FORGET_MILLISECONDS) continue;
+      this.#seen.delete(name);
+      const place = { table: TABLE, partition: "", key: name };
+      void this.#options.table.commit({
+        conditions: [{ ...place, version }],
+        puts: [],
+        deletes: [place],
+      });
+    }
+  }
+}
+
+function readRecord(value: Buffer): NodeRecord | undefined {
+  try {
+    return JSON.parse(value.toString()) as NodeRecord;
+  } catch {
+    return undefined;
+  }
+}
--- /dev/null
+++ b/source/node/create_installation_node.ts
@@ -0,0 +1,215 @@
+import { randomInt } from "node:crypto";
+import type { ServerClient } from "../backends/server_client.ts";
+import { CallForwarder } from "../calls/call_forwarder.ts";
+import { CallService } from "../calls/call_service.ts";
+import { ServerUse } from "../calls/server_use.ts";
+import { LeaseKeeper } from "../control/lease_keeper.ts";
+import type { DutyClient } from "../duties/duty_client.ts";
+import { DutyLease } from "../duties/duty_lease.ts";
+import { LeaseTable } from "../duties/lease_table.ts";
+import { UsageMeter } from "../duties/usage_meter.ts";
+import { UsageReporting } from "../duties/usage_reporting.ts";
+import { WeightOrders } from "../duties/weight_orders.ts";
+import { EnginePool } from "../durable_steps/engine_pool.ts";
+import { ResultList } from "../durable_steps/result_list.ts";
+import type { ReadSignature } from "../durable_steps/sample_scoring.ts";
+import { StepBook } from "../durable_steps/step_book.ts";
+import { StepIntake } from "../durable_steps/step_intake.ts";
+import { StepKeeper } from "../durable_steps/step_keeper.ts";
+import { StepReader } from "../durable_steps/step_reader.ts";
+import type { ReadSubmission } from "../durable_steps/step_submission.ts";
+import type { StepTools } from "../durable_steps/step_tools.ts";
+import { SubmissionArchive } from "../durable_steps/submission_archive.ts";
+import type { BackendServerEntry } from "../installation/backend_server_entry.ts";
+import type { InstallationSettings } from "../installation/installation_settings.ts";
+import { NodeRegister } from "../installation/node_register.ts";
+import {
+  type OperatorRow,
+  OperatorView,
+} from "../installation/operator_view.ts";
+import { ServerView } from "../installation/server_view.ts";
+import { createRendezvous } from "../membership/rendezvous.ts";
+import type { EventLog } from "../observability/event_log.ts";
+import type { DurableTable } from "../platform/durable_table.ts";
+import type { Clock } from "../utilities/clock.ts";
+import { createRandomSource } from "../utilities/random_source.ts";
+import { InstallationNode } from "./installation_node.ts";
+
+/** Short enough that a duty rests for about 2 s when its holder is lost. */
+const LEASE_MILLISECONDS = 1200;
+/** A duty call must have left within this time of the lease's end. */
+const ORDER_DEADLINE_MILLISECONDS = 300;
+const DUTY_LEASE = "duties";
+
+/** What an installation provides and how its messages are read. */
+export interface InstallationPorts {
+  readonly table: DurableTable;
+  readonly client: ServerClient;
+  /** Undefined where there are no duties. */
+  readonly duties: DutyClient | undefined;
+  /** Table that the operator writes. */
+  readonly operatorTable: string;
+  /** Table in which servers register. */
+  readonly serverTable: string;
+  readonly readOperatorRow: (key: string, value: Buffer) => OperatorRow;
+  readonly readServerRow: (
+    key: string,
+    value: Buffer,
+  ) => BackendServerEntry | undefined;
+  readonly readSubmission: ReadSubmission;
+  readonly readSignature: ReadSignature;
+}
+
+/** What a node is made of. */
+export interface InstallationNodeOptions {
+  readonly settings: InstallationSettings;
+  readonly ports: InstallationPorts;
+  /** Identity of this process, new at each start. */
+  readonly nodeStart: string;
+  readonly clock: Clock;
+  readonly log: EventLog;
+  readonly stopping: AbortSignal;
+}
+
+/** Puts a node of an installation together; it does nothing before `run`. */
+export async function createInstallationNode(
+  options: InstallationNodeOptions,
+): Promise<InstallationNode> {
+  const { settings, ports, clock, log, stopping } = options;
+  const { table, client } = ports;
+  const common = { clock, log, table, stopping };
+  const random = createRandomSource(randomInt(0x7fff_ffff));
+  const { nodeStart } = options;
+  const { bounds, failureDomain } = settings;
+  const operator = new OperatorView({
+    ...common,
+    tableName: ports.operatorTable,
+    readRow: ports.readOperatorRow,
+    keyWithdrawalMilliseconds: bounds.keyWithdrawalMilliseconds,
+  });
+  const servers = new ServerView({
+    ...common,
+    tableName: ports.serverTable,
+    readRow: ports.readServerRow,
+  });
+  const made: { node?: InstallationNode } = {};
+  const register = new NodeRegister({
+    ...common,
+    self: () => ({
+      node: settings.node,
+      nodeStart,
+      failureDomain,
+      callerAddress: settings.callerAddress,
+      isServing: made.node?.isReady ?? false,
+    }),
+  });
+  const use = new ServerUse({ clock, random, failureDomain });
+  const pool = new EnginePool(clock, servers);
+  const book = new StepBook(common);
+  const tools: StepTools = {
+    ...common,
+    book,
+    pool,
+    servers,
+    client,
+    archive: new SubmissionArchive({
+      table,
+      rowBytes: settings.rowBytes,
+      read: ports.readSubmission,
+    }),
+    results: new ResultList(table, settings.rowBytes),
+    forwarder: new CallForwarder({ ...common, random, servers, client, use }),
+    configuration: () => operator.configuration,
+  };
+  const keeper = new StepKeeper({
+    tools,
+    register,
+    rendezvous: await createRendezvous(),
+    nodeStart,
+    readSignature: ports.readSignature,
+    stopping,
+  });
+  const usage = new UsageMeter({
+    ...common,
+    nodeStart,
+    windowMilliseconds: bounds.usageWindowMilliseconds,
+  });
+  const calls = new CallService({
+    clock,
+    operator,
+    forwarder: tools.forwarder,
+    usage,
+    intake: new StepIntake({
+      tools,
+      readSubmission: ports.readSubmission,
+      chooseOwner: () =>
+        chooseOwner(register, { nodeStart, random: random.next() }),
+    }),
+  });
+  const leaseKeeper = new LeaseKeeper({
+    name: DUTY_LEASE,
+    candidates: () => register.running.length,
+    context: {
+      ...common,
+      nodeStart,
+      random,
+      settings: {
+        node: settings.node,
+        leaseMilliseconds: LEASE_MILLISECONDS,
+        orderDeadlineMilliseconds: ORDER_DEADLINE_MILLISECONDS,
+      },
+      platform: { table: new LeaseTable(table) },
+    },
+  });
+  const lease = new DutyLease(leaseKeeper, settings.node);
+  const duties = ports.duties === undefined || !settings.reportsUsage ? [] : [
+    new UsageReporting({
+      ...common,
+      duties: ports.duties,
+      lease,
+      windowMilliseconds: bounds.usageWindowMilliseconds,
+      lateMilliseconds: bounds.usageLateMilliseconds,
+      startedAt: clock.wall(),
+    }),
+  ];
+  const node = new InstallationNode({
+    operator,
+    servers,
+    register,
+    calls,
+    keeper,
+    reader: new StepReader(tools),
+    background: [
+      operator,
+      servers,
+      register,
+      book,
+      keeper,
+      usage,
+      leaseKeeper,
+      new WeightOrders({
+        ...common,
+        operator,
+        servers,
+        pool,
+        book,
+        client,
+        lease,
+      }),
+      ...duties,
+    ],
+  });
+  made.node = node;
+  return node;
+}
+
+function chooseOwner(
+  register: NodeRegister,
+  options: { readonly nodeStart: string; readonly random: number },
+): string {
+  const { nodeStart, random } = options;
+  const serving = register.running.filter(({ isServing }) => isServing);
+  const isOwnServing = serving.some((other) => other.nodeStart === nodeStart);
+  if (isOwnServing || serving.length === 0) return nodeStart;
+  return serving[Math.floor(random * serving.length)]?.nodeStart ?? nodeStart;
+}
--- a/source/observability/event_catalogue.ts
+++ b/source/observability/event_catalogue.ts
@@ -3,6 +3,7 @@
 import { BACKEND_EVENTS } from "./events/backend_events.ts";
 import { CONTROL_EVENTS } from "./events/control_events.ts";
 import { ENTRY_EVENTS } from "./events/entry_events.ts";
+import { INSTALLATION_EVENTS } from "./events/installation_events.ts";
 import { MEMBERSHIP_EVENTS } from "./events/membership_events.ts";
 import { NODE_EVENTS } from "./events/node_events.ts";
 import { PLATFORM_EVENTS } from "./events/platform_events.ts";
@@ -18,6 +19,7 @@
   ...STEP_EVENTS,
   ...MEMBERSHIP_EVENTS,
   ...ADMISSION_EVENTS,
+  ...INSTALLATION_EVENTS,
 } as const;
 
 /** Name of a log event. */
--- a/source/platform/platform_connection.ts
+++ b/source/platform/platform_connection.ts
@@ -20,6 +20,8 @@
   readonly timeoutMilliseconds: number;
   /** Where silent connections and foreign answers are noted; nowhere when absent. */
   readonly log?: EventLog;
+  /** Whether answers carry the identifier of their call; true when absent. */
+  readonly echoesIdentifier?: boolean;
 }
 
 /** One call to the platform. */
@@ -28,8 +30,12 @@
   /** Path and query, encoded. */
   readonly path: string;
   readonly body?: string | Uint8Array;
+  /** Headers beyond those of every call. */
+  readonly headers?: Readonly<Record<string, string>>;
   /** Must still hold when the first byte leaves. */
   readonly guard?: SendGuard;
+  /** How long the platform may keep the call waiting before it answers; 0 when absent. */
+  readonly heldMilliseconds?: number;
 }
 
 /** An answer of the platform, read whole. */
@@ -126,7 +132,7 @@
           lastByteAt: 0,
         };
         this.#dispatch(exchange, call);
-        void this.#limit(exchange);
+        void this.#limit(exchange, call.heldMilliseconds ?? 0);
       },
     );
     finish.abort();
@@ -139,6 +145,7 @@
       "content-type": typeof call.body === "string"
         ? "application/json"
         : "application/octet-stream",
+      ...call.headers,
     };
     exchange.pool.dispatch(
       {
@@ -191,7 +198,9 @@
   }
 
   #end(exchange: Exchange): void {
-    if (exchange.answeredIdentifier !== exchange.identifier) {
+    const { echoesIdentifier } = this.#options;
+    const isForeign = exchange.answeredIdentifier !== exchange.identifier;
+    if (isForeign && (echoesIdentifier ?? true)) {
       this.#replacePool(exchange.pool);
       const { path } = exchange;
       this.#options.log?.emit("platformAnswerMismatched", { path });
@@ -203,9 +212,12 @@
     exchange.done({ kind: "ok", value: { status, digest, body } });
   }
 
-  async #limit(exchange: Exchange): Promise<void> {
-    const { clock, silenceMilliseconds, timeoutMilliseconds } = this.#options;
-    const deadline = clock.monotonic() + timeoutMilliseconds;
+  async #limit(exchange: Exchange, heldMilliseconds: number): Promise<void> {
+    const { clock } = this.#options;
+    const silenceMilliseconds = this.#options.silenceMilliseconds +
+      heldMilliseconds;
+    const deadline = clock.monotonic() + this.#options.timeoutMilliseconds +
+      heldMilliseconds;
     while (!exchange.finished.aborted) {
       const now = clock.monotonic();
       const silentAt = exchange.controller === undefined
--- /dev/null
+++ b/source/programs/snipepath_installation.ts
@@ -0,0 +1,210 @@
+import { randomUUID } from "node:crypto";
+import { setMaxListeners } from "node:events";
+import { readFileSync, statSync } from "node:fs";
+import { UsersDutyClient } from "../../platform/duty_client.ts";
+import { UsersEntry } from "../../platform/entry_server.ts";
+import { HEADER } from "../../platform/header_names.ts";
+import { readOperatorRow } from "../../platform/operator_rows.ts";
+import { UsersServerClient } from "../../platform/server_client.ts";
+import { readServerRow } from "../../platform/server_rows.ts";
+import {
+  readSettingsFile,
+  SETTINGS_VARIABLE,
+} from "../../platform/settings_file.ts";
+import { readSubmission } from "../../platform/step_messages.ts";
+import { StoreTable } from "../../platform/store_table.ts";
+import { ConnectionPools } from "../backends/connection_pools.ts";
+import type { InstallationSettings } from "../installation/installation_settings.ts";
+import {
+  createInstallationNode,
+  type InstallationPorts,
+} from "../node/create_installation_node.ts";
+import type { InstallationNode } from "../node/installation_node.ts";
+import { createEventLog, type EventLog } from "../observability/event_log.ts";
+import { PlatformConnection } from "../platform/platform_connection.ts";
+import type { Clock } from "../utilities/clock.ts";
+import { SystemClock } from "../utilities/system_clock.ts";
+
+/** A store that is slow answers within some 300 ms; beyond this the connection counts as dead. */
+const STORE_SILENCE_MILLISECONDS = 1200;
+const STORE_TIMEOUT_MILLISECONDS = 2000;
+/** Time kept of the grace period for the end itself. */
+const END_MARGIN_MILLISECONDS = 900;
+/** Callers that were given the address before the leave come for so long. */
+const LATE_CALLERS_MILLISECONDS = 6200;
+const HAND_OVER_MARGIN_MILLISECONDS = 1800;
+const LEAVE_CHECK_MILLISECONDS = 50;
+const SETTINGS_CHECK_MILLISECONDS = 1000;
+const USAGE_EXIT_STATUS = 2;
+
+async function main(): Promise<void> {
+  const path = process.env[SETTINGS_VARIABLE] ?? "";
+  const read = readSettings(path);
+  if (typeof read === "string") {
+    process.stderr.write(`${SETTINGS_VARIABLE}: ${read}\n`);
+    process.exitCode = USAGE_EXIT_STATUS;
+    return;
+  }
+  const settings = read;
+  const clock = new SystemClock();
+  const log = createEventLog({ source: settings.node, level: "info" });
+  const stopping = new AbortController();
+  // Every waiting task listens for the stop.
+  setMaxListeners(0, stopping.signal);
+  const nodeStart = randomUUID();
+  const node = await createInstallationNode({
+    settings,
+    nodeStart,
+    clock,
+    log,
+    stopping: stopping.signal,
+    ports: createPorts(settings, { clock, log }),
+  });
+  const entry = new UsersEntry({ clock, log, node });
+  node.parts.operator.watch(() => entry.applyLimits());
+  const running = node.run();
+  await listen(entry, settings);
+  log.emit("installationNodeStarted", {
+    node: settings.node,
+    nodeStart,
+    address: settings.callerAddress,
+  });
+  watchSettings(path, { clock, log });
+  await Promise.race([waitForSignal(), running]);
+  const cut = await leave({ node, entry, settings, clock, log });
+  stopping.abort();
+  entry.close();
+  log.emit("installationNodeStopped", { cut });
+  setTimeout(() => process.exit(0), LEAVE_CHECK_MILLISECONDS);
+}
+
+function readSettings(path: string): InstallationSettings | string {
+  try {
+    const outcome = readSettingsFile(readFileSync(path, "utf8"));
+    return outcome.kind === "read" ? outcome.settings : outcome.problem;
+  } catch (error) {
+    return error instanceof Error ? error.message : String(error);
+  }
+}
+
+function createPorts(
+  settings: InstallationSettings,
+  tools: { readonly clock: Clock; readonly log: EventLog },
+): InstallationPorts {
+  const { clock } = tools;
+  const bounds = {
+    ...tools,
+    silenceMilliseconds: STORE_SILENCE_MILLISECONDS,
+    timeoutMilliseconds: STORE_TIMEOUT_MILLISECONDS,
+    echoesIdentifier: false,
+  };
+  const store = new PlatformConnection({
+    ...bounds,
+    address: `http://${settings.storeAddress}`,
+  });
+  return {
+    table: new StoreTable(store),
+    client: new UsersServerClient({ clock, pools: new ConnectionPools() }),
+    duties: settings.dutyAddress === undefined
+      ? undefined
+      : new UsersDutyClient(
+        new PlatformConnection({
+          ...bounds,
+          address: `http://${settings.dutyAddress}`,
+        }),
+      ),
+    operatorTable: "op",
+    serverTable: "servers",
+    readOperatorRow,
+    readServerRow,
+    readSubmission,
+    readSignature: (headers) => {
+      const signature = headers[HEADER.signature];
+      return typeof signature === "string" ? signature : undefined;
+    },
+  };
+}
+
+async function listen(
+  entry: UsersEntry,
+  settings: InstallationSettings,
+): Promise<void> {
+  const { callerAddress, readinessAddress, directoryAddress } = settings;
+  await Promise.all([
+    entry.listenForCallers(callerAddress),
+    readinessAddress && entry.listenForReadiness(readinessAddress),
+    directoryAddress && entry.listenForAddresses(directoryAddress),
+  ]);
+}
+
+function waitForSignal(): Promise<void> {
+  return new Promise((resolve) => {
+    process.once("SIGTERM", () => resolve());
+    process.once("SIGINT", () => resolve());
+  });
+}
+
+// Serves on until callers that know the address are gone, then gives unfinished steps away.
+async function leave(
+  parts: {
+    readonly node: InstallationNode;
+    readonly entry: UsersEntry;
+    readonly settings: InstallationSettings;
+    readonly clock: Clock;
+    readonly log: EventLog;
+  },
+): Promise<number> {
+  const { node, entry, settings, clock, log } = parts;
+  const startedAt = clock.monotonic();
+  const { keeper } = node.parts;
+  log.emit("installationNodeLeaving", {
+    running: entry.running,
+    steps: keeper.running,
+  });
+  await node.leave();
+  const last = startedAt + settings.bounds.graceMilliseconds -
+    END_MARGIN_MILLISECONDS;
+  const quiet = startedAt + LATE_CALLERS_MILLISECONDS;
+  let isHandedOver = false;
+  for (;;) {
+    const now = clock.monotonic();
+    const isIdle = entry.running === 0 && keeper.running === 0;
+    if (now >= last || (isIdle && now >= quiet)) return entry.running;
+    if (!isHandedOver && now >= last - HAND_OVER_MARGIN_MILLISECONDS) {
+      isHandedOver = true;
+      await keeper.handOver();
+    }
+    await clock.sleep(LEAVE_CHECK_MILLISECONDS);
+  }
+}
+
+// The settings that change while a node runs are none that it works by; a bad file is told.
+function watchSettings(
+  path: string,
+  tools: { readonly clock: Clock; readonly log: EventLog },
+): void {
+  const check = (): void => {
+    const read = readSettings(path);
+    const problem = typeof read === "string" ? read : "";
+    tools.log.emit("settingsRead", { problem });
+  };
+  process.on("SIGHUP", check);
+  let changedAt = modifiedAt(path);
+  setInterval(() => {
+    const now = modifiedAt(path);
+    if (now === changedAt) return;
+    changedAt = now;
+    check();
+  }, SETTINGS_CHECK_MILLISECONDS).unref();
+}
+
+function modifiedAt(path: string): number {
+  try {
+    return statSync(path).mtimeMs;
+  } catch {
+    // A file that is being replaced may be missing for a moment.
+    return 0;
+  }
+}
+
+void main();
