Judge silent nodes by the last reading of the register, and save texts under way

Cause: in an outage of the store every node's row grew old, so at its return all nodes took steps over from each other again and again; an append of more than 50 results was refused by the store as over 100 entries; a sample refused by a loading engine was sent again at once. Ruled out: lost leases; the steps had live owners all the time. Change: silence counts up to the last reading; appends keep to the store's bounds; texts under way are saved each second; one request finds out whether an engine takes more; a model's steps stay at one node.

--- a/source/backends/connection_pools.ts
+++ b/source/backends/connection_pools.ts
@@ -7,6 +7,19 @@
 const KEEP_ALIVE_MILLISECONDS = 3_000;
 const MAXIMUM_HEADER_BYTES = 32 * 1024;
 
+/** Bounds of connections; the defaults are for servers that say nothing of theirs. */
+export interface ConnectionPoolsOptions {
+  /** Time in which a connection must come about. */
+  readonly connectMilliseconds: number;
+  /** How long an idle connection is kept when its server names no time. */
+  readonly keepAliveMilliseconds: number;
+}
+
+const DEFAULT_OPTIONS: ConnectionPoolsOptions = {
+  connectMilliseconds: CONNECT_TIMEOUT_MILLISECONDS,
+  keepAliveMilliseconds: KEEP_ALIVE_MILLISECONDS,
+};
+
 interface NotedPool {
   readonly pool: Pool;
   readonly dispatcher: Dispatcher;
@@ -21,6 +34,12 @@
 export class ConnectionPools {
   readonly #kept = createPoolCache();
   readonly #single = createPoolCache();
+  readonly #options: ConnectionPoolsOptions;
+
+  /** @param options - Bounds of connections. */
+  constructor(options: ConnectionPoolsOptions = DEFAULT_OPTIONS) {
+    this.#options = options;
+  }
 
   /**
    * Returns the dispatcher of an address.
@@ -31,7 +50,7 @@
     const pools = newConnection ? this.#single : this.#kept;
     const found = pools.get(address);
     if (found !== undefined) return found.dispatcher;
-    const created = createPool(address, newConnection);
+    const created = createPool(address, { ...this.#options, newConnection });
     pools.set(address, created);
     return created.dispatcher;
   }
@@ -60,14 +79,17 @@
   });
 }
 
-function createPool(address: string, newConnection: boolean): NotedPool {
+function createPool(
+  address: string,
+  options: ConnectionPoolsOptions & { readonly newConnection: boolean },
+): NotedPool {
   const pool = new Pool(`http://${address}`, {
-    connect: { timeout: CONNECT_TIMEOUT_MILLISECONDS },
+    connect: { timeout: options.connectMilliseconds },
     headersTimeout: 0,
     bodyTimeout: 0,
-    keepAliveTimeout: KEEP_ALIVE_MILLISECONDS,
+    keepAliveTimeout: options.keepAliveMilliseconds,
     maxHeaderSize: MAXIMUM_HEADER_BYTES,
-    pipelining: newConnection ? 0 : 1,
+    pipelining: options.newConnection ? 0 : 1,
   });
   return { pool, dispatcher: pool.compose(noteSends) };
 }
--- a/source/durable_steps/engine_pool.ts
+++ b/source/durable_steps/engine_pool.ts
@@ -2,8 +2,9 @@
 import type { ServerView } from "../installation/server_view.ts";
 import type { Clock } from "../utilities/clock.ts";
 
-/** Pause of an engine that refused a request because it was full or loading. */
+/** First pause of an engine that refused a request because it was full or loading; a load takes about 1 s. */
 const REFUSED_PAUSE_MILLISECONDS = 60;
+const LONGEST_REFUSED_PAUSE_MILLISECONDS = 250;
 const FAILED_PAUSE_MILLISECONDS = 500;
 const LONGEST_PAUSE_MILLISECONDS = 4000;
 const PACE_WEIGHT = 0.15;
@@ -33,7 +34,10 @@
 
 interface EngineUse {
   running: number;
+  /** Requests of the running ones that the engine has not begun to answer. */
+  unanswered: number;
   failures: number;
+  refusals: number;
   restUntil: number;
   /** Milliseconds an event takes; undefined before the first. */
   pace: number | undefined;
@@ -106,6 +110,19 @@
     });
   }
 
+  /** Notes that an engine has begun to answer a request, or refused it. */
+  noteAnswered(identifier: string): void {
+    this.#use(identifier).unanswered -= 1;
+  }
+
+  /** Notes that an engine runs a request. */
+  noteStarted(identifier: string): void {
+    const use = this.#use(identifier);
+    if (use.refusals === 0) return;
+    use.refusals = 0;
+    this.#pump();
+  }
+
   /** Gives a place back. */
   release(identifier: string): void {
     this.#use(identifier).running -= 1;
@@ -114,7 +131,15 @@
 
   /** Notes that an engine refused a request without running it. */
   noteRefused(identifier: string): void {
-    this.#rest(identifier, REFUSED_PAUSE_MILLISECONDS);
+    const use = this.#use(identifier);
+    // Requests that were sent together are refused together.
+    if (use.restUntil > this.#clock.monotonic()) return;
+    const pause = REFUSED_PAUSE_MILLISECONDS * 2 ** use.refusals;
+    use.refusals += 1;
+    this.#rest(
+      identifier,
+      Math.min(pause, LONGEST_REFUSED_PAUSE_MILLISECONDS),
+    );
   }
 
   /** Notes that an engine failed; it rests, longer each time in a row. */
@@ -129,6 +154,7 @@
   notePace(identifier: string, milliseconds: number): void {
     const use = this.#use(identifier);
     use.failures = 0;
+    use.refusals = 0;
     const pace = use.pace ?? milliseconds;
     use.pace = pace + PACE_WEIGHT * (milliseconds - pace);
     use.pacedAt = this.#clock.monotonic();
@@ -174,7 +200,9 @@
         left.push(waiting);
         continue;
       }
-      this.#use(engine.identifier).running += 1;
+      const use = this.#use(engine.identifier);
+      use.running += 1;
+      use.unanswered += 1;
       waiting.resolve(engine);
     }
     this.#waiting = left;
@@ -199,8 +227,10 @@
         return false;
       }
       const use = this.#uses.get(engine.identifier);
-      return use === undefined ||
-        (use.running < engine.slots && use.restUntil <= now);
+      if (use === undefined) return true;
+      // After a refusal one request finds out whether the engine takes more.
+      const isTried = use.refusals > 0 && use.unanswered > 0;
+      return !isTried && use.running < engine.slots && use.restUntil <= now;
     });
   }
 
@@ -239,7 +269,9 @@
     if (use === undefined) {
       use = {
         running: 0,
+        unanswered: 0,
         failures: 0,
+        refusals: 0,
         restUntil: 0,
         pace: undefined,
         pacedAt: 0,
--- a/source/durable_steps/result_list.ts
+++ b/source/durable_steps/result_list.ts
@@ -11,6 +11,8 @@
 const PIECE_SHARE = 0.9;
 /** Bytes of one transaction's rows, below the store's 1 MB with its base64. */
 const TRANSACTION_BYTES = 600_000;
+/** A transaction takes 100 entries; each result has a condition and a row or more. */
+const TRANSACTION_ENTRIES = 96;
 const POSITION_DIGITS = 7;
 
 /** How an append to a step's list ended. */
@@ -93,7 +95,10 @@
       const position = options.position + conditions.length;
       const rows = this.#toRows(step, { position, result });
       bytes += rows.reduce((sum, { value }) => sum + value.length, 0);
-      if (conditions.length > 0 && bytes > TRANSACTION_BYTES) break;
+      const entries = conditions.length + puts.length + rows.length + 1;
+      const isTooMuch = bytes > TRANSACTION_BYTES ||
+        entries > TRANSACTION_ENTRIES;
+      if (conditions.length > 0 && isTooMuch) break;
       puts.push(...rows);
       const place = { table: STEP_TABLE.results, partition: step };
       conditions.push({ ...place, key: toKey(position, 0), version: 0 });
--- a/source/durable_steps/sample_text_run.ts
+++ b/source/durable_steps/sample_text_run.ts
@@ -21,6 +21,8 @@
   readonly versions: number[];
   /** Number of the last event; undefined before the first. */
   lastEvent: number | undefined;
+  /** Whether no event is missing. */
+  isWhole: boolean;
 }
 
 /** How the making of a text ended. */
@@ -70,6 +72,7 @@
   async run(): Promise<TextOutcome> {
     const { signal, clock, route, pool } = this.#options;
     while (!signal.aborted) {
+      if (this.#options.text.isWhole) return { kind: "whole" };
       const found = route();
       if (found === undefined) {
         await clock.sleep(NO_SERVICE_PAUSE_MILLISECONDS, signal);
@@ -79,7 +82,7 @@
       if (engine === undefined) break;
       const end = await this.#attempt(engine, found);
       pool.release(engine.identifier);
-      if (end === "whole") return { kind: "whole" };
+      if (end === "whole") this.#options.text.isWhole = true;
       if (end === "impossible") {
         return { kind: "failed", reason: "The engine can never make it" };
       }
@@ -107,7 +110,8 @@
     engine: BackendServerEntry,
     route: ServiceRoute,
   ): Promise<AttemptEnd> {
-    const { client, sample, text, host, organisation, servers } = this.#options;
+    const { client, pool, sample, text, host, organisation, servers } =
+      this.#options;
     const { identifier } = engine;
     const end = new AbortController();
     const onCancel = (): void => end.abort();
@@ -128,6 +132,7 @@
         silenceMilliseconds: SILENCE_MILLISECONDS,
         mayStart: () => servers.isServing(identifier),
       });
+      pool.noteAnswered(identifier);
       if (answer.kind !== "answered") {
         return this.#noteFailure(identifier, answer);
       }
@@ -166,6 +171,7 @@
       this.#options.pool.noteRefused(identifier);
       return "again";
     }
+    this.#options.pool.noteStarted(identifier);
     try {
       return await this.#readEvents(engine, route, answer);
     } catch (error) {
@@ -179,12 +185,14 @@
     route: ServiceRoute,
     answer: ServerAnswer,
   ): Promise<AttemptEnd> {
-    const { clock, pool, text, client, model } = this.#options;
+    const { clock, pool, text, client, model, signal } = this.#options;
     const { identifier } = engine;
     let version = answer.weightVersion ?? 0;
     let readAt = clock.monotonic();
     let events = 0;
     for await (const event of client.readEvents(answer.body)) {
+      // A later step may go on with the text by now.
+      if (signal.aborted) return "again";
       version = event.weightVersion ?? version;
       if (!this.#isUsable(version, route)) {
         answer.abandon();
--- a/source/durable_steps/step_intake.ts
+++ b/source/durable_steps/step_intake.ts
@@ -27,8 +27,8 @@
 export interface StepIntakeOptions {
   readonly tools: StepTools;
   readonly readSubmission: ReadSubmission;
-  /** Returns the process that is to run a step that is accepted now. */
-  readonly chooseOwner: () => string;
+  /** Returns the process that is to run a model's step that is accepted now. */
+  readonly chooseOwner: (model: string) => string;
 }
 
 /**
@@ -71,7 +71,7 @@
       step: submission.step,
       upload,
       chunks: rows.length,
-      owner: this.#options.chooseOwner(),
+      owner: this.#options.chooseOwner(submission.model),
     };
     return await this.#commit({ manifest, last, submission });
   }
--- a/source/durable_steps/step_keeper.ts
+++ b/source/durable_steps/step_keeper.ts
@@ -1,3 +1,4 @@
+import { LRUCache } from "lru-cache";
 import type { NodeRegister } from "../installation/node_register.ts";
 import type { Rendezvous } from "../membership/rendezvous.ts";
 import type { ReadSignature } from "./sample_scoring.ts";
@@ -9,6 +10,8 @@
 const CHECK_INTERVAL_MILLISECONDS = 250;
 /** After so long without a take-over by the chosen node, any node tries. */
 const OPEN_TO_ALL_MILLISECONDS = 2000;
+/** Texts of samples that may come back in a later step. */
+const KEPT_TEXTS = 4000;
 /** Steps older than the longest life of a sample are not taken over; sheets allow 40 s. */
 const STEP_LIFE_MILLISECONDS = 120_000;
 
@@ -34,7 +37,7 @@
   readonly #done = new Set<string>();
   readonly #orphanedAt = new Map<string, number>();
   readonly #taking = new Set<string>();
-  readonly #texts = new Map<string, SampleText>();
+  readonly #texts = new LRUCache<string, SampleText>({ max: KEPT_TEXTS });
   #isLeaving = false;
 
   /** @param options - The steps and the nodes. */
@@ -70,10 +73,12 @@
     const heirs = this.#options.register.running.filter((node) =>
       node.isServing && node.nodeStart !== nodeStart
     );
-    await Promise.all([...this.#runs.keys()].map(async (identifier, index) => {
+    const runs = [...this.#runs];
+    await Promise.all(runs.map(async ([identifier, run], index) => {
       const heir = heirs[index % heirs.length];
       const entry = this.#options.tools.book.get(identifier);
       if (heir === undefined || entry === undefined) return;
+      await run.saveTexts();
       await this.#setOwner(entry, heir.nodeStart);
     }));
   }
@@ -99,7 +104,14 @@
     const { manifest } = entry;
     const { identifier } = manifest;
     const texts = this.#texts;
-    const run = new StepRun({ tools, manifest, readSignature, texts });
+    const { nodeStart } = this.#options;
+    const run = new StepRun({
+      tools,
+      manifest,
+      nodeStart,
+      readSignature,
+      texts,
+    });
     this.#runs.set(identifier, run);
     void run.run().finally(() => {
       if (this.#runs.get(identifier) !== run) return;
@@ -116,9 +128,8 @@
   #considerTakeOver(entry: StepEntry): void {
     const { register, tools } = this.#options;
     const { identifier } = entry.manifest;
-    if (this.#isLeaving || !register.isRead || this.#taking.has(identifier)) {
-      return;
-    }
+    if (this.#isLeaving || !register.isCurrent) return;
+    if (this.#taking.has(identifier)) return;
     if (register.isRunning(entry.owner)) {
       this.#orphanedAt.delete(identifier);
       return;
--- a/source/durable_steps/step_manifest.ts
+++ b/source/durable_steps/step_manifest.ts
@@ -36,6 +36,8 @@
   submissions: "submissions",
   /** Listed results, each step in a partition of its own. */
   results: "results",
+  /** Texts under way, each step in a partition of its own. */
+  progress: "progress",
 } as const;
 
 /** Rows that a step has in the table of steps. */
--- a/source/durable_steps/step_run.ts
+++ b/source/durable_steps/step_run.ts
@@ -1,4 +1,5 @@
 import { setMaxListeners } from "node:events";
+import type { LRUCache } from "lru-cache";
 import { findRoute, type ServiceRoute } from "../installation/configuration.ts";
 import { type ReadSignature, scoreSample } from "./sample_scoring.ts";
 import type { SampleResult } from "./sample_result.ts";
@@ -7,9 +8,15 @@
 import type { SampleRequest, StepSubmission } from "./step_submission.ts";
 import type { StepTools } from "./step_tools.ts";
 
+/** What a lost node made since the last saving is made again. */
+const SAVE_INTERVAL_MILLISECONDS = 1000;
+/** Steps before this one whose unfinished groups may come back. */
+const EARLIER_STEPS = 2;
 const STORE_PAUSE_MILLISECONDS = 100;
 /** Listings of results that end closer together share a transaction. */
 const APPEND_PAUSE_MILLISECONDS = 25;
+/** Clocks of two nodes differ by less: nothing is given up too soon. */
+const CLOCK_MARGIN_MILLISECONDS = 2500;
 /** Keeps a step's ranks apart from those of the next one. */
 const RANKS_PER_STEP = 100_000;
 
@@ -17,9 +24,11 @@
 export interface StepRunOptions {
   readonly tools: StepTools;
   readonly manifest: StepManifest;
+  /** Identity of this process. */
+  readonly nodeStart: string;
   readonly readSignature: ReadSignature;
   /** Texts begun at this node, by model and sample. */
-  readonly texts: Map<string, SampleText>;
+  readonly texts: LRUCache<string, SampleText>;
 }
 
 /**
@@ -30,6 +39,7 @@
   readonly #stop = new AbortController();
   readonly #listed = new Set<string>();
   readonly #finished: SampleResult[] = [];
+  readonly #underWay = new Map<string, SampleText>();
   #position = 0;
   #wake = new AbortController();
 
@@ -58,6 +68,7 @@
     if (submission === undefined) return;
     await this.#catchUp();
     await this.#takeEarlierResults(submission);
+    await this.#takeSavedTexts(submission);
     const open = submission.samples.filter(({ identifier }) =>
       !this.#listed.has(identifier) && !this.#isFinished(identifier)
     );
@@ -71,11 +82,51 @@
     const runs = open.map((sample, index) =>
       this.#runSample(sample, { submission, index })
     );
+    const saving = this.#keepSaving();
     await this.#listFinished(manifest.total);
     this.stop();
+    await saving;
     await Promise.all(runs);
   }
 
+  /** Saves all texts that are under way. */
+  async saveTexts(): Promise<void> {
+    const { tools, manifest } = this.#options;
+    await tools.progress.save(manifest.identifier, this.#underWay, {
+      leastNewEvents: 1,
+    });
+  }
+
+  async #keepSaving(): Promise<void> {
+    const { tools, manifest } = this.#options;
+    while (!this.isStopped) {
+      await tools.clock.sleep(SAVE_INTERVAL_MILLISECONDS, this.#stop.signal);
+      if (this.isStopped) return;
+      await tools.progress.save(manifest.identifier, this.#underWay);
+    }
+  }
+
+  // What another node made of this step's samples, or of the step before, goes on here.
+  async #takeSavedTexts(submission: StepSubmission): Promise<void> {
+    const { tools, manifest, texts } = this.#options;
+    const wanted = new Set(submission.samples.map((each) => each.identifier));
+    const steps = [manifest, ...this.#earlierSteps()];
+    for (const { identifier, owner } of steps) {
+      if (owner === this.#options.nodeStart) continue;
+      for (const [sample, text] of await tools.progress.load(identifier)) {
+        const key = this.#toTextKey(sample);
+        const known = texts.get(key)?.parts.length ?? 0;
+        if (wanted.has(sample) && text.parts.length > known) {
+          texts.set(key, text);
+        }
+      }
+    }
+  }
+
+  #toTextKey(sample: string): string {
+    return `${this.#options.manifest.model}/${sample}`;
+  }
+
   #isFinished(identifier: string): boolean {
     return this.#finished.some((result) => result.identifier === identifier);
   }
@@ -111,14 +162,10 @@
 
   // A sample that came back from an earlier step may have been listed there.
   async #takeEarlierResults(submission: StepSubmission): Promise<void> {
-    const { tools, manifest } = this.#options;
+    const { tools } = this.#options;
     const wanted = new Set(submission.samples.map((each) => each.identifier));
-    for (const { manifest: earlier } of tools.book.entries) {
-      const isEarlier = earlier.model === manifest.model &&
-        earlier.organisation === manifest.organisation &&
-        earlier.step < manifest.step &&
-        earlier.step >= manifest.step - 2;
-      if (!isEarlier || this.isStopped) continue;
+    for (const earlier of this.#earlierSteps()) {
+      if (this.isStopped) return;
       const outcome = await tools.results.readAll(earlier.identifier, 0);
       if (outcome.kind !== "ok") continue;
       for (const result of outcome.value) {
@@ -130,6 +177,19 @@
     }
   }
 
+  // Unfinished groups come back in one of the next steps.
+  #earlierSteps(): ReadonlyArray<StepManifest> {
+    const { tools, manifest } = this.#options;
+    return [...tools.book.entries].map((entry) => entry.manifest).filter((
+      earlier,
+    ) =>
+      earlier.model === manifest.model &&
+      earlier.organisation === manifest.organisation &&
+      earlier.step < manifest.step &&
+      earlier.step >= manifest.step - EARLIER_STEPS
+    );
+  }
+
   #fits(result: SampleResult, submission: StepSubmission): boolean {
     if (result.kind !== "completed") return false;
     const { weightVersions } = result;
@@ -149,8 +209,9 @@
     const { identifier } = sample;
     const life = this.#startLife();
     const { signal } = life;
-    const key = `${manifest.model}/${identifier}`;
+    const key = this.#toTextKey(identifier);
     const text = this.#takeText(key, place.submission);
+    this.#underWay.set(identifier, text);
     const outcome = await new SampleTextRun({
       ...tools,
       sample,
@@ -188,6 +249,7 @@
       }
     }
     life.end();
+    this.#underWay.delete(identifier);
     if (!this.isStopped && signal.aborted && !this.#isFinished(identifier)) {
       this.#finish({ kind: "terminated", identifier }, "its time is over");
     }
@@ -218,7 +280,12 @@
       kept.versions.every((version) => version >= submission.minimumVersion) &&
       !(this.#route()?.isSingleVersion && kept.versions.length > 1);
     if (kept !== undefined && isUsable) return kept;
-    const text: SampleText = { parts: [], versions: [], lastEvent: undefined };
+    const text: SampleText = {
+      parts: [],
+      versions: [],
+      lastEvent: undefined,
+      isWhole: false,
+    };
     this.#options.texts.set(key, text);
     return text;
   }
@@ -277,7 +344,8 @@
   #leftMilliseconds(): number {
     const { tools, manifest } = this.#options;
     const life = this.#route()?.sampleLifeMilliseconds ?? Infinity;
-    const left = manifest.submittedAt + life - tools.clock.wall();
+    const left = manifest.submittedAt + life + CLOCK_MARGIN_MILLISECONDS -
+      tools.clock.wall();
     return Math.min(left, 0x7fff_ffff);
   }
 
--- a/source/durable_steps/step_tools.ts
+++ b/source/durable_steps/step_tools.ts
@@ -6,6 +6,7 @@
 import type { DurableTable } from "../platform/durable_table.ts";
 import type { Clock } from "../utilities/clock.ts";
 import type { EnginePool } from "./engine_pool.ts";
+import type { ProgressLog } from "./progress_log.ts";
 import type { ResultList } from "./result_list.ts";
 import type { StepBook } from "./step_book.ts";
 import type { SubmissionArchive } from "./submission_archive.ts";
@@ -18,6 +19,7 @@
   readonly book: StepBook;
   readonly archive: SubmissionArchive;
   readonly results: ResultList;
+  readonly progress: ProgressLog;
   readonly pool: EnginePool;
   readonly servers: ServerView;
   readonly client: ServerClient;
--- a/source/installation/node_register.ts
+++ b/source/installation/node_register.ts
@@ -53,6 +53,8 @@
   readonly #watchers: (() => void)[] = [];
   #isReadFailing = false;
   #isRead = false;
+  /** When the register was last read; silence counts only as far. */
+  #readAt = 0;
 
   /** @param options - The store and this node's record. */
   constructor(options: NodeRegisterOptions) {
@@ -66,18 +68,22 @@
 
   /** The nodes that run, this one included. */
   get running(): ReadonlyArray<NodeRecord> {
-    const { clock, self } = this.#options;
-    const own = self();
-    const now = clock.monotonic();
+    const own = this.#options.self();
     const others = [...this.#seen.values()]
       .filter(({ record, changedAt }) =>
         record.node !== own.node &&
-        now - changedAt < SILENT_SIGNS * this.#intervalMilliseconds
+        this.#readAt - changedAt < SILENT_SIGNS * this.#intervalMilliseconds
       )
       .map(({ record }) => record);
     return [own, ...others];
   }
 
+  /** Whether the register could be read lately, so that what it says of other nodes holds. */
+  get isCurrent(): boolean {
+    const age = this.#options.clock.monotonic() - this.#readAt;
+    return this.#isRead && age < SILENT_SIGNS * this.#intervalMilliseconds;
+  }
+
   /** Whether a process runs, as far as this node can tell. */
   isRunning(nodeStart: string): boolean {
     return this.running.some((record) => record.nodeStart === nodeStart);
@@ -139,6 +145,7 @@
       for (const node of this.#seen.values()) node.changedAt = now;
     }
     this.#isReadFailing = false;
+    this.#readAt = now;
     const names = new Set<string>();
     for (const { key, value, version } of outcome.value.rows) {
       names.add(key);
--- a/source/node/create_installation_node.ts
+++ b/source/node/create_installation_node.ts
@@ -11,6 +11,7 @@
 import { UsageReporting } from "../duties/usage_reporting.ts";
 import { WeightOrders } from "../duties/weight_orders.ts";
 import { EnginePool } from "../durable_steps/engine_pool.ts";
+import { ProgressLog } from "../durable_steps/progress_log.ts";
 import { ResultList } from "../durable_steps/result_list.ts";
 import type { ReadSignature } from "../durable_steps/sample_scoring.ts";
 import { StepBook } from "../durable_steps/step_book.ts";
@@ -28,7 +29,7 @@
   OperatorView,
 } from "../installation/operator_view.ts";
 import { ServerView } from "../installation/server_view.ts";
-import { createRendezvous } from "../membership/rendezvous.ts";
+import { createRendezvous, type Rendezvous } from "../membership/rendezvous.ts";
 import type { EventLog } from "../observability/event_log.ts";
 import type { DurableTable } from "../platform/durable_table.ts";
 import type { Clock } from "../utilities/clock.ts";
@@ -78,6 +79,7 @@
   const { settings, ports, clock, log, stopping } = options;
   const { table, client } = ports;
   const common = { clock, log, table, stopping };
+  const rendezvous = await createRendezvous();
   const random = createRandomSource(randomInt(0x7fff_ffff));
   const { nodeStart } = options;
   const { bounds, failureDomain } = settings;
@@ -118,13 +120,14 @@
       read: ports.readSubmission,
     }),
     results: new ResultList(table, settings.rowBytes),
+    progress: new ProgressLog(table, settings.rowBytes),
     forwarder: new CallForwarder({ ...common, random, servers, client, use }),
     configuration: () => operator.configuration,
   };
   const keeper = new StepKeeper({
     tools,
     register,
-    rendezvous: await createRendezvous(),
+    rendezvous,
     nodeStart,
     readSignature: ports.readSignature,
     stopping,
@@ -142,8 +145,8 @@
     intake: new StepIntake({
       tools,
       readSubmission: ports.readSubmission,
-      chooseOwner: () =>
-        chooseOwner(register, { nodeStart, random: random.next() }),
+      chooseOwner: (model) =>
+        chooseOwner(model, { register, rendezvous, nodeStart }),
     }),
   });
   const leaseKeeper = new LeaseKeeper({
@@ -203,13 +206,20 @@
   return node;
 }
 
+// The steps of a model run at one node, which then knows its engines and has open connections to them.
 function chooseOwner(
-  register: NodeRegister,
-  options: { readonly nodeStart: string; readonly random: number },
+  model: string,
+  options: {
+    readonly register: NodeRegister;
+    readonly rendezvous: Rendezvous;
+    readonly nodeStart: string;
+  },
 ): string {
-  const { nodeStart, random } = options;
+  const { register, rendezvous, nodeStart } = options;
   const serving = register.running.filter(({ isServing }) => isServing);
-  const isOwnServing = serving.some((other) => other.nodeStart === nodeStart);
-  if (isOwnServing || serving.length === 0) return nodeStart;
-  return serving[Math.floor(random * serving.length)]?.nodeStart ?? nodeStart;
+  const [chosen] = rendezvous.choose(model, serving, {
+    count: 1,
+    name: ({ node }) => node,
+  });
+  return chosen?.nodeStart ?? nodeStart;
 }
--- a/source/programs/snipepath_installation.ts
+++ b/source/programs/snipepath_installation.ts
@@ -28,6 +28,10 @@
 /** A store that is slow answers within some 300 ms; beyond this the connection counts as dead. */
 const STORE_SILENCE_MILLISECONDS = 1200;
 const STORE_TIMEOUT_MILLISECONDS = 2000;
+/** A connection takes a few milliseconds; the longest lost packet is repeated within this time. */
+const CONNECT_MILLISECONDS = 600;
+/** Longer than the 4 s between two steps of a trainer, so that the next one needs no new connections. */
+const IDLE_CONNECTION_MILLISECONDS = 12_000;
 /** Time kept of the grace period for the end itself. */
 const END_MARGIN_MILLISECONDS = 900;
 /** Callers that were given the address before the leave come for so long. */
@@ -104,7 +108,13 @@
   });
   return {
     table: new StoreTable(store),
-    client: new UsersServerClient({ clock, pools: new ConnectionPools() }),
+    client: new UsersServerClient({
+      clock,
+      pools: new ConnectionPools({
+        connectMilliseconds: CONNECT_MILLISECONDS,
+        keepAliveMilliseconds: IDLE_CONNECTION_MILLISECONDS,
+      }),
+    }),
     duties: settings.dutyAddress === undefined
       ? undefined
       : new UsersDutyClient(
@@ -172,7 +182,7 @@
     if (now >= last || (isIdle && now >= quiet)) return entry.running;
     if (!isHandedOver && now >= last - HAND_OVER_MARGIN_MILLISECONDS) {
       isHandedOver = true;
-      await keeper.handOver();
+      void keeper.handOver();
     }
     await clock.sleep(LEAVE_CHECK_MILLISECONDS);
   }
