Load a version on engines that no step uses, and start the longest texts first

Ruled out: slots (samples waited 1 ms on average), scoring (0.1 s), listing (0.06 s). Change: a named version goes to engines with neither it nor the one before; steps use both. A node counts as lost after 1 s instead of 1.7 s, longer while the store is slow.

--- a/source/calls/server_use.ts
+++ b/source/calls/server_use.ts
@@ -7,7 +7,7 @@
 const DURATION_WEIGHT = 0.2;
 const FIRST_DURATION_MILLISECONDS = 50;
 /** A request sent to another failure domain costs its bytes; a tie goes to the own one. */
-const OTHER_DOMAIN_FACTOR = 1.1;
+const OTHER_DOMAIN_FACTOR = 1.4;
 
 interface Use {
   running: number;
--- a/source/durable_steps/sample_text_run.ts
+++ b/source/durable_steps/sample_text_run.ts
@@ -61,6 +61,8 @@
 export class SampleTextRun {
   readonly #options: SampleTextRunOptions;
   #failures = 0;
+  #attempts = 0;
+  #startedAt: number | undefined;
   #avoid: string | undefined;
 
   /** @param options - The sample and the engines. */
@@ -68,6 +70,16 @@
     this.#options = options;
   }
 
+  /** Times that a request for the text was sent. */
+  get attempts(): number {
+    return this.#attempts;
+  }
+
+  /** When the first request was sent, on the monotonic clock; undefined before. */
+  get startedAt(): number | undefined {
+    return this.#startedAt;
+  }
+
   /** Runs until the text is whole, can't be made, or the signal is aborted. */
   async run(): Promise<TextOutcome> {
     const { signal, clock, route, pool } = this.#options;
@@ -80,6 +92,8 @@
       }
       const engine = await pool.acquire(this.#need(found), signal);
       if (engine === undefined) break;
+      this.#attempts += 1;
+      this.#startedAt ??= clock.monotonic();
       const end = await this.#attempt(engine, found);
       pool.release(engine.identifier);
       if (end === "whole") this.#options.text.isWhole = true;
--- a/source/durable_steps/step_run.ts
+++ b/source/durable_steps/step_run.ts
@@ -41,6 +41,7 @@
   readonly #finished: SampleResult[] = [];
   readonly #underWay = new Map<string, SampleText>();
   #position = 0;
+  #startedAt = 0;
   #wake = new AbortController();
 
   /** @param options - The step and what it is run with. */
@@ -71,7 +72,7 @@
     await this.#takeSavedTexts(submission);
     const open = submission.samples.filter(({ identifier }) =>
       !this.#listed.has(identifier) && !this.#isFinished(identifier)
-    );
+    ).sort(compareLength);
     tools.log.emit("durableStepRunStarted", {
       step: manifest.identifier,
       model: manifest.model,
@@ -79,6 +80,7 @@
       samples: open.length,
       listed: this.#listed.size,
     });
+    this.#startedAt = tools.clock.monotonic();
     const runs = open.map((sample, index) =>
       this.#runSample(sample, { submission, index })
     );
@@ -212,7 +214,7 @@
     const key = this.#toTextKey(identifier);
     const text = this.#takeText(key, place.submission);
     this.#underWay.set(identifier, text);
-    const outcome = await new SampleTextRun({
+    const run = new SampleTextRun({
       ...tools,
       sample,
       text,
@@ -224,7 +226,9 @@
       route: () => this.#route(),
       leftMilliseconds: () => this.#leftMilliseconds(),
       signal,
-    }).run();
+    });
+    const outcome = await run.run();
+    const madeAt = tools.clock.monotonic();
     if (outcome.kind === "failed") {
       this.#finish({ kind: "terminated", identifier }, outcome.reason);
     } else if (outcome.kind === "whole") {
@@ -246,6 +250,7 @@
           weightVersions: text.versions,
           ...(scoring === undefined ? {} : { score: scoring.score }),
         }, "whole");
+        this.#noteTimes(identifier, { run, madeAt, events: text.parts.length });
       }
     }
     life.end();
@@ -304,6 +309,28 @@
     this.#wake.abort();
   }
 
+  #noteTimes(
+    sample: string,
+    times: {
+      readonly run: SampleTextRun;
+      readonly madeAt: number;
+      readonly events: number;
+    },
+  ): void {
+    const { tools, manifest } = this.#options;
+    const since = (moment: number): number =>
+      Math.round(moment - this.#startedAt);
+    tools.log.emit("sampleFinished", {
+      step: manifest.identifier,
+      sample,
+      startedAt: since(times.run.startedAt ?? times.madeAt),
+      madeAt: since(times.madeAt),
+      scoredAt: since(tools.clock.monotonic()),
+      events: times.events,
+      attempts: times.run.attempts,
+    });
+  }
+
   async #listFinished(total: number): Promise<void> {
     const { tools, manifest } = this.#options;
     while (!this.isStopped && this.#listed.size < total) {
@@ -353,3 +380,8 @@
     return this.#options.tools.clock.sleep(milliseconds, this.#wake.signal);
   }
 }
+
+// The longest text decides when its group is whole, so it starts first.
+function compareLength(left: SampleRequest, right: SampleRequest): number {
+  return (right.expectedTokens ?? 0) - (left.expectedTokens ?? 0);
+}
--- a/source/duties/weight_orders.ts
+++ b/source/duties/weight_orders.ts
@@ -1,14 +1,13 @@
 import type { ServerClient } from "../backends/server_client.ts";
 import type { EnginePool } from "../durable_steps/engine_pool.ts";
-import type { StepBook } from "../durable_steps/step_book.ts";
 import type { BackendServerEntry } from "../installation/backend_server_entry.ts";
 import type { Configuration, Service } from "../installation/configuration.ts";
 import type { OperatorView } from "../installation/operator_view.ts";
 import type { ServerView } from "../installation/server_view.ts";
 import type { EventLog } from "../observability/event_log.ts";
 import type { Clock } from "../utilities/clock.ts";
-import { assignEngines, type ModelDemand } from "./assign_engines.ts";
 import type { DutyLease } from "./duty_lease.ts";
+import { type LoadableEngine, planWeightLoads } from "./plan_weight_loads.ts";
 
 const CHECK_INTERVAL_MILLISECONDS = 100;
 const ORDER_SILENCE_MILLISECONDS = 700;
@@ -26,12 +25,17 @@
   readonly operator: OperatorView;
   readonly servers: ServerView;
   readonly pool: EnginePool;
-  readonly book: StepBook;
   readonly client: ServerClient;
   readonly lease: DutyLease;
   readonly stopping: AbortSignal;
 }
 
+interface ModelDemand {
+  readonly model: string;
+  /** The newest version that was named. */
+  readonly version: number;
+}
+
 /** What the holder knows of one life of an engine. */
 interface EngineState {
   /** Accepted orders; undefined until the engine was asked. */
@@ -43,14 +47,10 @@
   isCalling: boolean;
 }
 
-/**
- * Moves engines to the named versions while this node holds the duty: each model has engines of
- * its own, and only these load its versions.
- */
+/** Has engines load the named versions while this node holds the duty. */
 export class WeightOrders {
   readonly #options: WeightOrdersOptions;
   readonly #states = new Map<string, EngineState>();
-  readonly #assigned = new Map<string, ReadonlyMap<string, string>>();
 
   /** @param options - The engines and the duty. */
   constructor(options: WeightOrdersOptions) {
@@ -77,48 +77,46 @@
   }
 
   #orderService(configuration: Configuration, service: Service): void {
-    const { servers, clock } = this.#options;
-    const engines = servers.ofService(service.name);
-    const demands = this.#demands(service);
-    const previous = this.#assigned.get(service.name) ?? new Map();
-    const assigned = assignEngines(engines, demands, previous);
-    this.#assigned.set(service.name, assigned);
+    const engines = this.#options.servers.ofService(service.name);
+    for (const engine of engines) this.#noteLoaded(engine);
     const limit = Math.max(
       LEAST_LOADING,
       Math.floor(LOADING_SHARE * engines.length),
     );
-    const now = clock.monotonic();
-    for (const engine of engines) this.#noteLoaded(engine);
-    let loading =
-      engines.filter((engine) => this.#state(engine).loading !== undefined)
-        .length;
-    for (const engine of engines) {
-      const model = assigned.get(engine.identifier);
-      const demand = demands.find((each) => each.model === model);
-      const state = this.#state(engine);
-      if (demand === undefined || state.isCalling) continue;
-      if (state.loading !== undefined || now < state.waitUntil) continue;
-      if (loading >= limit || !this.#isBehind(engine, demand)) continue;
-      loading += 1;
-      const isSingle = needsSingleVersion(configuration, service.name);
-      void this.#order(engine, { demand, isSingle });
+    let loading = engines.filter((engine) => this.#isLoading(engine)).length;
+    const isSingle = needsSingleVersion(configuration, service.name);
+    for (const model of service.models) {
+      const version = this.#options.operator.namedVersions.get(model);
+      if (version === undefined) continue;
+      const chosen = planWeightLoads(
+        engines.map((engine) => this.#toLoadable(engine, model)),
+        { version, models: service.models.length, most: limit - loading },
+      );
+      loading += chosen.length;
+      for (const identifier of chosen) {
+        const engine = this.#options.servers.servers.get(identifier);
+        if (engine === undefined) continue;
+        void this.#order(engine, { demand: { model, version }, isSingle });
+      }
     }
   }
 
-  #demands(service: Service): ReadonlyArray<ModelDemand> {
-    const newest = new Map<string, { step: number; total: number }>();
-    for (const { manifest } of this.#options.book.entries) {
-      const known = newest.get(manifest.model);
-      if (known === undefined || manifest.step >= known.step) {
-        const { step, total } = manifest;
-        newest.set(manifest.model, { step, total });
-      }
-    }
-    return service.models.map((model) => ({
-      model,
-      weight: newest.get(model)?.total ?? 0,
-      version: this.#options.operator.namedVersions.get(model) ?? 0,
-    }));
+  #toLoadable(engine: BackendServerEntry, model: string): LoadableEngine {
+    const { pool, clock } = this.#options;
+    const state = this.#state(engine);
+    const { loading } = state;
+    return {
+      identifier: engine.identifier,
+      version: pool.versionOf(engine, model),
+      loading: loading?.model === model ? loading.version : undefined,
+      isFree: !this.#isLoading(engine) && clock.monotonic() >= state.waitUntil,
+      running: pool.running(engine.identifier),
+    };
+  }
+
+  #isLoading(engine: BackendServerEntry): boolean {
+    const state = this.#state(engine);
+    return state.isCalling || state.loading !== undefined;
   }
 
   #isBehind(engine: BackendServerEntry, demand: ModelDemand): boolean {
--- a/source/installation/node_register.ts
+++ b/source/installation/node_register.ts
@@ -3,11 +3,14 @@
 import type { Clock } from "../utilities/clock.ts";
 
 const TABLE = "nodes";
-/** Three of them without a sign make a node count as lost. */
-const SIGN_INTERVAL_MILLISECONDS = 500;
+/** Three of them without a sign make a node count as lost; its steps stand still for so long. */
+const SIGN_INTERVAL_MILLISECONDS = 300;
 /** At most this many signs a second over all nodes, a small share of the store's writes. */
 const SIGNS_PER_SECOND = 200;
 const SILENT_SIGNS = 3.4;
+/** A slow store delays the signs of all nodes alike: so many calls of its present length are waited for. */
+const SILENT_CALLS = 4;
+const CALL_WEIGHT = 0.3;
 /** Rows of nodes that are gone for longer are deleted by whoever sees them. */
 const FORGET_MILLISECONDS = 60_000;
 
@@ -55,6 +58,8 @@
   #isRead = false;
   /** When the register was last read; silence counts only as far. */
   #readAt = 0;
+  /** How long a call to the store takes at present. */
+  #callMilliseconds = 0;
 
   /** @param options - The store and this node's record. */
   constructor(options: NodeRegisterOptions) {
@@ -72,7 +77,7 @@
     const others = [...this.#seen.values()]
       .filter(({ record, changedAt }) =>
         record.node !== own.node &&
-        this.#readAt - changedAt < SILENT_SIGNS * this.#intervalMilliseconds
+        this.#readAt - changedAt < this.#silenceMilliseconds
       )
       .map(({ record }) => record);
     return [own, ...others];
@@ -81,7 +86,7 @@
   /** Whether the register could be read lately, so that what it says of other nodes holds. */
   get isCurrent(): boolean {
     const age = this.#options.clock.monotonic() - this.#readAt;
-    return this.#isRead && age < SILENT_SIGNS * this.#intervalMilliseconds;
+    return this.#isRead && age < this.#silenceMilliseconds;
   }
 
   /** Whether a process runs, as far as this node can tell. */
@@ -117,6 +122,11 @@
     );
   }
 
+  get #silenceMilliseconds(): number {
+    return SILENT_SIGNS * this.#intervalMilliseconds +
+      SILENT_CALLS * this.#callMilliseconds;
+  }
+
   async #keepSigning(): Promise<void> {
     const { clock, stopping } = this.#options;
     while (!stopping.aborted) {
@@ -134,12 +144,16 @@
   }
 
   async #read(): Promise<void> {
-    const outcome = await this.#options.table.read(TABLE, { partition: "" });
+    const { clock, table } = this.#options;
+    const sentAt = clock.monotonic();
+    const outcome = await table.read(TABLE, { partition: "" });
+    const took = clock.monotonic() - sentAt;
+    this.#callMilliseconds += CALL_WEIGHT * (took - this.#callMilliseconds);
     if (outcome.kind !== "ok") {
       this.#isReadFailing = true;
       return;
     }
-    const now = this.#options.clock.monotonic();
+    const now = clock.monotonic();
     // Nodes may have been unable to write too: their silence counts from now on.
     if (this.#isReadFailing) {
       for (const node of this.#seen.values()) node.changedAt = now;
--- a/source/node/create_installation_node.ts
+++ b/source/node/create_installation_node.ts
@@ -195,7 +195,6 @@
         operator,
         servers,
         pool,
-        book,
         client,
         lease,
       }),
--- a/source/observability/events/installation_events.ts
+++ b/source/observability/events/installation_events.ts
@@ -123,6 +123,21 @@
     action: "",
     fields: ["sample", "server", "reason", "afterEvent"],
   }),
+  sampleFinished: defineEvent(9307, {
+    level: "info",
+    message:
+      "A sample is whole and scored; times are milliseconds since the run of its step began",
+    action: "",
+    fields: [
+      "step",
+      "sample",
+      "startedAt",
+      "madeAt",
+      "scoredAt",
+      "events",
+      "attempts",
+    ],
+  }),
   usageWindowReported: defineEvent(9401, {
     level: "info",
     message: "The usage of a window was sent",
