--- /dev/null
+++ b/stand_ins/installation/create_step_tools.ts
@@ -0,0 +1,48 @@
+import { CallForwarder } from "../../source/calls/call_forwarder.ts";
+import { ServerUse } from "../../source/calls/server_use.ts";
+import { EnginePool } from "../../source/durable_steps/engine_pool.ts";
+import { ProgressLog } from "../../source/durable_steps/progress_log.ts";
+import { ResultList } from "../../source/durable_steps/result_list.ts";
+import { StepBook } from "../../source/durable_steps/step_book.ts";
+import type { StepTools } from "../../source/durable_steps/step_tools.ts";
+import { SubmissionArchive } from "../../source/durable_steps/submission_archive.ts";
+import { ServerView } from "../../source/installation/server_view.ts";
+import { RecordingEventLog } from "../../source/observability/event_log.ts";
+import type { DurableTable } from "../../source/platform/durable_table.ts";
+import { createRandomSource } from "../../source/utilities/random_source.ts";
+import { SystemClock } from "../../source/utilities/system_clock.ts";
+import { ScriptedServerClient } from "./scripted_server_client.ts";
+
+const ROW_BYTES = 65_536;
+
+/** Creates what the parts that run steps share, over a given store and without servers. */
+export function createStepTools(table: DurableTable): StepTools {
+  const clock = new SystemClock();
+  const log = new RecordingEventLog();
+  const random = createRandomSource(1);
+  const stopping = new AbortController().signal;
+  const common = { clock, log, table, stopping };
+  const client = new ScriptedServerClient(() => ({ kind: "notRun" }));
+  const servers = new ServerView({
+    ...common,
+    tableName: "servers",
+    readRow: () => undefined,
+  });
+  const use = new ServerUse({ clock, random, failureDomain: "a" });
+  return {
+    ...common,
+    book: new StepBook(common),
+    archive: new SubmissionArchive({
+      table,
+      rowBytes: ROW_BYTES,
+      read: () => undefined,
+    }),
+    results: new ResultList(table, ROW_BYTES),
+    progress: new ProgressLog(table, ROW_BYTES),
+    pool: new EnginePool(clock, servers),
+    servers,
+    client,
+    forwarder: new CallForwarder({ ...common, random, servers, client, use }),
+    configuration: () => undefined,
+  };
+}
