--- a/source/installation/server_view.ts
+++ b/source/installation/server_view.ts
@@ -52,6 +52,12 @@
     return this.#isRead;
   }
 
+  /** Whether the entries could be read lately, and none is kept that may be gone. */
+  get isCurrent(): boolean {
+    return this.#isRead && this.#failingSince === undefined &&
+      this.#options.clock.monotonic() >= this.#keepMissingUntil;
+  }
+
   /** All registered servers, leaving ones included. */
   get servers(): ReadonlyMap<string, BackendServerEntry> {
     return this.#servers;
--- a/source/node/create_installation_node.ts
+++ b/source/node/create_installation_node.ts
@@ -7,6 +7,7 @@
 import type { DutyClient } from "../duties/duty_client.ts";
 import { DutyLease } from "../duties/duty_lease.ts";
 import { LeaseTable } from "../duties/lease_table.ts";
+import { ServerOrders } from "../duties/server_orders.ts";
 import { UsageMeter } from "../duties/usage_meter.ts";
 import { UsageReporting } from "../duties/usage_reporting.ts";
 import { WeightOrders } from "../duties/weight_orders.ts";
@@ -34,7 +35,7 @@
 import type { DurableTable } from "../platform/durable_table.ts";
 import type { Clock } from "../utilities/clock.ts";
 import { createRandomSource } from "../utilities/random_source.ts";
-import { InstallationNode } from "./installation_node.ts";
+import { type BackgroundPart, InstallationNode } from "./installation_node.ts";
 
 /** Short enough that a duty rests for about 2 s when its holder is lost. */
 const LEASE_MILLISECONDS = 1200;
@@ -165,16 +166,23 @@
     },
   });
   const lease = new DutyLease(leaseKeeper, settings.node);
-  const duties = ports.duties === undefined || !settings.reportsUsage ? [] : [
-    new UsageReporting({
-      ...common,
-      duties: ports.duties,
-      lease,
-      windowMilliseconds: bounds.usageWindowMilliseconds,
-      lateMilliseconds: bounds.usageLateMilliseconds,
-      startedAt: clock.wall(),
-    }),
-  ];
+  const duties: BackgroundPart[] = [];
+  if (ports.duties !== undefined) {
+    const duty = { ...common, duties: ports.duties, lease };
+    if (settings.reportsUsage) {
+      duties.push(
+        new UsageReporting({
+          ...duty,
+          windowMilliseconds: bounds.usageWindowMilliseconds,
+          lateMilliseconds: bounds.usageLateMilliseconds,
+          startedAt: clock.wall(),
+        }),
+      );
+    }
+    if (settings.ordersServers) {
+      duties.push(new ServerOrders({ ...duty, operator, servers }));
+    }
+  }
   const node = new InstallationNode({
     operator,
     servers,
