--- /dev/null
+++ b/stand_ins/installation/start_http_server.ts
@@ -0,0 +1,45 @@
+import {
+  createServer,
+  type IncomingMessage,
+  type ServerResponse,
+} from "node:http";
+import type { AddressInfo } from "node:net";
+
+/** A server on a loopback address. */
+export interface StartedServer {
+  /** HOST:PORT. */
+  readonly address: string;
+  /** Closes it and cuts its connections. */
+  readonly close: () => void;
+}
+
+/** Serves one request whose body was read whole. */
+export type ServeWhole = (
+  request: IncomingMessage,
+  response: ServerResponse,
+  body: Buffer,
+) => Promise<void> | void;
+
+/** Starts an HTTP server on a free loopback port. */
+export async function startHttpServer(
+  serve: ServeWhole,
+): Promise<StartedServer> {
+  const server = createServer((request, response) => {
+    const chunks: Buffer[] = [];
+    response.on("error", () => {});
+    request.on("data", (chunk: Buffer) => chunks.push(chunk));
+    request.on(
+      "end",
+      () => void serve(request, response, Buffer.concat(chunks)),
+    );
+  });
+  await new Promise<void>((resolve) => server.listen(0, "127.0.0.1", resolve));
+  const { port } = server.address() as AddressInfo;
+  return {
+    address: `127.0.0.1:${port}`,
+    close: () => {
+      server.close();
+      server.closeAllConnections();
+    },
+  };
+}
--- /dev/null
+++ b/stand_ins/installation/users_engine_server.ts
@@ -0,0 +1,98 @@
+import type { IncomingMessage, ServerResponse } from "node:http";
+import { type StartedServer, startHttpServer } from "./start_http_server.ts";
+
+/** How a stand-in for a users' engine behaves. */
+export interface UsersEngineOptions {
+  readonly identifier: string;
+  readonly events: number;
+  readonly millisecondsPerEvent: number;
+  /** Weight versions by model; orders change them. */
+  readonly versions: Map<string, number>;
+  /** Whether the next stream breaks off inside its second event. */
+  breaksNextStream?: boolean;
+}
+
+/** A run that the engine saw. */
+export interface SeenRun {
+  readonly request: string;
+  readonly organisation: string | undefined;
+  readonly afterEvent: number | undefined;
+}
+
+/** A stand-in for a users' engine. */
+export interface UsersEngine extends StartedServer {
+  readonly options: UsersEngineOptions;
+  readonly runs: ReadonlyArray<SeenRun>;
+}
+
+/** Starts a stand-in for a users' engine that speaks their wire. */
+export async function startUsersEngine(
+  options: UsersEngineOptions,
+): Promise<UsersEngine> {
+  const runs: SeenRun[] = [];
+  let orders = 0;
+  const server = await startHttpServer(async (request, response, body) => {
+    const expected = request.headers["expect-instance"];
+    if (expected !== undefined && expected !== options.identifier) {
+      response.writeHead(421, { "not-executed": "1" }).end();
+    } else if (request.url === "/-/report") {
+      const models = [...options.versions].map(([name, version]) => ({
+        name,
+        version,
+      }));
+      response.end(JSON.stringify({ models, busy: false, seq: orders }));
+    } else if (request.url === "/-/order") {
+      const order = JSON.parse(body.toString());
+      if (order.expected !== orders) return void response.writeHead(409).end();
+      orders += 1;
+      options.versions.set(order.model, order.version);
+      response.writeHead(202).end();
+    } else {
+      runs.push(toRun(request));
+      await stream(request, response, options);
+    }
+  });
+  return { ...server, options, runs };
+}
+
+function toRun(request: IncomingMessage): SeenRun {
+  const { headers } = request;
+  const after = headers["last-event-id"];
+  return {
+    request: String(headers["request-id"]),
+    organisation: headers["tenant"] as string | undefined,
+    afterEvent: after === undefined ? undefined : Number(after),
+  };
+}
+
+async function stream(
+  request: IncomingMessage,
+  response: ServerResponse,
+  options: UsersEngineOptions,
+): Promise<void> {
+  const { headers } = request;
+  const version = options.versions.get(String(headers["model"])) ?? 1;
+  response.writeHead(200, {
+    "content-type": "text/event-stream",
+    "request-id": String(headers["request-id"]),
+    "server-stamp": `signed by ${options.identifier}`,
+    "weight-versions": String(version),
+  });
+  const breaks = options.breaksNextStream === true;
+  options.breaksNextStream = false;
+  const first = Number(headers["last-event-id"] ?? 0) + 1;
+  for (let event = first; event <= options.events; event += 1) {
+    await wait(options.millisecondsPerEvent);
+    if (response.destroyed) return;
+    if (breaks && event === first + 1) {
+      response.write(`id: ${event}\nda`, () => response.destroy());
+      return;
+    }
+    response.write(`id: ${event}\ndata: part ${event}\n\n`);
+  }
+  response.end();
+}
+
+function wait(milliseconds: number): Promise<void> {
+  return new Promise((resolve) => setTimeout(resolve, milliseconds));
+}
--- /dev/null
+++ b/stand_ins/installation/world_caller.ts
@@ -0,0 +1,52 @@
+import { request as sendRequest } from "node:http";
+import type { InstallationWorld, WorldNode } from "./installation_world.ts";
+
+/** An answer read whole. */
+export interface WorldAnswer {
+  readonly status: number;
+  readonly headers: Readonly<Record<string, string | string[] | undefined>>;
+  readonly body: string;
+}
+
+/** Sends one request of a caller to a node. */
+export function callNode(
+  world: InstallationWorld,
+  node: WorldNode,
+  call: {
+    readonly method: string;
+    readonly path: string;
+    readonly identifier?: string;
+    readonly key?: string;
+    readonly body?: string;
+    readonly headers?: Readonly<Record<string, string>>;
+  },
+): Promise<WorldAnswer> {
+  const [host, port] = node.caller.split(":");
+  return new Promise((resolve, reject) => {
+    const request = sendRequest({
+      host,
+      port,
+      method: call.method,
+      path: call.path,
+      agent: false,
+      headers: {
+        host: world.host,
+        "request-id": call.identifier ?? "q1",
+        authorization: `Bearer ${call.key ?? world.key}`,
+        ...call.headers,
+      },
+    }, (response) => {
+      const chunks: Buffer[] = [];
+      response.on("data", (chunk: Buffer) => chunks.push(chunk));
+      response.on("error", reject);
+      response.on("end", () =>
+        resolve({
+          status: response.statusCode ?? 0,
+          headers: response.headers,
+          body: Buffer.concat(chunks).toString(),
+        }));
+    });
+    request.on("error", reject);
+    request.end(call.body ?? "");
+  });
+}
