Delete rows of expired steps; send callers and steps to strong nodes; abort without stacks

Cause: rows of steps only grew; weak nodes of mixed installations got as many callers as strong ones; each call to the store created an error with its stack when its timer ended (seen in a processor profile of an idle node). Change: StepRetention, selectStrongNodes, aborts with a reason. The time between two readings of servers follows from the bound on leaving ones.

--- a/source/backends/silence_watch.ts
+++ b/source/backends/silence_watch.ts
@@ -1,4 +1,5 @@
 import type { Clock } from "../utilities/clock.ts";
+import { ENDED } from "../utilities/ended.ts";
 
 const CHECKS_PER_SILENCE = 5;
 const MINIMUM_STALL_MILLISECONDS = 20;
@@ -54,7 +55,7 @@
 
   /** Ends the watch. */
   stop(): void {
-    this.#stopped.abort();
+    this.#stopped.abort(ENDED);
   }
 
   async #run(): Promise<void> {
--- a/source/calls/call_forwarder.ts
+++ b/source/calls/call_forwarder.ts
@@ -14,6 +14,7 @@
 import type { RandomSource } from "../utilities/random_source.ts";
 import type { CallOutcome } from "./call_outcome.ts";
 import type { ServerUse } from "./server_use.ts";
+import { ENDED } from "../utilities/ended.ts";
 
 /** Share of the latency target after which a second server is tried beside the first. */
 const HEDGE_SHARE = 0.6;
@@ -109,7 +110,7 @@
     try {
       return await this.#untilDone();
     } finally {
-      for (const cancel of this.#cancels) cancel.abort();
+      for (const cancel of this.#cancels) cancel.abort(ENDED);
     }
   }
 
@@ -176,7 +177,7 @@
     // The stream runs on after this call has returned.
     const cancel = [...this.#cancels];
     this.#cancels.clear();
-    const finish = (): void => cancel.forEach((other) => other.abort());
+    const finish = (): void => cancel.forEach((other) => other.abort(ENDED));
     return { kind: "streaming", status, headers, body, finish };
   }
 
@@ -222,7 +223,7 @@
     const { use, clock, log } = this.#options;
     const { identifier } = server;
     const cancel = new AbortController();
-    const onGone = (): void => cancel.abort();
+    const onGone = (): void => cancel.abort(ENDED);
     this.#cancels.add(cancel);
     this.#call.signal.addEventListener("abort", onGone, { once: true });
     use.begin(identifier);
@@ -282,14 +283,14 @@
   async #sleep(milliseconds: number): Promise<void> {
     const wake = new AbortController();
     const { signal } = this.#call;
-    const onGone = (): void => wake.abort();
+    const onGone = (): void => wake.abort(ENDED);
     signal.addEventListener("abort", onGone, { once: true });
     await Promise.race([
       ...this.#running,
       this.#options.clock.sleep(Math.max(1, milliseconds), wake.signal),
     ]);
     signal.removeEventListener("abort", onGone);
-    wake.abort();
+    wake.abort(ENDED);
   }
 }
 
--- a/source/calls/call_forwarder_test.ts
+++ b/source/calls/call_forwarder_test.ts
@@ -74,6 +74,7 @@
     table,
     tableName: "servers",
     readRow: (key) => toServer(key),
+    drainMilliseconds: 2000,
     stopping: stopping.signal,
   });
   const isRead = new Promise<void>((resolve) => servers.watch(resolve));
--- a/source/durable_steps/sample_text_run.ts
+++ b/source/durable_steps/sample_text_run.ts
@@ -7,6 +7,7 @@
 import type { Clock } from "../utilities/clock.ts";
 import type { EngineNeed, EnginePool } from "./engine_pool.ts";
 import type { SampleRequest } from "./step_submission.ts";
+import { ENDED } from "../utilities/ended.ts";
 
 /** An engine that sends nothing for so long is given up; a load of weights holds runs up for about 1 s. */
 const SILENCE_MILLISECONDS = 2500;
@@ -128,7 +129,7 @@
       this.#options;
     const { identifier } = engine;
     const end = new AbortController();
-    const onCancel = (): void => end.abort();
+    const onCancel = (): void => end.abort(ENDED);
     this.#options.signal.addEventListener("abort", onCancel, { once: true });
     try {
       const answer = await client.open(engine, {
@@ -153,7 +154,7 @@
       return await this.#read(engine, route, answer);
     } finally {
       this.#options.signal.removeEventListener("abort", onCancel);
-      end.abort();
+      end.abort(ENDED);
     }
   }
 
--- a/source/durable_steps/step_run.ts
+++ b/source/durable_steps/step_run.ts
@@ -7,6 +7,7 @@
 import type { StepManifest } from "./step_manifest.ts";
 import type { SampleRequest, StepSubmission } from "./step_submission.ts";
 import type { StepTools } from "./step_tools.ts";
+import { ENDED } from "../utilities/ended.ts";
 
 /** What a lost node made since the last saving is made again. */
 const SAVE_INTERVAL_MILLISECONDS = 1000;
@@ -53,8 +54,8 @@
 
   /** Ends the run; what is listed stays. */
   stop(): void {
-    this.#stop.abort();
-    this.#wake.abort();
+    this.#stop.abort(ENDED);
+    this.#wake.abort(ENDED);
   }
 
   /** Whether the run was ended. */
@@ -264,11 +265,11 @@
   #startLife(): { readonly signal: AbortSignal; readonly end: () => void } {
     const controller = new AbortController();
     const { signal } = this.#stop;
-    const onStop = (): void => controller.abort();
+    const onStop = (): void => controller.abort(ENDED);
     signal.addEventListener("abort", onStop, { once: true });
-    if (signal.aborted) controller.abort();
+    if (signal.aborted) controller.abort(ENDED);
     const timer = setTimeout(
-      () => controller.abort(),
+      () => controller.abort(ENDED),
       Math.max(0, this.#leftMilliseconds()),
     );
     const end = (): void => {
@@ -306,7 +307,7 @@
       });
     }
     this.#finished.push(result);
-    this.#wake.abort();
+    this.#wake.abort(ENDED);
   }
 
   #noteTimes(
--- a/source/installation/installation_settings.ts
+++ b/source/installation/installation_settings.ts
@@ -4,6 +4,8 @@
   readonly node: string;
   readonly failureDomain: string;
   readonly region: string;
+  /** Processor that the node may use, in cores of the usual speed. */
+  readonly processorShare: number;
   /** HOST:PORT for callers. */
   readonly callerAddress: string;
   /** HOST:PORT of the readiness check; undefined when there is none. */
--- a/source/installation/node_register.ts
+++ b/source/installation/node_register.ts
@@ -21,6 +21,8 @@
   /** Identity of its process, new at each start. */
   readonly nodeStart: string;
   readonly failureDomain: string;
+  /** Processor that it may use, in cores of the usual speed. */
+  readonly processorShare: number;
   /** HOST:PORT for callers. */
   readonly callerAddress: string;
   /** Whether new callers should be sent there. */
--- a/source/installation/node_register_test.ts
+++ b/source/installation/node_register_test.ts
@@ -27,6 +27,7 @@
       node,
       nodeStart,
       failureDomain: "a",
+      processorShare: 1,
       callerAddress: `${node}:80`,
       isServing: true,
     }),
--- a/source/installation/server_view.ts
+++ b/source/installation/server_view.ts
@@ -3,8 +3,8 @@
 import type { Clock } from "../utilities/clock.ts";
 import type { BackendServerEntry } from "./backend_server_entry.ts";
 
-/** Well under the shortest bound on leaving servers, 2 s, with time for two lost reads. */
-const READ_INTERVAL_MILLISECONDS = 400;
+/** Share of the bound on leaving servers between two reads, with time for two lost ones. */
+const READ_INTERVAL_SHARE = 0.2;
 /** Entries that lapsed in an outage of the store are back within about 2 s of its return. */
 const RETURN_MILLISECONDS = 1900;
 
@@ -19,6 +19,8 @@
     key: string,
     value: Buffer,
   ) => BackendServerEntry | undefined;
+  /** From the notice of a leaving server until it must get no new request. */
+  readonly drainMilliseconds: number;
   readonly stopping: AbortSignal;
 }
 
@@ -84,7 +86,8 @@
     const { clock, stopping } = this.#options;
     while (!stopping.aborted) {
       await this.#read();
-      await clock.sleep(READ_INTERVAL_MILLISECONDS, stopping);
+      const interval = READ_INTERVAL_SHARE * this.#options.drainMilliseconds;
+      await clock.sleep(interval, stopping);
     }
   }
 
--- a/source/node/create_installation_node.ts
+++ b/source/node/create_installation_node.ts
@@ -19,6 +19,7 @@
 import { StepIntake } from "../durable_steps/step_intake.ts";
 import { StepKeeper } from "../durable_steps/step_keeper.ts";
 import { StepReader } from "../durable_steps/step_reader.ts";
+import { StepRetention } from "../durable_steps/step_retention.ts";
 import type { ReadSubmission } from "../durable_steps/step_submission.ts";
 import type { StepTools } from "../durable_steps/step_tools.ts";
 import { SubmissionArchive } from "../durable_steps/submission_archive.ts";
@@ -29,6 +30,7 @@
   type OperatorRow,
   OperatorView,
 } from "../installation/operator_view.ts";
+import { selectStrongNodes } from "../installation/select_strong_nodes.ts";
 import { ServerView } from "../installation/server_view.ts";
 import { createRendezvous, type Rendezvous } from "../membership/rendezvous.ts";
 import type { EventLog } from "../observability/event_log.ts";
@@ -94,6 +96,7 @@
     ...common,
     tableName: ports.serverTable,
     readRow: ports.readServerRow,
+    drainMilliseconds: bounds.drainMilliseconds,
   });
   const made: { node?: InstallationNode } = {};
   const register = new NodeRegister({
@@ -102,6 +105,7 @@
       node: settings.node,
       nodeStart,
       failureDomain,
+      processorShare: settings.processorShare,
       callerAddress: settings.callerAddress,
       isServing: made.node?.isReady ?? false,
     }),
@@ -198,6 +202,12 @@
       keeper,
       usage,
       leaseKeeper,
+      new StepRetention({
+        ...common,
+        book,
+        lease,
+        keepMilliseconds: bounds.resultKeepMilliseconds,
+      }),
       new WeightOrders({
         ...common,
         operator,
@@ -223,7 +233,7 @@
   },
 ): string {
   const { register, rendezvous, nodeStart } = options;
-  const serving = register.running.filter(({ isServing }) => isServing);
+  const serving = selectStrongNodes(register.running);
   const [chosen] = rendezvous.choose(model, serving, {
     count: 1,
     name: ({ node }) => node,
--- a/source/node/installation_node.ts
+++ b/source/node/installation_node.ts
@@ -3,6 +3,7 @@
 import type { StepReader } from "../durable_steps/step_reader.ts";
 import type { NodeRegister } from "../installation/node_register.ts";
 import type { OperatorView } from "../installation/operator_view.ts";
+import { selectStrongNodes } from "../installation/select_strong_nodes.ts";
 import type { ServerView } from "../installation/server_view.ts";
 
 /** A part that works in the background until the node stops. */
@@ -57,9 +58,7 @@
 
   /** Returns the nodes that callers should connect to; this one's own failure domain is not preferred. */
   addresses(): AddressAnswer {
-    const serving = this.parts.register.running.filter(({ isServing }) =>
-      isServing
-    );
+    const serving = selectStrongNodes(this.parts.register.running);
     return {
       addresses: serving.slice(0, LARGEST_ADDRESS_ANSWER).map((node) =>
         node.callerAddress
--- a/source/observability/events/installation_events.ts
+++ b/source/observability/events/installation_events.ts
@@ -138,6 +138,13 @@
       "attempts",
     ],
   }),
+  stepRowsDeleted: defineEvent(9308, {
+    level: "info",
+    message:
+      "The rows of a step were deleted; the promise to keep its results is over",
+    action: "",
+    fields: ["step"],
+  }),
   usageWindowReported: defineEvent(9401, {
     level: "info",
     message: "The usage of a window was sent",
--- a/source/platform/platform_connection.ts
+++ b/source/platform/platform_connection.ts
@@ -3,6 +3,7 @@
 import type { Clock } from "../utilities/clock.ts";
 import type { PlatformFailure, PlatformOutcome } from "./platform_outcome.ts";
 import type { SendGuard } from "./send_guard.ts";
+import { ENDED } from "../utilities/ended.ts";
 
 const MAXIMUM_CONNECTIONS = 16;
 const MAXIMUM_WAITING_CALLS = 512;
@@ -135,7 +136,7 @@
         void this.#limit(exchange, call.heldMilliseconds ?? 0);
       },
     );
-    finish.abort();
+    finish.abort(ENDED);
     return outcome;
   }
 
--- a/source/utilities/within.ts
+++ b/source/utilities/within.ts
@@ -1,4 +1,5 @@
 import type { Clock } from "./clock.ts";
+import { ENDED } from "./ended.ts";
 
 /**
  * Waits for a promise, but no longer than a duration.
@@ -18,6 +19,6 @@
   const late = options.clock.sleep(options.milliseconds, done.signal)
     .then(() => undefined);
   const value = await Promise.race([promise, late]);
-  done.abort();
+  done.abort(ENDED);
   return value;
 }
--- a/stand_ins/installation/create_step_tools.ts
+++ b/stand_ins/installation/create_step_tools.ts
@@ -15,18 +15,25 @@
 
 const ROW_BYTES = 65_536;
 
-/** Creates what the parts that run steps share, over a given store and without servers. */
-export function createStepTools(table: DurableTable): StepTools {
+/**
+ * Creates what the parts that run steps share, over a given store and without servers.
+ * @param table - The store.
+ * @param stopping - Ends what runs in the background.
+ */
+export function createStepTools(
+  table: DurableTable,
+  stopping: AbortSignal = new AbortController().signal,
+): StepTools {
   const clock = new SystemClock();
   const log = new RecordingEventLog();
   const random = createRandomSource(1);
-  const stopping = new AbortController().signal;
   const common = { clock, log, table, stopping };
   const client = new ScriptedServerClient(() => ({ kind: "notRun" }));
   const servers = new ServerView({
     ...common,
     tableName: "servers",
     readRow: () => undefined,
+    drainMilliseconds: 2000,
   });
   const use = new ServerUse({ clock, random, failureDomain: "a" });
   return {
