Give each writer of the store a partition of its own

Cause: one partition of the store takes 200 writes a second one after another; with 86 nodes the signs of all nodes, the steps and the lease shared one and would delay each other. Change: steps, nodes, leases and orders lie in partitions of their own; signs of all nodes together stay under 120 a second.

--- a/source/durable_steps/step_book.ts
+++ b/source/durable_steps/step_book.ts
@@ -10,6 +10,7 @@
 import {
   readManifest,
   readStepKey,
+  STEP_PARTITION,
   STEP_TABLE,
   type StepManifest,
   toStepKey,
@@ -49,6 +50,7 @@
       clock,
       table,
       name: STEP_TABLE.steps,
+      partition: STEP_PARTITION,
       stopping,
       onSnapshot: (rows) => this.#replace(rows),
       onChanges: (changes) => this.#apply(changes),
@@ -89,7 +91,7 @@
     const known = this.#entries.get(identifier);
     if (known !== undefined) return { kind: "ok", value: known };
     const outcome = await this.#options.table.read(STEP_TABLE.steps, {
-      partition: "",
+      partition: STEP_PARTITION,
       from: `${identifier}/`,
       to: `${identifier}0`,
     });
@@ -195,7 +197,7 @@
 } {
   return {
     table: STEP_TABLE.steps,
-    partition: "",
+    partition: STEP_PARTITION,
     key: toStepKey(identifier, kind),
   };
 }
--- a/source/durable_steps/step_intake_test.ts
+++ b/source/durable_steps/step_intake_test.ts
@@ -38,7 +38,7 @@
 }
 
 async function countManifests(table: MemoryDurableTable): Promise<number> {
-  const outcome = await table.read("steps", { partition: "" });
+  const outcome = await table.read("steps", { partition: "steps" });
   return outcome.kind === "ok" ? outcome.value.rows.length : -1;
 }
 
--- a/source/durable_steps/step_manifest.ts
+++ b/source/durable_steps/step_manifest.ts
@@ -28,6 +28,9 @@
   }
 }
 
+/** Partition of manifests, owners, ends and submissions, apart from other writers. */
+export const STEP_PARTITION = "steps";
+
 /** Names of the store's tables of steps. */
 export const STEP_TABLE = {
   /** Manifests, owners and ends, in one partition. */
--- a/source/durable_steps/step_retention.ts
+++ b/source/durable_steps/step_retention.ts
@@ -3,7 +3,11 @@
 import type { DurableTable, RowPlace } from "../platform/durable_table.ts";
 import type { Clock } from "../utilities/clock.ts";
 import { isWhole, type StepBook, toStepPlace } from "./step_book.ts";
-import { STEP_TABLE, type StepManifest } from "./step_manifest.ts";
+import {
+  STEP_PARTITION,
+  STEP_TABLE,
+  type StepManifest,
+} from "./step_manifest.ts";
 
 const CHECK_INTERVAL_MILLISECONDS = 15_000;
 /** Clocks of nodes differ, and a reader may be late: rows stay so much longer than promised. */
@@ -63,7 +67,7 @@
       { table: STEP_TABLE.progress, partition: identifier },
       {
         table: STEP_TABLE.submissions,
-        partition: "",
+        partition: STEP_PARTITION,
         from: `${upload}/`,
         to: `${upload}0`,
       },
--- a/source/durable_steps/step_retention_test.ts
+++ b/source/durable_steps/step_retention_test.ts
@@ -37,7 +37,7 @@
     { ...toStepPlace(identifier, "manifest"), value },
     {
       table: "submissions",
-      partition: "",
+      partition: "steps",
       key: `${identifier}/u/00000`,
       value,
     },
@@ -87,7 +87,7 @@
   await tools.clock.sleep(50);
   await createRetention(tools, stopping.signal).deleteExpired();
   const left = await Promise.all(["steps", "submissions"].map(async (name) => {
-    const outcome = await table.read(name, { partition: "" });
+    const outcome = await table.read(name, { partition: "steps" });
     return outcome.kind === "ok"
       ? outcome.value.rows.map(({ key }) => key)
       : [];
--- a/source/durable_steps/submission_archive.ts
+++ b/source/durable_steps/submission_archive.ts
@@ -5,7 +5,11 @@
   StoredRow,
 } from "../platform/durable_table.ts";
 import type { PlatformOutcome } from "../platform/platform_outcome.ts";
-import { STEP_TABLE, type StepManifest } from "./step_manifest.ts";
+import {
+  STEP_PARTITION,
+  STEP_TABLE,
+  type StepManifest,
+} from "./step_manifest.ts";
 import type { ReadSubmission, StepSubmission } from "./step_submission.ts";
 
 /** Bytes of one transaction's rows: three quarters of the store's 1 MB, as rows grow by a third in base64. */
@@ -42,7 +46,7 @@
     for (let start = 0; start < body.length; start += bytes) {
       rows.push({
         table: STEP_TABLE.submissions,
-        partition: "",
+        partition: STEP_PARTITION,
         key: toChunkKey(upload, rows.length),
         value: body.subarray(start, start + bytes),
       });
@@ -100,7 +104,7 @@
     const rows: StoredRow[] = [];
     while (rows.length < chunks) {
       const outcome = await this.#options.table.read(STEP_TABLE.submissions, {
-        partition: "",
+        partition: STEP_PARTITION,
         from: toChunkKey(upload, rows.length),
         to: toChunkKey(upload, chunks),
       });
--- a/source/duties/lease_table.ts
+++ b/source/duties/lease_table.ts
@@ -11,6 +11,9 @@
   TransactionResult,
 } from "../platform/table_client.ts";
 
+/** Of its own, so that no other writer delays a renewal. */
+const PARTITION = "leases";
+
 /** Gives lease keepers single rows of a durable table. */
 export class LeaseTable implements Pick<TableClient, "get" | "commit"> {
   readonly #table: DurableTable;
@@ -26,7 +29,7 @@
     key: string,
   ): Promise<PlatformOutcome<Row | undefined>> {
     const outcome = await this.#table.read(table, {
-      partition: "",
+      partition: PARTITION,
       from: key,
       to: `${key}\u0000`,
     });
@@ -67,7 +70,7 @@
 function toPlace(
   place: { readonly table: string; readonly key: string },
 ): RowPlace {
-  return { table: place.table, partition: "", key: place.key };
+  return { table: place.table, partition: PARTITION, key: place.key };
 }
 
 function toRow({ key, value, version }: StoredRow): Row {
--- a/source/duties/server_orders.ts
+++ b/source/duties/server_orders.ts
@@ -75,7 +75,7 @@
     const known = this.#targets.get(name);
     if (known !== undefined || present.size === 0) return known;
     const targets: Targets = Object.fromEntries(present);
-    const place = { table: TABLE, partition: "", key: `targets/${name}` };
+    const place = { table: TABLE, partition: TABLE, key: `targets/${name}` };
     const outcome = await this.#options.table.commit({
       conditions: [{ ...place, version: 0 }],
       puts: [{ ...place, value: Buffer.from(JSON.stringify(targets)) }],
--- a/source/installation/node_register.ts
+++ b/source/installation/node_register.ts
@@ -3,10 +3,12 @@
 import type { Clock } from "../utilities/clock.ts";
 
 const TABLE = "nodes";
+/** Of its own, so that signs do not delay steps. */
+const PARTITION = "nodes";
 /** Three of them without a sign make a node count as lost; its steps stand still for so long. */
 const SIGN_INTERVAL_MILLISECONDS = 300;
-/** At most this many signs a second over all nodes, a small share of the store's writes. */
-const SIGNS_PER_SECOND = 200;
+/** Signs of all nodes together; one partition of the store takes 200 writes a second. */
+const SIGNS_PER_SECOND = 120;
 const SILENT_SIGNS = 3.4;
 /** A slow store delays the signs of all nodes alike: so many calls of its present length are waited for. */
 const SILENT_CALLS = 4;
@@ -113,7 +115,7 @@
     const value = Buffer.from(JSON.stringify(record));
     await table.commit({
       conditions: [],
-      puts: [{ table: TABLE, partition: "", key: record.node, value }],
+      puts: [{ table: TABLE, partition: PARTITION, key: record.node, value }],
     });
   }
 
@@ -148,7 +150,7 @@
   async #read(): Promise<void> {
     const { clock, table } = this.#options;
     const sentAt = clock.monotonic();
-    const outcome = await table.read(TABLE, { partition: "" });
+    const outcome = await table.read(TABLE, { partition: PARTITION });
     const took = clock.monotonic() - sentAt;
     this.#callMilliseconds += CALL_WEIGHT * (took - this.#callMilliseconds);
     if (outcome.kind !== "ok") {
@@ -189,7 +191,7 @@
     for (const [name, { changedAt, version }] of this.#seen) {
       if (now - changedAt < FORGET_MILLISECONDS) continue;
       this.#seen.delete(name);
-      const place = { table: TABLE, partition: "", key: name };
+      const place = { table: TABLE, partition: PARTITION, key: name };
       void this.#options.table.commit({
         conditions: [{ ...place, version }],
         puts: [],
--- a/source/installation/operator_view.ts
+++ b/source/installation/operator_view.ts
@@ -59,6 +59,7 @@
       clock,
       table,
       name: tableName,
+      partition: "",
       stopping,
       onSnapshot: (rows) =>
         this.#apply(rows.map((row) => ({ ...row, isDeleted: false }))),
--- a/source/platform/table_follower.ts
+++ b/source/platform/table_follower.ts
@@ -13,6 +13,8 @@
   readonly clock: Clock;
   readonly table: DurableTable;
   readonly name: string;
+  /** The partition in which all its rows lie. */
+  readonly partition: string;
   /** Gets all rows after a gap. */
   readonly onSnapshot: (rows: ReadonlyArray<StoredRow>) => void;
   /** Gets changes in order. */
@@ -23,7 +25,7 @@
 }
 
 /**
- * Keeps a copy of a table's first partition: reads it whole, then waits for changes.
+ * Keeps a copy of a table that has one partition: reads it whole, then waits for changes.
  * @example
  * ```ts
  * const follower = new TableFollower({ ...options, name: "op" });
@@ -67,13 +69,13 @@
   }
 
   async #read(): Promise<string | undefined> {
-    const { table, name, onSnapshot } = this.#options;
+    const { table, name, partition, onSnapshot } = this.#options;
     const rows: StoredRow[] = [];
     let version: number | undefined;
     let from: string | undefined;
     for (;;) {
       const outcome = await table.read(name, {
-        partition: "",
+        partition,
         maximum: PAGE_ROWS,
         ...(from === undefined ? {} : { from }),
       });
