Metrics fetched as text, and the path of a request from log files

Cause: a failed request of an installation could only be followed by reading all logs by hand, and nothing of a node's state could be fetched.

--- a/source/backends/connection_pools.ts
+++ b/source/backends/connection_pools.ts
@@ -60,6 +60,11 @@
     return this.#kept.peek(address)?.pool.stats.running ?? 0;
   }
 
+  /** Open reusable connections to an address that no request uses. */
+  idle(address: string): number {
+    return this.#kept.peek(address)?.pool.stats.free ?? 0;
+  }
+
   /** Makes sure that no connection open now to an address is used again. */
   retire(address: string): void {
     this.#kept.delete(address);
--- a/source/backends/server_client.ts
+++ b/source/backends/server_client.ts
@@ -83,6 +83,8 @@
     request: ServerRequest,
     options: ExchangeOptions,
   ): Promise<ServerAnswer | ExchangeFailure>;
+  /** Whether a request could be sent without opening a connection. */
+  isConnected(server: BackendServerEntry): boolean;
   /** Reads whole events of a generated text; throws when the body ends early. */
   readEvents(body: AsyncIterable<Buffer>): AsyncGenerator<TextEvent>;
   /** Orders an engine to load weights. */
--- a/source/calls/call_forwarder.ts
+++ b/source/calls/call_forwarder.ts
@@ -235,12 +235,14 @@
       this.#cancels.delete(cancel);
       this.#call.signal.removeEventListener("abort", onGone);
     }
-    if (result.kind === "whole" || result.kind === "open") {
+    const isServed = result.kind === "open" ||
+      (result.kind === "whole" && result.status < 500);
+    if (isServed) {
       use.noteSuccess(identifier, milliseconds);
     } else if (cancel.signal.aborted) use.noteSlow(identifier, milliseconds);
-    else if (result.kind === "failed" || !result.isFull) {
+    else if (result.kind !== "notRun" || !result.isFull) {
       use.noteFailure(identifier);
-      const reason = result.kind === "failed" ? result.reason : "not reached";
+      const reason = describeFailure(result);
       const { request } = this.#call;
       log.emit("attemptFailed", {
         request: request.identifier,
@@ -330,3 +332,8 @@
   const { status, body, answer } = result;
   return { kind: "answered", status, headers: answer.headers, body };
 }
+
+function describeFailure(result: AttemptResult): string {
+  if (result.kind === "failed") return result.reason;
+  return result.kind === "whole" ? `status ${result.status}` : "not reached";
+}
--- a/source/calls/call_forwarder_test.ts
+++ b/source/calls/call_forwarder_test.ts
@@ -105,7 +105,12 @@
     client,
     log: new RecordingEventLog(),
     servers: await createServers(options.servers ?? ["a", "b", "c"]),
-    use: new ServerUse({ clock, random, failureDomain: "a" }),
+    use: new ServerUse({
+      clock,
+      random,
+      failureDomain: "a",
+      isConnected: () => false,
+    }),
   });
   const startedAt = clock.monotonic();
   const outcome = await forwarder.forward({
--- a/source/calls/call_service.ts
+++ b/source/calls/call_service.ts
@@ -6,6 +6,7 @@
   type ServiceRoute,
 } from "../installation/configuration.ts";
 import type { OperatorView } from "../installation/operator_view.ts";
+import type { Metrics } from "../observability/metrics.ts";
 import type { Clock } from "../utilities/clock.ts";
 import type { CallForwarder } from "./call_forwarder.ts";
 import type { CallOutcome } from "./call_outcome.ts";
@@ -50,6 +51,7 @@
   readonly forwarder: CallForwarder;
   readonly intake: StepIntake;
   readonly usage: UsageMeter;
+  readonly metrics: Metrics;
 }
 
 /** Serves callers by the configuration in force. */
@@ -63,6 +65,20 @@
 
   /** Serves one call. */
   async serve(call: IncomingCall): Promise<CallOutcome> {
+    const outcome = await this.#serve(call);
+    const { metrics, clock } = this.#options;
+    metrics.count("calls", {
+      outcome: outcome.kind,
+      detail: describeOutcome(outcome),
+    });
+    const milliseconds = clock.monotonic() - call.arrivedAt;
+    metrics.histogram("call_milliseconds", milliseconds, {
+      outcome: outcome.kind,
+    });
+    return outcome;
+  }
+
+  async #serve(call: IncomingCall): Promise<CallOutcome> {
     const { configuration } = this.#options.operator;
     if (configuration === undefined) return NOT_CONFIGURED;
     const path = call.target.split("?")[0] ?? "";
@@ -150,6 +166,12 @@
   }
 }
 
+function describeOutcome(outcome: CallOutcome): string {
+  if (outcome.kind === "refused") return outcome.refusal;
+  if (outcome.kind === "unknown") return outcome.reason;
+  return "status" in outcome ? String(outcome.status) : "";
+}
+
 const NOT_CONFIGURED = {
   kind: "refused",
   refusal: "notConfigured",
--- a/source/calls/server_use.ts
+++ b/source/calls/server_use.ts
@@ -7,7 +7,9 @@
 const DURATION_WEIGHT = 0.2;
 const FIRST_DURATION_MILLISECONDS = 50;
 /** A request sent to another failure domain costs its bytes; a tie goes to the own one. */
-const OTHER_DOMAIN_FACTOR = 1.4;
+const OTHER_DOMAIN_FACTOR = 1.3;
+/** A new connection has its price, and holds a place of the server for a moment. */
+const NEW_CONNECTION_FACTOR = 1.4;
 
 interface Use {
   running: number;
@@ -21,6 +23,8 @@
   readonly clock: Clock;
   readonly random: RandomSource;
   readonly failureDomain: string;
+  /** Whether a request could be sent without opening a connection. */
+  readonly isConnected: (server: BackendServerEntry) => boolean;
 }
 
 /**
@@ -112,7 +116,7 @@
   }
 
   #cost(server: BackendServerEntry): number {
-    const { failureDomain, random } = this.#options;
+    const { failureDomain, random, isConnected } = this.#options;
     const use = this.#uses.get(server.identifier);
     const running = use?.running ?? 0;
     const milliseconds = use?.milliseconds ?? FIRST_DURATION_MILLISECONDS;
@@ -122,7 +126,8 @@
       : OTHER_DOMAIN_FACTOR;
     // Spreads first requests of many nodes, which know nothing of one another.
     const spread = 1 + 0.2 * random.next();
-    return milliseconds * waiting * domain * spread;
+    const connection = isConnected(server) ? 1 : NEW_CONNECTION_FACTOR;
+    return milliseconds * waiting * domain * connection * spread;
   }
 
   #use(identifier: string): Use {
--- a/source/control/lease_keeper.ts
+++ b/source/control/lease_keeper.ts
@@ -101,6 +101,7 @@
   #writes = 0;
   #highestFencingNumber = 0;
   #announced: number | undefined;
+  #lastFailure = "";
   #clockEpoch = 0;
   #isReleased = false;
   #isPolling = true;
@@ -166,6 +167,7 @@
       this.#noteFailure(outcome.kind, outcome.reason);
       return false;
     }
+    this.#lastFailure = "";
     this.#adopt(outcome.value);
     return true;
   }
@@ -262,6 +264,7 @@
       return;
     }
     this.#mustRead = false;
+    this.#lastFailure = "";
     this.#seen = undefined;
     this.#holding = this.#hold(write, outcome.value.versions[0] ?? 0);
   }
@@ -327,7 +330,10 @@
     this.#announced = fencingNumber;
   }
 
+  // An outage is told once, not at each try.
   #noteFailure(kind: string, reason: string): void {
+    if (this.#lastFailure === reason) return;
+    this.#lastFailure = reason;
     const fields = { lease: this.name, kind, reason };
     this.#context.log.emit("leaseCallFailed", fields);
   }
--- a/source/durable_steps/sample_text_run.ts
+++ b/source/durable_steps/sample_text_run.ts
@@ -176,7 +176,7 @@
     const { identifier } = engine;
     if (answer.status !== 200 || answer.signature === undefined) {
       answer.abandon();
-      if (answer.status === 500) return "failedStatus";
+      if (answer.status === 500) return this.#noteError(identifier);
       if (answer.status === 422) return "impossible";
       return this.#noteCut(identifier, `status ${answer.status}`);
     }
@@ -236,6 +236,13 @@
     return "whole";
   }
 
+  // Either the engine fails part of its requests or the sample fails everywhere; another one tells.
+  #noteError(identifier: string): AttemptEnd {
+    this.#avoid = identifier;
+    this.#options.pool.noteRefused(identifier);
+    return "failedStatus";
+  }
+
   #shouldMove(engine: BackendServerEntry, route: ServiceRoute): boolean {
     return this.#options.pool.hasFasterFree(
       engine.identifier,
--- a/source/installation/installation_settings.ts
+++ b/source/installation/installation_settings.ts
@@ -12,6 +12,8 @@
   readonly readinessAddress: string | undefined;
   /** HOST:PORT where callers ask for addresses; undefined when this node is not asked. */
   readonly directoryAddress: string | undefined;
+  /** HOST:PORT at which metrics are fetched; without a host, no metrics are served. */
+  readonly metricsAddress: string;
   /** HOST:PORT of the store. */
   readonly storeAddress: string;
   /** Largest value of a row, in bytes. */
--- a/source/installation/node_register.ts
+++ b/source/installation/node_register.ts
@@ -58,6 +58,7 @@
   readonly #options: NodeRegisterOptions;
   readonly #seen = new Map<string, SeenNode>();
   readonly #watchers: (() => void)[] = [];
+  #others: ReadonlyArray<NodeRecord> = [];
   #isReadFailing = false;
   #isRead = false;
   /** When the register was last read; silence counts only as far. */
@@ -77,14 +78,7 @@
 
   /** The nodes that run, this one included. */
   get running(): ReadonlyArray<NodeRecord> {
-    const own = this.#options.self();
-    const others = [...this.#seen.values()]
-      .filter(({ record, changedAt }) =>
-        record.node !== own.node &&
-        this.#readAt - changedAt < this.#silenceMilliseconds
-      )
-      .map(({ record }) => record);
-    return [own, ...others];
+    return [this.#options.self(), ...this.#others];
   }
 
   /** Whether the register could be read lately, so that what it says of other nodes holds. */
@@ -95,7 +89,8 @@
 
   /** Whether a process runs, as far as this node can tell. */
   isRunning(nodeStart: string): boolean {
-    return this.running.some((record) => record.nodeStart === nodeStart);
+    return this.#options.self().nodeStart === nodeStart ||
+      this.#others.some((record) => record.nodeStart === nodeStart);
   }
 
   /** Calls a function after each reading of the register. */
@@ -177,10 +172,20 @@
       if (!names.has(name)) this.#seen.delete(name);
     }
     this.#forgetLost(now);
+    this.#others = this.#findOthers(now);
     this.#isRead = true;
     for (const onRead of this.#watchers) onRead();
   }
 
+  #findOthers(now: number): ReadonlyArray<NodeRecord> {
+    const own = this.#options.self().node;
+    return [...this.#seen.values()]
+      .filter(({ record, changedAt }) =>
+        record.node !== own && now - changedAt < this.#silenceMilliseconds
+      )
+      .map(({ record }) => record);
+  }
+
   #noteStart(node: string, record: NodeRecord): void {
     if (this.#seen.get(node)?.record.nodeStart === record.nodeStart) return;
     const { nodeStart } = record;
--- a/source/installation/operator_view.ts
+++ b/source/installation/operator_view.ts
@@ -90,6 +90,14 @@
     return isFresh(confirmed, clock, bound);
   }
 
+  /** Age of what the view holds; undefined before the first reading. */
+  ageMilliseconds(): number | undefined {
+    const { confirmed } = this.#follower;
+    return confirmed === undefined
+      ? undefined
+      : this.#options.clock.monotonic() - confirmed.monotonic;
+  }
+
   /** Calls a function at each change. */
   watch(onChange: () => void): void {
     this.#watchers.push(onChange);
--- a/source/node/create_installation_node.ts
+++ b/source/node/create_installation_node.ts
@@ -33,10 +33,13 @@
 import { selectStrongNodes } from "../installation/select_strong_nodes.ts";
 import { ServerView } from "../installation/server_view.ts";
 import { createRendezvous, type Rendezvous } from "../membership/rendezvous.ts";
+import type { Metrics } from "../observability/metrics.ts";
 import type { EventLog } from "../observability/event_log.ts";
+import { MeasuredTable } from "../platform/measured_table.ts";
 import type { DurableTable } from "../platform/durable_table.ts";
 import type { Clock } from "../utilities/clock.ts";
 import { createRandomSource } from "../utilities/random_source.ts";
+import { setInstallationGauges } from "./installation_gauges.ts";
 import { type BackgroundPart, InstallationNode } from "./installation_node.ts";
 
 /** Short enough that a duty rests for about 2 s when its holder is lost. */
@@ -72,6 +75,7 @@
   readonly nodeStart: string;
   readonly clock: Clock;
   readonly log: EventLog;
+  readonly metrics: Metrics;
   readonly stopping: AbortSignal;
 }
 
@@ -79,8 +83,9 @@
 export async function createInstallationNode(
   options: InstallationNodeOptions,
 ): Promise<InstallationNode> {
-  const { settings, ports, clock, log, stopping } = options;
-  const { table, client } = ports;
+  const { settings, ports, clock, log, metrics, stopping } = options;
+  const { client } = ports;
+  const table = new MeasuredTable(ports.table, { clock, metrics });
   const common = { clock, log, table, stopping };
   const rendezvous = await createRendezvous();
   const random = createRandomSource(randomInt(0x7fff_ffff));
@@ -110,7 +115,12 @@
       isServing: made.node?.isReady ?? false,
     }),
   });
-  const use = new ServerUse({ clock, random, failureDomain });
+  const use = new ServerUse({
+    clock,
+    random,
+    failureDomain,
+    isConnected: (server) => client.isConnected(server),
+  });
   const pool = new EnginePool(clock, servers);
   const book = new StepBook(common);
   const tools: StepTools = {
@@ -147,6 +157,7 @@
     operator,
     forwarder: tools.forwarder,
     usage,
+    metrics,
     intake: new StepIntake({
       tools,
       readSubmission: ports.readSubmission,
@@ -194,6 +205,16 @@
     calls,
     keeper,
     reader: new StepReader(tools),
+    setGauges: () =>
+      setInstallationGauges({
+        metrics,
+        operator,
+        servers,
+        register,
+        keeper,
+        pool,
+        lease,
+      }),
     background: [
       operator,
       servers,
--- /dev/null
+++ b/source/node/installation_gauges.ts
@@ -0,0 +1,35 @@
+import type { DutyLease } from "../duties/duty_lease.ts";
+import type { EnginePool } from "../durable_steps/engine_pool.ts";
+import type { StepKeeper } from "../durable_steps/step_keeper.ts";
+import type { NodeRegister } from "../installation/node_register.ts";
+import type { OperatorView } from "../installation/operator_view.ts";
+import type { ServerView } from "../installation/server_view.ts";
+import type { Metrics } from "../observability/metrics.ts";
+
+/** What the gauges look at. */
+export interface InstallationGaugesOptions {
+  readonly metrics: Metrics;
+  readonly operator: OperatorView;
+  readonly servers: ServerView;
+  readonly register: NodeRegister;
+  readonly keeper: StepKeeper;
+  readonly pool: EnginePool;
+  readonly lease: DutyLease;
+}
+
+/** Sets the gauges of a node; called when its metrics are fetched. */
+export function setInstallationGauges(
+  options: InstallationGaugesOptions,
+): void {
+  const { metrics, operator, servers, register, keeper, pool, lease } = options;
+  const age = operator.ageMilliseconds() ?? -1;
+  metrics.gauge("operator_view_age_milliseconds", age, {});
+  metrics.gauge("key_view_fresh", Number(operator.isKeyViewFresh()), {});
+  const version = operator.configuration?.version ?? -1;
+  metrics.gauge("configuration_version", version, {});
+  metrics.gauge("servers_known", servers.servers.size, {});
+  metrics.gauge("nodes_running", register.running.length, {});
+  metrics.gauge("steps_running", keeper.running, {});
+  metrics.gauge("samples_waiting", pool.waiting, {});
+  metrics.gauge("duty_held", lease.ifHeld() === undefined ? 0 : 1, {});
+}
--- a/source/node/installation_node.ts
+++ b/source/node/installation_node.ts
@@ -19,6 +19,8 @@
   readonly calls: CallService;
   readonly keeper: StepKeeper;
   readonly reader: StepReader;
+  /** Brings the gauges up to date before they are fetched. */
+  readonly setGauges: () => void;
   /** Everything that works in the background. */
   readonly background: ReadonlyArray<BackgroundPart>;
 }
--- /dev/null
+++ b/source/observability/log_trace_test.ts
@@ -0,0 +1,83 @@
+import test from "ava";
+import { readLogLines, traceLogs } from "./log_trace.ts";
+
+function line(
+  second: number,
+  event: string,
+  fields: Readonly<Record<string, string | number>>,
+): string {
+  return JSON.stringify({
+    event,
+    level: "info",
+    message: "",
+    number: 1,
+    source: "front-1",
+    timestamp: new Date(Date.UTC(2026, 0, 1, 0, 0, second)).toISOString(),
+    ...fields,
+  });
+}
+
+const OUTAGE = [
+  line(1, "storeLost", { table: "op", reason: "status 503" }),
+  line(3, "callEnded", { request: "q1", detail: "staleKeys" }),
+];
+
+const CASES: ReadonlyArray<{
+  readonly title: string;
+  readonly lines: ReadonlyArray<string>;
+  readonly cause: string | undefined;
+}> = [
+  {
+    title: "a call refused while the store was away",
+    lines: OUTAGE,
+    cause: "The store did not answer front-1: status 503",
+  },
+  {
+    title: "a call whose server broke off",
+    lines: [
+      line(1, "attemptFailed", {
+        request: "q1",
+        server: "i-1",
+        reason: "Answer cut",
+      }),
+      line(2, "callEnded", { request: "q1", detail: "serverFailed" }),
+    ],
+    cause: "Server i-1 failed: Answer cut",
+  },
+  {
+    title: "a sample whose engine fell silent",
+    lines: [
+      line(1, "sampleAttemptCut", {
+        sample: "q1",
+        server: "i-2",
+        reason: "Connection went silent",
+      }),
+      line(4, "sampleFinished", { sample: "q1" }),
+    ],
+    cause: "Engine i-2 broke the text off: Connection went silent",
+  },
+  {
+    title: "a step whose node was lost",
+    lines: [line(1, "durableStepTakenOver", { step: "q1", from: "p-7" })],
+    cause: "The node that ran the step was lost (process p-7)",
+  },
+  {
+    title: "a request that went well",
+    lines: [line(1, "durableStepAccepted", { step: "q1" })],
+    cause: undefined,
+  },
+];
+
+for (const { title, lines, cause } of CASES) {
+  test(`logs name the condition of ${title}`, (t) => {
+    const text = `12.5 front-1 ${lines.join("\n12.6 front-1 ")}\nnoise {`;
+    t.is(traceLogs(readLogLines(text), "q1").cause, cause);
+  });
+}
+
+test("lines of several nodes are told in the order of their times", (t) => {
+  const text = [...OUTAGE].reverse().join("\n");
+  const { lines } = traceLogs(readLogLines(text), "op");
+  t.deepEqual(lines.map(({ event }) => event), ["storeLost"]);
+  t.deepEqual(traceLogs(readLogLines(text), "absent").lines, []);
+});
--- a/source/observability/statsd_metrics.ts
+++ b/source/observability/statsd_metrics.ts
@@ -1,9 +1,8 @@
 import { StatsD } from "hot-shots";
 import type { Metrics, MetricTags } from "./metrics.ts";
+import { TagLimiter } from "./tag_limiter.ts";
 
 const PREFIX = "snipepath.";
-const MAXIMUM_SERIES_OF_A_TAG = 100;
-const OTHER_VALUE = "other";
 
 /** Where metrics go. */
 export interface StatsdMetricsOptions {
@@ -13,10 +12,7 @@
 }
 
 /**
- * Metrics sent as datagrams to a statsd receiver.
- *
- * Each tag keeps its first hundred values; later ones are counted as "other", so that
- * many organisations can't make the number of series grow without bound.
+ * Metrics sent as datagrams to a statsd receiver, with a bounded number of series.
  * @example
  * ```ts
  * const metrics = new StatsdMetrics({ address: "127.0.0.1:8125", node: "node-1" });
@@ -25,7 +21,7 @@
  */
 export class StatsdMetrics implements Metrics {
   readonly #client: StatsD;
-  readonly #values = new Map<string, Set<string>>();
+  readonly #limiter = new TagLimiter();
 
   /** @param options - Where metrics go. */
   constructor(options: StatsdMetricsOptions) {
@@ -41,39 +37,21 @@
 
   /** Adds to a counter. */
   count(name: string, tags: MetricTags, amount = 1): void {
-    this.#client.increment(name, amount, this.#bounded(tags));
+    this.#client.increment(name, amount, this.#limiter.limit(tags));
   }
 
   /** Sets a gauge. */
   gauge(name: string, value: number, tags: MetricTags): void {
-    this.#client.gauge(name, value, this.#bounded(tags));
+    this.#client.gauge(name, value, this.#limiter.limit(tags));
   }
 
   /** Adds one value to a histogram. */
   histogram(name: string, value: number, tags: MetricTags): void {
-    this.#client.histogram(name, value, this.#bounded(tags));
+    this.#client.histogram(name, value, this.#limiter.limit(tags));
   }
 
   /** Closes the socket after what is buffered has been sent. */
   close(): Promise<void> {
     return new Promise((resolve) => this.#client.close(() => resolve()));
   }
-
-  #bounded(tags: MetricTags): Record<string, string> {
-    return Object.fromEntries(
-      Object.entries(tags).map(([tag, value]) => [
-        tag,
-        this.#boundedValue(tag, value),
-      ]),
-    );
-  }
-
-  #boundedValue(tag: string, value: string): string {
-    const seen = this.#values.get(tag) ?? new Set<string>();
-    this.#values.set(tag, seen);
-    if (seen.has(value)) return value;
-    if (seen.size >= MAXIMUM_SERIES_OF_A_TAG) return OTHER_VALUE;
-    seen.add(value);
-    return value;
-  }
 }
--- a/source/programs/snipepath.ts
+++ b/source/programs/snipepath.ts
@@ -1,7 +1,9 @@
 import {
+  array,
   binary,
   command,
   flag,
+  multioption,
   number,
   oneOf,
   option,
@@ -25,6 +27,7 @@
 import { runGiveKey, runWithdrawKey } from "../command/key_commands.ts";
 import { loadDeclarationFile } from "../command/load_declaration_file.ts";
 import { OperatorClient } from "../command/operator_client.ts";
+import { runTrace } from "../command/trace_command.ts";
 import { runStatus } from "../command/status_command.ts";
 import { SystemClock } from "../utilities/system_clock.ts";
 import { VERSION } from "../utilities/version.ts";
@@ -175,14 +178,29 @@
       defaultValue: () => DEFAULT_EXPLAIN_SECONDS,
       description: "Seconds back from now",
     }),
+    logs: multioption({
+      long: "logs",
+      type: array(string),
+      description:
+        "Log file of a node, instead of asking nodes; may be repeated",
+    }),
   },
-  handler: (given) =>
-    withNodes(given, (context) =>
+  handler: async (given) => {
+    if (given.logs.length > 0) {
+      process.exitCode = runTrace({
+        identifier: given.identifier ?? "",
+        files: given.logs,
+        write: (line) => PROCESS_OUTPUT.line(line),
+      });
+      return;
+    }
+    await withNodes(given, (context) =>
       runExplain(context, {
         subject: given.subject,
         identifier: given.identifier ?? "",
         withinSeconds: given.within,
-      })),
+      }));
+  },
 });
 
 const giveKey = command({
--- a/source/programs/snipepath_installation.ts
+++ b/source/programs/snipepath_installation.ts
@@ -21,6 +21,7 @@
 } from "../node/create_installation_node.ts";
 import type { InstallationNode } from "../node/installation_node.ts";
 import { createEventLog, type EventLog } from "../observability/event_log.ts";
+import { ScrapedMetrics } from "../observability/scraped_metrics.ts";
 import { PlatformConnection } from "../platform/platform_connection.ts";
 import type { Clock } from "../utilities/clock.ts";
 import { SystemClock } from "../utilities/system_clock.ts";
@@ -52,6 +53,7 @@
   const settings = read;
   const clock = new SystemClock();
   const log = createEventLog({ source: settings.node, level: "info" });
+  const metrics = new ScrapedMetrics();
   const stopping = new AbortController();
   // Every waiting task listens for the stop.
   setMaxListeners(0, stopping.signal);
@@ -61,13 +63,14 @@
     nodeStart,
     clock,
     log,
+    metrics,
     stopping: stopping.signal,
     ports: createPorts(settings, { clock, log }),
   });
   const entry = new UsersEntry({ clock, log, node });
   node.parts.operator.watch(() => entry.applyLimits());
   const running = node.run();
-  await listen(entry, settings);
+  await listen(entry, settings, metrics);
   log.emit("installationNodeStarted", {
     node: settings.node,
     nodeStart,
@@ -138,12 +141,16 @@
 async function listen(
   entry: UsersEntry,
   settings: InstallationSettings,
+  metrics: ScrapedMetrics,
 ): Promise<void> {
-  const { callerAddress, readinessAddress, directoryAddress } = settings;
+  const { callerAddress, readinessAddress, directoryAddress, metricsAddress } =
+    settings;
   await Promise.all([
     entry.listenForCallers(callerAddress),
     readinessAddress && entry.listenForReadiness(readinessAddress),
     directoryAddress && entry.listenForAddresses(directoryAddress),
+    metricsAddress.startsWith(":") ||
+    entry.listenForMetrics(metricsAddress, metrics),
   ]);
 }
 
--- a/stand_ins/installation/create_step_tools.ts
+++ b/stand_ins/installation/create_step_tools.ts
@@ -35,7 +35,12 @@
     readRow: () => undefined,
     drainMilliseconds: 2000,
   });
-  const use = new ServerUse({ clock, random, failureDomain: "a" });
+  const use = new ServerUse({
+    clock,
+    random,
+    failureDomain: "a",
+    isConnected: () => false,
+  });
   return {
     ...common,
     book: new StepBook(common),
--- a/stand_ins/installation/scripted_server_client.ts
+++ b/stand_ins/installation/scripted_server_client.ts
@@ -74,6 +74,11 @@
     };
   }
 
+  /** Knows no connections. */
+  isConnected(): boolean {
+    return false;
+  }
+
   /** Reads no events. */
   async *readEvents(): AsyncGenerator<TextEvent> {}
 
