Tell the nodes what each runs at the engines, and let the longest texts go first there

Change: EngineBoard tells running samples and ordered loads through the store; the longest quarter of a step's texts is marked urgent.

--- a/source/backends/server_client.ts
+++ b/source/backends/server_client.ts
@@ -18,6 +18,8 @@
   readonly organisation?: string;
   /** How long the answer is waited for. */
   readonly budgetMilliseconds?: number;
+  /** Whether the engine should take it before others that wait there. */
+  readonly isUrgent?: boolean;
   /** Stream events up to this one are known already. */
   readonly afterEvent?: number;
 }
--- a/source/durable_steps/engine_pool.ts
+++ b/source/durable_steps/engine_pool.ts
@@ -5,6 +5,8 @@
 /** First pause of an engine that refused a request because it was full or loading; a load takes about 1 s. */
 const REFUSED_PAUSE_MILLISECONDS = 60;
 const LONGEST_REFUSED_PAUSE_MILLISECONDS = 250;
+/** Requests beyond its places that an engine may be given, as others' use is known late. */
+const ENGINE_QUEUE = 1;
 const FAILED_PAUSE_MILLISECONDS = 500;
 const LONGEST_PAUSE_MILLISECONDS = 4000;
 const PACE_WEIGHT = 0.15;
@@ -44,6 +46,14 @@
   pacedAt: number;
   /** Weight versions seen in answers and orders since the entry was written. */
   readonly versions: Map<string, number>;
+  /** Version that was ordered of a model and is believed for a while before it is seen. */
+  expected: ExpectedVersion | undefined;
+}
+
+interface ExpectedVersion {
+  readonly model: string;
+  readonly version: number;
+  readonly until: number;
 }
 
 /**
@@ -54,6 +64,7 @@
   readonly #servers: ServerView;
   readonly #uses = new Map<string, EngineUse>();
   #waiting: Waiting[] = [];
+  #others: ReadonlyMap<string, number> = new Map();
   #isPumpDue = false;
 
   /**
@@ -166,6 +177,38 @@
     versions.set(model, Math.max(version, versions.get(model) ?? 0));
   }
 
+  /** Notes that an engine was ordered to load a version, which is believed for a while. */
+  expectVersion(
+    load: {
+      readonly engine: string;
+      readonly model: string;
+      readonly version: number;
+    },
+    milliseconds: number,
+  ): void {
+    const use = this.#use(load.engine);
+    const { model, version } = load;
+    const { expected } = use;
+    if (expected?.model === model && expected.version >= version) return;
+    const until = this.#clock.monotonic() + milliseconds;
+    use.expected = { model, version, until };
+    this.#pump();
+  }
+
+  /** Notes how many samples other nodes run at each engine. */
+  setOthers(others: ReadonlyMap<string, number>): void {
+    this.#others = others;
+    this.#pump();
+  }
+
+  /** Running samples of this node by engine, engines without any left out. */
+  runningByEngine(): Readonly<Record<string, number>> {
+    const running = [...this.#uses].filter(([, use]) => use.running > 0);
+    return Object.fromEntries(
+      running.map(([identifier, use]) => [identifier, use.running]),
+    );
+  }
+
   /** Returns the weight version of a model at an engine, as far as it is known. */
   versionOf(engine: BackendServerEntry, model: string): number | undefined {
     const told = engine.weightVersions.get(model);
@@ -221,23 +264,23 @@
   #candidates(need: EngineNeed): ReadonlyArray<BackendServerEntry> {
     const now = this.#clock.monotonic();
     return this.#servers.ofService(need.service).filter((engine) => {
-      const version = this.versionOf(engine, need.model);
+      const version = this.#likelyVersion(engine, need.model);
       if (version === undefined || version < need.minimumVersion) return false;
       if (need.exactVersion !== undefined && version !== need.exactVersion) {
         return false;
       }
       const use = this.#uses.get(engine.identifier);
-      if (use === undefined) return true;
+      if (use === undefined) return this.#taken(engine) < engine.slots;
       // After a refusal one request finds out whether the engine takes more.
       const isTried = use.refusals > 0 && use.unanswered > 0;
-      return !isTried && use.running < engine.slots && use.restUntil <= now;
+      return !isTried && use.running < engine.slots && use.restUntil <= now &&
+        this.#taken(engine) < engine.slots + ENGINE_QUEUE;
     });
   }
 
   // The places taken count most, then the pace; an old version will need a load sooner.
   #cost(engine: BackendServerEntry, need: EngineNeed): number {
-    const use = this.#uses.get(engine.identifier);
-    const taken = (use?.running ?? 0) / engine.slots;
+    const taken = this.#taken(engine) / engine.slots;
     const pace = this.#pace(engine.identifier);
     const version = this.versionOf(engine, need.model) ?? 0;
     const isAvoided = engine.identifier === need.avoid;
@@ -245,6 +288,22 @@
       0.01 * Math.min(50, version - need.minimumVersion);
   }
 
+  // Places taken by all nodes, as far as it is known.
+  #taken({ identifier }: BackendServerEntry): number {
+    return this.running(identifier) + (this.#others.get(identifier) ?? 0);
+  }
+
+  #likelyVersion(
+    engine: BackendServerEntry,
+    model: string,
+  ): number | undefined {
+    const version = this.versionOf(engine, model);
+    const expected = this.#uses.get(engine.identifier)?.expected;
+    const isBelieved = version !== undefined && expected?.model === model &&
+      expected.until > this.#clock.monotonic();
+    return isBelieved ? Math.max(version, expected.version) : version;
+  }
+
   #rest(identifier: string, milliseconds: number): void {
     const use = this.#use(identifier);
     const until = this.#clock.monotonic() + milliseconds;
@@ -276,6 +335,7 @@
         pace: undefined,
         pacedAt: 0,
         versions: new Map(),
+        expected: undefined,
       };
       this.#uses.set(identifier, use);
     }
--- a/source/durable_steps/sample_text_run.ts
+++ b/source/durable_steps/sample_text_run.ts
@@ -47,6 +47,8 @@
   readonly model: string;
   readonly minimumVersion: number;
   readonly rank: number;
+  /** Whether its text is among the longest of its step. */
+  readonly isLong: boolean;
   /** Returns the route now in force; undefined when it was taken away. */
   readonly route: () => ServiceRoute | undefined;
   /** How long the sample may still take. */
@@ -140,6 +142,7 @@
         headers: sample.headers,
         body: sample.body,
         organisation,
+        isUrgent: this.#options.isLong,
         budgetMilliseconds: this.#options.leftMilliseconds(),
         ...(text.lastEvent === undefined ? {} : { afterEvent: text.lastEvent }),
       }, {
--- a/source/durable_steps/step_run.ts
+++ b/source/durable_steps/step_run.ts
@@ -16,6 +16,8 @@
 const STORE_PAUSE_MILLISECONDS = 100;
 /** Listings of results that end closer together share a transaction. */
 const APPEND_PAUSE_MILLISECONDS = 25;
+/** Share of a step's samples, the longest, that engines take before others. */
+const LONG_SHARE = 0.25;
 /** Clocks of two nodes differ by less: nothing is given up too soon. */
 const CLOCK_MARGIN_MILLISECONDS = 2500;
 /** Keeps a step's ranks apart from those of the next one. */
@@ -83,7 +85,11 @@
     });
     this.#startedAt = tools.clock.monotonic();
     const runs = open.map((sample, index) =>
-      this.#runSample(sample, { submission, index })
+      this.#runSample(sample, {
+        submission,
+        index,
+        isLong: index < LONG_SHARE * open.length,
+      })
     );
     const saving = this.#keepSaving();
     await this.#listFinished(manifest.total);
@@ -206,7 +212,11 @@
 
   async #runSample(
     sample: SampleRequest,
-    place: { readonly submission: StepSubmission; readonly index: number },
+    place: {
+      readonly submission: StepSubmission;
+      readonly index: number;
+      readonly isLong: boolean;
+    },
   ): Promise<void> {
     const { tools, manifest, readSignature } = this.#options;
     const { identifier } = sample;
@@ -224,6 +234,7 @@
       model: manifest.model,
       minimumVersion: place.submission.minimumVersion,
       rank: manifest.step * RANKS_PER_STEP + place.index,
+      isLong: place.isLong,
       route: () => this.#route(),
       leftMilliseconds: () => this.#leftMilliseconds(),
       signal,
--- a/source/duties/weight_orders.ts
+++ b/source/duties/weight_orders.ts
@@ -1,4 +1,5 @@
 import type { ServerClient } from "../backends/server_client.ts";
+import type { EngineBoard } from "../durable_steps/engine_board.ts";
 import type { EnginePool } from "../durable_steps/engine_pool.ts";
 import type { BackendServerEntry } from "../installation/backend_server_entry.ts";
 import type { Configuration, Service } from "../installation/configuration.ts";
@@ -25,6 +26,7 @@
   readonly operator: OperatorView;
   readonly servers: ServerView;
   readonly pool: EnginePool;
+  readonly board: EngineBoard;
   readonly client: ServerClient;
   readonly lease: DutyLease;
   readonly stopping: AbortSignal;
@@ -218,6 +220,11 @@
     if (outcome.kind === "accepted") {
       state.acceptedOrders = (state.acceptedOrders ?? 0) + 1;
       state.loading = { model, version };
+      this.#options.board.noteLoad({
+        engine: engine.identifier,
+        model,
+        version,
+      });
       state.waitUntil = clock.monotonic() + LOAD_LIMIT_MILLISECONDS;
       return;
     }
--- a/source/node/create_installation_node.ts
+++ b/source/node/create_installation_node.ts
@@ -11,6 +11,7 @@
 import { UsageMeter } from "../duties/usage_meter.ts";
 import { UsageReporting } from "../duties/usage_reporting.ts";
 import { WeightOrders } from "../duties/weight_orders.ts";
+import { EngineBoard } from "../durable_steps/engine_board.ts";
 import { EnginePool } from "../durable_steps/engine_pool.ts";
 import { ProgressLog } from "../durable_steps/progress_log.ts";
 import { ResultList } from "../durable_steps/result_list.ts";
@@ -122,6 +123,7 @@
     isConnected: (server) => client.isConnected(server),
   });
   const pool = new EnginePool(clock, servers);
+  const board = new EngineBoard({ ...common, pool, nodeStart });
   const book = new StepBook(common);
   const tools: StepTools = {
     ...common,
@@ -223,6 +225,7 @@
       keeper,
       usage,
       leaseKeeper,
+      board,
       new StepRetention({
         ...common,
         book,
@@ -234,6 +237,7 @@
         operator,
         servers,
         pool,
+        board,
         client,
         lease,
       }),
