Sign in partitions of their own, with the use of engines in the sign; one node for light load

Each model's node opened connections of its own. Change: each node signs in its own partition and follows all signs by the feed; what a node runs at engines is part of its sign; up to 400 open samples run at one node.

--- /dev/null
+++ b/source/durable_steps/engine_board_test.ts
@@ -0,0 +1,115 @@
+import test from "ava";
+import type { BackendServerEntry } from "../installation/backend_server_entry.ts";
+import { ServerView } from "../installation/server_view.ts";
+import { MemoryDurableTable } from "../../stand_ins/installation/memory_durable_table.ts";
+import { RecordingEventLog } from "../observability/event_log.ts";
+import { SystemClock } from "../utilities/system_clock.ts";
+import { EngineBoard } from "./engine_board.ts";
+import { type EngineNeed, EnginePool } from "./engine_pool.ts";
+
+const SLOTS = 2;
+
+const NEED: EngineNeed = {
+  service: "s",
+  model: "m",
+  minimumVersion: 1,
+  exactVersion: undefined,
+  rank: 0,
+  avoid: undefined,
+};
+
+function readRow(key: string): BackendServerEntry {
+  return {
+    identifier: key,
+    startedAt: 0,
+    service: "s",
+    address: "a:1",
+    failureDomain: "a",
+    slots: SLOTS,
+    isLeaving: false,
+    warmUpMilliseconds: 0,
+    weightVersions: new Map([["m", 1]]),
+    acceptedOrders: 0,
+    isReclaimable: false,
+  };
+}
+
+async function createPool(): Promise<EnginePool> {
+  const table = new MemoryDurableTable();
+  const stopping = new AbortController();
+  const clock = new SystemClock();
+  const view = new ServerView({
+    clock,
+    table,
+    log: new RecordingEventLog(),
+    tableName: "servers",
+    readRow,
+    drainMilliseconds: 200,
+    stopping: stopping.signal,
+  });
+  const pool = new EnginePool(clock, view);
+  await table.commit({
+    conditions: [],
+    puts: ["e1", "e2"].map((key) => ({
+      table: "servers",
+      partition: "",
+      key,
+      value: Buffer.alloc(0),
+    })),
+  });
+  void view.run();
+  await clock.sleep(30);
+  stopping.abort();
+  return pool;
+}
+
+async function acquire(
+  pool: EnginePool,
+  need: Partial<EngineNeed> = {},
+): Promise<string | undefined> {
+  const limit = new AbortController();
+  const timer = setTimeout(() => limit.abort(), 50);
+  const engine = await pool.acquire({ ...NEED, ...need }, limit.signal);
+  clearTimeout(timer);
+  return engine?.identifier;
+}
+
+test("places that other nodes take are left to them", async (t) => {
+  const pool = await createPool();
+  const board = new EngineBoard(new SystemClock(), pool);
+  board.apply([{ running: { e1: SLOTS }, loads: [] }]);
+  t.is(await acquire(pool), "e2");
+  t.is(await acquire(pool), "e2");
+  t.deepEqual(board.toRecord(), { running: { e2: 2 }, loads: [] });
+});
+
+test("an engine whose load another node ordered is tried for the new version", async (t) => {
+  const pool = await createPool();
+  const board = new EngineBoard(new SystemClock(), pool);
+  t.is(await acquire(pool, { minimumVersion: 2 }), undefined);
+  board.apply([{ running: {}, loads: [["e2", "m", 2]] }]);
+  t.is(await acquire(pool, { minimumVersion: 2 }), "e2");
+});
+
+test("after a refusal one request at a time finds out whether an engine takes more", async (t) => {
+  const pool = await createPool();
+  const only = { minimumVersion: 2 };
+  new EngineBoard(new SystemClock(), pool).apply([
+    { running: {}, loads: [["e1", "m", 2]] },
+  ]);
+  t.is(await acquire(pool, only), "e1");
+  pool.noteAnswered("e1");
+  pool.noteRefused("e1");
+  pool.release("e1");
+  await new SystemClock().sleep(100);
+  t.is(await acquire(pool, only), "e1");
+  t.is(await acquire(pool, only), undefined);
+  pool.noteAnswered("e1");
+  pool.noteStarted("e1");
+  t.is(await acquire(pool, only), "e1");
+});
+
+test("a node that runs nothing tells nothing of engines", async (t) => {
+  const board = new EngineBoard(new SystemClock(), await createPool());
+  t.is(board.toRecord(), undefined);
+});
--- a/source/installation/node_register.ts
+++ b/source/installation/node_register.ts
@@ -1,19 +1,19 @@
 import type { EventLog } from "../observability/event_log.ts";
-import type { DurableTable } from "../platform/durable_table.ts";
+import type { DurableTable, RowChange } from "../platform/durable_table.ts";
 import type { Clock } from "../utilities/clock.ts";
 
 const TABLE = "nodes";
-/** Of its own, so that signs do not delay steps. */
-const PARTITION = "nodes";
 /** Three of them without a sign make a node count as lost; its steps stand still for so long. */
 const SIGN_INTERVAL_MILLISECONDS = 300;
-/** Signs of all nodes together; one partition of the store takes 200 writes a second. */
+/** Signs of all nodes together; each node reads them all. */
 const SIGNS_PER_SECOND = 120;
 const SILENT_SIGNS = 3.4;
 /** A slow store delays the signs of all nodes alike: so many calls of its present length are waited for. */
 const SILENT_CALLS = 4;
 const CALL_WEIGHT = 0.3;
-/** Rows of nodes that are gone for longer are deleted by whoever sees them. */
+/** Signs of others that are waited for before the register counts as read. */
+const FIRST_SIGNS = 2;
+/** Nodes that are gone for longer are forgotten, and their rows deleted by whoever saw them. */
 const FORGET_MILLISECONDS = 60_000;
 
 /** What a node tells of itself. */
@@ -29,6 +29,16 @@
   readonly callerAddress: string;
   /** Whether new callers should be sent there. */
   readonly isServing: boolean;
+  /** What it runs and ordered at engines; undefined when nothing. */
+  readonly engineUse: EngineUseRecord | undefined;
+}
+
+/** What one node tells the others of engines. */
+export interface EngineUseRecord {
+  /** Running samples by engine. */
+  readonly running: Readonly<Record<string, number>>;
+  /** Loads that it ordered lately: engine, model, version. */
+  readonly loads: ReadonlyArray<readonly [string, string, number]>;
 }
 
 /** What a node register works with. */
@@ -49,8 +59,11 @@
 }
 
 /**
- * Tells the other nodes through the store that this one runs, and reads which others run.
+ * Tells the other nodes through the store that this one runs, and follows which others run.
  *
+ * Each node writes a row in a partition of its own, so that no sign waits for another one, and
+ * follows the signs of all. Since every running node signs again soon, nothing has to be read
+ * at the start.
  * A node counts as lost when its row did not change for some intervals in which this node
  * could read the store, or when its name belongs to a newer process.
  */
@@ -59,6 +72,7 @@
   readonly #seen = new Map<string, SeenNode>();
   readonly #watchers: (() => void)[] = [];
   #others: ReadonlyArray<NodeRecord> = [];
+  #version: number | undefined;
   #isReadFailing = false;
   #isRead = false;
   /** When the register was last read; silence counts only as far. */
@@ -81,6 +95,11 @@
     return [this.#options.self(), ...this.#others];
   }
 
+  /** The other nodes that run. */
+  get others(): ReadonlyArray<NodeRecord> {
+    return this.#others;
+  }
+
   /** Whether the register could be read lately, so that what it says of other nodes holds. */
   get isCurrent(): boolean {
     const age = this.#options.clock.monotonic() - this.#readAt;
@@ -110,7 +129,12 @@
     const value = writeRecord(record);
     await table.commit({
       conditions: [],
-      puts: [{ table: TABLE, partition: PARTITION, key: record.node, value }],
+      puts: [{
+        table: TABLE,
+        partition: record.node,
+        key: record.node,
+        value,
+      }],
     });
   }
 
@@ -136,45 +160,71 @@
 
   async #keepReading(): Promise<void> {
     const { clock, stopping } = this.#options;
+    const startedAt = clock.monotonic();
     while (!stopping.aborted) {
-      await this.#read();
+      const isFollowed = await this.#read();
+      const heard = clock.monotonic() - startedAt;
+      this.#isRead ||= isFollowed &&
+        heard > FIRST_SIGNS * this.#intervalMilliseconds;
       await clock.sleep(this.#intervalMilliseconds, stopping);
     }
   }
 
-  async #read(): Promise<void> {
+  async #read(): Promise<boolean> {
     const { clock, table } = this.#options;
     const sentAt = clock.monotonic();
-    const outcome = await table.read(TABLE, { partition: PARTITION });
-    const took = clock.monotonic() - sentAt;
-    this.#callMilliseconds += CALL_WEIGHT * (took - this.#callMilliseconds);
-    if (outcome.kind !== "ok") {
+    const changes = await this.#follow();
+    const now = clock.monotonic();
+    if (changes === undefined) {
       this.#isReadFailing = true;
-      return;
+      return false;
     }
-    const now = clock.monotonic();
+    this.#callMilliseconds += CALL_WEIGHT *
+      (now - sentAt - this.#callMilliseconds);
     // Nodes may have been unable to write too: their silence counts from now on.
     if (this.#isReadFailing) {
       for (const node of this.#seen.values()) node.changedAt = now;
     }
     this.#isReadFailing = false;
     this.#readAt = now;
-    const names = new Set<string>();
-    for (const { key, value, version } of outcome.value.rows) {
-      names.add(key);
-      if (this.#seen.get(key)?.version === version) continue;
-      const record = readRecord(key, value);
-      if (record === undefined) continue;
-      this.#noteStart(key, record);
-      this.#seen.set(key, { record, version, changedAt: now });
-    }
-    for (const name of this.#seen.keys()) {
-      if (!names.has(name)) this.#seen.delete(name);
-    }
-    this.#forgetLost(now);
+    for (const change of changes) this.#apply(change, now);
+    this.#forgetLost(now, table);
     this.#others = this.#findOthers(now);
-    this.#isRead = true;
     for (const onRead of this.#watchers) onRead();
+    return true;
+  }
+
+  // Returns what was signed since the last reading; undefined when the store did not tell.
+  async #follow(): Promise<ReadonlyArray<RowChange> | undefined> {
+    const { table } = this.#options;
+    if (this.#version === undefined) {
+      const outcome = await table.read(TABLE, { partition: "" });
+      if (outcome.kind === "ok") this.#version = outcome.value.version;
+      return undefined;
+    }
+    const outcome = await table.follow(TABLE, {
+      after: this.#version,
+      waitMilliseconds: this.#intervalMilliseconds,
+    });
+    if (outcome.kind !== "ok") return undefined;
+    if (outcome.value.kind === "expired") {
+      this.#version = undefined;
+      return undefined;
+    }
+    this.#version = Math.max(this.#version, outcome.value.version);
+    return outcome.value.changes;
+  }
+
+  #apply(change: RowChange, now: number): void {
+    const { key, value, version, isDeleted } = change;
+    if (isDeleted) {
+      this.#seen.delete(key);
+      return;
+    }
+    const record = readRecord(key, value);
+    if (record === undefined) return;
+    this.#noteStart(key, record);
+    this.#seen.set(key, { record, version, changedAt: now });
   }
 
   #findOthers(now: number): ReadonlyArray<NodeRecord> {
@@ -192,12 +242,12 @@
     this.#options.log.emit("nodeSeen", { node, nodeStart });
   }
 
-  #forgetLost(now: number): void {
+  #forgetLost(now: number, table: DurableTable): void {
     for (const [name, { changedAt, version }] of this.#seen) {
       if (now - changedAt < FORGET_MILLISECONDS) continue;
       this.#seen.delete(name);
-      const place = { table: TABLE, partition: PARTITION, key: name };
-      void this.#options.table.commit({
+      const place = { table: TABLE, partition: name, key: name };
+      void table.commit({
         conditions: [{ ...place, version }],
         puts: [],
         deletes: [place],
@@ -213,16 +263,21 @@
   processorShare: number,
   callerAddress: string,
   isServing: number,
+  engineUse?: EngineUseRecord,
 ];
 
 function writeRecord(record: NodeRecord): Buffer {
-  const short: ShortRecord = [
+  const base = [
     record.nodeStart,
     record.failureDomain,
     record.processorShare,
     record.callerAddress,
     Number(record.isServing),
-  ];
+  ] as const;
+  const { engineUse } = record;
+  const short: ShortRecord = engineUse === undefined
+    ? base
+    : [...base, engineUse];
   return Buffer.from(JSON.stringify(short));
 }
 
@@ -231,6 +286,7 @@
     const short = JSON.parse(value.toString()) as ShortRecord;
     const [nodeStart, failureDomain, processorShare, callerAddress] = short;
     const isServing = short[4] === 1;
+    const engineUse = short[5];
     return {
       node,
       nodeStart,
@@ -238,6 +294,7 @@
       processorShare,
       callerAddress,
       isServing,
+      engineUse,
     };
   } catch {
     // Another writer's row names no node.
--- a/source/installation/node_register_test.ts
+++ b/source/installation/node_register_test.ts
@@ -30,6 +30,7 @@
       processorShare: 1,
       callerAddress: `${node}:80`,
       isServing: true,
+      engineUse: undefined,
     }),
   });
   void register.run();
--- a/source/node/create_installation_node.ts
+++ b/source/node/create_installation_node.ts
@@ -47,6 +47,11 @@
 const LEASE_MILLISECONDS = 1200;
 /** A duty call must have left within this time of the lease's end. */
 const ORDER_DEADLINE_MILLISECONDS = 300;
+/**
+ * Samples of open steps that one node runs alone. It takes 26 samples a second with 0.17 cores
+ * (docs/design/platform.md); 400 open ones end at about 100 a second.
+ */
+const SAMPLES_OF_A_NODE = 400;
 const DUTY_LEASE = "duties";
 
 /** What an installation provides and how its messages are read. */
@@ -105,6 +110,14 @@
     drainMilliseconds: bounds.drainMilliseconds,
   });
   const made: { node?: InstallationNode } = {};
+  const use = new ServerUse({
+    clock,
+    random,
+    failureDomain,
+    isConnected: (server) => client.isConnected(server),
+  });
+  const pool = new EnginePool(clock, servers);
+  const board = new EngineBoard(clock, pool);
   const register = new NodeRegister({
     ...common,
     self: () => ({
@@ -113,17 +126,13 @@
       failureDomain,
       processorShare: settings.processorShare,
       callerAddress: settings.callerAddress,
+      engineUse: board.toRecord(),
       isServing: made.node?.isReady ?? false,
     }),
   });
-  const use = new ServerUse({
-    clock,
-    random,
-    failureDomain,
-    isConnected: (server) => client.isConnected(server),
-  });
-  const pool = new EnginePool(clock, servers);
-  const board = new EngineBoard({ ...common, pool, nodeStart });
+  register.watch(() =>
+    board.apply(register.others.flatMap(({ engineUse }) => engineUse ?? []))
+  );
   const book = new StepBook(common);
   const tools: StepTools = {
     ...common,
@@ -164,7 +173,7 @@
       tools,
       readSubmission: ports.readSubmission,
       chooseOwner: (model) =>
-        chooseOwner(model, { register, rendezvous, nodeStart }),
+        chooseOwner(model, { register, rendezvous, book, nodeStart }),
     }),
   });
   const leaseKeeper = new LeaseKeeper({
@@ -225,7 +234,6 @@
       keeper,
       usage,
       leaseKeeper,
-      board,
       new StepRetention({
         ...common,
         book,
@@ -248,18 +256,20 @@
   return node;
 }
 
-// The steps of a model run at one node, which then knows its engines and has open connections to them.
+// As few nodes as can run the steps: each knows all of its engines' use and has open connections.
 function chooseOwner(
   model: string,
   options: {
     readonly register: NodeRegister;
     readonly rendezvous: Rendezvous;
+    readonly book: StepBook;
     readonly nodeStart: string;
   },
 ): string {
-  const { register, rendezvous, nodeStart } = options;
+  const { register, rendezvous, book, nodeStart } = options;
   const serving = selectStrongNodes(register.running);
-  const [chosen] = rendezvous.choose(model, serving, {
+  const isLight = book.countOpenSamples() <= SAMPLES_OF_A_NODE;
+  const [chosen] = rendezvous.choose(isLight ? "steps" : model, serving, {
     count: 1,
     name: ({ node }) => node,
   });
