--- /dev/null
+++ b/source/installation/operator_view_test.ts
@@ -0,0 +1,119 @@
+import test, { type ExecutionContext } from "ava";
+import { MemoryDurableTable } from "../../stand_ins/installation/memory_durable_table.ts";
+import { RecordingEventLog } from "../observability/event_log.ts";
+import { SystemClock } from "../utilities/system_clock.ts";
+import type { Configuration } from "./configuration.ts";
+import { type OperatorRow, OperatorView } from "./operator_view.ts";
+
+const KEY_WITHDRAWAL_MILLISECONDS = 3000;
+
+/** A clock whose wall time a test moves, as a suspended machine finds it. */
+class SteppedClock extends SystemClock {
+  /** Milliseconds that the wall clock is ahead. */
+  aheadMilliseconds = 0;
+
+  /** Returns the moved wall time. */
+  override wall(): number {
+    return super.wall() + this.aheadMilliseconds;
+  }
+}
+
+interface Trial {
+  readonly table: MemoryDurableTable;
+  readonly clock: SteppedClock;
+  readonly view: OperatorView;
+  readonly log: RecordingEventLog;
+  readonly put: (key: string, value: string) => Promise<void>;
+}
+
+function readRow(key: string, value: Buffer): OperatorRow {
+  const version = Number(value.toString());
+  if (Number.isNaN(version)) return { kind: "malformed", key };
+  if (key !== "config") return { kind: "namedVersion", model: key, version };
+  const configuration: Configuration = {
+    version,
+    routes: [],
+    services: new Map(),
+    limits: {
+      headerBytes: 1,
+      bodyBytes: 1,
+      headerMilliseconds: 1,
+      idleMilliseconds: 1,
+    },
+    organisationsByKey: undefined,
+  };
+  return { kind: "configuration", configuration };
+}
+
+async function start(t: ExecutionContext): Promise<Trial> {
+  const table = new MemoryDurableTable();
+  const clock = new SteppedClock();
+  const log = new RecordingEventLog();
+  const stopping = new AbortController();
+  t.teardown(() => stopping.abort());
+  const view = new OperatorView({
+    clock,
+    log,
+    table,
+    tableName: "op",
+    readRow,
+    keyWithdrawalMilliseconds: KEY_WITHDRAWAL_MILLISECONDS,
+    stopping: stopping.signal,
+  });
+  const put = async (key: string, value: string): Promise<void> => {
+    await table.commit({
+      conditions: [],
+      puts: [{ table: "op", partition: "", key, value: Buffer.from(value) }],
+    });
+  };
+  await put("config", "5");
+  void view.run();
+  await clock.sleep(50);
+  return { table, clock, view, log, put };
+}
+
+test("a newer configuration is taken over, an older one never", async (t) => {
+  const { view, put, clock } = await start(t);
+  t.is(view.configuration?.version, 5);
+  await put("config", "8");
+  await clock.sleep(50);
+  t.is(view.configuration?.version, 8);
+  await put("config", "7");
+  await clock.sleep(50);
+  t.is(view.configuration?.version, 8);
+});
+
+test("a malformed row is told, and what was in force stays", async (t) => {
+  const { view, put, clock, log } = await start(t);
+  await put("config", "nonsense");
+  await clock.sleep(50);
+  t.is(view.configuration?.version, 5);
+  t.true(log.events.some(({ name }) => name === "operatorRowMalformed"));
+});
+
+test("named versions only grow", async (t) => {
+  const { view, put, clock } = await start(t);
+  await put("m", "3");
+  await put("m", "2");
+  await clock.sleep(50);
+  t.is(view.namedVersions.get("m"), 3);
+});
+
+test("keys are not served by a view that did not hear the store within the bound", async (t) => {
+  const { view, table, clock } = await start(t);
+  t.true(view.isKeyViewFresh());
+  table.isDown = true;
+  await clock.sleep(KEY_WITHDRAWAL_MILLISECONDS);
+  t.false(view.isKeyViewFresh());
+  table.isDown = false;
+  await clock.sleep(700);
+  t.true(view.isKeyViewFresh());
+});
+
+test("keys are not served after a suspension that the monotonic clock did not count", async (t) => {
+  const { view, clock } = await start(t);
+  clock.aheadMilliseconds = 2 * KEY_WITHDRAWAL_MILLISECONDS;
+  t.false(view.isKeyViewFresh());
+  await clock.sleep(2300);
+  t.true(view.isKeyViewFresh());
+});
