--- a/source/durable_steps/step_keeper.ts
+++ b/source/durable_steps/step_keeper.ts
@@ -12,7 +12,7 @@
 const OPEN_TO_ALL_MILLISECONDS = 2000;
 /** Texts of samples that may come back in a later step. */
 const KEPT_TEXTS = 4000;
-/** Steps older than the longest life of a sample are not taken over; sheets allow 40 s. */
+/** Steps older than the longest life of a sample are not taken over; installations allow 40 s. */
 const STEP_LIFE_MILLISECONDS = 120_000;
 
 /** What a step keeper works with. */
