--- a/source/platform/table_follower.ts
+++ b/source/platform/table_follower.ts
@@ -95,7 +95,8 @@
   }
 
   async #follow(after: number): Promise<string | undefined> {
-    const { table, name, onChanges } = this.#options;
+    const { clock, table, name, onChanges } = this.#options;
+    const askedAt = clock.monotonic();
     const outcome = await table.follow(name, {
       after,
       waitMilliseconds: WAIT_MILLISECONDS,
@@ -111,14 +112,27 @@
     }
     const { changes, version } = outcome.value;
     this.#version = Math.max(after, version);
-    if (changes.length > 0) {
-      onChanges(changes);
-      const { clock, stopping, paceMilliseconds = 0 } = this.#options;
-      if (paceMilliseconds > 0) await clock.sleep(paceMilliseconds, stopping);
-    }
+    if (changes.length > 0) onChanges(changes);
+    await this.#pace(changes.length > 0, {
+      hasAdvanced: version > after,
+      askedAt,
+    });
     return undefined;
   }
 
+  // An answer at once that brings nothing new must not be asked for again at once.
+  async #pace(
+    hasChanges: boolean,
+    answer: { readonly hasAdvanced: boolean; readonly askedAt: number },
+  ): Promise<void> {
+    const { clock, stopping, paceMilliseconds = 0 } = this.#options;
+    const took = clock.monotonic() - answer.askedAt;
+    const isIdle = !answer.hasAdvanced && took < FIRST_PAUSE_MILLISECONDS;
+    const pause = isIdle ? FIRST_PAUSE_MILLISECONDS : 0;
+    const wait = Math.max(pause, hasChanges ? paceMilliseconds : 0);
+    if (wait > 0) await clock.sleep(wait, stopping);
+  }
+
   #note(problem: string | undefined): void {
     const isFailing = problem !== undefined;
     if (isFailing === this.#isFailing) return;
--- a/source/programs/snipepath_installation.ts
+++ b/source/programs/snipepath_installation.ts
@@ -43,6 +43,7 @@
 /** Two starts of one installation that draw the same identity are out of reach. */
 const NODE_START_BYTES = 6;
 const USAGE_EXIT_STATUS = 2;
+const FAULT_EXIT_STATUS = 70;
 
 async function main(): Promise<void> {
   const path = process.env[SETTINGS_VARIABLE] ?? "";
@@ -56,6 +57,7 @@
   const clock = new SystemClock();
   const log = createEventLog({ source: settings.node, level: "info" });
   const metrics = new ScrapedMetrics();
+  stopOnFault(log);
   const stopping = new AbortController();
   // Every waiting task listens for the stop.
   setMaxListeners(0, stopping.signal);
@@ -87,6 +89,18 @@
   setTimeout(() => process.exit(0), LEAVE_CHECK_MILLISECONDS);
 }
 
+// The cause of an end that nobody asked for stands in the log.
+function stopOnFault(log: EventLog): void {
+  const stop = (error: unknown): void => {
+    const detail = error instanceof Error ? error.stack ?? "" : String(error);
+    log.emit("invariantBroken", { detail });
+    process.exitCode = FAULT_EXIT_STATUS;
+    setImmediate(() => process.exit(FAULT_EXIT_STATUS));
+  };
+  process.on("uncaughtException", stop);
+  process.on("unhandledRejection", stop);
+}
+
 function readSettings(path: string): InstallationSettings | string {
   try {
     const outcome = readSettingsFile(readFileSync(path, "utf8"));
