Start a test's node anew when its port was taken, and tell why one did not become ready

A port is chosen before the node binds it, so another process can take it; that this happened is inferred, not shown. Change: only a node that ended with EADDRINUSE is started anew; any other end fails the test with the node's last log lines.

--- a/stand_ins/installation/installation_world.ts
+++ b/stand_ins/installation/installation_world.ts
@@ -15,6 +15,7 @@
 );
 const HOST = "calls.example";
 const KEY = "key-1";
+const LOGGED_CHARACTERS = 2000;
 
 /** A node that runs as a process of its own. */
 export interface WorldNode {
@@ -176,10 +177,24 @@
   };
 }
 
+// Another process may take a port between its choice and the node's start; only then it starts anew.
 async function startNode(
   name: string,
   world: { readonly store: StartedServer; readonly duties: StartedServer },
 ): Promise<WorldNode> {
+  for (;;) {
+    const started = await tryNode(name, world);
+    if ("process" in started) return started;
+    if (!started.problem.includes("EADDRINUSE")) {
+      throw new Error(`Node ${name} did not become ready: ${started.problem}`);
+    }
+  }
+}
+
+async function tryNode(
+  name: string,
+  world: { readonly store: StartedServer; readonly duties: StartedServer },
+): Promise<WorldNode | { readonly problem: string }> {
   const [front, ready, directory] = await Promise.all([
     findFreePort(),
     findFreePort(),
@@ -205,8 +220,10 @@
   );
   const process_ = spawn(process.execPath, [PROGRAM], {
     env: { ...process.env, SNIPEPATH_SETTINGS: path },
-    stdio: "ignore",
+    stdio: ["ignore", "ignore", "pipe"],
   });
+  const output: string[] = [];
+  process_.stderr.on("data", (chunk: Buffer) => output.push(String(chunk)));
   const node = {
     name,
     caller: listen.front,
@@ -214,20 +231,22 @@
     directory: listen.directory,
     process: process_,
   };
-  await waitUntilReady(node);
-  return node;
+  if (await isReadyInTime(node)) return node;
+  process_.kill("SIGKILL");
+  return { problem: output.join("").slice(-LOGGED_CHARACTERS) };
 }
 
-async function waitUntilReady({ name, ready }: WorldNode): Promise<void> {
+async function isReadyInTime(node: WorldNode): Promise<boolean> {
   for (let round = 0; round < 200; round += 1) {
-    const status = await fetch(`http://${ready}/-/readiness`).then(
+    if (node.process.exitCode !== null) return false;
+    const status = await fetch(`http://${node.ready}/-/readiness`).then(
       (response) => response.status,
       () => 0,
     );
-    if (status === 200) return;
+    if (status === 200) return true;
     await new Promise((resolve) => setTimeout(resolve, 100));
   }
-  throw new Error(`Node ${name} did not become ready`);
+  return false;
 }
 
 function findFreePort(): Promise<number> {
