Log what unfinished samples were doing when their step ended

Change: event 9309 sampleUnfinished with what the sample was doing, for how long, and what came of its attempts.

--- a/source/durable_steps/sample_text_run.ts
+++ b/source/durable_steps/sample_text_run.ts
@@ -56,6 +56,21 @@
   readonly signal: AbortSignal;
 }
 
+/** What a sample is doing, and what came of its attempts so far. */
+export interface SampleActivity {
+  readonly doing: "waitingForRoute" | "waitingForEngine" | "asking" | "reading";
+  /** When it began to do so, on the monotonic clock. */
+  readonly since: number;
+  /** Times that a request for the text was sent. */
+  readonly attempts: number;
+  /** Attempts that an engine refused without running them. */
+  readonly refusals: number;
+  /** Attempts given up because the engine had a weight version that may not be used. */
+  readonly unusableVersions: number;
+  /** Attempts given up for a faster engine. */
+  readonly moves: number;
+}
+
 type AttemptEnd = "whole" | "again" | "failedStatus" | "impossible";
 
 /**
@@ -65,6 +80,11 @@
   readonly #options: SampleTextRunOptions;
   #failures = 0;
   #attempts = 0;
+  #refusals = 0;
+  #unusableVersions = 0;
+  #moves = 0;
+  #doing: SampleActivity["doing"] = "waitingForRoute";
+  #since = 0;
   #startedAt: number | undefined;
   #avoid: string | undefined;
 
@@ -73,9 +93,16 @@
     this.#options = options;
   }
 
-  /** Times that a request for the text was sent. */
-  get attempts(): number {
-    return this.#attempts;
+  /** What the sample is doing, or was when its run ended. */
+  get activity(): SampleActivity {
+    return {
+      doing: this.#doing,
+      since: this.#since,
+      attempts: this.#attempts,
+      refusals: this.#refusals,
+      unusableVersions: this.#unusableVersions,
+      moves: this.#moves,
+    };
   }
 
   /** When the first request was sent, on the monotonic clock; undefined before. */
@@ -90,13 +117,16 @@
       if (this.#options.text.isWhole) return { kind: "whole" };
       const found = route();
       if (found === undefined) {
+        this.#note("waitingForRoute");
         await clock.sleep(NO_SERVICE_PAUSE_MILLISECONDS, signal);
         continue;
       }
+      this.#note("waitingForEngine");
       const engine = await pool.acquire(this.#need(found), signal);
       if (engine === undefined) break;
       this.#attempts += 1;
       this.#startedAt ??= clock.monotonic();
+      this.#note("asking");
       const end = await this.#attempt(engine, found);
       pool.release(engine.identifier);
       if (end === "whole") this.#options.text.isWhole = true;
@@ -111,6 +141,12 @@
     return { kind: "cancelled" };
   }
 
+  #note(doing: SampleActivity["doing"]): void {
+    if (doing === this.#doing) return;
+    this.#doing = doing;
+    this.#since = this.#options.clock.monotonic();
+  }
+
   #need(route: ServiceRoute): EngineNeed {
     const { text, model, minimumVersion, rank } = this.#options;
     return {
@@ -166,6 +202,7 @@
       return this.#noteCut(identifier, failure.reason);
     }
     if (failure.cause === "refused") {
+      this.#refusals += 1;
       this.#options.pool.noteRefused(identifier);
     }
     return "again";
@@ -186,10 +223,12 @@
     const version = answer.weightVersion;
     if (version === undefined || !this.#isUsable(version, route)) {
       answer.abandon();
+      this.#unusableVersions += 1;
       this.#options.pool.noteRefused(identifier);
       return "again";
     }
     this.#options.pool.noteStarted(identifier);
+    this.#note("reading");
     try {
       return await this.#readEvents(engine, route, answer);
     } catch (error) {
@@ -214,6 +253,7 @@
       version = event.weightVersion ?? version;
       if (!this.#isUsable(version, route)) {
         answer.abandon();
+        this.#unusableVersions += 1;
         return "again";
       }
       if (text.lastEvent !== undefined && event.number !== text.lastEvent + 1) {
@@ -233,6 +273,7 @@
       ) {
         answer.abandon();
         this.#avoid = identifier;
+        this.#moves += 1;
         return "again";
       }
     }
--- a/source/durable_steps/step_run.ts
+++ b/source/durable_steps/step_run.ts
@@ -1,6 +1,7 @@
 import { setMaxListeners } from "node:events";
 import type { LRUCache } from "lru-cache";
 import { findRoute, type ServiceRoute } from "../installation/configuration.ts";
+import { noteFinishedSample, noteUnfinishedSample } from "./note_samples.ts";
 import { type ReadSignature, scoreSample } from "./sample_scoring.ts";
 import type { SampleResult } from "./sample_result.ts";
 import { type SampleText, SampleTextRun } from "./sample_text_run.ts";
@@ -262,11 +263,26 @@
           weightVersions: text.versions,
           ...(scoring === undefined ? {} : { score: scoring.score }),
         }, "whole");
-        this.#noteTimes(identifier, { run, madeAt, events: text.parts.length });
+        noteFinishedSample(tools, {
+          step: manifest.identifier,
+          sample: identifier,
+          run,
+          text,
+          stepStartedAt: this.#startedAt,
+          madeAt,
+        });
       }
     }
     life.end();
     this.#underWay.delete(identifier);
+    if (this.isStopped && !this.#isFinished(identifier)) {
+      noteUnfinishedSample(tools, {
+        step: manifest.identifier,
+        sample: identifier,
+        run,
+        text,
+      });
+    }
     if (!this.isStopped && signal.aborted && !this.#isFinished(identifier)) {
       this.#finish({ kind: "terminated", identifier }, "its time is over");
     }
@@ -321,28 +337,6 @@
     this.#wake.abort(ENDED);
   }
 
-  #noteTimes(
-    sample: string,
-    times: {
-      readonly run: SampleTextRun;
-      readonly madeAt: number;
-      readonly events: number;
-    },
-  ): void {
-    const { tools, manifest } = this.#options;
-    const since = (moment: number): number =>
-      Math.round(moment - this.#startedAt);
-    tools.log.emit("sampleFinished", {
-      step: manifest.identifier,
-      sample,
-      startedAt: since(times.run.startedAt ?? times.madeAt),
-      madeAt: since(times.madeAt),
-      scoredAt: since(tools.clock.monotonic()),
-      events: times.events,
-      attempts: times.run.attempts,
-    });
-  }
-
   async #listFinished(total: number): Promise<void> {
     const { tools, manifest } = this.#options;
     while (!this.isStopped && this.#listed.size < total) {
--- a/source/observability/events/installation_events.ts
+++ b/source/observability/events/installation_events.ts
@@ -139,6 +139,23 @@
     action: "",
     fields: ["step"],
   }),
+  sampleUnfinished: defineEvent(9309, {
+    level: "info",
+    message:
+      "A sample was not whole when its step was ended; milliseconds tell how long it had been doing that",
+    action: "",
+    fields: [
+      "step",
+      "sample",
+      "doing",
+      "milliseconds",
+      "events",
+      "attempts",
+      "refusals",
+      "unusableVersions",
+      "moves",
+    ],
+  }),
   usageWindowReported: defineEvent(9401, {
     level: "info",
     message: "The usage of a window was sent",
