Start a new step's samples without reading earlier steps that share none

A trainer's longest text takes 6.2 to 7.2 s of the 8.2 s that count. Change: the first owner reads neither list nor texts of the step; earlier steps are read only if their submission shares a sample or is not at hand; what is read is read at once.

--- a/source/durable_steps/step_keeper.ts
+++ b/source/durable_steps/step_keeper.ts
@@ -110,6 +110,7 @@
       tools,
       manifest,
       nodeStart,
+      isFirstOwner: entry.ownerVersion === 0,
       readSignature,
       texts,
     });
--- a/source/durable_steps/step_run.ts
+++ b/source/durable_steps/step_run.ts
@@ -1,6 +1,7 @@
 import { setMaxListeners } from "node:events";
 import type { LRUCache } from "lru-cache";
 import { findRoute, type ServiceRoute } from "../installation/configuration.ts";
+import { findEarlierSteps } from "./find_earlier_steps.ts";
 import { noteFinishedSample, noteUnfinishedSample } from "./note_samples.ts";
 import { type ReadSignature, scoreSample } from "./sample_scoring.ts";
 import type { SampleResult } from "./sample_result.ts";
@@ -12,8 +13,6 @@
 
 /** What a lost node made since the last saving is made again. */
 const SAVE_INTERVAL_MILLISECONDS = 1000;
-/** Steps before this one whose unfinished groups may come back. */
-const EARLIER_STEPS = 2;
 const STORE_PAUSE_MILLISECONDS = 100;
 /** Listings of results that end closer together share a transaction. */
 const APPEND_PAUSE_MILLISECONDS = 25;
@@ -30,6 +29,8 @@
   readonly manifest: StepManifest;
   /** Identity of this process. */
   readonly nodeStart: string;
+  /** Whether no other process has run the step. */
+  readonly isFirstOwner: boolean;
   readonly readSignature: ReadSignature;
   /** Texts begun at this node, by model and sample. */
   readonly texts: LRUCache<string, SampleText>;
@@ -71,9 +72,7 @@
     const { tools, manifest } = this.#options;
     const submission = await this.#load();
     if (submission === undefined) return;
-    await this.#catchUp();
-    await this.#takeEarlierResults(submission);
-    await this.#takeSavedTexts(submission);
+    await this.#takeWhatWasMade(submission);
     const open = submission.samples.filter(({ identifier }) =>
       !this.#listed.has(identifier) && !this.#isFinished(identifier)
     ).sort(compareLength);
@@ -99,6 +98,21 @@
     await Promise.all(runs);
   }
 
+  // The first owner of a step whose samples are all new has nothing to read.
+  async #takeWhatWasMade(submission: StepSubmission): Promise<void> {
+    const { manifest, isFirstOwner } = this.#options;
+    const earlier = findEarlierSteps(this.#options.tools, {
+      manifest,
+      submission,
+    });
+    const steps = isFirstOwner ? earlier : [manifest, ...earlier];
+    await Promise.all([
+      isFirstOwner ? undefined : this.#catchUp(),
+      ...steps.map((step) => this.#takeSavedTexts(step, submission)),
+    ]);
+    for (const step of earlier) await this.#takeResults(step, submission);
+  }
+
   /** Saves all texts that are under way. */
   async saveTexts(): Promise<void> {
     const { tools, manifest } = this.#options;
@@ -116,20 +130,18 @@
     }
   }
 
-  // What another node made of this step's samples, or of the step before, goes on here.
-  async #takeSavedTexts(submission: StepSubmission): Promise<void> {
-    const { tools, manifest, texts } = this.#options;
+  // What another node made of the samples goes on here.
+  async #takeSavedTexts(
+    { identifier, owner }: StepManifest,
+    submission: StepSubmission,
+  ): Promise<void> {
+    const { tools, nodeStart, texts } = this.#options;
+    if (owner === nodeStart) return;
     const wanted = new Set(submission.samples.map((each) => each.identifier));
-    const steps = [manifest, ...this.#earlierSteps()];
-    for (const { identifier, owner } of steps) {
-      if (owner === this.#options.nodeStart) continue;
-      for (const [sample, text] of await tools.progress.load(identifier)) {
-        const key = this.#toTextKey(sample);
-        const known = texts.get(key)?.parts.length ?? 0;
-        if (wanted.has(sample) && text.parts.length > known) {
-          texts.set(key, text);
-        }
-      }
+    for (const [sample, text] of await tools.progress.load(identifier)) {
+      const key = this.#toTextKey(sample);
+      const known = texts.get(key)?.parts.length ?? 0;
+      if (wanted.has(sample) && text.parts.length > known) texts.set(key, text);
     }
   }
 
@@ -171,35 +183,22 @@
   }
 
   // A sample that came back from an earlier step may have been listed there.
-  async #takeEarlierResults(submission: StepSubmission): Promise<void> {
+  async #takeResults(
+    earlier: StepManifest,
+    submission: StepSubmission,
+  ): Promise<void> {
     const { tools } = this.#options;
     const wanted = new Set(submission.samples.map((each) => each.identifier));
-    for (const earlier of this.#earlierSteps()) {
-      if (this.isStopped) return;
-      const outcome = await tools.results.readAll(earlier.identifier, 0);
-      if (outcome.kind !== "ok") continue;
-      for (const result of outcome.value) {
-        const { identifier } = result;
-        if (!wanted.has(identifier) || this.#listed.has(identifier)) continue;
-        if (this.#isFinished(identifier)) continue;
-        if (this.#fits(result, submission)) this.#finished.push(result);
-      }
+    const outcome = await tools.results.readAll(earlier.identifier, 0);
+    if (this.isStopped || outcome.kind !== "ok") return;
+    for (const result of outcome.value) {
+      const { identifier } = result;
+      if (!wanted.has(identifier) || this.#listed.has(identifier)) continue;
+      if (this.#isFinished(identifier)) continue;
+      if (this.#fits(result, submission)) this.#finished.push(result);
     }
   }
 
-  // Unfinished groups come back in one of the next steps.
-  #earlierSteps(): ReadonlyArray<StepManifest> {
-    const { tools, manifest } = this.#options;
-    return [...tools.book.entries].map((entry) => entry.manifest).filter((
-      earlier,
-    ) =>
-      earlier.model === manifest.model &&
-      earlier.organisation === manifest.organisation &&
-      earlier.step < manifest.step &&
-      earlier.step >= manifest.step - EARLIER_STEPS
-    );
-  }
-
   #fits(result: SampleResult, submission: StepSubmission): boolean {
     if (result.kind !== "completed") return false;
     const { weightVersions } = result;
--- a/source/durable_steps/submission_archive.ts
+++ b/source/durable_steps/submission_archive.ts
@@ -82,6 +82,11 @@
     this.#kept.set(identifier, submission);
   }
 
+  /** Returns a step's submission if it is at hand. */
+  peek(identifier: string): StepSubmission | undefined {
+    return this.#kept.get(identifier);
+  }
+
   /** Loads a step's submission. */
   async load(
     manifest: StepManifest,
