Refuse at once and name no nodes while the store does not answer this node

Cut nodes answer address questions with the nodes they knew, themselves included. Change: StoreHealth notes the last answered call and whether failing calls hang. A node that heard nothing for 1.5 s names no nodes (callers ask another one, or keep what they have), tries a step's acceptance or end once, and does not try at all where calls hang; results read before are still told. Any answered call ends this.

--- a/source/durable_steps/step_intake.ts
+++ b/source/durable_steps/step_intake.ts
@@ -54,6 +54,7 @@
     }
     const known = tools.book.get(arriving.identifier);
     if (known !== undefined && isWhole(known)) return ACCEPTED;
+    if (tools.storeHealth.isSilent) return STORE_AWAY;
     const upload = `${arriving.identifier}/${randomUUID().slice(0, 8)}`;
     const rows = tools.archive.toRows(upload, arriving.body);
     const { before, last } = tools.archive.toTransactions(rows);
@@ -78,13 +79,20 @@
 
   async #commitBefore(transaction: RowTransaction): Promise<boolean> {
     const { tools } = this.#options;
-    const until = tools.clock.monotonic() + PATIENCE_MILLISECONDS;
-    while (tools.clock.monotonic() < until) {
+    const startedAt = tools.clock.monotonic();
+    for (;;) {
       const outcome = await tools.table.commit(transaction);
       if (outcome.kind === "ok") return true;
+      if (!this.#mayTryAgain(startedAt)) return false;
       await tools.clock.sleep(PAUSE_MILLISECONDS);
     }
-    return false;
+  }
+
+  // While the store is away, another node may reach it sooner.
+  #mayTryAgain(startedAt: number): boolean {
+    const { clock, storeHealth } = this.#options.tools;
+    const waited = clock.monotonic() - startedAt;
+    return waited <= PATIENCE_MILLISECONDS && !storeHealth.isAway;
   }
 
   // The same conditional write is tried until its effect is known: after one without an answer,
@@ -114,8 +122,8 @@
         return ACCEPTED;
       }
       isUnsettled ||= outcome.kind === "unknown";
+      if (!isUnsettled && !this.#mayTryAgain(startedAt)) return STORE_AWAY;
       const waited = tools.clock.monotonic() - startedAt;
-      if (!isUnsettled && waited > PATIENCE_MILLISECONDS) return STORE_AWAY;
       if (waited > SETTLE_MILLISECONDS) {
         return { kind: "unknown", reason: "timedOut" };
       }
--- a/source/durable_steps/step_reader.ts
+++ b/source/durable_steps/step_reader.ts
@@ -85,7 +85,11 @@
   ): Promise<StepReading<Buffer>> {
     const found = await this.#find(question);
     if (found.kind !== "read") return found;
-    const outcome = await this.#tools.archive.load(found.value.manifest);
+    const { archive, storeHealth } = this.#tools;
+    const { manifest } = found.value;
+    const isAtHand = archive.peek(manifest.identifier) !== undefined;
+    if (!isAtHand && storeHealth.isSilent) return { kind: "unsure" };
+    const outcome = await archive.load(manifest);
     if (outcome.kind !== "ok") return { kind: "unsure" };
     const request = outcome.value.samples.find(({ identifier }) =>
       identifier === sample
@@ -97,9 +101,9 @@
 
   /** Ends a step; what is listed stays listed. */
   async end(question: StepQuestion): Promise<StepReading<undefined>> {
-    const { clock, table, book, log } = this.#tools;
+    const { clock, table, book, log, storeHealth } = this.#tools;
     const until = clock.monotonic() + END_PATIENCE_MILLISECONDS;
-    while (clock.monotonic() < until) {
+    while (clock.monotonic() < until && !storeHealth.isSilent) {
       const found = await this.#find(question);
       if (found.kind === "absent") return found;
       if (found.kind === "read") {
@@ -118,13 +122,17 @@
           return { kind: "read", value: undefined };
         }
       }
+      if (storeHealth.isAway) break;
       await clock.sleep(PAUSE_MILLISECONDS);
     }
     return { kind: "unsure" };
   }
 
   async #find(question: StepQuestion): Promise<StepReading<StepEntry>> {
-    const outcome = await this.#tools.book.find(question.identifier);
+    const { book, storeHealth } = this.#tools;
+    const isUnknown = book.get(question.identifier) === undefined;
+    if (isUnknown && storeHealth.isSilent) return { kind: "unsure" };
+    const outcome = await book.find(question.identifier);
     if (outcome.kind !== "ok") return { kind: "unsure" };
     const entry = outcome.value;
     if (entry === undefined || !isWhole(entry)) return { kind: "absent" };
@@ -140,6 +148,10 @@
   ): Promise<ReadonlyArray<SampleResult> | undefined> {
     const list = this.#lists.get(step) ?? [];
     this.#lists.set(step, list);
+    if (this.#tools.storeHealth.isSilent) {
+      const known = list.slice(position);
+      return known.length > 0 ? known : undefined;
+    }
     const start = list.length;
     const outcome = await this.#tools.results.read(step, start);
     if (outcome.kind === "ok") {
--- a/source/durable_steps/step_tools.ts
+++ b/source/durable_steps/step_tools.ts
@@ -5,6 +5,7 @@
 import type { EventLog } from "../observability/event_log.ts";
 import type { DurableTable } from "../platform/durable_table.ts";
 import type { Clock } from "../utilities/clock.ts";
+import type { StoreHealth } from "../platform/store_health.ts";
 import type { EnginePool } from "./engine_pool.ts";
 import type { ProgressLog } from "./progress_log.ts";
 import type { ResultList } from "./result_list.ts";
@@ -24,6 +25,8 @@
   readonly servers: ServerView;
   readonly client: ServerClient;
   readonly forwarder: CallForwarder;
+  /** Whether the store answers this node; requests don't wait for it while it is away. */
+  readonly storeHealth: Pick<StoreHealth, "isAway" | "isSilent">;
   /** The configuration in force; undefined until the first was read. */
   readonly configuration: () => Configuration | undefined;
 }
--- a/source/node/create_installation_node.ts
+++ b/source/node/create_installation_node.ts
@@ -148,6 +148,7 @@
     results: new ResultList(table, settings.rowBytes),
     progress: new ProgressLog(table, settings.rowBytes),
     forwarder: new CallForwarder({ ...common, random, servers, client, use }),
+    storeHealth: table.health,
     configuration: () => operator.configuration,
   };
   const keeper = new StepKeeper({
@@ -213,6 +214,7 @@
     operator,
     servers,
     register,
+    storeHealth: table.health,
     calls,
     keeper,
     reader: new StepReader(tools),
--- a/source/node/installation_node.ts
+++ b/source/node/installation_node.ts
@@ -4,6 +4,7 @@
 import type { NodeRegister } from "../installation/node_register.ts";
 import type { OperatorView } from "../installation/operator_view.ts";
 import { selectStrongNodes } from "../installation/select_strong_nodes.ts";
+import type { StoreHealth } from "../platform/store_health.ts";
 import type { ServerView } from "../installation/server_view.ts";
 
 /** A part that works in the background until the node stops. */
@@ -16,6 +17,7 @@
   readonly operator: OperatorView;
   readonly servers: ServerView;
   readonly register: NodeRegister;
+  readonly storeHealth: Pick<StoreHealth, "isAway">;
   readonly calls: CallService;
   readonly keeper: StepKeeper;
   readonly reader: StepReader;
@@ -58,9 +60,15 @@
       servers.isRead;
   }
 
-  /** Returns the nodes that callers should connect to; this one's own failure domain is not preferred. */
+  /**
+   * Returns the nodes that callers should connect to; this one's own failure domain is not preferred.
+   * @returns No addresses from a node that can't tell which nodes run: callers ask another one, or
+   * keep what they have.
+   */
   addresses(): AddressAnswer {
-    const serving = selectStrongNodes(this.parts.register.running);
+    const { register, storeHealth } = this.parts;
+    const isKnown = register.isRead && !storeHealth.isAway;
+    const serving = isKnown ? selectStrongNodes(register.running) : [];
     return {
       addresses: serving.slice(0, LARGEST_ADDRESS_ANSWER).map((node) =>
         node.callerAddress
--- a/source/platform/measured_table.ts
+++ b/source/platform/measured_table.ts
@@ -9,9 +9,12 @@
   TableChanges,
 } from "./durable_table.ts";
 import type { PlatformOutcome } from "./platform_outcome.ts";
+import { StoreHealth } from "./store_health.ts";
 
-/** Counts and times the calls to a durable table. */
+/** Counts and times the calls to a durable table, and notes what they tell of the store. */
 export class MeasuredTable implements DurableTable {
+  /** Whether the store answers this node. */
+  readonly health: StoreHealth;
   readonly #inner: DurableTable;
   readonly #clock: Clock;
   readonly #metrics: Metrics;
@@ -27,6 +30,7 @@
     this.#inner = inner;
     this.#clock = tools.clock;
     this.#metrics = tools.metrics;
+    this.health = new StoreHealth(tools.clock);
   }
 
   /** Reads rows of a partition as of one moment. */
@@ -39,8 +43,10 @@
     table: string,
     options: { readonly after: number; readonly waitMilliseconds: number },
   ): Promise<PlatformOutcome<TableChanges>> {
+    const startedAt = this.#clock.monotonic();
     const outcome = await this.#inner.follow(table, options);
-    this.#count("follow", outcome.kind);
+    const took = this.#clock.monotonic() - startedAt;
+    this.#note("follow", outcome.kind, took - options.waitMilliseconds);
     return outcome;
   }
 
@@ -56,12 +62,18 @@
     const startedAt = this.#clock.monotonic();
     const outcome = await call();
     const milliseconds = this.#clock.monotonic() - startedAt;
-    this.#count(operation, outcome.kind);
+    this.#note(operation, outcome.kind, milliseconds);
     this.#metrics.histogram("store_milliseconds", milliseconds, { operation });
     return outcome;
   }
 
-  #count(operation: string, result: string): void {
+  #note(
+    operation: string,
+    result: PlatformOutcome<unknown>["kind"],
+    milliseconds: number,
+  ): void {
     this.#metrics.count("store_calls", { operation, result });
+    if (result === "ok") this.health.noteAnswer();
+    else this.health.noteFailure(milliseconds);
   }
 }
--- a/stand_ins/installation/create_step_tools.ts
+++ b/stand_ins/installation/create_step_tools.ts
@@ -19,10 +19,12 @@
  * Creates what the parts that run steps share, over a given store and without servers.
  * @param table - The store.
  * @param stopping - Ends what runs in the background.
+ * @param isStoreSilent - Whether the store is away and calls to it hang.
  */
 export function createStepTools(
   table: DurableTable,
   stopping: AbortSignal = new AbortController().signal,
+  isStoreSilent = false,
 ): StepTools {
   const clock = new SystemClock();
   const log = new RecordingEventLog();
@@ -55,6 +57,7 @@
     servers,
     client,
     forwarder: new CallForwarder({ ...common, random, servers, client, use }),
+    storeHealth: { isAway: isStoreSilent, isSilent: isStoreSilent },
     configuration: () => undefined,
   };
 }
