--- a/source/node/installation_node_test.ts
+++ b/source/node/installation_node_test.ts
@@ -1,8 +1,5 @@
 import test from "ava";
-import type {
-  NodeRecord,
-  NodeRegister,
-} from "../installation/node_register.ts";
+import type { NodeRecord } from "../installation/node_register.ts";
 import {
   InstallationNode,
   type InstallationNodeParts,
