Keep a model's steps at one node, and give nodes steps by what they can do

The limit was the same for 0.32 and 1.35 cores. Change: a model's next step goes to the node of its last one while that has less than twice its room; else to the first node in one fixed order that has room; room grows with the node's processor.

--- a/source/durable_steps/step_book.ts
+++ b/source/durable_steps/step_book.ts
@@ -74,15 +74,6 @@
     return this.#entries.get(identifier);
   }
 
-  /** Samples of all steps that were not ended. */
-  countOpenSamples(): number {
-    let count = 0;
-    for (const { manifest, isEnded } of this.#entries.values()) {
-      if (!isEnded) count += Math.max(0, manifest.total);
-    }
-    return count;
-  }
-
   /** Calls a function at each change. */
   watch(onChange: () => void): void {
     this.#watchers.push(onChange);
--- a/source/durable_steps/step_intake.ts
+++ b/source/durable_steps/step_intake.ts
@@ -27,8 +27,8 @@
 export interface StepIntakeOptions {
   readonly tools: StepTools;
   readonly readSubmission: ReadSubmission;
-  /** Returns the process that is to run a model's step that is accepted now. */
-  readonly chooseOwner: (model: string) => string;
+  /** Returns the process that is to run a step that is accepted now. */
+  readonly chooseOwner: (submission: StepSubmission) => string;
 }
 
 /**
@@ -72,7 +72,7 @@
       step: submission.step,
       upload,
       chunks: rows.length,
-      owner: this.#options.chooseOwner(submission.model),
+      owner: this.#options.chooseOwner(submission),
     };
     return await this.#commit({ manifest, last, submission });
   }
--- a/source/node/create_installation_node.ts
+++ b/source/node/create_installation_node.ts
@@ -11,6 +11,7 @@
 import { UsageMeter } from "../duties/usage_meter.ts";
 import { UsageReporting } from "../duties/usage_reporting.ts";
 import { WeightOrders } from "../duties/weight_orders.ts";
+import { chooseStepOwner } from "../durable_steps/choose_step_owner.ts";
 import { EngineBoard } from "../durable_steps/engine_board.ts";
 import { EnginePool } from "../durable_steps/engine_pool.ts";
 import { ProgressLog } from "../durable_steps/progress_log.ts";
@@ -31,9 +32,8 @@
   type OperatorRow,
   OperatorView,
 } from "../installation/operator_view.ts";
-import { selectStrongNodes } from "../installation/select_strong_nodes.ts";
 import { ServerView } from "../installation/server_view.ts";
-import { createRendezvous, type Rendezvous } from "../membership/rendezvous.ts";
+import { createRendezvous } from "../membership/rendezvous.ts";
 import type { Metrics } from "../observability/metrics.ts";
 import type { EventLog } from "../observability/event_log.ts";
 import { MeasuredTable } from "../platform/measured_table.ts";
@@ -47,11 +47,6 @@
 const LEASE_MILLISECONDS = 1200;
 /** A duty call must have left within this time of the lease's end. */
 const ORDER_DEADLINE_MILLISECONDS = 300;
-/**
- * Samples of open steps that one node runs alone. It takes 26 samples a second with 0.17 cores
- * (docs/design/platform.md); 400 open ones end at about 100 a second.
- */
-const SAMPLES_OF_A_NODE = 400;
 const DUTY_LEASE = "duties";
 
 /** What an installation provides and how its messages are read. */
@@ -173,8 +168,15 @@
     intake: new StepIntake({
       tools,
       readSubmission: ports.readSubmission,
-      chooseOwner: (model) =>
-        chooseOwner(model, { register, rendezvous, book, nodeStart }),
+      chooseOwner: (submission) =>
+        chooseStepOwner({
+          model: submission.model,
+          samples: submission.samples.length,
+          running: register.running,
+          steps: book.entries,
+          now: clock.wall(),
+          rendezvous,
+        }) ?? nodeStart,
     }),
   });
   const leaseKeeper = new LeaseKeeper({
@@ -257,23 +259,3 @@
   made.node = node;
   return node;
 }
-
-// As few nodes as can run the steps: each knows all of its engines' use and has open connections.
-function chooseOwner(
-  model: string,
-  options: {
-    readonly register: NodeRegister;
-    readonly rendezvous: Rendezvous;
-    readonly book: StepBook;
-    readonly nodeStart: string;
-  },
-): string {
-  const { register, rendezvous, book, nodeStart } = options;
-  const serving = selectStrongNodes(register.running);
-  const isLight = book.countOpenSamples() <= SAMPLES_OF_A_NODE;
-  const [chosen] = rendezvous.choose(isLight ? "steps" : model, serving, {
-    count: 1,
-    name: ({ node }) => node,
-  });
-  return chosen?.nodeStart ?? nodeStart;
-}
