Take a text as whole when an engine has nothing to add to it

A sample looks for a faster engine at each fourth event; when that was its last one, the next engine answers 200 with no event and (inferred) no weight version, which counted as a version that may not be used, for ever. An engine that breaks off after the last event leads to the same. Ruled out: waits for engines (no refusals), scoring. Change: when a text is resumed, only the versions of events count; a stream that ends without events makes a text whole that has some. One that has none is asked for again, which was taken as whole before.

--- a/source/durable_steps/sample_text_run.ts
+++ b/source/durable_steps/sample_text_run.ts
@@ -220,8 +220,9 @@
       if (answer.status === 422) return "impossible";
       return this.#noteCut(identifier, `status ${answer.status}`);
     }
-    const version = answer.weightVersion;
-    if (version === undefined || !this.#isUsable(version, route)) {
+    // An engine asked to go on after the last event makes none, and names no version.
+    const isResumed = this.#options.text.lastEvent !== undefined;
+    if (!isResumed && !this.#isUsable(answer.weightVersion, route)) {
       answer.abandon();
       this.#unusableVersions += 1;
       this.#options.pool.noteRefused(identifier);
@@ -244,16 +245,17 @@
   ): Promise<AttemptEnd> {
     const { clock, pool, text, client, model, signal } = this.#options;
     const { identifier } = engine;
-    let version = answer.weightVersion ?? 0;
+    let version = answer.weightVersion;
     let readAt = clock.monotonic();
     let events = 0;
     for await (const event of client.readEvents(answer.body)) {
       // A later step may go on with the text by now.
       if (signal.aborted) return "again";
       version = event.weightVersion ?? version;
-      if (!this.#isUsable(version, route)) {
+      if (version === undefined || !this.#isUsable(version, route)) {
         answer.abandon();
         this.#unusableVersions += 1;
+        pool.noteRefused(identifier);
         return "again";
       }
       if (text.lastEvent !== undefined && event.number !== text.lastEvent + 1) {
@@ -277,7 +279,9 @@
         return "again";
       }
     }
-    return "whole";
+    return text.lastEvent === undefined
+      ? this.#noteCut(identifier, "no events")
+      : "whole";
   }
 
   // Either the engine fails part of its requests or the sample fails everywhere; another one tells.
@@ -294,9 +298,9 @@
     );
   }
 
-  #isUsable(version: number, route: ServiceRoute): boolean {
+  #isUsable(version: number | undefined, route: ServiceRoute): boolean {
     const { text, minimumVersion } = this.#options;
-    if (version < minimumVersion) return false;
+    if (version === undefined || version < minimumVersion) return false;
     const [first] = text.versions;
     return !route.isSingleVersion || first === undefined || first === version;
   }
--- /dev/null
+++ b/source/durable_steps/sample_text_run_test.ts
@@ -0,0 +1,198 @@
+import test from "ava";
+import { MemoryDurableTable } from "../../stand_ins/installation/memory_durable_table.ts";
+import {
+  type ScriptedAnswer,
+  ScriptedServerClient,
+} from "../../stand_ins/installation/scripted_server_client.ts";
+import type { ServerRequest, TextEvent } from "../backends/server_client.ts";
+import type { BackendServerEntry } from "../installation/backend_server_entry.ts";
+import type { ServiceRoute } from "../installation/configuration.ts";
+import { ServerView } from "../installation/server_view.ts";
+import { RecordingEventLog } from "../observability/event_log.ts";
+import { SystemClock } from "../utilities/system_clock.ts";
+import { EnginePool } from "./engine_pool.ts";
+import { type SampleText, SampleTextRun } from "./sample_text_run.ts";
+
+const GIVEN_UP_MILLISECONDS = 1500;
+
+const ROUTE = {
+  services: [{ service: "s", share: 1 }],
+  isSingleVersion: false,
+  maximumAttempts: 3,
+} as unknown as ServiceRoute;
+
+function readRow(key: string): BackendServerEntry {
+  return {
+    identifier: key,
+    startedAt: 0,
+    service: "s",
+    address: "a:1",
+    failureDomain: "a",
+    slots: 4,
+    isLeaving: false,
+    warmUpMilliseconds: 0,
+    weightVersions: new Map([["m", 5]]),
+    acceptedOrders: 0,
+    isReclaimable: false,
+  };
+}
+
+interface Trial {
+  readonly text: SampleText;
+  readonly outcome: string;
+  readonly asked: ReadonlyArray<ServerRequest>;
+}
+
+// Runs one sample at two engines until it is whole, or 1.5 s have passed.
+async function run(
+  text: SampleText,
+  answer: (request: ServerRequest, count: number) => ScriptedAnswer,
+): Promise<Trial> {
+  const clock = new SystemClock();
+  const log = new RecordingEventLog();
+  const table = new MemoryDurableTable();
+  const stopping = new AbortController();
+  const { signal } = stopping;
+  const servers = new ServerView({
+    clock,
+    log,
+    table,
+    tableName: "servers",
+    readRow,
+    drainMilliseconds: 2000,
+    stopping: signal,
+  });
+  await table.commit({
+    conditions: [],
+    puts: ["e1", "e2"].map((key) => ({
+      table: "servers",
+      partition: "",
+      key,
+      value: Buffer.alloc(0),
+    })),
+  });
+  void servers.run();
+  const asked: ServerRequest[] = [];
+  const client = new ScriptedServerClient((_server, request) => {
+    asked.push(request);
+    return answer(request, asked.length);
+  });
+  const timer = setTimeout(() => stopping.abort(), GIVEN_UP_MILLISECONDS);
+  const outcome = await new SampleTextRun({
+    clock,
+    log,
+    pool: new EnginePool(clock, servers),
+    client,
+    servers,
+    sample: {
+      identifier: "q1",
+      path: "/p/1",
+      headers: {},
+      body: Buffer.alloc(0),
+      tokens: 8,
+      expectedTokens: undefined,
+      group: "g",
+      scoring: undefined,
+    },
+    text,
+    host: "h",
+    organisation: "o",
+    model: "m",
+    minimumVersion: 5,
+    rank: 0,
+    isLong: false,
+    route: () => ROUTE,
+    leftMilliseconds: () => 10_000,
+    signal,
+  }).run();
+  clearTimeout(timer);
+  stopping.abort();
+  return { text, outcome: outcome.kind, asked };
+}
+
+function createText(events: number): SampleText {
+  return {
+    parts: Array.from({ length: events }, (_unused, index) => `part ${index}`),
+    versions: events > 0 ? [5] : [],
+    lastEvent: events > 0 ? events - 1 : undefined,
+    isWhole: false,
+  };
+}
+
+function createEvents(first: number, count: number): ReadonlyArray<TextEvent> {
+  return Array.from({ length: count }, (_unused, index) => ({
+    number: first + index,
+    text: `part ${first + index}`,
+    weightVersion: undefined,
+  }));
+}
+
+test("a text that broke off after its last event is whole when an engine adds nothing", async (t) => {
+  const { text, outcome, asked } = await run(createText(4), () => ({
+    status: 200,
+    weightVersion: "none",
+    events: [],
+  }));
+  t.is(outcome, "whole");
+  t.is(text.parts.length, 4);
+  t.deepEqual(asked.map(({ afterEvent }) => afterEvent), [3]);
+});
+
+test("a text goes on where it broke off", async (t) => {
+  const { text, outcome } = await run(createText(4), () => ({
+    status: 200,
+    weightVersion: 5,
+    events: createEvents(4, 2),
+  }));
+  t.is(outcome, "whole");
+  t.is(text.parts.length, 6);
+});
+
+test("events of a version that may not be used are not taken", async (t) => {
+  const { text, outcome } = await run(
+    createText(4),
+    (_request, count) => ({
+      status: 200,
+      weightVersion: count === 1 ? 4 : 5,
+      events: createEvents(4, 2),
+    }),
+  );
+  t.is(outcome, "whole");
+  t.deepEqual(text.versions, [5]);
+  t.is(text.parts.length, 6);
+});
+
+test("events without any version are not taken", async (t) => {
+  const { text, outcome } = await run(createText(4), () => ({
+    status: 200,
+    weightVersion: "none",
+    events: createEvents(4, 2),
+  }));
+  t.is(outcome, "cancelled");
+  t.is(text.parts.length, 4);
+});
+
+test("an answer without events makes no text whole that has none", async (t) => {
+  const { text, outcome } = await run(createText(0), () => ({
+    status: 200,
+    weightVersion: 5,
+    events: [],
+  }));
+  t.is(outcome, "cancelled");
+  t.false(text.isWhole);
+});
+
+test("a text that an engine cuts goes on at another one from its last event", async (t) => {
+  const { text, outcome, asked } = await run(
+    createText(0),
+    (_request, count) => ({
+      status: 200,
+      weightVersion: 5,
+      events: count === 1 ? createEvents(0, 3) : createEvents(3, 2),
+      isCut: count === 1,
+    }),
+  );
+  t.is(outcome, "whole");
+  t.deepEqual(asked.map(({ afterEvent }) => afterEvent), [undefined, 2]);
+  t.is(text.parts.join(), "part 0,part 1,part 2,part 3,part 4");
+});
--- a/stand_ins/installation/scripted_server_client.ts
+++ b/stand_ins/installation/scripted_server_client.ts
@@ -19,6 +19,10 @@
     /** Whether the body breaks off before its end. */
     readonly isCut?: boolean;
     readonly isUnsigned?: boolean;
+    /** Weight version that the head of the answer names; 1 when absent, none when "none". */
+    readonly weightVersion?: number | "none";
+    /** Events of the answer, instead of a body. */
+    readonly events?: ReadonlyArray<TextEvent>;
   }
   | { readonly kind: "notRun" | "unknown"; readonly isFull?: boolean };
 
@@ -68,8 +72,15 @@
       status: answer.status,
       headers: {},
       signature: answer.isUnsigned === true ? undefined : "signed",
-      weightVersion: 1,
-      body: createBody(answer.body ?? "", answer.isCut ?? false),
+      weightVersion: answer.weightVersion === "none"
+        ? undefined
+        : answer.weightVersion ?? 1,
+      body: createBody(
+        answer.events === undefined
+          ? answer.body ?? ""
+          : answer.events.map((event) => JSON.stringify(event)).join("\n"),
+        answer.isCut ?? false,
+      ),
       abandon: () => {},
     };
   }
@@ -79,8 +90,13 @@
     return false;
   }
 
-  /** Reads no events. */
-  async *readEvents(): AsyncGenerator<TextEvent> {}
+  /** Reads the events of a scripted answer. */
+  async *readEvents(body: AsyncIterable<Buffer>): AsyncGenerator<TextEvent> {
+    for await (const chunk of body) {
+      const lines = chunk.toString().split("\n").filter((line) => line !== "");
+      yield* lines.map((line) => JSON.parse(line) as TextEvent);
+    }
+  }
 
   /** Refuses every order. */
   order(): Promise<WeightOrderOutcome> {
