Report windows that ended before the holder was started, and delete old figures

Its holder was turned away by the store at 34.0 s, the next one killed; the third (lease 37.6 s) had been restarted after the window's end, and a holder began with the window of its own start. Ruled out: a lack of time (the report was due at 39.3 s, the third holder reported the next window at 38.0 s). Change: a holder reports every window of the last minute that has figures in the store; of windows before its start without any it says nothing. The holder deletes figures two minutes old, which only grew before. Tests: usage_reporting_test; its first test fails on the code before (by reading: the loop began at the window of the start).

--- a/source/duties/usage_reporting.ts
+++ b/source/duties/usage_reporting.ts
@@ -10,6 +10,10 @@
 const SAVE_SHARE = 0.35;
 /** Windows that ended longer ago are reported no more. */
 const OLDEST_MILLISECONDS = 60_000;
+/** Figures stay so much longer than any holder reports them, as clocks of nodes differ. */
+const KEPT_MILLISECONDS = 2 * OLDEST_MILLISECONDS;
+/** Entries of a transaction. */
+const TRANSACTION_ROWS = 90;
 const DECIDED_KEY = "~decided";
 const REPORTED_KEY = "~reported";
 
@@ -23,7 +27,7 @@
   readonly windowMilliseconds: number;
   /** From a window's end until its report is due. */
   readonly lateMilliseconds: number;
-  /** Wall time before which no window was open. */
+  /** When this process was started, by the wall clock. */
   readonly startedAt: number;
   readonly stopping: AbortSignal;
 }
@@ -35,6 +39,7 @@
 export class UsageReporting {
   readonly #options: UsageReportingOptions;
   readonly #reported = new Set<number>();
+  #deletedThrough: number | undefined;
 
   /** @param options - The store and the duty. */
   constructor(options: UsageReportingOptions) {
@@ -51,18 +56,40 @@
   }
 
   async #reportDue(): Promise<void> {
-    const { clock, windowMilliseconds, lateMilliseconds, startedAt } =
-      this.#options;
+    const { clock, windowMilliseconds, lateMilliseconds } = this.#options;
     const now = clock.wall();
     const ready = now - SAVE_SHARE * lateMilliseconds;
     const last = Math.floor(ready / windowMilliseconds) - 1;
-    const earliest = Math.max(
-      Math.floor(startedAt / windowMilliseconds),
-      last - Math.ceil(OLDEST_MILLISECONDS / windowMilliseconds),
-    );
+    // A holder that was started later reports what earlier ones left.
+    const earliest = last - Math.ceil(OLDEST_MILLISECONDS / windowMilliseconds);
     for (let window = earliest; window <= last; window += 1) {
       if (!this.#reported.has(window)) await this.#report(window);
     }
+    await this.#deleteOld(last);
+  }
+
+  // One window after the other; a new holder begins where the last one may have stopped.
+  async #deleteOld(last: number): Promise<void> {
+    const { table, windowMilliseconds } = this.#options;
+    const kept = Math.ceil(KEPT_MILLISECONDS / windowMilliseconds);
+    const oldest = last - kept;
+    const overlap = Math.ceil(OLDEST_MILLISECONDS / windowMilliseconds);
+    const from = this.#deletedThrough ?? oldest - overlap;
+    for (let window = from + 1; window <= oldest; window += 1) {
+      const partition = String(window);
+      const outcome = await table.read(USAGE_TABLE, { partition });
+      if (outcome.kind !== "ok") return;
+      const deletes = outcome.value.rows;
+      if (deletes.length > 0) {
+        const deleted = await table.commit({
+          conditions: [],
+          puts: [],
+          deletes: deletes.slice(0, TRANSACTION_ROWS),
+        });
+        if (deleted.kind !== "ok" || deletes.length > TRANSACTION_ROWS) return;
+      }
+      this.#deletedThrough = window;
+    }
   }
 
   async #report(window: number): Promise<void> {
@@ -86,7 +113,8 @@
 
   // Returns the figures to be sent; undefined when they were sent already or can't be known now.
   async #decide(window: number): Promise<UsageCounts | undefined> {
-    const read = await this.#options.table.read(USAGE_TABLE, {
+    const { table, windowMilliseconds, startedAt } = this.#options;
+    const read = await table.read(USAGE_TABLE, {
       partition: String(window),
     });
     if (read.kind !== "ok") return undefined;
@@ -95,6 +123,12 @@
       this.#reported.add(window);
       return undefined;
     }
+    // Before this process was started, only what others left in the store tells of a window.
+    const isLater = (window + 1) * windowMilliseconds > startedAt;
+    if (rows.length === 0 && !isLater) {
+      this.#reported.add(window);
+      return undefined;
+    }
     const decided = rows.find(({ key }) => key === DECIDED_KEY);
     if (decided !== undefined) return readCounts(decided);
     const counts = addCounts(rows);
@@ -104,7 +138,7 @@
       partition: String(window),
       key: DECIDED_KEY,
     };
-    const outcome = await this.#options.table.commit({
+    const outcome = await table.commit({
       conditions: [{ ...place, version: 0 }],
       puts: [{ ...place, value }],
     });
