--- a/source/admission/node_admission.ts
+++ b/source/admission/node_admission.ts
@@ -7,7 +7,7 @@
 import type { ConfigurationView } from "../membership/configuration_view.ts";
 import type { PeerDirectory } from "../membership/peer_directory.ts";
 import type { ToldState } from "../membership/told_state.ts";
-import type { NodeContext } from "../node/node_context.ts";
+import type { NodeContext } from "../context/node_context.ts";
 import type { Admission, AdmissionTicket } from "./admission.ts";
 import { CapacityEstimate } from "./capacity_estimate.ts";
 import { OrganisationLimits } from "./organisation_limits.ts";
--- a/source/command/load_declaration_file.ts
+++ b/source/command/load_declaration_file.ts
@@ -1,9 +1,7 @@
 import { readFile } from "node:fs/promises";
 import type { Declaration } from "../../generated/snipepath/v1/declaration_pb.ts";
-import {
-  type LocatedFault,
-  parseDeclaration,
-} from "../declarations/declaration_document.ts";
+import { parseDeclaration } from "../declarations/declaration_document.ts";
+import type { LocatedFault } from "../declarations/located_fault.ts";
 import { type CommandOutput, formatJson } from "./command_output.ts";
 
 /** Where a declaration's faults are written. */
--- a/source/control/lease_keeper.ts
+++ b/source/control/lease_keeper.ts
@@ -3,7 +3,7 @@
   type LeaseRecord,
   LeaseRecordSchema,
 } from "../../generated/snipepath/v1/records_pb.ts";
-import type { NodeContext } from "../node/node_context.ts";
+import type { NodeContext } from "../context/node_context.ts";
 import type { Row, TableClient } from "../platform/table_client.ts";
 import { invariant } from "../utilities/invariant.ts";
 import {
--- a/source/control/order_intents.ts
+++ b/source/control/order_intents.ts
@@ -4,7 +4,7 @@
   type OrderIntent,
   OrderIntentSchema,
 } from "../../generated/snipepath/v1/records_pb.ts";
-import type { NodeContext } from "../node/node_context.ts";
+import type { NodeContext } from "../context/node_context.ts";
 import type { Row, TransactionResult } from "../platform/table_client.ts";
 import type { PlatformOutcome } from "../platform/platform_outcome.ts";
 import { LEASE_TABLE, type LeaseKeeper } from "./lease_keeper.ts";
--- a/source/control/order_ledger.ts
+++ b/source/control/order_ledger.ts
@@ -4,7 +4,7 @@
   type OrderIntent,
   OrderIntentSchema,
 } from "../../generated/snipepath/v1/records_pb.ts";
-import type { NodeContext } from "../node/node_context.ts";
+import type { NodeContext } from "../context/node_context.ts";
 import type { SendGuard } from "../platform/send_guard.ts";
 import type { LeaseKeeper } from "./lease_keeper.ts";
 import { type OpenIntent, OrderIntents } from "./order_intents.ts";
--- a/source/control/spend_control.ts
+++ b/source/control/spend_control.ts
@@ -1,7 +1,7 @@
 import type { Service } from "../../generated/snipepath/v1/declaration_pb.ts";
 import type { BackendServerView } from "../backends/backend_server_state.ts";
 import type { ConfigurationView } from "../membership/configuration_view.ts";
-import type { NodeContext } from "../node/node_context.ts";
+import type { NodeContext } from "../context/node_context.ts";
 import { SpendKeeper } from "./spend_keeper.ts";
 
 const CHECK_MILLISECONDS = 1_000;
--- a/source/control/spend_keeper.ts
+++ b/source/control/spend_keeper.ts
@@ -3,7 +3,7 @@
   BackendServerState,
   BackendServerView,
 } from "../backends/backend_server_state.ts";
-import type { NodeContext } from "../node/node_context.ts";
+import type { NodeContext } from "../context/node_context.ts";
 import type { ListedInstance } from "../platform/instance_list_client.ts";
 import type { Tier } from "../platform/orders_client.ts";
 import { LeaseKeeper } from "./lease_keeper.ts";
--- a/source/control/unresolved_orders.ts
+++ b/source/control/unresolved_orders.ts
@@ -1,5 +1,5 @@
 import type { OrderIntent } from "../../generated/snipepath/v1/records_pb.ts";
-import type { NodeContext } from "../node/node_context.ts";
+import type { NodeContext } from "../context/node_context.ts";
 import type { LeaseKeeper } from "./lease_keeper.ts";
 import type { OrderIntents } from "./order_intents.ts";
 import { isAboutSameServer, type OrderTarget } from "./orders_under_way.ts";
--- a/source/control/usage_copies.ts
+++ b/source/control/usage_copies.ts
@@ -1,4 +1,4 @@
-import type { NodeContext } from "../node/node_context.ts";
+import type { NodeContext } from "../context/node_context.ts";
 import type { PlatformOutcome } from "../platform/platform_outcome.ts";
 import type { UsageEntry } from "./usage_book.ts";
 
--- a/source/control/usage_reporter.ts
+++ b/source/control/usage_reporter.ts
@@ -1,5 +1,5 @@
 import type { ToldState } from "../membership/told_state.ts";
-import type { NodeContext } from "../node/node_context.ts";
+import type { NodeContext } from "../context/node_context.ts";
 import type { HeldLease, LeaseKeeper } from "./lease_keeper.ts";
 import { planFrozenWindows } from "./plan_frozen_windows.ts";
 import { findOldestKept, UsageBook } from "./usage_book.ts";
--- a/source/control/usage_stand_in_test.ts
+++ b/source/control/usage_stand_in_test.ts
@@ -9,7 +9,7 @@
   createPlatformState,
   type PlatformState,
 } from "../../stand_ins/platform/platform_state.ts";
-import type { NodeContext } from "../node/node_context.ts";
+import type { NodeContext } from "../context/node_context.ts";
 import { createPlatform } from "../platform/create_platform.ts";
 import type { UsageReport } from "../platform/usage_report_client.ts";
 import { SystemClock } from "../utilities/system_clock.ts";
--- a/source/control/usage_tally.ts
+++ b/source/control/usage_tally.ts
@@ -1,7 +1,7 @@
 import { create } from "@bufbuild/protobuf";
 import { UsageFactSchema } from "../../generated/snipepath/v1/peer_pb.ts";
 import type { ToldState } from "../membership/told_state.ts";
-import type { NodeContext } from "../node/node_context.ts";
+import type { NodeContext } from "../context/node_context.ts";
 import type { ReportedFigures } from "../platform/usage_report_client.ts";
 import { findOldestKept, UsageBook, type UsageEntry } from "./usage_book.ts";
 import { UsageCopies } from "./usage_copies.ts";
--- a/source/control/usage_window_clock.ts
+++ b/source/control/usage_window_clock.ts
@@ -1,4 +1,4 @@
-import type { NodeContext } from "../node/node_context.ts";
+import type { NodeContext } from "../context/node_context.ts";
 
 const SETTLE_MILLISECONDS = 12_000;
 
--- a/source/control/usage_windows.ts
+++ b/source/control/usage_windows.ts
@@ -3,7 +3,7 @@
   UsageAdjustmentSchema,
   UsageWindowRecordSchema,
 } from "../../generated/snipepath/v1/records_pb.ts";
-import type { NodeContext } from "../node/node_context.ts";
+import type { NodeContext } from "../context/node_context.ts";
 import type { PlatformOutcome } from "../platform/platform_outcome.ts";
 import type { Row, RowCondition } from "../platform/table_client.ts";
 import type {
--- a/source/control/weight_rollout.ts
+++ b/source/control/weight_rollout.ts
@@ -7,7 +7,7 @@
   EngineOrderOutcome,
 } from "../backends/engine_client.ts";
 import type { ConfigurationView } from "../membership/configuration_view.ts";
-import type { NodeContext } from "../node/node_context.ts";
+import type { NodeContext } from "../context/node_context.ts";
 import type { PublishedVersion } from "../steps/weight_versions.ts";
 import { LeaseKeeper } from "./lease_keeper.ts";
 import {
--- a/source/control/weight_rollout_attempts.ts
+++ b/source/control/weight_rollout_attempts.ts
@@ -1,5 +1,5 @@
 import type { BackendServerState } from "../backends/backend_server_state.ts";
-import type { NodeContext } from "../node/node_context.ts";
+import type { NodeContext } from "../context/node_context.ts";
 import type { OrderOutcome } from "./order_ledger.ts";
 import type { WeightRolloutPace } from "./weight_rollout_pace.ts";
 import type { RolloutEngine, RolloutGoal } from "./weight_rollout_planner.ts";
--- a/source/declarations/declaration_document.ts
+++ b/source/declarations/declaration_document.ts
@@ -5,20 +5,11 @@
   DeclarationSchema,
 } from "../../generated/snipepath/v1/declaration_pb.ts";
 import { checkDeclaration } from "./check_declaration.ts";
+import type { LocatedFault } from "./located_fault.ts";
 import { readMessage } from "./read_message.ts";
 
 const MAXIMUM_FAULTS_OF_SYNTAX = 20;
 
-/** A fault of a declaration, with its place in the file. */
-export interface LocatedFault {
-  /** Counted from 1. */
-  readonly line: number;
-  /** Such as "routes[2].service"; empty for a fault of syntax. */
-  readonly field: string;
-  readonly problem: string;
-  readonly remedy: string;
-}
-
 /** A declaration, or everything that is wrong with its text. */
 export type DeclarationOutcome =
   | { readonly kind: "ok"; readonly declaration: Declaration }
--- a/source/declarations/read_message.ts
+++ b/source/declarations/read_message.ts
@@ -4,7 +4,7 @@
   ScalarType,
 } from "@bufbuild/protobuf";
 import { isMap, isScalar, isSeq, type Node } from "yaml";
-import type { LocatedFault } from "./declaration_document.ts";
+import type { LocatedFault } from "./located_fault.ts";
 
 /** What a YAML node is read as. */
 export interface ReadMessageOptions {
--- a/source/dispatch/completion_run.ts
+++ b/source/dispatch/completion_run.ts
@@ -8,7 +8,8 @@
   estimatePromptTokens,
 } from "../backends/prefix_digest.ts";
 import type { DispatchEnd } from "../routing/dispatch_record.ts";
-import type { Placement, RoutingChoice } from "../routing/routing_policy.ts";
+import type { RoutingChoice } from "../routing/routing_policy.ts";
+import type { Placement } from "../routing/placement.ts";
 import { invariant } from "../utilities/invariant.ts";
 import { accountCompletion } from "./account_completion.ts";
 import { CompletionAttempt } from "./completion_attempt.ts";
--- a/source/dispatch/dispatcher_options.ts
+++ b/source/dispatch/dispatcher_options.ts
@@ -2,7 +2,7 @@
 import type { EngineClient } from "../backends/engine_client.ts";
 import type { PlainClient } from "../backends/plain_client.ts";
 import type { ConfigurationView } from "../membership/configuration_view.ts";
-import type { NodeContext } from "../node/node_context.ts";
+import type { NodeContext } from "../context/node_context.ts";
 import type { RetryBudgetOptions } from "./retry_budget.ts";
 import type { RoutingPolicyName } from "../routing/routing_policy.ts";
 
--- a/source/dispatch/plain_run.ts
+++ b/source/dispatch/plain_run.ts
@@ -3,7 +3,8 @@
   ExchangeFailure,
 } from "../backends/http_exchange.ts";
 import type { DispatchEnd } from "../routing/dispatch_record.ts";
-import type { Placement, RoutingChoice } from "../routing/routing_policy.ts";
+import type { RoutingChoice } from "../routing/routing_policy.ts";
+import type { Placement } from "../routing/placement.ts";
 import { invariant } from "../utilities/invariant.ts";
 import type { DispatchTools } from "./dispatch_tools.ts";
 import type {
--- a/source/dispatch/server_selector.ts
+++ b/source/dispatch/server_selector.ts
@@ -2,12 +2,12 @@
   BackendServerState,
   BackendServerView,
 } from "../backends/backend_server_state.ts";
-import type { NodeContext } from "../node/node_context.ts";
+import type { NodeContext } from "../context/node_context.ts";
 import type {
-  Placement,
   RoutingChoice,
   RoutingPolicy,
 } from "../routing/routing_policy.ts";
+import type { Placement } from "../routing/placement.ts";
 import type { ServerExperience } from "../routing/server_experience.ts";
 
 /** What a server selector needs. */
--- a/source/durable_steps/choose_step_owner.ts
+++ b/source/durable_steps/choose_step_owner.ts
@@ -1,4 +1,4 @@
-import type { NodeRecord } from "../installation/node_register.ts";
+import type { NodeRecord } from "../installation/node_record.ts";
 import { selectStrongNodes } from "../installation/select_strong_nodes.ts";
 import type { Rendezvous } from "../membership/rendezvous.ts";
 import type { StepEntry } from "./step_book.ts";
--- a/source/durable_steps/choose_step_owner_test.ts
+++ b/source/durable_steps/choose_step_owner_test.ts
@@ -1,5 +1,5 @@
 import test from "ava";
-import type { NodeRecord } from "../installation/node_register.ts";
+import type { NodeRecord } from "../installation/node_record.ts";
 import { createRendezvous } from "../membership/rendezvous.ts";
 import { chooseStepOwner } from "./choose_step_owner.ts";
 import type { StepEntry } from "./step_book.ts";
--- a/source/durable_steps/engine_board.ts
+++ b/source/durable_steps/engine_board.ts
@@ -1,4 +1,4 @@
-import type { EngineUseRecord } from "../installation/node_register.ts";
+import type { EngineUseRecord } from "../installation/node_record.ts";
 import type { Clock } from "../utilities/clock.ts";
 import type { EnginePool } from "./engine_pool.ts";
 
--- a/source/entry/address_route.ts
+++ b/source/entry/address_route.ts
@@ -1,6 +1,6 @@
 import type { PeerDirectory } from "../membership/peer_directory.ts";
 import type { ToldState } from "../membership/told_state.ts";
-import type { NodeContext } from "../node/node_context.ts";
+import type { NodeContext } from "../context/node_context.ts";
 import { type ListedNode, orderAddresses } from "./address_order.ts";
 import type { EntryExchange, EntryRoute } from "./entry_handler.ts";
 import { sendRefusal } from "./refusal.ts";
--- a/source/entry/address_route_test.ts
+++ b/source/entry/address_route_test.ts
@@ -5,7 +5,7 @@
 import test from "ava";
 import { NodeSettingsSchema } from "../../generated/snipepath/v1/settings_pb.ts";
 import type { Peer } from "../membership/peer_directory.ts";
-import type { NodeContext } from "../node/node_context.ts";
+import type { NodeContext } from "../context/node_context.ts";
 import { createRandomSource } from "../utilities/random_source.ts";
 import { createAddressRoute } from "./address_route.ts";
 
--- a/source/entry/claims/claim_keeper.ts
+++ b/source/entry/claims/claim_keeper.ts
@@ -5,7 +5,7 @@
   type KeptAnswer,
   KeptAnswerSchema,
 } from "../../../generated/snipepath/v1/records_pb.ts";
-import type { NodeContext } from "../../node/node_context.ts";
+import type { NodeContext } from "../../context/node_context.ts";
 import { invariant } from "../../utilities/invariant.ts";
 import {
   ANSWER_NOT_KEPT,
--- a/source/entry/claims/claim_settler.ts
+++ b/source/entry/claims/claim_settler.ts
@@ -1,5 +1,5 @@
 import type { ClaimRecord } from "../../../generated/snipepath/v1/records_pb.ts";
-import type { NodeContext } from "../../node/node_context.ts";
+import type { NodeContext } from "../../context/node_context.ts";
 import type { ClaimState, ClaimTable } from "./claim_table.ts";
 
 const RETRY_MILLISECONDS = 500;
--- a/source/entry/entry_server.ts
+++ b/source/entry/entry_server.ts
@@ -2,7 +2,7 @@
 import { type AddressInfo, Server as NetServer, type Socket } from "node:net";
 import type { KeyDirectory } from "../keys/key_directory.ts";
 import { OPEN_CALLER } from "../keys/key_resolution.ts";
-import type { NodeContext } from "../node/node_context.ts";
+import type { NodeContext } from "../context/node_context.ts";
 import { BrokenInvariantError } from "../utilities/invariant.ts";
 import { CallerSilence } from "./caller_silence.ts";
 import type {
--- a/source/entry/served_work.ts
+++ b/source/entry/served_work.ts
@@ -3,7 +3,7 @@
 import type { DispatchRefusal, Work } from "../dispatch/dispatcher.ts";
 import type { Dispatcher } from "../dispatch/dispatcher.ts";
 import type { ConfigurationView } from "../membership/configuration_view.ts";
-import type { NodeContext } from "../node/node_context.ts";
+import type { NodeContext } from "../context/node_context.ts";
 import type { DeclaredWork } from "./declared_work.ts";
 import type { EntryExchange } from "./entry_handler.ts";
 
--- a/source/installation/select_strong_nodes.ts
+++ b/source/installation/select_strong_nodes.ts
@@ -1,4 +1,4 @@
-import type { NodeRecord } from "./node_register.ts";
+import type { NodeRecord } from "./node_record.ts";
 
 /** Nodes with less than this share of the strongest one's processor serve only when others are lost. */
 const LEAST_SHARE = 0.6;
--- a/source/installation/select_strong_nodes_test.ts
+++ b/source/installation/select_strong_nodes_test.ts
@@ -1,5 +1,5 @@
 import test from "ava";
-import type { NodeRecord } from "./node_register.ts";
+import type { NodeRecord } from "./node_record.ts";
 import { selectStrongNodes } from "./select_strong_nodes.ts";
 
 function node(
--- a/source/keys/key_authority.ts
+++ b/source/keys/key_authority.ts
@@ -6,7 +6,7 @@
 import { KeyRecordSchema } from "../../generated/snipepath/v1/records_pb.ts";
 import type { PeerDirectory } from "../membership/peer_directory.ts";
 import type { ToldState } from "../membership/told_state.ts";
-import type { NodeContext } from "../node/node_context.ts";
+import type { NodeContext } from "../context/node_context.ts";
 import type { PlatformOutcome } from "../platform/platform_outcome.ts";
 import type { KeyDirectory } from "./key_directory.ts";
 import { generateKey, isKeyIdentifier } from "./key_format.ts";
--- a/source/keys/key_directory.ts
+++ b/source/keys/key_directory.ts
@@ -3,7 +3,7 @@
 import type { KeyRecord } from "../../generated/snipepath/v1/records_pb.ts";
 import type { PeerDirectory } from "../membership/peer_directory.ts";
 import type { ToldState } from "../membership/told_state.ts";
-import type { NodeContext } from "../node/node_context.ts";
+import type { NodeContext } from "../context/node_context.ts";
 import { KeyCache } from "./key_cache.ts";
 import { matchesDigest, type ParsedKey, parseKey } from "./key_format.ts";
 import type { KeyRefusal, KeyResolution } from "./key_resolution.ts";
--- a/source/membership/membership.ts
+++ b/source/membership/membership.ts
@@ -10,7 +10,7 @@
 } from "../../generated/snipepath/v1/peer_pb.ts";
 import type { BackendServerView } from "../backends/backend_server_state.ts";
 import type { EngineClient } from "../backends/engine_client.ts";
-import type { NodeContext } from "../node/node_context.ts";
+import type { NodeContext } from "../context/node_context.ts";
 import type { ListedInstance } from "../platform/instance_list_client.ts";
 import type { ConfigurationWriter } from "../operators/configuration_writer.ts";
 import { AdoptingConfigurationWriter } from "./adopting_configuration_writer.ts";
--- a/source/membership/peer_dialer.ts
+++ b/source/membership/peer_dialer.ts
@@ -1,4 +1,4 @@
-import type { NodeContext } from "../node/node_context.ts";
+import type { NodeContext } from "../context/node_context.ts";
 import { choosePeers, type PeerCandidate } from "./peer_choice.ts";
 import type { PeerStreams } from "./peer_streams.ts";
 import type { Rendezvous } from "./rendezvous.ts";
--- a/source/membership/peer_directory_client.ts
+++ b/source/membership/peer_directory_client.ts
@@ -7,7 +7,7 @@
   PeerService,
   type StoreSamplesRequest,
 } from "../../generated/snipepath/v1/peer_pb.ts";
-import type { NodeContext } from "../node/node_context.ts";
+import type { NodeContext } from "../context/node_context.ts";
 import type { KeyFreshness } from "./key_freshness.ts";
 import type { NodeDirectory } from "./node_directory.ts";
 import { createPeerConnection } from "./peer_connection.ts";
--- a/source/membership/peer_streams.ts
+++ b/source/membership/peer_streams.ts
@@ -4,7 +4,7 @@
   type PeerMessage,
   PeerService,
 } from "../../generated/snipepath/v1/peer_pb.ts";
-import type { NodeContext } from "../node/node_context.ts";
+import type { NodeContext } from "../context/node_context.ts";
 import { createPeerConnection } from "./peer_connection.ts";
 import type { PeerCandidate } from "./peer_choice.ts";
 import { PeerSession, type PeerSessionOptions } from "./peer_session.ts";
--- a/source/membership/platform_poll.ts
+++ b/source/membership/platform_poll.ts
@@ -1,6 +1,6 @@
 import { fromJsonString } from "@bufbuild/protobuf";
 import { KeyRecordSchema } from "../../generated/snipepath/v1/records_pb.ts";
-import type { NodeContext } from "../node/node_context.ts";
+import type { NodeContext } from "../context/node_context.ts";
 import type { ListedInstance } from "../platform/instance_list_client.ts";
 import type { ConfigurationHolder } from "./configuration_holder.ts";
 import type { ConfigurationStore } from "./configuration_store.ts";
--- a/source/membership/server_watch.ts
+++ b/source/membership/server_watch.ts
@@ -4,7 +4,7 @@
   BackendServerFactSchema,
 } from "../../generated/snipepath/v1/peer_pb.ts";
 import type { EngineClient, EngineLoad } from "../backends/engine_client.ts";
-import type { NodeContext } from "../node/node_context.ts";
+import type { NodeContext } from "../context/node_context.ts";
 import type { BackendServerTable } from "./backend_server_table.ts";
 import type { FactStore } from "./fact_store.ts";
 import { hasMoved, quantiseLoad } from "./load_quantisation.ts";
--- a/source/node/control.ts
+++ b/source/node/control.ts
@@ -9,7 +9,7 @@
   type WeightRolloutTasksOptions,
 } from "../control/weight_rollout_tasks.ts";
 import type { Membership } from "../membership/membership.ts";
-import type { NodeContext } from "./node_context.ts";
+import type { NodeContext } from "../context/node_context.ts";
 
 const USAGE_LEASE = "usage";
 
--- a/source/node/create_node_context.ts
+++ b/source/node/create_node_context.ts
@@ -8,7 +8,7 @@
 import { createPlatform } from "../platform/create_platform.ts";
 import { createRandomSource } from "../utilities/random_source.ts";
 import { SystemClock } from "../utilities/system_clock.ts";
-import type { NodeContext } from "./node_context.ts";
+import type { NodeContext } from "../context/node_context.ts";
 
 const LARGEST_SEED = 0x7fff_ffff;
 
--- a/source/node/installation_node_test.ts
+++ b/source/node/installation_node_test.ts
@@ -1,5 +1,5 @@
 import test from "ava";
-import type { NodeRecord } from "../installation/node_register.ts";
+import type { NodeRecord } from "../installation/node_record.ts";
 import {
   InstallationNode,
   type InstallationNodeParts,
--- a/source/node/node.ts
+++ b/source/node/node.ts
@@ -23,7 +23,7 @@
 import { StepService } from "../steps/step_service.ts";
 import { Control } from "./control.ts";
 import { LateHandlers } from "./late_handlers.ts";
-import type { NodeContext } from "./node_context.ts";
+import type { NodeContext } from "../context/node_context.ts";
 import { reportNodeGauges } from "./node_gauges.ts";
 
 const STOP_LIMIT_MILLISECONDS = 5000;
--- a/source/node/node_gauges.ts
+++ b/source/node/node_gauges.ts
@@ -1,6 +1,6 @@
 import type { EntryServer } from "../entry/entry_server.ts";
 import type { Membership } from "../membership/membership.ts";
-import type { NodeContext } from "./node_context.ts";
+import type { NodeContext } from "../context/node_context.ts";
 
 const INTERVAL_MILLISECONDS = 5000;
 
--- a/source/node/run_node.ts
+++ b/source/node/run_node.ts
@@ -2,7 +2,7 @@
 import type { NodeSettings } from "../../generated/snipepath/v1/settings_pb.ts";
 import { createNodeContext } from "./create_node_context.ts";
 import { Node } from "./node.ts";
-import type { NodeContext } from "./node_context.ts";
+import type { NodeContext } from "../context/node_context.ts";
 
 const START_FAILED_EXIT_STATUS = 1;
 const FAULT_EXIT_STATUS = 70;
--- a/source/operators/operator_service.ts
+++ b/source/operators/operator_service.ts
@@ -14,7 +14,7 @@
 import { checkDeclaration } from "../declarations/check_declaration.ts";
 import type { KeyAuthority } from "../keys/key_authority.ts";
 import type { ConfigurationView } from "../membership/configuration_view.ts";
-import type { NodeContext } from "../node/node_context.ts";
+import type { NodeContext } from "../context/node_context.ts";
 import type { LedgerQuery } from "../observability/cause_ledger.ts";
 import type { ConfigurationWriter } from "./configuration_writer.ts";
 import { readStatus, type StatusSources } from "./read_status.ts";
--- a/source/operators/read_status.ts
+++ b/source/operators/read_status.ts
@@ -19,7 +19,7 @@
 import type { ConfigurationView } from "../membership/configuration_view.ts";
 import type { PeerDirectory } from "../membership/peer_directory.ts";
 import type { ToldState } from "../membership/told_state.ts";
-import type { NodeContext } from "../node/node_context.ts";
+import type { NodeContext } from "../context/node_context.ts";
 
 const MAXIMUM_LEASES = 200;
 const LEASE_TABLE = "leases";
--- a/source/routing/cache_event_reader.ts
+++ b/source/routing/cache_event_reader.ts
@@ -5,7 +5,7 @@
   BackendServerView,
 } from "../backends/backend_server_state.ts";
 import type { EngineClient } from "../backends/engine_client.ts";
-import type { NodeContext } from "../node/node_context.ts";
+import type { NodeContext } from "../context/node_context.ts";
 import type { ServerExperience } from "./server_experience.ts";
 
 const READ_INTERVAL_MILLISECONDS = 1_000;
--- a/source/routing/candidates.ts
+++ b/source/routing/candidates.ts
@@ -1,7 +1,7 @@
 import type { BackendServerState } from "../backends/backend_server_state.ts";
 import type { RandomSource } from "../utilities/random_source.ts";
 import { rankByRendezvous } from "./rendezvous.ts";
-import type { Placement } from "./routing_policy.ts";
+import type { Placement } from "./placement.ts";
 
 const LOAD_BOUND = 1.25;
 const AFFINE_CANDIDATES = 2;
--- a/source/routing/dispatch_record.ts
+++ b/source/routing/dispatch_record.ts
@@ -1,5 +1,5 @@
 import type { CacheKnowledge } from "./cache_knowledge.ts";
-import type { Placement } from "./routing_policy.ts";
+import type { Placement } from "./placement.ts";
 import type { ServerRecord } from "./server_record.ts";
 import type { ServiceRecord } from "./service_record.ts";
 
--- a/source/routing/expected_finish.ts
+++ b/source/routing/expected_finish.ts
@@ -2,11 +2,11 @@
 import { pickCandidates } from "./candidates.ts";
 import { FinishEstimator } from "./finish_estimator.ts";
 import type {
-  Placement,
   RoutingChoice,
   RoutingKnowledge,
   RoutingPolicy,
 } from "./routing_policy.ts";
+import type { Placement } from "./placement.ts";
 
 const EQUAL_COST_SHARE = 0.05;
 
--- a/source/routing/finish_estimator.ts
+++ b/source/routing/finish_estimator.ts
@@ -1,7 +1,8 @@
 import type { BackendServerState } from "../backends/backend_server_state.ts";
 import { expectedExcess } from "./expected_excess.ts";
 import { estimateLoads, type LoadEstimate } from "./load_estimate.ts";
-import type { Placement, RoutingKnowledge } from "./routing_policy.ts";
+import type { RoutingKnowledge } from "./routing_policy.ts";
+import type { Placement } from "./placement.ts";
 import type { ServerRecord } from "./server_record.ts";
 import type { ServiceRecord } from "./service_record.ts";
 
--- a/source/routing/least_outstanding.ts
+++ b/source/routing/least_outstanding.ts
@@ -1,10 +1,10 @@
 import type { BackendServerState } from "../backends/backend_server_state.ts";
 import type {
-  Placement,
   RoutingChoice,
   RoutingKnowledge,
   RoutingPolicy,
 } from "./routing_policy.ts";
+import type { Placement } from "./placement.ts";
 
 /** Baseline: takes the server on which this node has the fewest requests running. */
 export class LeastOutstanding implements RoutingPolicy {
--- a/source/routing/rendezvous.ts
+++ b/source/routing/rendezvous.ts
@@ -1,10 +1,7 @@
 import xxhash from "xxhash-wasm";
 import type { BackendServerState } from "../backends/backend_server_state.ts";
-import type {
-  Placement,
-  RoutingChoice,
-  RoutingPolicy,
-} from "./routing_policy.ts";
+import type { RoutingChoice, RoutingPolicy } from "./routing_policy.ts";
+import type { Placement } from "./placement.ts";
 
 const PREFIX_BLOCKS_OF_AFFINITY = 4;
 
--- a/source/routing/routing_policies_test.ts
+++ b/source/routing/routing_policies_test.ts
@@ -3,7 +3,8 @@
 import { digestPrefixes } from "../backends/prefix_digest.ts";
 import { createRandomSource } from "../utilities/random_source.ts";
 import { createRoutingPolicy } from "./routing_policies.ts";
-import type { Placement, RoutingPolicyName } from "./routing_policy.ts";
+import type { RoutingPolicyName } from "./routing_policy.ts";
+import type { Placement } from "./placement.ts";
 import { ServerExperience } from "./server_experience.ts";
 
 const POLICY_NAMES: ReadonlyArray<RoutingPolicyName> = [
--- a/source/routing/routing_policy.ts
+++ b/source/routing/routing_policy.ts
@@ -1,5 +1,6 @@
 import type { BackendServerState } from "../backends/backend_server_state.ts";
 import type { RandomSource } from "../utilities/random_source.ts";
+import type { Placement } from "./placement.ts";
 import type { ServerExperience } from "./server_experience.ts";
 
 /** Names of the routing policies. */
@@ -9,18 +10,6 @@
   | "rendezvous"
   | "roundRobin";
 
-/** Work for which a server is wanted. */
-export interface Placement {
-  readonly service: string;
-  readonly organisation: string;
-  readonly classOfWork: string;
-  /** Digests of the prompt's prefixes, salted by the organisation; empty for a plain call. */
-  readonly prefixDigests: ReadonlyArray<string>;
-  readonly promptTokens: number;
-  /** Largest number of tokens to generate; 0 for a plain call. */
-  readonly maximumTokens: number;
-}
-
 /** What a policy may go by besides the servers' states. */
 export interface RoutingKnowledge {
   /** Failure domain of this node. */
--- a/source/routing/server_experience.ts
+++ b/source/routing/server_experience.ts
@@ -1,7 +1,7 @@
 import { LRUCache } from "lru-cache";
 import { CacheKnowledge } from "./cache_knowledge.ts";
 import { DispatchRecord } from "./dispatch_record.ts";
-import type { Placement } from "./routing_policy.ts";
+import type { Placement } from "./placement.ts";
 import { ServerRecord } from "./server_record.ts";
 import { ServiceRecord } from "./service_record.ts";
 
--- a/source/steps/step_runner.ts
+++ b/source/steps/step_runner.ts
@@ -7,7 +7,7 @@
   DispatchRefusal,
   FinishedCompletion,
 } from "../dispatch/dispatcher.ts";
-import type { NodeContext } from "../node/node_context.ts";
+import type { NodeContext } from "../context/node_context.ts";
 import type { Cause, LedgerEntry } from "../observability/cause_ledger.ts";
 import { findFault, toSample } from "./finished_sample.ts";
 import type { HeldStep } from "./held_step.ts";
--- a/source/steps/step_service_options.ts
+++ b/source/steps/step_service_options.ts
@@ -4,7 +4,7 @@
 import type { ConfigurationView } from "../membership/configuration_view.ts";
 import type { PeerDirectory } from "../membership/peer_directory.ts";
 import type { ToldState } from "../membership/told_state.ts";
-import type { NodeContext } from "../node/node_context.ts";
+import type { NodeContext } from "../context/node_context.ts";
 
 /** What the step service is built from. */
 export interface StepServiceOptions {
--- a/stand_ins/control/control_node.ts
+++ b/stand_ins/control/control_node.ts
@@ -1,6 +1,6 @@
 import { create } from "@bufbuild/protobuf";
 import { NodeSettingsSchema } from "../../generated/snipepath/v1/settings_pb.ts";
-import type { NodeContext } from "../../source/node/node_context.ts";
+import type { NodeContext } from "../../source/context/node_context.ts";
 import { RecordingEventLog } from "../../source/observability/event_log.ts";
 import { NO_METRICS } from "../../source/observability/metrics.ts";
 import type { Clock } from "../../source/utilities/clock.ts";
--- a/stand_ins/dispatch/dispatch_bench.ts
+++ b/stand_ins/dispatch/dispatch_bench.ts
@@ -10,7 +10,7 @@
 import type { CompletionWork, Work } from "../../source/dispatch/dispatcher.ts";
 import type { RetryBudgetOptions } from "../../source/dispatch/retry_budget.ts";
 import type { ConfigurationView } from "../../source/membership/configuration_view.ts";
-import type { NodeContext } from "../../source/node/node_context.ts";
+import type { NodeContext } from "../../source/context/node_context.ts";
 import type {
   Cause,
   CauseLedger,
--- a/stand_ins/entry/entry_bench.ts
+++ b/stand_ins/entry/entry_bench.ts
@@ -19,7 +19,7 @@
 import type { ConfigurationView } from "../../source/membership/configuration_view.ts";
 import type { Peer } from "../../source/membership/peer_directory.ts";
 import type { ToldState } from "../../source/membership/told_state.ts";
-import type { NodeContext } from "../../source/node/node_context.ts";
+import type { NodeContext } from "../../source/context/node_context.ts";
 import { RecordingEventLog } from "../../source/observability/event_log.ts";
 import { NO_METRICS } from "../../source/observability/metrics.ts";
 import type { ReportedFigures } from "../../source/platform/usage_report_client.ts";
--- a/stand_ins/membership/membership_group.ts
+++ b/stand_ins/membership/membership_group.ts
@@ -13,7 +13,7 @@
   type PeerServer,
   startPeerServer,
 } from "../../source/membership/peer_server.ts";
-import type { NodeContext } from "../../source/node/node_context.ts";
+import type { NodeContext } from "../../source/context/node_context.ts";
 import type { CauseLedger } from "../../source/observability/cause_ledger.ts";
 import { RecordingEventLog } from "../../source/observability/event_log.ts";
 import { NO_METRICS } from "../../source/observability/metrics.ts";
--- a/stand_ins/steps/engine_set.ts
+++ b/stand_ins/steps/engine_set.ts
@@ -10,7 +10,7 @@
 import { HttpPlainClient } from "../../source/backends/http_plain_client.ts";
 import { createDispatcher } from "../../source/dispatch/create_dispatcher.ts";
 import type { Dispatcher } from "../../source/dispatch/dispatcher.ts";
-import type { NodeContext } from "../../source/node/node_context.ts";
+import type { NodeContext } from "../../source/context/node_context.ts";
 import { RecordingEventLog } from "../../source/observability/event_log.ts";
 import { MemoryCauseLedger } from "../../source/observability/memory_cause_ledger.ts";
 import { NO_METRICS } from "../../source/observability/metrics.ts";
--- a/stand_ins/steps/fake_node_group.ts
+++ b/stand_ins/steps/fake_node_group.ts
@@ -15,7 +15,7 @@
   HeldFact,
   ToldState,
 } from "../../source/membership/told_state.ts";
-import type { NodeContext } from "../../source/node/node_context.ts";
+import type { NodeContext } from "../../source/context/node_context.ts";
 import { RecordingEventLog } from "../../source/observability/event_log.ts";
 import { MemoryCauseLedger } from "../../source/observability/memory_cause_ledger.ts";
 import { NO_METRICS } from "../../source/observability/metrics.ts";
