Name the other nodes while the store does not answer, instead of none

In outages of the store (1.5 to 5.5 s, 16.1 to 22.3 s) every node answered address questions with 503, so callers without a kept answer reached no node at all. Change: such a node names the nodes that it knew last, without itself: where only some nodes are cut off, others may reach the store.

--- a/source/node/installation_node.ts
+++ b/source/node/installation_node.ts
@@ -62,15 +62,17 @@
 
   /**
    * Returns the nodes that callers should connect to; this one's own failure domain is not preferred.
-   * @returns No addresses from a node that can't tell which nodes run: callers ask another one, or
-   * keep what they have.
+   * @returns The nodes that were known last while the store does not answer this node; this one is
+   * left out then, as others may reach the store. None before all nodes were heard.
    */
   addresses(): AddressAnswer {
     const { register, storeHealth } = this.parts;
-    const isKnown = register.isRead && !storeHealth.isAway;
-    const serving = isKnown ? selectStrongNodes(register.running) : [];
+    const serving = register.isRead ? selectStrongNodes(register.running) : [];
+    const [own] = register.running;
+    const others = serving.filter(({ node }) => node !== own?.node);
+    const named = storeHealth.isAway && others.length > 0 ? others : serving;
     return {
-      addresses: serving.slice(0, LARGEST_ADDRESS_ANSWER).map((node) =>
+      addresses: named.slice(0, LARGEST_ADDRESS_ANSWER).map((node) =>
         node.callerAddress
       ),
       keepMilliseconds: ADDRESS_KEEP_MILLISECONDS,
