--- a/stand_ins/installation/installation_world.ts
+++ b/stand_ins/installation/installation_world.ts
@@ -15,6 +15,8 @@
 );
 const HOST = "calls.example";
 const KEY = "key-1";
+/** How long callers' connections may be idle. */
+export const IDLE_MILLISECONDS = 5000;
 const LOGGED_CHARACTERS = 2000;
 
 /** A node that runs as a process of its own. */
@@ -40,8 +42,16 @@
   readonly close: () => void;
 }
 
+/** How an installation differs from the usual one. */
+export interface InstallationWorldOptions {
+  /** Whether a text must be of one weight version. */
+  readonly isSingleVersion?: boolean;
+}
+
 /** Starts everything but the nodes. */
-export async function startInstallationWorld(): Promise<InstallationWorld> {
+export async function startInstallationWorld(
+  options: InstallationWorldOptions = {},
+): Promise<InstallationWorld> {
   const table = new MemoryDurableTable();
   const usageReports: string[] = [];
   const store = await startUsersStore(table);
@@ -80,7 +90,7 @@
       }],
     });
   };
-  await put("op", "config", createConfiguration());
+  await put("op", "config", createConfiguration(options));
   for (const { options, address } of engines) {
     await put("servers", options.identifier, toEntry("engines", address, 4));
   }
@@ -122,7 +132,7 @@
   };
 }
 
-function createConfiguration(): unknown {
+function createConfiguration(options: InstallationWorldOptions): unknown {
   const route = {
     host: HOST,
     "timeout_ms": 3000,
@@ -154,6 +164,7 @@
         prefix: "/steps/",
         kind: "rollout",
         service: "engines",
+        "single_version": options.isSingleVersion === true,
         "result_deadline_ms": 5000,
         "item_ttl_s": 30,
       },
@@ -171,7 +182,7 @@
       "max_header_bytes": 16_384,
       "max_body_bytes": 1_000_000,
       "header_timeout_ms": 3000,
-      "idle_timeout_ms": 5000,
+      "idle_timeout_ms": IDLE_MILLISECONDS,
     },
     tenants: [{ name: "school", "api_keys": [KEY], priority: 1 }],
   };
