--- a/source/durable_steps/engine_board_test.ts
+++ b/source/durable_steps/engine_board_test.ts
@@ -1,5 +1,5 @@
 import test from "ava";
-import type { BackendServerEntry } from "../installation/backend_server_entry.ts";
+import { createServerEntry } from "../../stand_ins/installation/create_server_entry.ts";
 import { ServerView } from "../installation/server_view.ts";
 import { MemoryDurableTable } from "../../stand_ins/installation/memory_durable_table.ts";
 import { RecordingEventLog } from "../observability/event_log.ts";
@@ -18,22 +18,6 @@
   avoid: undefined,
 };
 
-function readRow(key: string): BackendServerEntry {
-  return {
-    identifier: key,
-    startedAt: 0,
-    service: "s",
-    address: "a:1",
-    failureDomain: "a",
-    slots: SLOTS,
-    isLeaving: false,
-    warmUpMilliseconds: 0,
-    weightVersions: new Map([["m", 1]]),
-    acceptedOrders: 0,
-    isReclaimable: false,
-  };
-}
-
 async function createPool(): Promise<EnginePool> {
   const table = new MemoryDurableTable();
   const stopping = new AbortController();
@@ -43,7 +27,7 @@
     table,
     log: new RecordingEventLog(),
     tableName: "servers",
-    readRow,
+    readRow: (key) => createServerEntry(key, { slots: SLOTS }),
     drainMilliseconds: 200,
     stopping: stopping.signal,
   });
--- a/source/durable_steps/find_earlier_steps_test.ts
+++ b/source/durable_steps/find_earlier_steps_test.ts
@@ -1,4 +1,5 @@
 import test from "ava";
+import { createSampleRequest } from "../../stand_ins/installation/create_sample_request.ts";
 import { createStepTools } from "../../stand_ins/installation/create_step_tools.ts";
 import { MemoryDurableTable } from "../../stand_ins/installation/memory_durable_table.ts";
 import { findEarlierSteps } from "./find_earlier_steps.ts";
@@ -12,16 +13,7 @@
     model: "m",
     minimumVersion: 1,
     targetGroups: 1,
-    samples: identifiers.map((identifier) => ({
-      identifier,
-      path: "/p/1",
-      headers: {},
-      body: Buffer.alloc(0),
-      tokens: 8,
-      expectedTokens: undefined,
-      group: "g",
-      scoring: undefined,
-    })),
+    samples: identifiers.map(createSampleRequest),
   };
 }
 
--- a/source/durable_steps/sample_text_run_test.ts
+++ b/source/durable_steps/sample_text_run_test.ts
@@ -1,11 +1,12 @@
 import test from "ava";
+import { createSampleRequest } from "../../stand_ins/installation/create_sample_request.ts";
+import { createServerEntry } from "../../stand_ins/installation/create_server_entry.ts";
 import { MemoryDurableTable } from "../../stand_ins/installation/memory_durable_table.ts";
 import {
   type ScriptedAnswer,
   ScriptedServerClient,
 } from "../../stand_ins/installation/scripted_server_client.ts";
 import type { ServerRequest, TextEvent } from "../backends/server_client.ts";
-import type { BackendServerEntry } from "../installation/backend_server_entry.ts";
 import type { ServiceRoute } from "../installation/configuration.ts";
 import { ServerView } from "../installation/server_view.ts";
 import { RecordingEventLog } from "../observability/event_log.ts";
@@ -21,22 +22,6 @@
   maximumAttempts: 3,
 } as unknown as ServiceRoute;
 
-function readRow(key: string): BackendServerEntry {
-  return {
-    identifier: key,
-    startedAt: 0,
-    service: "s",
-    address: "a:1",
-    failureDomain: "a",
-    slots: 4,
-    isLeaving: false,
-    warmUpMilliseconds: 0,
-    weightVersions: new Map([["m", 5]]),
-    acceptedOrders: 0,
-    isReclaimable: false,
-  };
-}
-
 interface Trial {
   readonly text: SampleText;
   readonly outcome: string;
@@ -58,7 +43,8 @@
     log,
     table,
     tableName: "servers",
-    readRow,
+    readRow: (key) =>
+      createServerEntry(key, { weightVersions: new Map([["m", 5]]) }),
     drainMilliseconds: 2000,
     stopping: signal,
   });
@@ -84,16 +70,7 @@
     pool: new EnginePool(clock, servers),
     client,
     servers,
-    sample: {
-      identifier: "q1",
-      path: "/p/1",
-      headers: {},
-      body: Buffer.alloc(0),
-      tokens: 8,
-      expectedTokens: undefined,
-      group: "g",
-      scoring: undefined,
-    },
+    sample: createSampleRequest("q1"),
     text,
     host: "h",
     organisation: "o",
--- a/source/installation/server_view_test.ts
+++ b/source/installation/server_view_test.ts
@@ -2,6 +2,7 @@
 import { MemoryDurableTable } from "../../stand_ins/installation/memory_durable_table.ts";
 import { RecordingEventLog } from "../observability/event_log.ts";
 import { SystemClock } from "../utilities/system_clock.ts";
+import { createServerEntry } from "../../stand_ins/installation/create_server_entry.ts";
 import type { BackendServerEntry } from "./backend_server_entry.ts";
 import { ServerView } from "./server_view.ts";
 
@@ -26,19 +27,7 @@
 function readRow(key: string, value: Buffer): BackendServerEntry | undefined {
   const state = value.toString();
   if (state !== "ready" && state !== "leaving") return undefined;
-  return {
-    identifier: key,
-    startedAt: 0,
-    service: "s",
-    address: "a:1",
-    failureDomain: "a",
-    slots: 1,
-    isLeaving: state === "leaving",
-    warmUpMilliseconds: 0,
-    weightVersions: new Map(),
-    acceptedOrders: 0,
-    isReclaimable: false,
-  };
+  return createServerEntry(key, { isLeaving: state === "leaving" });
 }
 
 async function start(t: ExecutionContext): Promise<Trial> {
--- /dev/null
+++ b/stand_ins/installation/create_sample_request.ts
@@ -0,0 +1,15 @@
+import type { SampleRequest } from "../../source/durable_steps/step_submission.ts";
+
+/** Creates a sample without a prompt and without scoring. */
+export function createSampleRequest(identifier: string): SampleRequest {
+  return {
+    identifier,
+    path: "/p/1",
+    headers: {},
+    body: Buffer.alloc(0),
+    tokens: 8,
+    expectedTokens: undefined,
+    group: "g",
+    scoring: undefined,
+  };
+}
