Read a long list on until the asked position

A node that has read nothing of a list reads it from its start; the store gives at most 1 MB or 500 rows in one answer. If the asked position lay beyond that answer and the reader's time was over, the node told an empty page instead of reading on. Ruled out: the list itself (written on conditions; other nodes told it). Change: the list is read on until it reaches the position or ends; a failure on the way is 'unsure'.

--- a/source/durable_steps/step_reader.ts
+++ b/source/durable_steps/step_reader.ts
@@ -152,14 +152,24 @@
       const known = list.slice(position);
       return known.length > 0 ? known : undefined;
     }
-    const start = list.length;
-    const outcome = await this.#tools.results.read(step, start);
-    if (outcome.kind === "ok") {
+    const isRead = await this.#extend(step, { list, position });
+    const results = list.slice(position);
+    return isRead || results.length > 0 ? results : undefined;
+  }
+
+  // The store gives a long list in several answers; only an empty one is its end.
+  async #extend(
+    step: string,
+    { list, position }: { readonly list: SampleResult[]; position: number },
+  ): Promise<boolean> {
+    for (;;) {
+      const start = list.length;
+      const outcome = await this.#tools.results.read(step, start);
+      if (outcome.kind !== "ok") return false;
       // Another reading may have extended the list meanwhile.
       list.push(...outcome.value.slice(list.length - start));
+      if (outcome.value.length === 0 || list.length > position) return true;
     }
-    const results = list.slice(position);
-    return outcome.kind !== "ok" && results.length === 0 ? undefined : results;
   }
 }
 
--- a/stand_ins/installation/installation_world.ts
+++ b/stand_ins/installation/installation_world.ts
@@ -17,6 +17,8 @@
 const KEY = "key-1";
 /** How long callers' connections may be idle. */
 export const IDLE_MILLISECONDS = 5000;
+/** Logged once all of a node's addresses are served. */
+const STARTED_EVENT = "installationNodeStarted";
 const LOGGED_CHARACTERS = 2000;
 
 /** A node that runs as a process of its own. */
@@ -242,14 +244,23 @@
     directory: listen.directory,
     process: process_,
   };
-  if (await isReadyInTime(node)) return node;
+  const hasStarted = (): boolean => output.join("").includes(STARTED_EVENT);
+  if (await isReadyInTime(node, hasStarted)) return node;
   process_.kill("SIGKILL");
   return { problem: output.join("").slice(-LOGGED_CHARACTERS) };
 }
 
-async function isReadyInTime(node: WorldNode): Promise<boolean> {
+// Another server may answer at a port that the node could not get, so its own log counts.
+async function isReadyInTime(
+  node: WorldNode,
+  hasStarted: () => boolean,
+): Promise<boolean> {
   for (let round = 0; round < 200; round += 1) {
     if (node.process.exitCode !== null) return false;
+    if (!hasStarted()) {
+      await new Promise((resolve) => setTimeout(resolve, 50));
+      continue;
+    }
     const status = await fetch(`http://${node.ready}/-/readiness`).then(
       (response) => response.status,
       () => 0,
