--- a/source/observability/log_trace.ts
+++ b/source/observability/log_trace.ts
@@ -57,12 +57,35 @@
   durableStepTakenOver: ({ fields }) =>
     `The node that ran the step was lost (process ${fields["from"]})`,
   sampleTerminated: ({ fields }) => `Given up: ${fields["reason"]}`,
+  sampleUnfinished: ({ fields }) => describeUnfinished(fields),
   weightOrderSent: ({ fields }) =>
     fields["outcome"] === "accepted"
       ? undefined
       : `The order to engine ${fields["server"]} ended as ${fields["outcome"]}`,
 };
 
+/** What an unfinished sample was doing, as the condition that kept it. */
+const UNFINISHED: Readonly<Record<string, string>> = {
+  asking: "an engine had not begun to answer",
+  reading: "an engine was still making the text",
+  scoring: "the text was whole and waited for its score",
+  waitingForEngine: "no engine had room or the weights that the step allows",
+  waitingForRoute: "no configuration in force had a route for it",
+};
+
+// Refused attempts and unusable versions tell more than the moment of the end.
+function describeUnfinished(fields: LogLine["fields"]): string {
+  const doing = UNFINISHED[String(fields["doing"])] ?? String(fields["doing"]);
+  const counts = [
+    `${fields["unusableVersions"]} attempts with weights not allowed`,
+    `${fields["refusals"]} refused`,
+  ].filter((count) => !count.startsWith("0 "));
+  const attempts = counts.length === 0 ? "" : ` (${counts.join(", ")})`;
+  return `Not finished in time: ${doing} for ${
+    fields["milliseconds"]
+  } ms${attempts}`;
+}
+
 /**
  * Reads lines of logs; a prefix before the JSON object is passed over.
  * @param text - The text of one or more files.
--- a/source/observability/log_trace_test.ts
+++ b/source/observability/log_trace_test.ts
@@ -61,6 +61,34 @@
     lines: [line(1, "durableStepTakenOver", { step: "q1", from: "p-7" })],
     cause: "The node that ran the step was lost (process p-7)",
   },
+  {
+    title: "a sample that waited for its score when its step ended",
+    lines: [
+      line(5, "sampleUnfinished", {
+        sample: "q1",
+        doing: "scoring",
+        milliseconds: 410,
+        refusals: 0,
+        unusableVersions: 0,
+      }),
+    ],
+    cause:
+      "Not finished in time: the text was whole and waited for its score for 410 ms",
+  },
+  {
+    title: "a sample that engines with old weights were asked for",
+    lines: [
+      line(5, "sampleUnfinished", {
+        sample: "q1",
+        doing: "waitingForEngine",
+        milliseconds: 69,
+        refusals: 3,
+        unusableVersions: 412,
+      }),
+    ],
+    cause:
+      "Not finished in time: no engine had room or the weights that the step allows for 69 ms (412 attempts with weights not allowed, 3 refused)",
+  },
   {
     title: "a request that went well",
     lines: [line(1, "durableStepAccepted", { step: "q1" })],
