Log the limits that servers name and the requests sent to them

No event named a limit or counted requests to a server, so the log could not tell whether nodes ignore limits, keep them one by one, or repeat refused requests. The client of the platform decodes Server-Limit in every answer (calls, orders, reports, refusals) and reports every request it sends; events 9204 to 9206 and the gauge servers_limited show both. Nothing is limited yet.

--- a/source/backends/server_client.ts
+++ b/source/backends/server_client.ts
@@ -82,6 +82,18 @@
 /** Called with a server whose answer says that it is about to stop. */
 export type LeavingListener = (server: BackendServerEntry) => void;
 
+/**
+ * Called with a server that answered and the number of requests a second that its answer says it
+ * accepts from all nodes together; undefined when the answer names no limit.
+ */
+export type LimitListener = (
+  server: BackendServerEntry,
+  requestsPerSecond: number | undefined,
+) => void;
+
+/** Called with a server when a request is about to be sent to it. */
+export type RequestListener = (server: BackendServerEntry) => void;
+
 /** Client of backend servers; each call is sent to the given server and to no other. */
 export interface ServerClient {
   /**
@@ -89,6 +101,10 @@
    * before the answer is returned.
    */
   watchLeaving(onLeaving: LeavingListener): void;
+  /** Registers a function that is called for each answer of a server, before it is returned. */
+  watchLimits(onAnswer: LimitListener): void;
+  /** Registers a function that is called for each request, of whatever kind, before it is sent. */
+  watchRequests(onRequest: RequestListener): void;
   /** Sends a request and reads the answer's head; `notRun` only if the server did not run it. */
   open(
     server: BackendServerEntry,
--- a/source/node/create_installation_node.ts
+++ b/source/node/create_installation_node.ts
@@ -35,6 +35,7 @@
   type OperatorRow,
   OperatorView,
 } from "../installation/operator_view.ts";
+import { ServerLimits } from "../installation/server_limits.ts";
 import { ServerView } from "../installation/server_view.ts";
 import { listOwnedSteps } from "../durable_steps/list_owned_steps.ts";
 import { SharedClock } from "../installation/shared_clock.ts";
@@ -133,6 +134,14 @@
     isInReserve: () => register.isInReserve,
     drainMilliseconds: bounds.drainMilliseconds,
   });
+  const limits = new ServerLimits({ clock, log });
+  client.watchLimits((server, requestsPerSecond) =>
+    limits.recordAnswer(server, requestsPerSecond)
+  );
+  client.watchRequests(({ identifier }) => limits.recordRequest(identifier));
+  servers.watch(() =>
+    limits.removeUnregistered((identifier) => servers.servers.has(identifier))
+  );
   const created: { node?: InstallationNode } = {};
   const statistics = new ServerCallStatistics({
     clock,
@@ -306,6 +315,7 @@
         register,
         steps,
         pool,
+        limits,
         lease,
       }),
     background: [
--- a/source/node/installation_gauges.ts
+++ b/source/node/installation_gauges.ts
@@ -2,6 +2,7 @@
 import type { EnginePool } from "../durable_steps/engine_pool.ts";
 import type { StepSupervisor } from "../durable_steps/step_supervisor.ts";
 import type { NodeRegister } from "../installation/node_register.ts";
+import type { ServerLimits } from "../installation/server_limits.ts";
 import type { OperatorView } from "../installation/operator_view.ts";
 import type { ServerView } from "../installation/server_view.ts";
 import type { Metrics } from "../observability/metrics.ts";
@@ -14,6 +15,7 @@
   readonly register: NodeRegister;
   readonly steps: StepSupervisor;
   readonly pool: EnginePool;
+  readonly limits: ServerLimits;
   readonly lease: DutyLease;
 }
 
@@ -21,13 +23,15 @@
 export function setInstallationGauges(
   options: InstallationGaugesOptions,
 ): void {
-  const { metrics, operator, servers, register, steps, pool, lease } = options;
+  const { metrics, operator, servers, register, steps, pool, limits, lease } =
+    options;
   const age = operator.ageMilliseconds() ?? -1;
   metrics.gauge("operator_view_age_milliseconds", age, {});
   metrics.gauge("key_view_fresh", Number(operator.isKeyViewFresh()), {});
   const version = operator.configuration?.version ?? -1;
   metrics.gauge("configuration_version", version, {});
   metrics.gauge("servers_known", servers.servers.size, {});
+  metrics.gauge("servers_limited", limits.size, {});
   metrics.gauge("nodes_running", register.running.length, {});
   metrics.gauge("steps_running", steps.running, {});
   metrics.gauge("samples_waiting", pool.waiting, {});
--- a/source/observability/events/installation_events.ts
+++ b/source/observability/events/installation_events.ts
@@ -84,6 +84,27 @@
     action: "",
     fields: ["request", "server", "reason"],
   }),
+  serverLimitNamed: defineEvent(9204, {
+    level: "info",
+    message:
+      "A server named the number of requests a second that it accepts from all nodes together",
+    action: "If it lasts, add servers to the service",
+    fields: ["server", "requestsPerSecond"],
+  }),
+  serverLimitLifted: defineEvent(9205, {
+    level: "info",
+    message: "A server's answer no longer names a limit",
+    action: "",
+    fields: ["server"],
+  }),
+  serverLimitUsed: defineEvent(9206, {
+    level: "info",
+    message:
+      "Number of requests that the node sent to a server with a limit, in the time since the last such line",
+    action:
+      "Compare the sum over the nodes with the limit; compare sent with the refusals of the server",
+    fields: ["server", "requestsPerSecond", "sent", "milliseconds"],
+  }),
   callEnded: defineEvent(9202, {
     level: "info",
     message: "A call ended without a server's answer",
