Add failing tests: servers get more requests than the limit they name

Three nodes and stand-ins that name a limit in each answer and refuse what exceeds it. A plain server with a limit of 2 got 1140 requests in 4 s (17 are allowed), an engine with a limit of 1 got 106 (11). 50 calls a second arrived, so five of six requests to the plain server were repetitions of refused ones.

--- /dev/null
+++ b/stand_ins/installation/request_limit.ts
@@ -0,0 +1,54 @@
+import type { IncomingMessage, ServerResponse } from "node:http";
+
+const WINDOW_MILLISECONDS = 4000;
+
+/**
+ * The limit of a stand-in for a server, which names it in each answer and refuses what exceeds it.
+ */
+export class RequestLimit {
+  /** Requests a second that the server accepts; undefined without a limit. */
+  requestsPerSecond: number | undefined;
+  /** Monotonic times of all requests that arrived, in milliseconds. */
+  readonly arrivals: number[] = [];
+  #tokens = 1;
+  #filledAt = performance.now();
+
+  /**
+   * Names the limit in the response, and refuses the request if it exceeds the limit.
+   * @returns Whether the request may run.
+   */
+  admit(request: IncomingMessage, response: ServerResponse): boolean {
+    const now = performance.now();
+    this.arrivals.push(now);
+    const { requestsPerSecond } = this;
+    if (requestsPerSecond === undefined) return true;
+    response.setHeader("server-limit", String(requestsPerSecond));
+    const earned = (now - this.#filledAt) / 1000 * requestsPerSecond;
+    this.#tokens = Math.min(1 + requestsPerSecond, this.#tokens + earned);
+    this.#filledAt = now;
+    if (this.#tokens >= 1) {
+      this.#tokens -= 1;
+      return true;
+    }
+    response.writeHead(503, {
+      "not-executed": "1",
+      "request-id": String(request.headers["request-id"]),
+    }).end();
+    return false;
+  }
+
+  /** Returns the largest number of requests in 4 s that start at `from` or later. */
+  findBusiestWindow(from: number): number {
+    const late = this.arrivals.filter((time) => time >= from);
+    const counts = late.map((start) =>
+      late.filter((time) => time >= start && time < start + WINDOW_MILLISECONDS)
+        .length
+    );
+    return Math.max(0, ...counts);
+  }
+}
+
+/** Returns the largest number of requests in 4 s that a server with a limit may get. */
+export function toAllowedRequests(requestsPerSecond: number): number {
+  return 1.5 * requestsPerSecond * WINDOW_MILLISECONDS / 1000 + 5;
+}
--- a/stand_ins/installation/test_installation.ts
+++ b/stand_ins/installation/test_installation.ts
@@ -6,6 +6,7 @@
 import { join } from "node:path";
 import { fileURLToPath } from "node:url";
 import { MemoryDurableTable } from "./memory_durable_table.ts";
+import { RequestLimit } from "./request_limit.ts";
 import { type StartedServer, startHttpServer } from "./start_http_server.ts";
 import { startUsersEngine, type UsersEngine } from "./users_engine_server.ts";
 import { startUsersStore } from "./users_store_server.ts";
@@ -42,6 +43,8 @@
   readonly key: string;
   readonly table: MemoryDurableTable;
   readonly engines: ReadonlyArray<UsersEngine>;
+  /** Limit of the plain service's server. */
+  readonly plainLimit: RequestLimit;
   /** Bodies of the usage reports received, in order. */
   readonly usageReports: ReadonlyArray<string>;
   readonly startNode: (name: string) => Promise<InstallationNode>;
@@ -72,7 +75,9 @@
       })
     ),
   );
+  const plainLimit = new RequestLimit();
   const plain = await startHttpServer((request, response, body) => {
+    if (!plainLimit.admit(request, response)) return;
     response.writeHead(200, {
       "request-id": String(request.headers["request-id"]),
       "server-stamp": "signed by the plain service",
@@ -113,6 +118,7 @@
     key: KEY,
     table,
     engines,
+    plainLimit,
     usageReports,
     startNode: async (name) => {
       const node = await startNode(name, { store, duties });
--- a/stand_ins/installation/users_engine_server.ts
+++ b/stand_ins/installation/users_engine_server.ts
@@ -1,4 +1,5 @@
 import type { IncomingMessage, ServerResponse } from "node:http";
+import { RequestLimit } from "./request_limit.ts";
 import { type StartedServer, startHttpServer } from "./start_http_server.ts";
 
 /** Options of a stand-in for an engine of the users. */
@@ -26,6 +27,7 @@
 export interface UsersEngine extends StartedServer {
   readonly options: UsersEngineOptions;
   readonly runs: ReadonlyArray<ReceivedRun>;
+  readonly limit: RequestLimit;
 }
 
 /** Starts a stand-in for an engine of the users that implements their HTTP protocol. */
@@ -33,8 +35,10 @@
   options: UsersEngineOptions,
 ): Promise<UsersEngine> {
   const runs: ReceivedRun[] = [];
+  const limit = new RequestLimit();
   let acceptedOrders = 0;
   const server = await startHttpServer(async (request, response, body) => {
+    if (!limit.admit(request, response)) return;
     if (options.isLeaving === true) response.setHeader("server-leaving", "1");
     const expected = request.headers["expect-instance"];
     if (expected !== undefined && expected !== options.identifier) {
@@ -60,7 +64,7 @@
       await sendEvents(request, response, options);
     }
   });
-  return { ...server, options, runs };
+  return { ...server, options, runs, limit };
 }
 
 function describeRun(request: IncomingMessage): ReceivedRun {
