Share the request rate that a server names as its limit among all nodes

Callers and trainers saw slow or refused requests at servers in need: a plain server with a limit of 1.9 requests a second got 38 in 4 s from nodes that it had told (16 allowed).

Cause: no node read Server-Limit, and refused calls came back every 20 ms, so five of six requests to a refusing server were repetitions. Class of fault: a bound that holds for all nodes together was kept by none.

Change: an answer's limit goes to ServerLimits, and to the other nodes with the next heartbeat, together with the node's demand. decisions/request_share.ts gives a node what the others leave over in equal parts, an equal part of all nodes until the others know of it, and staggers the first requests of nodes that were idle. Samples wait in the engine pool, calls at the gate, where they are rejected at once with a time to return if their turn comes too late; retries and hedges need room too. Orders and reports are sent at once and count against the share.

--- a/source/backends/server_client.ts
+++ b/source/backends/server_client.ts
@@ -91,9 +91,6 @@
   requestsPerSecond: number | undefined,
 ) => void;
 
-/** Called with a server when a request is about to be sent to it. */
-export type RequestListener = (server: BackendServerEntry) => void;
-
 /** Client of backend servers; each call is sent to the given server and to no other. */
 export interface ServerClient {
   /**
@@ -103,8 +100,6 @@
   watchLeaving(onLeaving: LeavingListener): void;
   /** Registers a function that is called for each answer of a server, before it is returned. */
   watchLimits(onAnswer: LimitListener): void;
-  /** Registers a function that is called for each request, of whatever kind, before it is sent. */
-  watchRequests(onRequest: RequestListener): void;
   /** Sends a request and reads the answer's head; `notRun` only if the server did not run it. */
   open(
     server: BackendServerEntry,
--- a/source/calls/call_forwarder.ts
+++ b/source/calls/call_forwarder.ts
@@ -153,7 +153,7 @@
       if (now >= this.#deadline) return this.#toFinalOutcome();
       if (this.#runningAttempts.size === 0) {
         if (!this.#mayRetry()) return this.#toFinalOutcome();
-        if (this.#hasTriedAllServers()) {
+        if (this.#hasTriedAllServers() || !this.#hasRoom()) {
           await this.#waitForAttemptOrTimeout(RETRY_PAUSE_MILLISECONDS);
         }
         hedgeAt = this.#startAttempt();
@@ -168,14 +168,14 @@
   }
 
   // Starts an attempt; returns the monotonic time, in milliseconds, from which a hedged attempt may
-  // start, and Infinity when the service has no server.
+  // start, and Infinity when no server of the service can get the call now.
   #startAttempt(): number {
     const { servers, serverStatistics: statistics, clock } = this.#options;
     const all = servers.ofService(this.#service);
     const untried = all.filter(({ identifier }) =>
       !this.#triedServers.has(identifier)
     );
-    const server = statistics.pick(untried.length > 0 ? untried : all);
+    const server = statistics.pick(untried) ?? statistics.pick(all);
     if (server === undefined) {
       this.#results.push({ kind: "notRun", isRefused: true });
       return Infinity;
@@ -250,9 +250,17 @@
 
   #hasFreeServer(): boolean {
     const { servers, serverStatistics } = this.#options;
-    return servers.ofService(this.#service).some(({ identifier, slots }) =>
-      !this.#triedServers.has(identifier) &&
-      serverStatistics.occupied(identifier) < slots
+    return servers.ofService(this.#service).some((server) =>
+      !this.#triedServers.has(server.identifier) &&
+      serverStatistics.occupied(server.identifier) < server.slots &&
+      serverStatistics.hasRoom(server)
+    );
+  }
+
+  #hasRoom(): boolean {
+    const { servers, serverStatistics } = this.#options;
+    return servers.ofService(this.#service).some((server) =>
+      serverStatistics.hasRoom(server)
     );
   }
 
@@ -265,12 +273,18 @@
     const failure = this.#failureToReport;
     if (failure?.kind === "complete") return toAnsweredOutcome(failure);
     if (this.#possiblyExecutedAttemptCount === 0) {
+      const { servers, serverStatistics, random } = this.#options;
+      const all = servers.ofService(this.#service);
+      const backlogMilliseconds = Math.max(
+        REFUSED_BACKLOG_MILLISECONDS,
+        serverStatistics.waitForRoom(all, 0),
+      );
       return {
         kind: "refused",
         refusal: "noServer",
         retryAfterMilliseconds: toRetryAfter(
-          REFUSED_BACKLOG_MILLISECONDS,
-          this.#options.random.next(),
+          backlogMilliseconds,
+          random.next(),
         ),
       };
     }
--- a/source/calls/call_forwarder_test.ts
+++ b/source/calls/call_forwarder_test.ts
@@ -6,6 +6,7 @@
 } from "../../stand_ins/installation/scripted_server_client.ts";
 import type { BackendServerEntry } from "../installation/backend_server_entry.ts";
 import type { RouteKind, ServiceRoute } from "../installation/configuration.ts";
+import { ServerLimits } from "../installation/server_limits.ts";
 import { ServerView } from "../installation/server_view.ts";
 import { RecordingEventLog } from "../observability/event_log.ts";
 import { createRandomSource } from "../utilities/random_source.ts";
@@ -110,6 +111,11 @@
       clock,
       random,
       failureDomain: "a",
+      limits: new ServerLimits({
+        node: "n1",
+        clock,
+        log: new RecordingEventLog(),
+      }),
       isConnected: () => false,
     }),
   });
--- a/source/calls/call_gate.ts
+++ b/source/calls/call_gate.ts
@@ -59,7 +59,6 @@
 
   /** Waits until a call may be sent, is rejected or is cancelled. */
   async pass(call: GatedCall): Promise<GateOutcome> {
-    if (this.#hasEngines(call.service)) return { kind: "open" };
     const waiting = countBefore(
       { ...call, arrivedAt: this.#options.clock.monotonic() },
       this.#waiting.get(call.service) ?? [],
@@ -150,16 +149,23 @@
       isDeferrable,
       remainingMilliseconds: deadline - clock.monotonic(),
     };
+    const slots = this.#hasEngines(service)
+      ? Infinity
+      : available.reduce((total, server) => total + server.slots, 0);
     const sum = (count: (server: BackendServerEntry) => number): number =>
       available.reduce((total, server) => total + count(server), 0);
     return decideCall(
       {
         servers: available.length,
-        slots: sum(({ slots }) => slots),
+        slots,
         running: sent +
           sum(({ identifier }) => serverStatistics.occupied(identifier)),
         waiting,
         meanMilliseconds: serverStatistics.meanMilliseconds(available),
+        rateWaitMilliseconds: serverStatistics.waitForRoom(
+          available,
+          waiting + sent,
+        ),
       },
       demand,
       random.next(),
--- a/source/calls/call_gate_test.ts
+++ b/source/calls/call_gate_test.ts
@@ -1,6 +1,7 @@
 import test from "ava";
 import { createServerEntry } from "../../stand_ins/installation/create_server_entry.ts";
 import { MemoryDurableTable } from "../../stand_ins/installation/memory_durable_table.ts";
+import { ServerLimits } from "../installation/server_limits.ts";
 import { ServerView } from "../installation/server_view.ts";
 import { RecordingEventLog } from "../observability/event_log.ts";
 import { ManualClock } from "../utilities/manual_clock.ts";
@@ -52,6 +53,11 @@
     clock,
     random,
     failureDomain: "a",
+    limits: new ServerLimits({
+      node: "n1",
+      clock,
+      log: new RecordingEventLog(),
+    }),
     isConnected: () => false,
   });
   const gate = new CallGate({
--- a/source/calls/server_call_statistics.ts
+++ b/source/calls/server_call_statistics.ts
@@ -1,4 +1,5 @@
 import type { BackendServerEntry } from "../installation/backend_server_entry.ts";
+import type { ServerLimits } from "../installation/server_limits.ts";
 import type { Clock } from "../utilities/clock.ts";
 import type { RandomSource } from "../utilities/random_source.ts";
 
@@ -34,6 +35,7 @@
   readonly random: RandomSource;
   /** Failure domain of this node. */
   readonly failureDomain: string;
+  readonly limits: ServerLimits;
   /** Whether an idle connection to the server is open. */
   readonly isConnected: (server: BackendServerEntry) => boolean;
 }
@@ -87,6 +89,28 @@
     return available.length > 0 ? available : servers;
   }
 
+  /** Whether the limit of a server, if it has one, allows one more request now. */
+  hasRoom({ identifier }: BackendServerEntry): boolean {
+    return this.#options.limits.getWait(identifier) === 0;
+  }
+
+  /**
+   * Returns the time until the limits of the servers allow a request, in milliseconds, and asks the
+   * other nodes for a larger share if that is later than now.
+   * @param servers - Candidate servers.
+   * @param earlier - Number of requests that are sent before the request.
+   */
+  waitForRoom(
+    servers: ReadonlyArray<BackendServerEntry>,
+    earlier: number,
+  ): number {
+    const { limits } = this.#options;
+    const identifiers = servers.map(({ identifier }) => identifier);
+    const wait = limits.estimateWait(identifiers, earlier);
+    if (wait > 0) limits.recordNeed(identifiers);
+    return wait;
+  }
+
   /** Returns the mean of the servers' response times, in milliseconds; 0 without servers. */
   meanMilliseconds(servers: ReadonlyArray<BackendServerEntry>): number {
     const durations = servers.map(({ identifier }) =>
@@ -109,6 +133,7 @@
 
   /** Records that a request was sent. */
   recordStart(identifier: string): void {
+    this.#options.limits.recordRequest(identifier);
     this.#state(identifier).running += 1;
   }
 
@@ -153,16 +178,17 @@
   /**
    * Selects the server with the lowest cost, which depends on its response times, its load, its
    * failure domain and its connections. Servers in backoff are selected only when there are no
-   * others.
+   * others, and servers whose limit is used up not at all.
    * @param servers - Candidate servers.
-   * @returns The server; undefined when there are no candidates.
+   * @returns The server; undefined when there are none or the limits allow no request now.
    */
   pick(
     servers: ReadonlyArray<BackendServerEntry>,
   ): BackendServerEntry | undefined {
     let best: BackendServerEntry | undefined;
     let lowest = Infinity;
-    for (const server of this.filterAvailable(servers)) {
+    const withRoom = servers.filter((server) => this.hasRoom(server));
+    for (const server of this.filterAvailable(withRoom)) {
       const cost = this.#cost(server);
       if (cost < lowest) [best, lowest] = [server, cost];
     }
--- a/source/decisions/call_admission.ts
+++ b/source/decisions/call_admission.ts
@@ -19,6 +19,8 @@
   readonly waiting: number;
   /** Usual duration of a call, in milliseconds. */
   readonly meanMilliseconds: number;
+  /** Time until the servers accept the call at the request rates that they allow, in milliseconds. */
+  readonly rateWaitMilliseconds: number;
 }
 
 /** A call that asks for a server. */
@@ -39,8 +41,8 @@
 /**
  * Decides whether a call is sent, waits at this node or is rejected.
  *
- * Load pattern: few servers, bursts of deferrable calls, and callers that return at the same time
- * after an outage. Calls beyond what the servers can run wait here, where the more important one goes
+ * Load pattern: few servers, bursts of deferrable calls, callers that return at the same time after
+ * an outage, and servers in need that limit the rate of their requests. Calls beyond what the servers can run wait here, where the more important one goes
  * first, and not at the servers; a call whose turn comes too late is rejected at once with a time at
  * which the backlog is gone. The returns are spread over that time, so that they don't come at once.
  * @param load - The service's load.
@@ -57,14 +59,19 @@
   draw: number,
 ): CallDecision {
   const { servers, slots, running, waiting, meanMilliseconds } = load;
+  const { rateWaitMilliseconds } = load;
   // Without a server the caller learns so from the attempt itself.
   if (servers === 0) return { kind: "send" };
   const limit = demand.isDeferrable
     ? Math.max(1, slots - RESERVED_SLOTS_PER_SERVER * servers)
     : slots + QUEUED_CALLS_PER_SERVER * servers;
-  if (running < limit && waiting === 0) return { kind: "send" };
+  const hasSlot = running < limit && waiting === 0;
+  if (hasSlot && rateWaitMilliseconds === 0) return { kind: "send" };
   const backlog = Math.max(0, running - limit) + waiting + 1;
-  const backlogMilliseconds = backlog * meanMilliseconds / Math.max(1, slots);
+  const backlogMilliseconds = Math.max(
+    rateWaitMilliseconds,
+    hasSlot ? 0 : backlog * meanMilliseconds / Math.max(1, slots),
+  );
   if (backlogMilliseconds + meanMilliseconds <= demand.remainingMilliseconds) {
     return { kind: "wait" };
   }
--- a/source/decisions/call_admission_test.ts
+++ b/source/decisions/call_admission_test.ts
@@ -36,6 +36,7 @@
             waiting.map(toWaitingCall),
           ),
           meanMilliseconds: WORK_MILLISECONDS,
+          rateWaitMilliseconds: 0,
         },
         {
           isDeferrable: call.isDeferrable,
@@ -106,6 +107,7 @@
     running: 60,
     waiting: 300,
     meanMilliseconds: 100,
+    rateWaitMilliseconds: 0,
   };
   const demand = { isDeferrable: false, remainingMilliseconds: 1500 };
   const decision = decideCall(load, demand, 0.5);
@@ -128,6 +130,7 @@
     running: 11,
     waiting: 0,
     meanMilliseconds: 100,
+    rateWaitMilliseconds: 0,
   };
   const caller = { isDeferrable: false, remainingMilliseconds: 1500 };
   const scoring = { isDeferrable: true, remainingMilliseconds: 1500 };
@@ -137,6 +140,24 @@
   t.is(decideCall({ ...load, servers: 0, slots: 0 }, caller, 0).kind, "send");
 });
 
+test("a call waits for servers that limit their request rate, or is rejected with a time to return", (t) => {
+  const load = {
+    servers: 2,
+    slots: 12,
+    running: 0,
+    waiting: 0,
+    meanMilliseconds: 100,
+    rateWaitMilliseconds: 800,
+  };
+  const patient = { isDeferrable: false, remainingMilliseconds: 1500 };
+  const hasty = { isDeferrable: false, remainingMilliseconds: 850 };
+  t.deepEqual(decideCall(load, patient, 0.5), { kind: "wait" });
+  t.deepEqual(decideCall(load, hasty, 0.5), {
+    kind: "reject",
+    retryAfterMilliseconds: 800,
+  });
+});
+
 test("waiting calls are ordered by rank, kind and age, and none starves", (t) => {
   const call = (
     name: string,
--- a/source/durable_steps/engine_pool.ts
+++ b/source/durable_steps/engine_pool.ts
@@ -5,6 +5,7 @@
 import { type QueuedSample, SampleQueue } from "../decisions/sample_queue.ts";
 import type { RunningEngine } from "../decisions/stalled_engines.ts";
 import type { BackendServerEntry } from "../installation/backend_server_entry.ts";
+import type { ServerLimits } from "../installation/server_limits.ts";
 import type { ServerView } from "../installation/server_view.ts";
 import type { Clock } from "../utilities/clock.ts";
 import type { EngineRequest, EngineRequirements } from "./engine_request.ts";
@@ -41,6 +42,7 @@
 export class EnginePool {
   readonly #clock: Clock;
   readonly #servers: ServerView;
+  readonly #limits: ServerLimits;
   readonly #isConnected: (engine: BackendServerEntry) => boolean;
   readonly #findMemoryTokens: (service: string) => number;
   readonly #states = new Map<string, EngineState>();
@@ -53,25 +55,29 @@
   /** Expected end of each of this node's runs, in monotonic milliseconds. */
   readonly #expectedEnds = new Map<EngineRequest, number>();
   readonly #stallWatch: EngineStallWatch;
+  /** Monotonic time, in milliseconds, at which engines are assigned as a limit allows a sample. */
+  #roomAt = 0;
   #usualEventMilliseconds = INITIAL_EVENT_MILLISECONDS;
   #usualEventTimeComputedAt = -Infinity;
 
   /**
    * @param clock - Measures backoffs and event times.
-   * @param engines - The registered engines, whether an idle connection to one is open, and the number
-   * of tokens that an engine of a service has memory for, 0 when it is not known.
+   * @param engines - The registered engines, their limits, whether an idle connection to one is open,
+   * and the number of tokens that an engine of a service has memory for, 0 when it is not known.
    */
   constructor(
     clock: Clock,
     engines: {
       readonly servers: ServerView;
+      readonly limits: ServerLimits;
       readonly isConnected: (engine: BackendServerEntry) => boolean;
       readonly findMemoryTokens: (service: string) => number;
     },
   ) {
-    const { servers } = engines;
+    const { servers, limits } = engines;
     this.#clock = clock;
     this.#servers = servers;
+    this.#limits = limits;
     this.#isConnected = engines.isConnected;
     this.#findMemoryTokens = engines.findMemoryTokens;
     this.#stallWatch = new EngineStallWatch({
@@ -84,6 +90,7 @@
       this.#removeUnregistered();
       this.#assignEngines();
     });
+    limits.watch(() => this.#assignEngines());
   }
 
   /** Number of samples that wait for an engine. */
@@ -312,7 +319,7 @@
       const next = this.#queue.take((requirements) =>
         this.#findAvailable(requirements).length > 0
       );
-      if (next === undefined) return;
+      if (next === undefined) return this.#waitForRoom();
       const engine = this.#chooseEngine(next.request);
       if (engine !== undefined) this.#start(next, engine);
     }
@@ -326,17 +333,36 @@
       const next = this.#queue.take((requirements) =>
         this.#isAvailable(engine, requirements)
       );
-      if (next === undefined) return;
+      if (next === undefined) return this.#waitForRoom();
       this.#start(next, engine);
     }
   }
 
+  // Waits until the limit of an engine that is free otherwise allows one of the waiting samples.
+  #waitForRoom(): void {
+    if (this.#limits.size === 0) return;
+    const free = this.#queue.requirements.flatMap((requirements) =>
+      this.#servers.ofService(requirements.service).filter((engine) =>
+        this.#isFree(engine, requirements)
+      )
+    );
+    const identifiers = free.map(({ identifier }) => identifier);
+    const wait = this.#limits.estimateWait(identifiers, 0);
+    if (wait === 0) return;
+    this.#limits.recordNeed(identifiers);
+    const now = this.#clock.monotonic();
+    if (this.#roomAt > now && this.#roomAt <= now + wait) return;
+    this.#roomAt = now + wait;
+    this.#assignAfter(wait);
+  }
+
   #start(waiter: EngineWaiter, engine: BackendServerEntry): void {
     const state = this.#getState(engine.identifier);
     if (state.running === 0) state.quietSince = this.#clock.monotonic();
     state.running += 1;
     state.tokens += waiter.request.expectedTokens;
     state.unanswered += 1;
+    this.#limits.recordRequest(engine.identifier);
     this.#expectedEnds.set(
       waiter.request,
       this.#clock.monotonic() + waiter.urgency.expectedMilliseconds,
@@ -418,6 +444,15 @@
   #isAvailable(
     engine: BackendServerEntry,
     requirements: EngineRequirements,
+  ): boolean {
+    return this.#isFree(engine, requirements) &&
+      this.#limits.getWait(engine.identifier) === 0;
+  }
+
+  // Whether an engine can run a sample as far as its limit is not concerned.
+  #isFree(
+    engine: BackendServerEntry,
+    requirements: EngineRequirements,
   ): boolean {
     if (engine.service !== requirements.service) return false;
     if (!this.#servers.isServing(engine.identifier)) return false;
--- a/source/durable_steps/engine_pool_test.ts
+++ b/source/durable_steps/engine_pool_test.ts
@@ -2,6 +2,7 @@
 import { createServerEntry } from "../../stand_ins/installation/create_server_entry.ts";
 import { MemoryDurableTable } from "../../stand_ins/installation/memory_durable_table.ts";
 import type { SampleUrgency } from "../decisions/sample_queue.ts";
+import { ServerLimits } from "../installation/server_limits.ts";
 import { ServerView } from "../installation/server_view.ts";
 import { RecordingEventLog } from "../observability/event_log.ts";
 import { ManualClock } from "../utilities/manual_clock.ts";
@@ -82,6 +83,11 @@
   stopping.abort();
   const pool = new EnginePool(clock, {
     servers: view,
+    limits: new ServerLimits({
+      node: "n1",
+      clock,
+      log: new RecordingEventLog(),
+    }),
     isConnected: () => true,
     findMemoryTokens: () => 0,
   });
--- a/source/durable_steps/engine_use_exchange_test.ts
+++ b/source/durable_steps/engine_use_exchange_test.ts
@@ -2,6 +2,7 @@
 import { createServerEntry } from "../../stand_ins/installation/create_server_entry.ts";
 import { ServerCallStatistics } from "../calls/server_call_statistics.ts";
 import { createRandomSource } from "../utilities/random_source.ts";
+import { ServerLimits } from "../installation/server_limits.ts";
 import { ServerView } from "../installation/server_view.ts";
 import { MemoryDurableTable } from "../../stand_ins/installation/memory_durable_table.ts";
 import { RecordingEventLog } from "../observability/event_log.ts";
@@ -53,6 +54,11 @@
   });
   const pool = new EnginePool(clock, {
     servers: view,
+    limits: new ServerLimits({
+      node: "n1",
+      clock,
+      log: new RecordingEventLog(),
+    }),
     isConnected: () => true,
     findMemoryTokens: () => 0,
   });
@@ -72,6 +78,11 @@
     clock,
     random: createRandomSource(1),
     failureDomain: "a",
+    limits: new ServerLimits({
+      node: "n1",
+      clock,
+      log: new RecordingEventLog(),
+    }),
     isConnected: () => false,
   });
   return { pool, statistics };
--- a/source/durable_steps/sample_generation_test.ts
+++ b/source/durable_steps/sample_generation_test.ts
@@ -9,6 +9,7 @@
 import { TextLengthEstimate } from "../decisions/text_length.ts";
 import type { ServerRequest, TextEvent } from "../backends/server_client.ts";
 import type { ServiceRoute } from "../installation/configuration.ts";
+import { ServerLimits } from "../installation/server_limits.ts";
 import { ServerView } from "../installation/server_view.ts";
 import { RecordingEventLog } from "../observability/event_log.ts";
 import { SystemClock } from "../utilities/system_clock.ts";
@@ -70,6 +71,11 @@
     log,
     pool: new EnginePool(clock, {
       servers,
+      limits: new ServerLimits({
+        node: "n1",
+        clock,
+        log: new RecordingEventLog(),
+      }),
       isConnected: () => true,
       findMemoryTokens: () => 0,
     }),
--- a/source/durable_steps/step_supervisor_test.ts
+++ b/source/durable_steps/step_supervisor_test.ts
@@ -60,6 +60,7 @@
       isRunningSteps: false,
       engineUse: undefined,
       leavingServers: [],
+      limits: [],
       wallOffset: undefined,
       usageSettledThrough: 0,
     }),
--- a/source/duties/weight_load_scheduler.ts
+++ b/source/duties/weight_load_scheduler.ts
@@ -4,6 +4,7 @@
 import type { BackendServerEntry } from "../installation/backend_server_entry.ts";
 import type { Configuration, Service } from "../installation/configuration.ts";
 import type { OperatorView } from "../installation/operator_view.ts";
+import type { ServerLimits } from "../installation/server_limits.ts";
 import type { ServerView } from "../installation/server_view.ts";
 import type { EventLog } from "../observability/event_log.ts";
 import type { Clock } from "../utilities/clock.ts";
@@ -34,6 +35,7 @@
   readonly log: EventLog;
   readonly operator: OperatorView;
   readonly servers: ServerView;
+  readonly limits: ServerLimits;
   readonly pool: EnginePool;
   readonly engineUseExchange: EngineUseExchange;
   readonly client: ServerClient;
@@ -196,7 +198,8 @@
     engine: BackendServerEntry,
     target: ModelTarget,
   ): Promise<number | undefined> {
-    const { client, pool, stopping, clock } = this.#options;
+    const { client, pool, stopping, clock, limits } = this.#options;
+    limits.recordRequest(engine.identifier);
     const report = await client.readReport(engine, {
       signal: stopping,
       silenceMilliseconds: ORDER_IDLE_TIMEOUT_MILLISECONDS,
@@ -221,10 +224,11 @@
       readonly state: EngineState;
     },
   ): Promise<void> {
-    const { client, lease, log, clock, stopping } = this.#options;
+    const { client, lease, log, clock, stopping, limits } = this.#options;
     const duty = lease.getHeldDuty();
     if (duty === undefined) return;
     const { model, version } = target;
+    limits.recordRequest(engine.identifier);
     const outcome = await client.orderWeights(engine, {
       model,
       version,
--- /dev/null
+++ b/source/installation/limited_server.ts
@@ -0,0 +1,158 @@
+import { DecayedCounter } from "../admission/decayed_counter.ts";
+import {
+  type RequestShare,
+  shareRequests,
+  toUsableRate,
+} from "../decisions/request_share.ts";
+
+/** Half-life of the measurement of a node's own request rate. */
+const RATE_HALF_LIFE_MILLISECONDS = 1000;
+/** Time after a request had to wait for which the node is assumed to need more than its share. */
+const NEED_MILLISECONDS = 1000;
+/** Time after its last request for which a node counts as active. */
+const ACTIVITY_MILLISECONDS = 10_000;
+/** Time for which a busy node saves up its rate while it is not scheduled. */
+const BURST_SECONDS = 0.05;
+
+/** The other nodes, as far as they matter for the share of a limit. */
+export interface OtherUse {
+  /** Requests a second that each other active node needs. */
+  readonly demands: ReadonlyArray<number>;
+  /** Number of nodes that may send requests, this one included. */
+  readonly nodes: number;
+  /** Position of this node among them, from 0; differs from server to server. */
+  readonly rank: number;
+}
+
+/** This node's use of one start of a server that has named a limit; times are monotonic milliseconds. */
+export class LimitedServer {
+  /** Start of the server, in milliseconds since the Unix epoch. */
+  readonly startedAt: number;
+  /** Requests a second that the server accepts from all nodes together. */
+  requestsPerSecond: number;
+  /** Time of the last answer to this node that named the limit; undefined if only others got one. */
+  answeredAt: number | undefined;
+  readonly #rate = new DecayedCounter(RATE_HALF_LIFE_MILLISECONDS);
+  #other: OtherUse;
+  /** Number of requests that may be sent now; negative after requests that could not wait. */
+  #saved = Infinity;
+  #refilledAt: number;
+  #activeSince: number | undefined;
+  #activeAt = -Infinity;
+  #neededAt = -Infinity;
+  #isKnown = false;
+  #sent = 0;
+  #loggedAt: number;
+
+  /**
+   * @param server - The start of the server and its limit.
+   * @param other - The other nodes' use.
+   * @param now - Monotonic time, in milliseconds.
+   */
+  constructor(
+    server: { readonly startedAt: number; readonly requestsPerSecond: number },
+    other: OtherUse,
+    now: number,
+  ) {
+    this.startedAt = server.startedAt;
+    this.requestsPerSecond = server.requestsPerSecond;
+    this.#other = other;
+    this.#refilledAt = now;
+    this.#loggedAt = now;
+  }
+
+  /**
+   * Updates the other nodes' use after a read of their heartbeats.
+   * @param other - The other nodes' use.
+   * @param now - Time of the read.
+   * @param noticeMilliseconds - Time in which the other nodes learn that this node is active.
+   */
+  update(other: OtherUse, now: number, noticeMilliseconds: number): void {
+    this.#refill(now);
+    this.#other = other;
+    if (!this.isActive(now)) this.#activeSince = undefined;
+    this.#isKnown = this.#activeSince !== undefined &&
+      now - this.#activeSince >= noticeMilliseconds;
+  }
+
+  /** Whether this node sent a request recently or needs to. */
+  isActive(now: number): boolean {
+    return now - this.#activeAt < ACTIVITY_MILLISECONDS;
+  }
+
+  /** Returns the requests a second that this node needs, up to the limit. */
+  getDemand(now: number): number {
+    return now - this.#neededAt < NEED_MILLISECONDS
+      ? toUsableRate(this.requestsPerSecond)
+      : this.#rate.perSecond(now);
+  }
+
+  /** Returns the time until this node may send one more request; 0 when it may now. */
+  getWait(now: number): number {
+    const { requestsPerSecond } = this.#refill(now);
+    const missing = 1 - this.#saved;
+    return missing <= 0 ? 0 : Math.ceil(1000 * missing / requestsPerSecond);
+  }
+
+  /** Returns the requests a second that this node may send at present. */
+  getShare(now: number): number {
+    return this.#refill(now).requestsPerSecond;
+  }
+
+  /** Records that a request waits, so that this node asks for a larger share. */
+  recordNeed(now: number): void {
+    this.#refill(now);
+    this.#neededAt = now;
+    this.#recordActivity(now);
+  }
+
+  /** Records a request that is sent, whether or not it had to wait. */
+  recordRequest(now: number): void {
+    this.#refill(now);
+    this.#saved -= 1;
+    this.#sent += 1;
+    this.#rate.add(1, now);
+    this.#recordActivity(now);
+  }
+
+  /**
+   * Returns the requests sent since the last call that returned them.
+   * @returns The number and the time since then; undefined before the interval has passed.
+   */
+  takeUse(
+    now: number,
+    intervalMilliseconds: number,
+  ): { readonly sent: number; readonly milliseconds: number } | undefined {
+    const milliseconds = Math.round(now - this.#loggedAt);
+    if (milliseconds < intervalMilliseconds) return undefined;
+    const sent = this.#sent;
+    this.#sent = 0;
+    this.#loggedAt = now;
+    return { sent, milliseconds };
+  }
+
+  #recordActivity(now: number): void {
+    this.#activeSince ??= now;
+    this.#activeAt = now;
+  }
+
+  #refill(now: number): RequestShare {
+    const share = shareRequests({
+      limit: this.requestsPerSecond,
+      otherDemands: this.#other.demands,
+      nodes: this.#other.nodes,
+      rank: this.#other.rank,
+      isKnown: this.#isKnown,
+      ownRate: this.#rate.perSecond(now),
+    });
+    const { requestsPerSecond, maximumSaved } = share;
+    const isBusy = now - this.#neededAt < NEED_MILLISECONDS;
+    const maximum = isBusy
+      ? 1 + BURST_SECONDS * requestsPerSecond
+      : maximumSaved;
+    const earned = requestsPerSecond * (now - this.#refilledAt) / 1000;
+    this.#saved = Math.min(this.#saved + earned, maximum);
+    this.#refilledAt = now;
+    return share;
+  }
+}
--- a/source/installation/node_record.ts
+++ b/source/installation/node_record.ts
@@ -1,3 +1,4 @@
+import type { LimitRecord } from "./server_limits.ts";
 import type { LeavingServer } from "./server_view.ts";
 
 /** What a node publishes about itself. */
@@ -23,6 +24,8 @@
   readonly engineUse: EngineUseRecord | undefined;
   /** Servers that are about to stop according to answers that the node got. */
   readonly leavingServers: ReadonlyArray<LeavingServer>;
+  /** Limits that servers named to the node, and its use of them. */
+  readonly limits: ReadonlyArray<LimitRecord>;
   /**
    * Difference between the node's wall clock and the time of the store, in milliseconds; undefined
    * in the heartbeats that do not publish it.
--- a/source/installation/node_record_row.ts
+++ b/source/installation/node_record_row.ts
@@ -20,6 +20,14 @@
   leavingServers?: ReadonlyArray<
     readonly [identifier: string, startedAt: number]
   >,
+  limits?: ReadonlyArray<
+    readonly [
+      identifier: string,
+      startedAt: number,
+      requestsPerSecond: number,
+      demand?: number,
+    ]
+  >,
 ];
 
 /** Serialises a node's record. */
@@ -41,7 +49,20 @@
   const wallOffset = record.wallOffset === undefined
     ? null
     : Math.round(record.wallOffset);
-  const tuple: RecordTuple = leaving.length > 0
+  const limits = record.limits.map(
+    ({ identifier, startedAt, requestsPerSecond, demand }) =>
+      demand === undefined
+        ? [identifier, startedAt, requestsPerSecond] as const
+        : [
+          identifier,
+          startedAt,
+          requestsPerSecond,
+          Number(demand.toFixed(2)),
+        ] as const,
+  );
+  const tuple: RecordTuple = limits.length > 0
+    ? [...base, wallOffset, leaving, limits]
+    : leaving.length > 0
     ? [...base, wallOffset, leaving]
     : wallOffset === null
     ? base
@@ -76,6 +97,14 @@
         identifier,
         startedAt,
       })),
+      limits: (tuple[11] ?? []).map(
+        ([identifier, startedAt, requestsPerSecond, demand]) => ({
+          identifier,
+          startedAt,
+          requestsPerSecond,
+          demand,
+        }),
+      ),
     };
   } catch {
     // A row that this program did not write describes no node.
--- a/source/installation/node_register_test.ts
+++ b/source/installation/node_register_test.ts
@@ -47,6 +47,7 @@
       isRunningSteps,
       engineUse: undefined,
       leavingServers: [],
+      limits: [],
       wallOffset: undefined,
       usageSettledThrough: 0,
     }),
--- a/source/installation/select_high_capacity_nodes_test.ts
+++ b/source/installation/select_high_capacity_nodes_test.ts
@@ -18,6 +18,7 @@
     isRunningSteps: false,
     engineUse: undefined,
     leavingServers: [],
+    limits: [],
     wallOffset: undefined,
     usageSettledThrough: 0,
   };
--- a/source/installation/server_limits.ts
+++ b/source/installation/server_limits.ts
@@ -1,30 +1,62 @@
+import { LRUCache } from "lru-cache";
 import type { EventLog } from "../observability/event_log.ts";
 import type { Clock } from "../utilities/clock.ts";
 import type { BackendServerEntry } from "./backend_server_entry.ts";
+import { LimitedServer, type OtherUse } from "./limited_server.ts";
 
 /** Minimum interval between two log lines about the use of one server's limit. */
 const USE_LOG_INTERVAL_MILLISECONDS = 1000;
+/**
+ * Time after an answer of a server in which this node publishes its limit, and in which it does not
+ * take over another node's older news.
+ */
+const ANSWER_VALIDITY_MILLISECONDS = 5000;
+/** Maximum number of servers whose last answer without a limit is remembered. */
+const MAXIMUM_UNLIMITED_SERVERS = 2000;
+/** Number of heartbeat intervals in which the other nodes learn that this node is active. */
+const NOTICE_HEARTBEATS = 3;
+const MINIMUM_NOTICE_MILLISECONDS = 1000;
 
-interface LimitedServer {
-  /** Start of the server that named the limit, in milliseconds since the Unix epoch. */
+/** A server's limit and a node's use of it, as the node publishes it. */
+export interface LimitRecord {
+  readonly identifier: string;
   readonly startedAt: number;
-  requestsPerSecond: number;
-  /** Number of requests sent since the use was last logged. */
-  sent: number;
-  /** Monotonic time, in milliseconds, at which the use was last logged. */
-  loggedAt: number;
+  readonly requestsPerSecond: number;
+  /** Requests a second that the node needs; undefined if it sent none recently. */
+  readonly demand: number | undefined;
+}
+
+/** What a node knows of the other nodes after a read of their heartbeats. */
+export interface LimitNews {
+  /** Records of all other nodes. */
+  readonly records: ReadonlyArray<LimitRecord>;
+  /** Names of the nodes that may send requests, this one included, in the same order everywhere. */
+  readonly nodes: ReadonlyArray<string>;
+  /** Longest interval between the heartbeats of one of these nodes. */
+  readonly heartbeatMilliseconds: number;
 }
 
 /** Dependencies of the limits of servers. */
 export interface ServerLimitsOptions {
+  /** Name of this node. */
+  readonly node: string;
   readonly clock: Clock;
   readonly log: EventLog;
 }
 
-/** Tracks the request rates that servers named as their limits, and this node's requests to them. */
+/**
+ * Keeps this node's requests to servers that named a limit within its share. The limit holds for all
+ * nodes together, which tell each other of it and of their demand in their heartbeats.
+ */
 export class ServerLimits {
   readonly #options: ServerLimitsOptions;
   readonly #limited = new Map<string, LimitedServer>();
+  /** Monotonic times, in milliseconds, of the last answer of each server without a limit. */
+  readonly #unlimitedAt = new LRUCache<string, number>({
+    max: MAXIMUM_UNLIMITED_SERVERS,
+  });
+  readonly #watchers: (() => void)[] = [];
+  #news: LimitNews = { records: [], nodes: [], heartbeatMilliseconds: 0 };
 
   /** @param options - Clock and event log. */
   constructor(options: ServerLimitsOptions) {
@@ -36,8 +68,13 @@
     return this.#limited.size;
   }
 
+  /** Registers a function that is called when requests may be sent that had to wait before. */
+  watch(onMoreRoom: () => void): void {
+    this.#watchers.push(onMoreRoom);
+  }
+
   /**
-   * Records the limit that an answer of a server names.
+   * Records the limit that an answer of a server to this node names.
    * @param server - The server that answered.
    * @param requestsPerSecond - Requests a second from all nodes together; undefined without a limit.
    */
@@ -45,43 +82,109 @@
     { identifier, startedAt }: BackendServerEntry,
     requestsPerSecond: number | undefined,
   ): void {
-    const { clock, log } = this.#options;
-    const known = this.#limited.get(identifier);
+    const now = this.#options.clock.monotonic();
     if (requestsPerSecond === undefined) {
-      if (known === undefined) return;
-      this.#limited.delete(identifier);
-      log.emit("serverLimitLifted", { server: identifier });
+      this.#unlimitedAt.set(identifier, now);
+      this.#lift(identifier);
       return;
     }
-    if (known?.startedAt !== startedAt) {
-      this.#limited.set(identifier, {
-        startedAt,
-        requestsPerSecond,
-        sent: 0,
-        loggedAt: clock.monotonic(),
-      });
-    } else if (known.requestsPerSecond !== requestsPerSecond) {
-      known.requestsPerSecond = requestsPerSecond;
-    } else return;
-    log.emit("serverLimitNamed", { server: identifier, requestsPerSecond });
+    this.#unlimitedAt.delete(identifier);
+    const limited = this.#name({ identifier, startedAt, requestsPerSecond });
+    limited.answeredAt = now;
+  }
+
+  /** Returns the time, in milliseconds, until a request may be sent to a server; 0 when it may now. */
+  getWait(identifier: string): number {
+    const limited = this.#limited.get(identifier);
+    return limited?.getWait(this.#options.clock.monotonic()) ?? 0;
   }
 
-  /** Records that this node sends a request to a server. */
+  /**
+   * Returns the time, in milliseconds, until one more request may be sent to any of some servers.
+   * @param identifiers - The servers.
+   * @param earlier - Number of requests that are sent before it.
+   * @returns The time; 0 while one of the servers has no limit, and without servers.
+   */
+  estimateWait(identifiers: ReadonlyArray<string>, earlier: number): number {
+    const now = this.#options.clock.monotonic();
+    const limited = identifiers.map((each) => this.#limited.get(each));
+    if (limited.length === 0) return 0;
+    let shortest = Infinity;
+    let requestsPerSecond = 0;
+    for (const server of limited) {
+      if (server === undefined) return 0;
+      shortest = Math.min(shortest, server.getWait(now));
+      requestsPerSecond += server.getShare(now);
+    }
+    return shortest + Math.ceil(1000 * earlier / requestsPerSecond);
+  }
+
+  /** Records that a request waits for one of some servers, so that this node gets a larger share. */
+  recordNeed(identifiers: ReadonlyArray<string>): void {
+    const now = this.#options.clock.monotonic();
+    for (const identifier of identifiers) {
+      this.#limited.get(identifier)?.recordNeed(now);
+    }
+  }
+
+  /** Records a request of any kind that this node sends to a server. */
   recordRequest(identifier: string): void {
     const limited = this.#limited.get(identifier);
     if (limited === undefined) return;
-    limited.sent += 1;
-    const now = this.#options.clock.monotonic();
-    const milliseconds = now - limited.loggedAt;
-    if (milliseconds < USE_LOG_INTERVAL_MILLISECONDS) return;
-    this.#options.log.emit("serverLimitUsed", {
+    const { clock, log } = this.#options;
+    const now = clock.monotonic();
+    limited.recordRequest(now);
+    const use = limited.takeUse(now, USE_LOG_INTERVAL_MILLISECONDS);
+    if (use === undefined) return;
+    log.emit("serverLimitUsed", {
       server: identifier,
       requestsPerSecond: limited.requestsPerSecond,
-      sent: limited.sent,
-      milliseconds: Math.round(milliseconds),
+      share: Number(limited.getShare(now).toFixed(2)),
+      ...use,
     });
-    limited.sent = 0;
-    limited.loggedAt = now;
+  }
+
+  /** Returns what this node publishes: limits named in recent answers, and its use of limits. */
+  toRecords(): ReadonlyArray<LimitRecord> {
+    const now = this.#options.clock.monotonic();
+    return [...this.#limited].flatMap(([identifier, limited]) => {
+      const { startedAt, requestsPerSecond, answeredAt } = limited;
+      const isRecent = answeredAt !== undefined &&
+        now - answeredAt < ANSWER_VALIDITY_MILLISECONDS;
+      const isActive = limited.isActive(now);
+      if (!isRecent && !isActive) return [];
+      const demand = isActive ? limited.getDemand(now) : undefined;
+      return [{ identifier, startedAt, requestsPerSecond, demand }];
+    });
+  }
+
+  /** Applies what other nodes published in their latest heartbeats. */
+  apply(news: LimitNews): void {
+    const now = this.#options.clock.monotonic();
+    this.#news = news;
+    for (const record of news.records) {
+      const unlimitedAt = this.#unlimitedAt.get(record.identifier) ?? -Infinity;
+      const isOutdated = now - unlimitedAt < ANSWER_VALIDITY_MILLISECONDS;
+      const known = this.#limited.get(record.identifier);
+      const isNewStart = known === undefined ||
+        known.startedAt < record.startedAt;
+      if (!isOutdated && isNewStart) this.#name(record);
+    }
+    const noticeMilliseconds = Math.max(
+      MINIMUM_NOTICE_MILLISECONDS,
+      NOTICE_HEARTBEATS * news.heartbeatMilliseconds,
+    );
+    for (const [identifier, limited] of this.#limited) {
+      const isNamed = news.records.some((record) =>
+        record.identifier === identifier
+      );
+      if (limited.answeredAt === undefined && !isNamed) this.#lift(identifier);
+      else {
+        const other = this.#toOtherUse(identifier);
+        limited.update(other, now, noticeMilliseconds);
+      }
+    }
+    if (this.#limited.size > 0) this.#notify();
   }
 
   /** Removes the limits of servers that left the server table. */
@@ -90,4 +193,54 @@
       if (!isRegistered(identifier)) this.#limited.delete(identifier);
     }
   }
+
+  #name(server: Omit<LimitRecord, "demand">): LimitedServer {
+    const { identifier, startedAt, requestsPerSecond } = server;
+    const { clock, log } = this.#options;
+    const known = this.#limited.get(identifier);
+    if (known?.startedAt === startedAt) {
+      known.requestsPerSecond = requestsPerSecond;
+      return known;
+    }
+    log.emit("serverLimitNamed", { server: identifier, requestsPerSecond });
+    const limited = new LimitedServer(
+      server,
+      this.#toOtherUse(identifier),
+      clock.monotonic(),
+    );
+    this.#limited.set(identifier, limited);
+    return limited;
+  }
+
+  #lift(identifier: string): void {
+    if (!this.#limited.delete(identifier)) return;
+    this.#options.log.emit("serverLimitLifted", { server: identifier });
+    this.#notify();
+  }
+
+  #toOtherUse(identifier: string): OtherUse {
+    const { records, nodes } = this.#news;
+    const demands = records.flatMap((record) =>
+      record.identifier === identifier ? record.demand ?? [] : []
+    );
+    const position = Math.max(0, nodes.indexOf(this.#options.node));
+    const count = Math.max(1, nodes.length);
+    return {
+      demands,
+      nodes: count,
+      rank: (position + toOffset(identifier)) % count,
+    };
+  }
+
+  #notify(): void {
+    for (const onMoreRoom of this.#watchers) onMoreRoom();
+  }
+}
+
+// Lets other nodes be the first for each server; identifiers differ mostly in their last characters.
+function toOffset(identifier: string): number {
+  return Buffer.from(identifier).subarray(-4).reduce(
+    (sum, byte) => 31 * sum + byte,
+    0,
+  );
 }
--- a/source/installation/server_limits_test.ts
+++ b/source/installation/server_limits_test.ts
@@ -4,19 +4,18 @@
 import { ManualClock } from "../utilities/manual_clock.ts";
 import { ServerLimits } from "./server_limits.ts";
 
-test("a limit is logged when it is named, changes, is used and is lifted", async (t) => {
+test("a limit is logged when it is named, is used and is lifted", async (t) => {
   const clock = new ManualClock();
   const log = new RecordingEventLog();
-  const limits = new ServerLimits({ clock, log });
+  const limits = new ServerLimits({ node: "n1", clock, log });
   const server = createServerEntry("e1");
   limits.recordAnswer(server, undefined);
   limits.recordAnswer(server, 2);
-  limits.recordAnswer(server, 2);
+  limits.recordAnswer(server, 3);
   limits.recordRequest("e1");
   limits.recordRequest("e2");
   await clock.advance(1000);
   limits.recordRequest("e1");
-  limits.recordAnswer(server, 3);
   t.is(limits.size, 1);
   limits.recordAnswer(server, undefined);
   t.is(limits.size, 0);
@@ -24,17 +23,81 @@
     ["serverLimitNamed", { server: "e1", requestsPerSecond: 2 }],
     ["serverLimitUsed", {
       server: "e1",
-      requestsPerSecond: 2,
+      requestsPerSecond: 3,
+      share: 3,
       sent: 2,
       milliseconds: 1000,
     }],
-    ["serverLimitNamed", { server: "e1", requestsPerSecond: 3 }],
     ["serverLimitLifted", { server: "e1" }],
   ]);
 });
 
+test("a limit that another node publishes holds until that node names it no longer", (t) => {
+  const clock = new ManualClock();
+  const log = new RecordingEventLog();
+  const limits = new ServerLimits({ node: "n1", clock, log });
+  const record = {
+    identifier: "e1",
+    startedAt: 0,
+    requestsPerSecond: 1,
+    demand: 1,
+  };
+  limits.apply({
+    records: [record],
+    nodes: ["n1", "n2"],
+    heartbeatMilliseconds: 300,
+  });
+  limits.recordRequest("e1");
+  t.true(limits.getWait("e1") > 0);
+  limits.apply({
+    records: [],
+    nodes: ["n1", "n2"],
+    heartbeatMilliseconds: 300,
+  });
+  t.is(limits.getWait("e1"), 0);
+});
+
+test("an answer without a limit prevails over an older one of another node", async (t) => {
+  const clock = new ManualClock();
+  const log = new RecordingEventLog();
+  const limits = new ServerLimits({ node: "n1", clock, log });
+  const record = {
+    identifier: "e1",
+    startedAt: 0,
+    requestsPerSecond: 1,
+    demand: undefined,
+  };
+  const news = {
+    records: [record],
+    nodes: ["n1", "n2"],
+    heartbeatMilliseconds: 300,
+  };
+  limits.apply(news);
+  limits.recordAnswer(createServerEntry("e1"), undefined);
+  limits.apply(news);
+  t.is(limits.size, 0);
+  await clock.advance(6000);
+  limits.apply(news);
+  t.is(limits.size, 1);
+});
+
+test("a server that was started again has no limit of its earlier start", (t) => {
+  const clock = new ManualClock();
+  const limits = new ServerLimits({
+    node: "n1",
+    clock,
+    log: new RecordingEventLog(),
+  });
+  limits.recordAnswer(createServerEntry("e1", { startedAt: 1 }), 0.5);
+  limits.recordRequest("e1");
+  limits.recordAnswer(createServerEntry("e1", { startedAt: 2 }), 8);
+  t.is(limits.toRecords()[0]?.startedAt, 2);
+  t.is(limits.toRecords()[0]?.requestsPerSecond, 8);
+});
+
 test("the limit of a server that left the table is forgotten", (t) => {
   const limits = new ServerLimits({
+    node: "n1",
     clock: new ManualClock(),
     log: new RecordingEventLog(),
   });
--- a/source/node/create_installation_node.ts
+++ b/source/node/create_installation_node.ts
@@ -134,11 +134,14 @@
     isInReserve: () => register.isInReserve,
     drainMilliseconds: bounds.drainMilliseconds,
   });
-  const limits = new ServerLimits({ clock, log });
+  const limits = new ServerLimits({
+    node: settings.node,
+    clock,
+    log,
+  });
   client.watchLimits((server, requestsPerSecond) =>
     limits.recordAnswer(server, requestsPerSecond)
   );
-  client.watchRequests(({ identifier }) => limits.recordRequest(identifier));
   servers.watch(() =>
     limits.removeUnregistered((identifier) => servers.servers.has(identifier))
   );
@@ -147,10 +150,12 @@
     clock,
     random,
     failureDomain,
+    limits,
     isConnected: (server) => client.isConnected(server),
   });
   const pool = new EnginePool(clock, {
     servers,
+    limits,
     isConnected: (engine) => client.isConnected(engine),
     findMemoryTokens: (service) =>
       operator.configuration?.services.get(service)?.engineMemoryTokens ?? 0,
@@ -182,6 +187,7 @@
       engineUse: engineUseExchange.toRecord(),
       isServing: created.node?.isReady ?? false,
       leavingServers: servers.leavingByAnswer,
+      limits: limits.toRecords(),
       wallOffset: isWallOffsetPublished(clock)
         ? sharedClock.ownOffset
         : undefined,
@@ -203,6 +209,16 @@
       register.others.flatMap(({ engineUse }) => engineUse ?? []),
     )
   );
+  register.watch(() => {
+    const sending = selectHighCapacityNodes(register.running);
+    limits.apply({
+      records: register.others.flatMap((node) => node.limits),
+      nodes: sending.map(({ node }) => node).sort(),
+      heartbeatMilliseconds: Math.max(
+        ...sending.map((node) => node.heartbeatMilliseconds),
+      ),
+    });
+  });
   const stepRegistry = new StepRegistry({ ...common, pace });
   const tools: StepTools = {
     ...stored,
@@ -336,6 +352,7 @@
         ...common,
         operator,
         servers,
+        limits,
         pool,
         engineUseExchange,
         client,
--- a/source/node/installation_node_test.ts
+++ b/source/node/installation_node_test.ts
@@ -18,6 +18,7 @@
   isRunningSteps: false,
   engineUse: undefined,
   leavingServers: [],
+  limits: [],
   wallOffset: undefined,
   usageSettledThrough: 0,
 }));
--- a/source/observability/events/installation_events.ts
+++ b/source/observability/events/installation_events.ts
@@ -100,10 +100,10 @@
   serverLimitUsed: defineEvent(9206, {
     level: "info",
     message:
-      "Number of requests that the node sent to a server with a limit, in the time since the last such line",
+      "Number of requests that the node sent to a server with a limit, in the time since the last such line; share is the rate that the node may send",
     action:
       "Compare the sum over the nodes with the limit; compare sent with the refusals of the server",
-    fields: ["server", "requestsPerSecond", "sent", "milliseconds"],
+    fields: ["server", "requestsPerSecond", "share", "sent", "milliseconds"],
   }),
   callEnded: defineEvent(9202, {
     level: "info",
--- a/stand_ins/installation/create_step_tools.ts
+++ b/stand_ins/installation/create_step_tools.ts
@@ -7,6 +7,7 @@
 import { StepRegistry } from "../../source/durable_steps/step_registry.ts";
 import type { StepTools } from "../../source/durable_steps/step_tools.ts";
 import { SubmissionStore } from "../../source/durable_steps/submission_store.ts";
+import { ServerLimits } from "../../source/installation/server_limits.ts";
 import { ServerView } from "../../source/installation/server_view.ts";
 import { RecordingEventLog } from "../../source/observability/event_log.ts";
 import type { DurableTable } from "../../source/platform/durable_table.ts";
@@ -38,10 +39,12 @@
     readRow: () => undefined,
     drainMilliseconds: 2000,
   });
+  const limits = new ServerLimits({ node: "n1", clock, log });
   const serverStatistics = new ServerCallStatistics({
     clock,
     random,
     failureDomain: "a",
+    limits,
     isConnected: () => false,
   });
   return {
@@ -56,6 +59,7 @@
     progress: new ProgressStore(table, ROW_BYTES),
     pool: new EnginePool(clock, {
       servers,
+      limits,
       isConnected: () => false,
       findMemoryTokens: () => 0,
     }),
--- a/stand_ins/installation/scripted_server_client.ts
+++ b/stand_ins/installation/scripted_server_client.ts
@@ -57,9 +57,6 @@
   /** Registers nothing, since no scripted server names a limit. */
   watchLimits(): void {}
 
-  /** Registers nothing; tests read `requestedServers`. */
-  watchRequests(): void {}
-
   /** Returns the scripted response after its delay. */
   async open(
     server: BackendServerEntry,
