Read the software version of servers and log texts that two versions wrote

Nothing read the software version in a server's entry, so the log could not tell which versions wrote a text. No text is placed differently yet.

--- a/source/calls/call_forwarder_test.ts
+++ b/source/calls/call_forwarder_test.ts
@@ -44,6 +44,7 @@
   return {
     identifier,
     startedAt: 0,
+    softwareVersion: "v1",
     service: "s",
     address: `${identifier}:80`,
     failureDomain: "a",
--- a/source/durable_steps/sample_generation.ts
+++ b/source/durable_steps/sample_generation.ts
@@ -27,6 +27,8 @@
   readonly parts: string[];
   /** Weight versions that generated the text, in the order of their first event. */
   readonly versions: number[];
+  /** Software version of the engine that began the text; undefined before the first event. */
+  softwareVersion?: string;
   /** Number of the last event; undefined before the first. */
   lastEvent: number | undefined;
   /** Whether the text is complete. */
@@ -321,6 +323,7 @@
           "event numbers are not consecutive",
         );
       }
+      this.#recordSoftwareVersion(engine);
       text.lastEvent = event.number;
       text.parts.push(event.text);
       if (!text.versions.includes(version)) text.versions.push(version);
@@ -345,6 +348,21 @@
       : "completed";
   }
 
+  #recordSoftwareVersion(
+    { identifier, softwareVersion }: BackendServerEntry,
+  ): void {
+    const { text, log, sample } = this.#options;
+    text.softwareVersion ??= softwareVersion;
+    if (text.softwareVersion === softwareVersion) return;
+    log.emit("textOfTwoVersions", {
+      sample: sample.identifier,
+      server: identifier,
+      softwareVersion,
+      begunAt: text.softwareVersion,
+      afterEvent: text.lastEvent ?? -1,
+    });
+  }
+
   // Handles a status of 500. Either the engine fails some of its requests or the sample fails on
   // every engine, so the next attempt uses another engine if one is available.
   #handleServerError(identifier: string): AttemptOutcome {
--- a/source/installation/backend_server_entry.ts
+++ b/source/installation/backend_server_entry.ts
@@ -5,6 +5,8 @@
   /** Time of the server's start in Unix milliseconds; 0 when the server doesn't report it. */
   readonly startedAt: number;
   readonly service: string;
+  /** Version of the server's software, whose streams another version can't go on with. */
+  readonly softwareVersion: string;
   /** HOST:PORT. */
   readonly address: string;
   readonly failureDomain: string;
--- a/source/observability/events/installation_events.ts
+++ b/source/observability/events/installation_events.ts
@@ -161,6 +161,13 @@
     action: "",
     fields: ["sample", "server", "reason", "afterEvent"],
   }),
+  textOfTwoVersions: defineEvent(9311, {
+    level: "error",
+    message:
+      "A text that one software version of an engine began got an event of another one; begunAt is the first version",
+    action: "Report the event as a bug",
+    fields: ["sample", "server", "softwareVersion", "begunAt", "afterEvent"],
+  }),
   sampleFinished: defineEvent(9307, {
     level: "info",
     message:
--- a/stand_ins/installation/create_server_entry.ts
+++ b/stand_ins/installation/create_server_entry.ts
@@ -9,6 +9,7 @@
     identifier,
     startedAt: 0,
     service: "s",
+    softwareVersion: "v1",
     address: "a:1",
     failureDomain: "a",
     slots: 4,
