--- a/stand_ins/installation/users_engine_server.ts
+++ b/stand_ins/installation/users_engine_server.ts
@@ -5,6 +5,8 @@
 /** Options of a stand-in for an engine of the users. */
 export interface UsersEngineOptions {
   readonly identifier: string;
+  /** Version of the engine's software, which each event names. */
+  readonly softwareVersion: string;
   /** Number of events in each stream. */
   readonly events: number;
   readonly millisecondsPerEvent: number;
@@ -100,7 +102,9 @@
       response.write(`id: ${event}\nda`, () => response.destroy());
       return;
     }
-    response.write(`id: ${event}\ndata: part ${event}\n\n`);
+    response.write(
+      `id: ${event}\ndata: part ${event} by ${options.softwareVersion}\n\n`,
+    );
   }
   response.end();
 }
