Let the text of a sample go on only at the software version that began it

Trainers got texts whose events two software versions of an engine had written, which do not fit together, after an engine crashed, was too slow or cut a text off, and after another node took a step over.

Cause: the software version of an engine was not known, so an interrupted text went on wherever a slot was free, and saved texts did not say which version wrote them. Class of fault: work is resumed without checking that the successor can read the state.

Change: a text and its saved state name the version that began it. Its requirements for an engine, for moves to a faster one and for leaving a stalled one include that version. decisions/text_continuation.ts: when no engine of the version is free, the text waits as long as its events took and is then generated from its start by another version that is free; at once if the version has gone. Saved texts without a version are generated again. A saved text is replaced when the text began anew.

--- a/source/durable_steps/engine_pool.ts
+++ b/source/durable_steps/engine_pool.ts
@@ -272,6 +272,11 @@
     return Math.max(stored, state?.getReportedVersion(model) ?? 0);
   }
 
+  /** Whether an engine could run a sample with these requirements now. */
+  hasAvailable(requirements: EngineRequirements): boolean {
+    return this.#findAvailable(requirements).length > 0;
+  }
+
   /** Whether an engine is much slower than an available one that could continue the sample. */
   hasFasterAvailable(
     identifier: string,
@@ -397,7 +402,7 @@
     const engines = new Map<string, number>();
     for (const requirements of this.#queue.requirements) {
       for (const engine of this.#servers.ofService(requirements.service)) {
-        if (!this.#hasUsableVersion(engine, requirements)) continue;
+        if (!this.#hasUsableVersions(engine, requirements)) continue;
         engines.set(engine.identifier, engine.slots);
       }
     }
@@ -463,13 +468,19 @@
       : state.running < engine.slots &&
         occupied < engine.slots + MAXIMUM_EXCESS_REQUESTS &&
         state.isAccepting(this.#clock.monotonic());
-    return hasSlot && this.#hasUsableVersion(engine, requirements);
+    return hasSlot && this.#hasUsableVersions(engine, requirements);
   }
 
-  #hasUsableVersion(
+  #hasUsableVersions(
     engine: BackendServerEntry,
-    { model, minimumVersion, exactVersion }: EngineRequirements,
+    requirements: EngineRequirements,
   ): boolean {
+    const { model, minimumVersion, exactVersion, softwareVersion } =
+      requirements;
+    if (
+      softwareVersion !== undefined &&
+      engine.softwareVersion !== softwareVersion
+    ) return false;
     const known = this.getVersion(engine, model);
     if (known === undefined) return false;
     const now = this.#clock.monotonic();
@@ -524,8 +535,14 @@
   }
 }
 
-function toRequirementsKey(
-  { service, model, minimumVersion, exactVersion }: EngineRequirements,
-): string {
-  return [service, model, minimumVersion, exactVersion ?? ""].join("/");
+function toRequirementsKey(requirements: EngineRequirements): string {
+  const { service, model, minimumVersion, exactVersion, softwareVersion } =
+    requirements;
+  return [
+    service,
+    model,
+    minimumVersion,
+    exactVersion ?? "",
+    softwareVersion ?? "",
+  ].join("/");
 }
--- a/source/durable_steps/engine_pool_test.ts
+++ b/source/durable_steps/engine_pool_test.ts
@@ -37,6 +37,7 @@
       model: "m",
       minimumVersion: 1,
       exactVersion: undefined,
+      softwareVersion: undefined,
     },
     urgency: {
       dueAt: 7500,
--- a/source/durable_steps/engine_request.ts
+++ b/source/durable_steps/engine_request.ts
@@ -8,6 +8,8 @@
   readonly minimumVersion: number;
   /** The only weight version that may be used; undefined allows any from `minimumVersion` on. */
   readonly exactVersion: number | undefined;
+  /** The only software version that may be used; undefined for a text that has no event yet. */
+  readonly softwareVersion: string | undefined;
 }
 
 /** A sample that needs an engine. */
--- a/source/durable_steps/engine_use_exchange_test.ts
+++ b/source/durable_steps/engine_use_exchange_test.ts
@@ -19,6 +19,7 @@
     model: "m",
     minimumVersion: 1,
     exactVersion: undefined,
+    softwareVersion: undefined,
   },
   urgency: {
     dueAt: Infinity,
--- a/source/durable_steps/progress_store.ts
+++ b/source/durable_steps/progress_store.ts
@@ -48,7 +48,10 @@
     let bytes = 0;
     for (const [sample, text] of texts) {
       const events = text.parts.length;
-      if (events - (this.#saved.get(sample) ?? 0) < minimum) continue;
+      const saved = this.#saved.get(sample) ?? 0;
+      // A text that began anew is shorter than its saved state, which another version wrote.
+      const newEvents = events < saved ? events : events - saved;
+      if (newEvents < minimum) continue;
       const value = Buffer.from(JSON.stringify(text));
       this.#saved.set(sample, events);
       if (value.length > this.#maximumTextBytes) continue;
--- a/source/durable_steps/sample_generation.ts
+++ b/source/durable_steps/sample_generation.ts
@@ -1,4 +1,5 @@
 import type { TextLengthEstimate } from "../decisions/text_length.ts";
+import { toContinuationPatience } from "../decisions/text_continuation.ts";
 import type { ServerAnswer, ServerClient } from "../backends/server_client.ts";
 import type { ExchangeFailure } from "../backends/http_exchange.ts";
 import type { BackendServerEntry } from "../installation/backend_server_entry.ts";
@@ -19,6 +20,8 @@
 const NO_ROUTE_PAUSE_MILLISECONDS = 200;
 /** Expected time from the end of a text until its result is scored and listed. */
 const SCORING_MILLISECONDS = 300;
+/** Interval at which an interrupted text is checked for having to begin anew. */
+const CONTINUATION_CHECK_MILLISECONDS = 100;
 /** Number of events between two checks for a faster engine. */
 const EVENTS_BETWEEN_SPEED_CHECKS = 4;
 
@@ -28,7 +31,7 @@
   /** Weight versions that generated the text, in the order of their first event. */
   readonly versions: number[];
   /** Software version of the engine that began the text; undefined before the first event. */
-  softwareVersion?: string;
+  softwareVersion: string | undefined;
   /** Number of the last event; undefined before the first. */
   lastEvent: number | undefined;
   /** Whether the text is complete. */
@@ -103,6 +106,8 @@
   #since = 0;
   #startedAt: number | undefined;
   #avoidedEngine: string | undefined;
+  /** Monotonic time, in milliseconds, since which the text waits to be continued. */
+  #interruptedAt: number | undefined;
 
   /** @param options - The sample, the engines and the other dependencies. */
   constructor(options: SampleGenerationOptions) {
@@ -139,8 +144,8 @@
       }
       this.#setActivity("waitingForEngine");
       const request = this.#toRequest(currentRoute);
-      const engine = await pool.acquire(request, signal);
-      if (engine === undefined) break;
+      const engine = await this.#acquire(request);
+      if (engine === undefined) continue;
       this.#attempts += 1;
       this.#startedAt ??= clock.monotonic();
       this.#setActivity("asking");
@@ -158,6 +163,79 @@
     return { kind: "cancelled" };
   }
 
+  // Waits for an engine; returns undefined when the wait must be started again.
+  async #acquire(
+    request: EngineRequest,
+  ): Promise<BackendServerEntry | undefined> {
+    const { pool, signal, text } = this.#options;
+    if (text.lastEvent === undefined) {
+      return await pool.acquire(request, signal);
+    }
+    const isVersionUnknown = text.softwareVersion === undefined;
+    if (isVersionUnknown || this.#mustRestartText(request.requirements)) {
+      this.#restartText();
+      return undefined;
+    }
+    return await this.#acquireWithin(request, CONTINUATION_CHECK_MILLISECONDS);
+  }
+
+  async #acquireWithin(
+    request: EngineRequest,
+    milliseconds: number,
+  ): Promise<BackendServerEntry | undefined> {
+    const { pool, signal, clock } = this.#options;
+    const limit = new AbortController();
+    const end = (): void => limit.abort(ENDED);
+    signal.addEventListener("abort", end, { once: true });
+    void clock.sleep(milliseconds, limit.signal).then(end);
+    const engine = await pool.acquire(request, limit.signal);
+    signal.removeEventListener("abort", end);
+    end();
+    return engine;
+  }
+
+  // Whether an engine of another software version should generate the interrupted text from its
+  // start, since none of its own version could go on with it for some time.
+  #mustRestartText(requirements: EngineRequirements): boolean {
+    const { pool, servers, text, clock } = this.#options;
+    const { service, softwareVersion } = requirements;
+    const now = clock.monotonic();
+    this.#interruptedAt ??= now;
+    if (pool.hasAvailable(requirements)) return false;
+    const engines = servers.ofService(service);
+    const patience = toContinuationPatience({
+      events: text.parts.length,
+      eventMilliseconds: pool.usualEventMilliseconds,
+      isVersionServing: engines.some((engine) =>
+        engine.softwareVersion === softwareVersion
+      ),
+      isOtherServing: engines.some((engine) =>
+        engine.softwareVersion !== softwareVersion
+      ),
+    });
+    const anyVersion = {
+      ...requirements,
+      exactVersion: undefined,
+      softwareVersion: undefined,
+    };
+    return now - this.#interruptedAt >= patience &&
+      pool.hasAvailable(anyVersion);
+  }
+
+  #restartText(): void {
+    const { text, log, sample } = this.#options;
+    log.emit("textRestarted", {
+      sample: sample.identifier,
+      softwareVersion: text.softwareVersion ?? "",
+      events: text.parts.length,
+    });
+    text.parts.length = 0;
+    text.versions.length = 0;
+    text.softwareVersion = undefined;
+    text.lastEvent = undefined;
+    this.#interruptedAt = undefined;
+  }
+
   #setActivity(doing: SampleActivity["doing"]): void {
     if (doing === this.#doing) return;
     this.#doing = doing;
@@ -205,6 +283,7 @@
       model,
       minimumVersion,
       exactVersion: route.isSingleVersion ? text.versions[0] : undefined,
+      softwareVersion: text.softwareVersion,
     };
   }
 
@@ -323,7 +402,11 @@
           "event numbers are not consecutive",
         );
       }
-      this.#recordSoftwareVersion(engine);
+      if (events === 0 && !this.#hasSoftwareVersion(engine)) {
+        answer.abandon();
+        return "retry";
+      }
+      this.#interruptedAt = undefined;
       text.lastEvent = event.number;
       text.parts.push(event.text);
       if (!text.versions.includes(version)) text.versions.push(version);
@@ -348,19 +431,27 @@
       : "completed";
   }
 
-  #recordSoftwareVersion(
+  // Whether the engine has the software version that began the text. The engine's entry may have
+  // changed since the request was sent.
+  #hasSoftwareVersion(
     { identifier, softwareVersion }: BackendServerEntry,
-  ): void {
-    const { text, log, sample } = this.#options;
-    text.softwareVersion ??= softwareVersion;
-    if (text.softwareVersion === softwareVersion) return;
-    log.emit("textOfTwoVersions", {
+  ): boolean {
+    const { text, log, sample, servers } = this.#options;
+    const current = servers.servers.get(identifier)?.softwareVersion ??
+      softwareVersion;
+    const begunAt = text.softwareVersion ?? softwareVersion;
+    if (current === softwareVersion && begunAt === softwareVersion) {
+      text.softwareVersion = softwareVersion;
+      return true;
+    }
+    log.emit("softwareVersionChanged", {
       sample: sample.identifier,
       server: identifier,
-      softwareVersion,
-      begunAt: text.softwareVersion,
+      softwareVersion: current,
+      begunAt,
       afterEvent: text.lastEvent ?? -1,
     });
+    return false;
   }
 
   // Handles a status of 500. Either the engine fails some of its requests or the sample fails on
--- a/source/durable_steps/sample_generation_test.ts
+++ b/source/durable_steps/sample_generation_test.ts
@@ -28,12 +28,15 @@
   readonly text: SampleText;
   readonly outcome: string;
   readonly requests: ReadonlyArray<ServerRequest>;
+  /** Identifiers of the engines that were asked, in order. */
+  readonly servers: ReadonlyArray<string>;
 }
 
 // Runs one sample on two engines until it ends or 1.5 s have passed.
 async function run(
   text: SampleText,
   answer: (request: ServerRequest, count: number) => ScriptedResponse,
+  softwareVersions: Readonly<Record<string, string>> = {},
 ): Promise<RunResult> {
   const clock = new SystemClock();
   const log = new RecordingEventLog();
@@ -46,7 +49,10 @@
     table,
     tableName: "servers",
     readRow: (key) =>
-      createServerEntry(key, { weightVersions: new Map([["m", 5]]) }),
+      createServerEntry(key, {
+        weightVersions: new Map([["m", 5]]),
+        softwareVersion: softwareVersions[key] ?? "v1",
+      }),
     drainMilliseconds: 2000,
     stopping: signal,
   });
@@ -98,13 +104,19 @@
   }).run();
   clearTimeout(timer);
   stopping.abort();
-  return { text, outcome: outcome.kind, requests };
+  return {
+    text,
+    outcome: outcome.kind,
+    requests,
+    servers: client.requestedServers,
+  };
 }
 
 function createText(events: number): SampleText {
   return {
     parts: Array.from({ length: events }, (_unused, index) => `part ${index}`),
     versions: events > 0 ? [5] : [],
+    softwareVersion: events > 0 ? "v1" : undefined,
     lastEvent: events > 0 ? events - 1 : undefined,
     isWhole: false,
   };
@@ -187,3 +199,50 @@
   t.deepEqual(requests.map(({ afterEvent }) => afterEvent), [undefined, 2]);
   t.is(text.parts.join(), "part 0,part 1,part 2,part 3,part 4");
 });
+
+test("an interrupted text goes on at the software version that began it, though another engine is free", async (t) => {
+  const { outcome, requests, servers } = await run(
+    createText(3),
+    () => ({ status: 200, weightVersion: 5, events: createEvents(3, 2) }),
+    { e1: "v2" },
+  );
+  t.is(outcome, "completed");
+  t.deepEqual(requests.map(({ afterEvent }) => afterEvent), [2]);
+  t.deepEqual(servers, ["e2"]);
+});
+
+test("a text whose software version has gone is generated again from its start", async (t) => {
+  const { text, outcome, requests } = await run(
+    createText(3),
+    () => ({ status: 200, weightVersion: 6, events: createEvents(0, 2) }),
+    { e1: "v2", e2: "v2" },
+  );
+  t.is(outcome, "completed");
+  t.deepEqual(requests.map(({ afterEvent }) => afterEvent), [undefined]);
+  t.is(text.parts.join(), "part 0,part 1");
+  t.deepEqual(text.versions, [6]);
+  t.is(text.softwareVersion, "v2");
+});
+
+test("a text of an unknown software version is generated again from its start", async (t) => {
+  const { text, requests } = await run(
+    { ...createText(3), softwareVersion: undefined },
+    () => ({ status: 200, weightVersion: 5, events: createEvents(0, 2) }),
+  );
+  t.deepEqual(requests.map(({ afterEvent }) => afterEvent), [undefined]);
+  t.is(text.parts.length, 2);
+});
+
+test("a text whose software version only fails is generated again by another one", async (t) => {
+  const { text, outcome } = await run(
+    createText(2),
+    ({ afterEvent }) =>
+      afterEvent === undefined
+        ? { status: 200, weightVersion: 5, events: createEvents(0, 4) }
+        : { kind: "unknown" },
+    { e2: "v2" },
+  );
+  t.is(outcome, "completed");
+  t.is(text.softwareVersion, "v2");
+  t.is(text.parts.length, 4);
+});
--- a/source/durable_steps/step_run.ts
+++ b/source/durable_steps/step_run.ts
@@ -349,6 +349,7 @@
     const text: SampleText = {
       parts: [],
       versions: [],
+      softwareVersion: undefined,
       lastEvent: undefined,
       isWhole: false,
     };
--- a/source/observability/events/installation_events.ts
+++ b/source/observability/events/installation_events.ts
@@ -161,13 +161,20 @@
     action: "",
     fields: ["sample", "server", "reason", "afterEvent"],
   }),
-  textOfTwoVersions: defineEvent(9311, {
-    level: "error",
+  softwareVersionChanged: defineEvent(9311, {
+    level: "warn",
     message:
-      "A text that one software version of an engine began got an event of another one; begunAt is the first version",
-    action: "Report the event as a bug",
+      "An engine answered for a text that another software version, begunAt, began; the answer was discarded",
+    action: "",
     fields: ["sample", "server", "softwareVersion", "begunAt", "afterEvent"],
   }),
+  textRestarted: defineEvent(9312, {
+    level: "info",
+    message:
+      "A text is generated again from its start, since no engine of the software version that began it could go on; events counts what was discarded",
+    action: "If it repeats, replace the engines more slowly",
+    fields: ["sample", "softwareVersion", "events"],
+  }),
   sampleFinished: defineEvent(9307, {
     level: "info",
     message:
