Let a caller's stream go on only at the software version that began it

Callers that took a stream up after a broken connection got the rest of it from an engine of another software version, which does not fit what they had.

Cause: Last-Event-Id was passed on to any engine of the service and Resumes was not read; no node but the first could know which version began the stream.

Change: the node that begins a resumable stream records its service and software version in the store, without delay for the stream; any node finds it there by Resumes. The stream goes on at such an engine, or is refused as not run, with a time to return. Without a record it goes on only where one version alone can have begun it (decisions/stream_continuation.ts), and while the store does not answer only at a node that remembers it. Records are deleted after two periods of five minutes. The deletion of ranges of rows is shared with steps.

--- a/source/calls/call_forwarder.ts
+++ b/source/calls/call_forwarder.ts
@@ -1,5 +1,6 @@
 import { type AttemptResult, bufferBody } from "./attempt_result.ts";
 import { toRetryAfter } from "../decisions/call_admission.ts";
+import type { StreamOrigin } from "../decisions/stream_continuation.ts";
 import type { HedgeTiming } from "../decisions/hedge_timing.ts";
 import type { RetryBudget } from "../decisions/retry_budget.ts";
 import type { CallGate } from "./call_gate.ts";
@@ -49,6 +50,10 @@
    * request.
    */
   readonly onAnswered?: (status: number) => void;
+  /** Called with the server that begins to answer with a stream. */
+  readonly onStreaming?: (server: BackendServerEntry) => void;
+  /** The only service and software version that may answer; any of the route if absent. */
+  readonly origin?: StreamOrigin;
 }
 
 /** Dependencies of a call forwarder. */
@@ -108,7 +113,8 @@
   constructor(options: CallForwarderOptions, call: ForwardedCall) {
     this.#options = options;
     this.#call = call;
-    this.#service = selectService(call.route, options.random.next());
+    this.#service = call.origin?.service ??
+      selectService(call.route, options.random.next());
     this.#startedAt = options.clock.monotonic();
     this.#deadline = Math.min(
       call.deadline - RESPONSE_MARGIN_MILLISECONDS,
@@ -171,7 +177,7 @@
   // start, and Infinity when no server of the service can get the call now.
   #startAttempt(): number {
     const { servers, serverStatistics: statistics, clock } = this.#options;
-    const all = servers.ofService(this.#service);
+    const all = this.#candidates;
     const untried = all.filter(({ identifier }) =>
       !this.#triedServers.has(identifier)
     );
@@ -214,6 +220,17 @@
     return undefined;
   }
 
+  // Servers of the service that may answer the call.
+  get #candidates(): ReadonlyArray<BackendServerEntry> {
+    const { origin } = this.#call;
+    const all = this.#options.servers.ofService(this.#service);
+    return origin === undefined
+      ? all
+      : all.filter(({ softwareVersion }) =>
+        softwareVersion === origin.softwareVersion
+      );
+  }
+
   #toStreamingOutcome(answer: ServerAnswer): CallOutcome {
     const { status, headers, body } = answer;
     // The stream outlives this run, so `finish`, not `run`, cancels the attempts.
@@ -250,7 +267,7 @@
 
   #hasFreeServer(): boolean {
     const { servers, serverStatistics } = this.#options;
-    return servers.ofService(this.#service).some((server) =>
+    return this.#candidates.some((server) =>
       !this.#triedServers.has(server.identifier) &&
       serverStatistics.occupied(server.identifier) < server.slots &&
       serverStatistics.hasRoom(server)
@@ -259,13 +276,11 @@
 
   #hasRoom(): boolean {
     const { servers, serverStatistics } = this.#options;
-    return servers.ofService(this.#service).some((server) =>
-      serverStatistics.hasRoom(server)
-    );
+    return this.#candidates.some((server) => serverStatistics.hasRoom(server));
   }
 
   #hasTriedAllServers(): boolean {
-    const serverCount = this.#options.servers.ofService(this.#service).length;
+    const serverCount = this.#candidates.length;
     return this.#triedServers.size >= serverCount;
   }
 
@@ -274,7 +289,7 @@
     if (failure?.kind === "complete") return toAnsweredOutcome(failure);
     if (this.#possiblyExecutedAttemptCount === 0) {
       const { servers, serverStatistics, random } = this.#options;
-      const all = servers.ofService(this.#service);
+      const all = this.#candidates;
       const backlogMilliseconds = Math.max(
         REFUSED_BACKLOG_MILLISECONDS,
         serverStatistics.waitForRoom(all, 0),
@@ -308,6 +323,7 @@
       this.#attemptControllers.delete(controller);
       this.#call.signal.removeEventListener("abort", cancelAttempt);
     }
+    if (result.kind === "streaming") this.#call.onStreaming?.(server);
     const isServed = result.kind === "streaming" ||
       (result.kind === "complete" && result.status < 500);
     if (isServed) {
--- a/source/calls/call_service.ts
+++ b/source/calls/call_service.ts
@@ -1,18 +1,30 @@
 import type { StepIntake } from "../durable_steps/step_intake.ts";
+import type { BackendServerEntry } from "../installation/backend_server_entry.ts";
 import type { UsageMeter } from "../duties/usage_meter.ts";
 import {
   type Configuration,
   findRoute,
   type ServiceRoute,
 } from "../installation/configuration.ts";
+import type { ServerView } from "../installation/server_view.ts";
 import type { OperatorView } from "../installation/operator_view.ts";
 import type { Metrics } from "../observability/metrics.ts";
 import type { Clock } from "../utilities/clock.ts";
 import type { CallForwarder } from "./call_forwarder.ts";
 import type { CallOutcome } from "./call_outcome.ts";
+import type { StreamOrigins } from "./stream_origins.ts";
+import {
+  decideStreamContinuation,
+  type StreamContinuation,
+  type StreamOrigin,
+} from "../decisions/stream_continuation.ts";
 
 const NOT_CONFIGURED_RETRY_MILLISECONDS = 300;
 const STALE_KEYS_RETRY_MILLISECONDS = 400;
+/** Delay after which a stream may be taken up again; servers restart within seconds. */
+const STREAM_RETRY_MILLISECONDS = 400;
+/** Time for which streams last at most and their callers may take them up. */
+const STREAM_LIFETIME_MILLISECONDS = 60_000;
 
 /** A request that a caller sent to this node. */
 export interface IncomingCall {
@@ -33,6 +45,8 @@
    * resumes none.
    */
   readonly afterEvent: number | undefined;
+  /** Identifier of the request that brought the first event of that stream; empty if not named. */
+  readonly resumedRequest: string;
   /** Time of arrival, in milliseconds on the monotonic clock. */
   readonly arrivedAt: number;
   /** Aborted when the caller disconnects. */
@@ -48,11 +62,18 @@
     readonly retryAfterMilliseconds?: number;
   };
 
+interface CallTarget {
+  readonly route: ServiceRoute;
+  readonly organisation: string | undefined;
+}
+
 /** Dependencies of a call service. */
 export interface CallServiceOptions {
   readonly clock: Clock;
   readonly operator: OperatorView;
   readonly forwarder: CallForwarder;
+  readonly servers: ServerView;
+  readonly streamOrigins: StreamOrigins;
   readonly intake: StepIntake;
   readonly usage: UsageMeter;
   readonly metrics: Metrics;
@@ -151,13 +172,70 @@
 
   async #forward(
     call: IncomingCall,
-    target: {
-      readonly route: ServiceRoute;
-      readonly organisation: string | undefined;
+    target: CallTarget,
+  ): Promise<CallOutcome> {
+    if (target.route.kind !== "streaming" || !target.route.isResumable) {
+      return await this.#forwardTo(call, target, {});
+    }
+    if (call.afterEvent !== undefined) {
+      return await this.#continueStream(call, target);
+    }
+    const { organisation } = target;
+    const { identifier } = call;
+    return await this.#forwardTo(call, target, {
+      onStreaming: ({ service, softwareVersion }) =>
+        this.#options.streamOrigins.record({ identifier, organisation }, {
+          service,
+          softwareVersion,
+        }),
+    });
+  }
+
+  async #continueStream(
+    call: IncomingCall,
+    target: CallTarget,
+  ): Promise<CallOutcome> {
+    const continuation = await this.#decideContinuation(call, target);
+    if (continuation.kind === "continue") {
+      const { origin } = continuation;
+      return await this.#forwardTo(call, target, { origin });
+    }
+    return {
+      kind: "refused",
+      refusal: continuation.refusal,
+      retryAfterMilliseconds: STREAM_RETRY_MILLISECONDS,
+    };
+  }
+
+  async #decideContinuation(
+    call: IncomingCall,
+    { route, organisation }: CallTarget,
+  ): Promise<StreamContinuation> {
+    const { servers, streamOrigins } = this.#options;
+    const finding = await streamOrigins.find({
+      identifier: call.resumedRequest,
+      organisation,
+    });
+    return decideStreamContinuation(finding, {
+      services: route.services.map(({ service }) => service),
+      serving: (service) =>
+        new Set(
+          servers.ofService(service).map((server) => server.softwareVersion),
+        ),
+      seen: (service) =>
+        servers.softwareVersionsSeen(service, STREAM_LIFETIME_MILLISECONDS),
+    });
+  }
+
+  async #forwardTo(
+    call: IncomingCall,
+    { route, organisation }: CallTarget,
+    stream: {
+      readonly origin?: StreamOrigin;
+      readonly onStreaming?: (server: BackendServerEntry) => void;
     },
   ): Promise<CallOutcome> {
     const { forwarder, usage, clock } = this.#options;
-    const { route, organisation } = target;
     const entry = organisation === undefined
       ? undefined
       : usage.open(organisation, clock.wall());
@@ -182,6 +260,7 @@
           (call.budgetMilliseconds ?? route.timeoutMilliseconds),
         signal: call.signal,
         onAnswered: () => entry?.count(),
+        ...stream,
       });
     } finally {
       entry?.end();
--- /dev/null
+++ b/source/calls/stream_origins.ts
@@ -0,0 +1,148 @@
+import { createHash } from "node:crypto";
+import { LRUCache } from "lru-cache";
+import type {
+  StreamOrigin,
+  StreamOriginFinding,
+} from "../decisions/stream_continuation.ts";
+import type { DutyLease } from "../duties/duty_lease.ts";
+import type { EventLog } from "../observability/event_log.ts";
+import { deleteRange } from "../platform/delete_rows.ts";
+import type { DurableTable } from "../platform/durable_table.ts";
+import type { Clock } from "../utilities/clock.ts";
+
+const TABLE = "streams";
+/** Number of partitions, so that the records of many streams do not wait for each other. */
+const PARTITIONS = 16;
+/** Length of a period; records are found in the period of their beginning and in the next one. */
+const PERIOD_MILLISECONDS = 300_000;
+const CLEANING_INTERVAL_MILLISECONDS = 60_000;
+/** Maximum number of streams whose beginning this node remembers. */
+const MAXIMUM_REMEMBERED = 10_000;
+
+/** A caller's request that began a stream. */
+export interface StreamRequest {
+  /** Identifier that the caller gave. */
+  readonly identifier: string;
+  readonly organisation: string | undefined;
+}
+
+/** Dependencies of the origins of streams. */
+export interface StreamOriginsOptions {
+  /** Clock whose wall time is close to that of the other nodes. */
+  readonly clock: Clock;
+  readonly log: EventLog;
+  readonly table: DurableTable;
+  readonly lease: Pick<DutyLease, "getHeldDuty">;
+  readonly stopping: AbortSignal;
+}
+
+/**
+ * Records in the store which service and software version began each resumable stream, so that any
+ * node can go on with it.
+ */
+export class StreamOrigins {
+  readonly #options: StreamOriginsOptions;
+  readonly #remembered = new LRUCache<string, StreamOrigin>({
+    max: MAXIMUM_REMEMBERED,
+  });
+
+  /** @param options - The store, the clock and the duty lease. */
+  constructor(options: StreamOriginsOptions) {
+    this.#options = options;
+  }
+
+  /** Records the origin of a stream; the stream does not wait for the store. */
+  record(request: StreamRequest, origin: StreamOrigin): void {
+    const name = toName(request);
+    this.#remembered.set(name, origin);
+    void this.#save(name, origin);
+  }
+
+  /** Finds the origin of a stream, at this node or in the store. */
+  async find(request: StreamRequest): Promise<StreamOriginFinding> {
+    const name = toName(request);
+    const origin = this.#remembered.get(name);
+    if (origin !== undefined) return { kind: "found", origin };
+    const period = this.#period;
+    const findings = await Promise.all([
+      this.#read(name, period),
+      this.#read(name, period - 1),
+    ]);
+    return findings.find(({ kind }) => kind === "found") ??
+      findings.find(({ kind }) => kind === "unreadable") ??
+      { kind: "absent" };
+  }
+
+  /** Deletes old records periodically while this node holds the duty lease, until the node stops. */
+  async run(): Promise<void> {
+    const { clock, stopping, lease } = this.#options;
+    while (!stopping.aborted) {
+      await clock.sleep(CLEANING_INTERVAL_MILLISECONDS, stopping);
+      if (lease.getHeldDuty() !== undefined) await this.deleteOld();
+    }
+  }
+
+  /** Deletes the records of streams that began before the previous period. */
+  async deleteOld(): Promise<void> {
+    const to = toKey(this.#period - 1, "");
+    for (let partition = 0; partition < PARTITIONS; partition += 1) {
+      const range = { table: TABLE, partition: String(partition), to };
+      if (!await deleteRange(this.#options.table, range)) return;
+    }
+  }
+
+  get #period(): number {
+    return Math.floor(this.#options.clock.wall() / PERIOD_MILLISECONDS);
+  }
+
+  async #save(name: string, origin: StreamOrigin): Promise<void> {
+    const { table, log } = this.#options;
+    const outcome = await table.commit({
+      conditions: [],
+      puts: [{
+        table: TABLE,
+        partition: toPartition(name),
+        key: toKey(this.#period, name),
+        value: Buffer.from(
+          JSON.stringify([origin.service, origin.softwareVersion]),
+        ),
+      }],
+    });
+    if (outcome.kind !== "ok") {
+      log.emit("streamOriginNotSaved", { reason: outcome.kind });
+    }
+  }
+
+  async #read(name: string, period: number): Promise<StreamOriginFinding> {
+    const key = toKey(period, name);
+    const outcome = await this.#options.table.read(TABLE, {
+      partition: toPartition(name),
+      from: key,
+      to: `${key}\u0000`,
+      maximum: 1,
+    });
+    if (outcome.kind !== "ok") return { kind: "unreadable" };
+    const [row] = outcome.value.rows;
+    if (row === undefined) return { kind: "absent" };
+    const [service, softwareVersion] = JSON.parse(row.value.toString()) as [
+      string,
+      string,
+    ];
+    return { kind: "found", origin: { service, softwareVersion } };
+  }
+}
+
+// Callers choose identifiers, so the digest bounds the length of the key.
+function toName({ identifier, organisation }: StreamRequest): string {
+  return createHash("sha256")
+    .update(JSON.stringify([organisation ?? "", identifier]))
+    .digest("hex");
+}
+
+function toPartition(name: string): string {
+  return String(Number.parseInt(name.slice(0, 2), 16) % PARTITIONS);
+}
+
+function toKey(period: number, name: string): string {
+  return `${String(period).padStart(10, "0")}/${name}`;
+}
--- a/source/durable_steps/step_retention.ts
+++ b/source/durable_steps/step_retention.ts
@@ -1,6 +1,7 @@
 import type { DutyLease } from "../duties/duty_lease.ts";
 import type { EventLog } from "../observability/event_log.ts";
-import type { DurableTable, RowLocation } from "../platform/durable_table.ts";
+import { deleteRange, deleteRows } from "../platform/delete_rows.ts";
+import type { DurableTable } from "../platform/durable_table.ts";
 import type { Clock } from "../utilities/clock.ts";
 import {
   hasManifest,
@@ -19,8 +20,6 @@
  * client may read late.
  */
 const MARGIN_MILLISECONDS = 60_000;
-/** Maximum number of rows deleted in one transaction. */
-const MAXIMUM_TRANSACTION_ROWS = 90;
 
 /** Dependencies of the step retention. */
 export interface StepRetentionOptions {
@@ -74,7 +73,7 @@
   // Deletes the manifest last, so that an interrupted deletion is resumed by a later check.
   async #deleteStep(manifest: StepManifest): Promise<boolean> {
     const { identifier, upload } = manifest;
-    const steps = [
+    const ranges = [
       { table: STEP_TABLE.results, partition: identifier },
       { table: STEP_TABLE.progress, partition: identifier },
       {
@@ -84,41 +83,14 @@
         to: `${upload}0`,
       },
     ];
-    for (const range of steps) {
-      if (!await this.#deleteRange(range)) return false;
+    const { table } = this.#options;
+    for (const range of ranges) {
+      if (!await deleteRange(table, range)) return false;
     }
-    return await this.#delete([
+    return await deleteRows(table, [
       toStepRowPlace(identifier, "owner"),
       toStepRowPlace(identifier, "end"),
       toStepRowPlace(identifier, "manifest"),
     ]);
   }
-
-  async #deleteRange(
-    { table, ...window }: {
-      readonly table: string;
-      readonly partition: string;
-      readonly from?: string;
-      readonly to?: string;
-    },
-  ): Promise<boolean> {
-    for (;;) {
-      const outcome = await this.#options.table.read(table, {
-        ...window,
-        maximum: MAXIMUM_TRANSACTION_ROWS,
-      });
-      if (outcome.kind !== "ok") return false;
-      if (outcome.value.rows.length === 0) return true;
-      if (!await this.#delete(outcome.value.rows)) return false;
-    }
-  }
-
-  async #delete(places: ReadonlyArray<RowLocation>): Promise<boolean> {
-    const outcome = await this.#options.table.commit({
-      conditions: [],
-      puts: [],
-      deletes: places,
-    });
-    return outcome.kind === "ok";
-  }
 }
--- a/source/installation/server_view.ts
+++ b/source/installation/server_view.ts
@@ -21,6 +21,8 @@
  * expired entries within about 2 s.
  */
 const RETENTION_MILLISECONDS = 1900;
+/** Time for which a software version is remembered after its last server has left. */
+const VERSION_MEMORY_MILLISECONDS = 600_000;
 /** Maximum number of leaving servers that are remembered; beyond it, the oldest is forgotten. */
 const MAXIMUM_LEAVING_SERVERS = 2000;
 
@@ -79,6 +81,10 @@
   #byService: ReadonlyMap<string, ReadonlyArray<BackendServerEntry>> =
     new Map();
   #isFailing = false;
+  /** Monotonic times, in milliseconds, at which each software version of a service was last seen. */
+  readonly #versionsSeen = new Map<string, Map<string, number>>();
+  /** Monotonic time, in milliseconds, since which the entries are followed without an outage. */
+  #followedSince = Infinity;
   /** Monotonic time, in milliseconds, at which the last outage of the store was detected. */
   #failedAt = 0;
   /** Whether the next snapshot follows an outage of the store. */
@@ -134,6 +140,28 @@
     return server !== undefined && this.#takesRequests(server);
   }
 
+  /**
+   * Returns the software versions that servers of a service may have had in the last milliseconds.
+   * @returns The versions; undefined if the entries were not followed for so long without an outage.
+   */
+  softwareVersionsSeen(
+    service: string,
+    milliseconds: number,
+  ): ReadonlySet<string> | undefined {
+    const since = this.#options.clock.monotonic() - milliseconds;
+    if (this.#isFailing || this.#followedSince > since) return undefined;
+    const seen = [...this.#versionsSeen.get(service) ?? []].filter(
+      ([, seenAt]) => seenAt >= since,
+    );
+    const current = [...this.#servers.values()].filter((server) =>
+      server.service === service
+    );
+    return new Set([
+      ...seen.map(([version]) => version),
+      ...current.map(({ softwareVersion }) => softwareVersion),
+    ]);
+  }
+
   /**
    * Excludes a start of a server from new requests for good, whatever its entry says. A later start
    * of the server takes requests.
@@ -183,6 +211,7 @@
     const { clock, log, tableName } = this.#options;
     this.#isFailing = problem !== undefined;
     if (problem === undefined) {
+      this.#followedSince = clock.monotonic();
       log.emit("storeRegained", { table: tableName });
       return;
     }
@@ -194,9 +223,14 @@
   // Replaces the servers by a snapshot. Entries may expire while the store is unreachable, so after
   // an outage servers without an entry are retained for some time in which they may renew it.
   #replace(rows: ReadonlyArray<StoredRow>): void {
+    this.#recordSoftwareVersions();
     const previous = this.#servers;
     this.#servers = new Map();
     for (const row of rows) this.#put(row);
+    this.#followedSince = Math.min(
+      this.#followedSince,
+      this.#options.clock.monotonic(),
+    );
     this.#isLoaded = true;
     if (this.#mustRetainMissingServers) {
       this.#mustRetainMissingServers = false;
@@ -224,6 +258,7 @@
   }
 
   #apply(changes: ReadonlyArray<RowChange>): void {
+    this.#recordSoftwareVersions();
     for (const change of changes) {
       this.#retained.delete(change.key);
       if (change.isDeleted) this.#servers.delete(change.key);
@@ -252,6 +287,20 @@
     for (const onChange of this.#watchers) onChange();
   }
 
+  // Called before each change, as the servers that it removes were present until then.
+  #recordSoftwareVersions(): void {
+    const now = this.#options.clock.monotonic();
+    for (const { service, softwareVersion } of this.#servers.values()) {
+      const seen = this.#versionsSeen.get(service) ?? new Map();
+      this.#versionsSeen.set(service, seen.set(softwareVersion, now));
+    }
+    for (const seen of this.#versionsSeen.values()) {
+      for (const [version, seenAt] of seen) {
+        if (now - seenAt > VERSION_MEMORY_MILLISECONDS) seen.delete(version);
+      }
+    }
+  }
+
   #logMalformed(key: string): void {
     if (this.#loggedMalformed.has(key)) return;
     this.#loggedMalformed.add(key);
--- a/source/node/create_installation_node.ts
+++ b/source/node/create_installation_node.ts
@@ -4,6 +4,7 @@
 import type { ServerClient } from "../backends/server_client.ts";
 import { createCallForwarder } from "../calls/create_call_forwarder.ts";
 import { CallService } from "../calls/call_service.ts";
+import { StreamOrigins } from "../calls/stream_origins.ts";
 import { ServerCallStatistics } from "../calls/server_call_statistics.ts";
 import { LeaseElector } from "../control/lease_elector.ts";
 import type { DutyClient } from "../duties/duty_client.ts";
@@ -252,10 +253,31 @@
     readSignature: adapters.readSignature,
     stopping,
   });
+  const leaseElector = new LeaseElector({
+    name: DUTY_LEASE,
+    countLeaseCandidates: () => register.running.length,
+    returnMilliseconds: bounds.leaseMilliseconds,
+    isNodeProcessUnique: true,
+    context: {
+      ...common,
+      nodeStart,
+      random,
+      settings: {
+        node: settings.node,
+        leaseMilliseconds: LEASE_MILLISECONDS,
+        orderDeadlineMilliseconds: ORDER_DEADLINE_MILLISECONDS,
+      },
+      platform: { table: new LeaseTable(table) },
+    },
+  });
+  const lease = new DutyLease(leaseElector, settings.node);
+  const streamOrigins = new StreamOrigins({ ...stored, lease });
   const calls = new CallService({
     clock: sharedClock,
     operator,
     forwarder: tools.forwarder,
+    servers,
+    streamOrigins,
     usage,
     metrics,
     intake: new StepIntake({
@@ -275,24 +297,6 @@
         })?.nodeStart ?? nodeStart,
     }),
   });
-  const leaseElector = new LeaseElector({
-    name: DUTY_LEASE,
-    countLeaseCandidates: () => register.running.length,
-    returnMilliseconds: bounds.leaseMilliseconds,
-    isNodeProcessUnique: true,
-    context: {
-      ...common,
-      nodeStart,
-      random,
-      settings: {
-        node: settings.node,
-        leaseMilliseconds: LEASE_MILLISECONDS,
-        orderDeadlineMilliseconds: ORDER_DEADLINE_MILLISECONDS,
-      },
-      platform: { table: new LeaseTable(table) },
-    },
-  });
-  const lease = new DutyLease(leaseElector, settings.node);
   const duties: BackgroundPart[] = [];
   if (adapters.duties !== undefined) {
     const duty = { ...stored, duties: adapters.duties, lease };
@@ -342,6 +346,7 @@
       steps,
       usage,
       leaseElector,
+      streamOrigins,
       new StepRetention({
         ...stored,
         stepRegistry,
--- a/source/observability/events/installation_events.ts
+++ b/source/observability/events/installation_events.ts
@@ -105,6 +105,13 @@
       "Compare the sum over the nodes with the limit; compare sent with the refusals of the server",
     fields: ["server", "requestsPerSecond", "share", "sent", "milliseconds"],
   }),
+  streamOriginNotSaved: defineEvent(9207, {
+    level: "warn",
+    message:
+      "The store did not confirm which software version began a stream; another node may be unable to go on with it",
+    action: "",
+    fields: ["reason"],
+  }),
   callEnded: defineEvent(9202, {
     level: "info",
     message: "A call ended without a server's answer",
