Share limits among all serving nodes, not only those with high capacity

Calls reach the others too, and each of them took itself for the first node, which may send at once after a pause. Class of fault: a share is computed from another set of parties than those that use it.

Change: all serving nodes are counted; a node that does not serve comes after them. As the first share of a node is smaller now, the expected wait takes into account that it grows as soon as the others know of the node, so callers are not told to stay away for too long.

--- a/source/installation/limited_server.ts
+++ b/source/installation/limited_server.ts
@@ -41,6 +41,7 @@
   #activeAt = -Infinity;
   #neededAt = -Infinity;
   #isKnown = false;
+  #noticeMilliseconds = 0;
   #sent = 0;
   #loggedAt: number;
 
@@ -70,6 +71,7 @@
   update(other: OtherUse, now: number, noticeMilliseconds: number): void {
     this.#refill(now);
     this.#other = other;
+    this.#noticeMilliseconds = noticeMilliseconds;
     if (!this.isActive(now)) this.#activeSince = undefined;
     this.#isKnown = this.#activeSince !== undefined &&
       now - this.#activeSince >= noticeMilliseconds;
@@ -87,11 +89,19 @@
       : this.#rate.perSecond(now);
   }
 
-  /** Returns the time until this node may send one more request; 0 when it may now. */
+  /** Returns the expected time until this node may send one more request; 0 when it may now. */
   getWait(now: number): number {
     const { requestsPerSecond } = this.#refill(now);
     const missing = 1 - this.#saved;
-    return missing <= 0 ? 0 : Math.ceil(1000 * missing / requestsPerSecond);
+    if (missing <= 0) return 0;
+    const wait = 1000 * missing / requestsPerSecond;
+    if (this.#isKnown) return Math.ceil(wait);
+    // The share grows once the other nodes know that this one is active.
+    const noticeLeft = this.#noticeMilliseconds -
+      (now - (this.#activeSince ?? now));
+    const grown = this.#computeShare(now, true).requestsPerSecond;
+    const grownWait = Math.max(0, noticeLeft) + 1000 * missing / grown;
+    return Math.ceil(Math.min(wait, grownWait));
   }
 
   /** Returns the requests a second that this node may send at present. */
@@ -136,15 +146,19 @@
     this.#activeAt = now;
   }
 
-  #refill(now: number): RequestShare {
-    const share = shareRequests({
+  #computeShare(now: number, isKnown: boolean): RequestShare {
+    return shareRequests({
       limit: this.requestsPerSecond,
       otherDemands: this.#other.demands,
       nodes: this.#other.nodes,
       rank: this.#other.rank,
-      isKnown: this.#isKnown,
+      isKnown,
       ownRate: this.#rate.perSecond(now),
     });
+  }
+
+  #refill(now: number): RequestShare {
+    const share = this.#computeShare(now, this.#isKnown);
     const { requestsPerSecond, maximumSaved } = share;
     const isBusy = now - this.#neededAt < NEED_MILLISECONDS;
     const maximum = isBusy
--- a/source/installation/server_limits.ts
+++ b/source/installation/server_limits.ts
@@ -32,7 +32,7 @@
   readonly records: ReadonlyArray<LimitRecord>;
   /** Names of the nodes that may send requests, this one included, in the same order everywhere. */
   readonly nodes: ReadonlyArray<string>;
-  /** Longest interval between the heartbeats of one of these nodes. */
+  /** Longest interval between two heartbeats of this node or of a node that uses a limit. */
   readonly heartbeatMilliseconds: number;
 }
 
@@ -223,13 +223,13 @@
     const demands = records.flatMap((record) =>
       record.identifier === identifier ? record.demand ?? [] : []
     );
-    const position = Math.max(0, nodes.indexOf(this.#options.node));
-    const count = Math.max(1, nodes.length);
-    return {
-      demands,
-      nodes: count,
-      rank: (position + toOffset(identifier)) % count,
-    };
+    const position = nodes.indexOf(this.#options.node);
+    // A node that does not serve callers, as it starts or drains, comes after those that do.
+    if (position < 0) {
+      return { demands, nodes: nodes.length + 1, rank: nodes.length };
+    }
+    const rank = (position + toOffset(identifier)) % nodes.length;
+    return { demands, nodes: nodes.length, rank };
   }
 
   #notify(): void {
--- a/source/installation/server_limits_test.ts
+++ b/source/installation/server_limits_test.ts
@@ -105,3 +105,13 @@
   limits.removeUnregistered(() => false);
   t.is(limits.size, 0);
 });
+
+test("a node that serves no callers does not send the first request after a pause", (t) => {
+  const clock = new ManualClock();
+  const log = new RecordingEventLog();
+  const nodes = Array.from({ length: 20 }, (_unused, index) => `n${index}`);
+  const limits = new ServerLimits({ node: "new", clock, log });
+  limits.apply({ records: [], nodes, heartbeatMilliseconds: 300 });
+  limits.recordAnswer(createServerEntry("e1"), 2);
+  t.true(limits.getWait("e1") > 0);
+});
--- a/source/node/create_installation_node.ts
+++ b/source/node/create_installation_node.ts
@@ -31,6 +31,7 @@
 import { SubmissionStore } from "../durable_steps/submission_store.ts";
 import type { BackendServerEntry } from "../installation/backend_server_entry.ts";
 import type { InstallationSettings } from "../installation/installation_settings.ts";
+import { toLimitNews } from "../installation/limit_news.ts";
 import { NodeRegister } from "../installation/node_register.ts";
 import {
   type OperatorRow,
@@ -210,16 +211,7 @@
       register.others.flatMap(({ engineUse }) => engineUse ?? []),
     )
   );
-  register.watch(() => {
-    const sending = selectHighCapacityNodes(register.running);
-    limits.apply({
-      records: register.others.flatMap((node) => node.limits),
-      nodes: sending.map(({ node }) => node).sort(),
-      heartbeatMilliseconds: Math.max(
-        ...sending.map((node) => node.heartbeatMilliseconds),
-      ),
-    });
-  });
+  register.watch(() => limits.apply(toLimitNews(register)));
   const stepRegistry = new StepRegistry({ ...common, pace });
   const tools: StepTools = {
     ...stored,
