Split engine availability and text continuation from the pool and the generation

Which engines can run a sample is in engine_availability.ts, and what keeps a text at its software version in text_continuation.ts; the type of a text has its own file.

--- /dev/null
+++ b/source/durable_steps/engine_availability.ts
@@ -0,0 +1,156 @@
+import type { BackendServerEntry } from "../installation/backend_server_entry.ts";
+import type { ServerLimits } from "../installation/server_limits.ts";
+import type { ServerView } from "../installation/server_view.ts";
+import type { Clock } from "../utilities/clock.ts";
+import type { EngineRequirements } from "./engine_request.ts";
+import type { EngineState } from "./engine_state.ts";
+
+/**
+ * Maximum number of requests beyond its slots that an engine may get from all nodes together,
+ * because this node learns the number of other nodes' requests with a delay.
+ */
+const MAXIMUM_EXCESS_REQUESTS = 1;
+
+/** What is known of the engines. */
+export interface EngineAvailabilityOptions {
+  readonly clock: Clock;
+  readonly servers: ServerView;
+  readonly limits: ServerLimits;
+  /** States of the engines that this node has used, by identifier. */
+  readonly states: ReadonlyMap<string, EngineState>;
+}
+
+/** Tells which engines can run a sample, as far as a node knows. */
+export class EngineAvailability {
+  readonly #options: EngineAvailabilityOptions;
+  #runningElsewhere: ReadonlyMap<string, number> = new Map();
+
+  /** @param options - The registered engines, their limits and this node's use of them. */
+  constructor(options: EngineAvailabilityOptions) {
+    this.#options = options;
+  }
+
+  /** Number of samples that other nodes run on each engine. */
+  get runningElsewhere(): ReadonlyMap<string, number> {
+    return this.#runningElsewhere;
+  }
+
+  /** Sets the number of samples that other nodes run on each engine. */
+  setRunningElsewhere(runningElsewhere: ReadonlyMap<string, number>): void {
+    this.#runningElsewhere = runningElsewhere;
+  }
+
+  /** Returns the engines that can run a sample now. */
+  findAvailable(
+    requirements: EngineRequirements,
+  ): ReadonlyArray<BackendServerEntry> {
+    return this.#ofService(requirements).filter((engine) =>
+      this.isAvailable(engine, requirements)
+    );
+  }
+
+  /** Returns the engines that have a free slot for a sample, whether their limit allows it or not. */
+  findFree(
+    requirements: EngineRequirements,
+  ): ReadonlyArray<BackendServerEntry> {
+    return this.#ofService(requirements).filter((engine) =>
+      this.#isFree(engine, requirements)
+    );
+  }
+
+  /** Returns the engines whose weights and software a sample may use, free or not. */
+  findUsable(
+    requirements: EngineRequirements,
+  ): ReadonlyArray<BackendServerEntry> {
+    return this.#ofService(requirements).filter((engine) =>
+      this.#hasUsableVersions(engine, requirements)
+    );
+  }
+
+  /** Whether an engine can run a sample now. */
+  isAvailable(
+    engine: BackendServerEntry,
+    requirements: EngineRequirements,
+  ): boolean {
+    return this.#isFree(engine, requirements) &&
+      this.#options.limits.getWait(engine.identifier) === 0;
+  }
+
+  /**
+   * Returns the newest known weight version of a model on an engine; undefined when the engine's
+   * stored entry has none.
+   */
+  getVersion(engine: BackendServerEntry, model: string): number | undefined {
+    const stored = engine.weightVersions.get(model);
+    if (stored === undefined) return undefined;
+    const state = this.#options.states.get(engine.identifier);
+    return Math.max(stored, state?.getReportedVersion(model) ?? 0);
+  }
+
+  /** Returns the number of slots occupied by all nodes. */
+  countOccupiedSlots({ identifier }: BackendServerEntry): number {
+    const running = this.#options.states.get(identifier)?.running ?? 0;
+    return running + (this.#runningElsewhere.get(identifier) ?? 0);
+  }
+
+  /**
+   * Returns the tokens that the runs of all nodes are expected to need, if the runs of other nodes
+   * are like those of this node.
+   * @param engine - The engine.
+   * @param usualTokens - Tokens of a run while this node runs none on the engine.
+   */
+  countTokens(
+    { identifier }: BackendServerEntry,
+    usualTokens: number,
+  ): number {
+    const state = this.#options.states.get(identifier);
+    const elsewhere = this.#runningElsewhere.get(identifier) ?? 0;
+    const perRun = state !== undefined && state.running > 0
+      ? state.tokens / state.running
+      : usualTokens;
+    return (state?.tokens ?? 0) + elsewhere * perRun;
+  }
+
+  #ofService(
+    { service }: EngineRequirements,
+  ): ReadonlyArray<BackendServerEntry> {
+    return this.#options.servers.ofService(service);
+  }
+
+  #isFree(
+    engine: BackendServerEntry,
+    requirements: EngineRequirements,
+  ): boolean {
+    const { servers, states, clock } = this.#options;
+    if (engine.service !== requirements.service) return false;
+    if (!servers.isServing(engine.identifier)) return false;
+    const occupied = this.countOccupiedSlots(engine);
+    const state = states.get(engine.identifier);
+    const hasSlot = state === undefined
+      ? occupied < engine.slots
+      : state.running < engine.slots &&
+        occupied < engine.slots + MAXIMUM_EXCESS_REQUESTS &&
+        state.isAccepting(clock.monotonic());
+    return hasSlot && this.#hasUsableVersions(engine, requirements);
+  }
+
+  #hasUsableVersions(
+    engine: BackendServerEntry,
+    requirements: EngineRequirements,
+  ): boolean {
+    const { model, minimumVersion, exactVersion, softwareVersion } =
+      requirements;
+    if (
+      softwareVersion !== undefined &&
+      engine.softwareVersion !== softwareVersion
+    ) return false;
+    const known = this.getVersion(engine, model);
+    if (known === undefined) return false;
+    const now = this.#options.clock.monotonic();
+    const expected = this.#options.states.get(engine.identifier)
+      ?.getExpectedVersion(model, now) ?? 0;
+    const version = Math.max(known, expected);
+    return version >= minimumVersion &&
+      (exactVersion === undefined || version === exactVersion);
+  }
+}
--- a/source/durable_steps/engine_pool.ts
+++ b/source/durable_steps/engine_pool.ts
@@ -8,16 +8,12 @@
 import type { ServerLimits } from "../installation/server_limits.ts";
 import type { ServerView } from "../installation/server_view.ts";
 import type { Clock } from "../utilities/clock.ts";
+import { EngineAvailability } from "./engine_availability.ts";
 import type { EngineRequest, EngineRequirements } from "./engine_request.ts";
 import { EngineStallWatch, type WatchedRun } from "./engine_stall_watch.ts";
 import { EngineState } from "./engine_state.ts";
 import { PromptMemory } from "./prompt_memory.ts";
 
-/**
- * Maximum number of requests beyond its slots that an engine may get from all nodes together,
- * because this node learns the number of other nodes' requests with a delay.
- */
-const MAXIMUM_EXCESS_REQUESTS = 1;
 /** An engine is slow if its time per event exceeds this multiple of an available engine's time. */
 const SLOW_FACTOR = 2;
 /** Time per event that is assumed while no engine has a recent measurement. */
@@ -48,7 +44,7 @@
   readonly #states = new Map<string, EngineState>();
   readonly #queue = new SampleQueue<EngineRequirements, EngineWaiter>();
   readonly #prompts = new PromptMemory();
-  #runningElsewhere: ReadonlyMap<string, number> = new Map();
+  readonly #availability: EngineAvailability;
   #isAssignmentScheduled = false;
   /** Monotonic time, in milliseconds, from which the deferred groups are selected again. */
   #nextPlanAt = 0;
@@ -78,13 +74,20 @@
     this.#clock = clock;
     this.#servers = servers;
     this.#limits = limits;
+    this.#availability = new EngineAvailability({
+      clock,
+      servers,
+      limits,
+      states: this.#states,
+    });
     this.#isConnected = engines.isConnected;
     this.#findMemoryTokens = engines.findMemoryTokens;
     this.#stallWatch = new EngineStallWatch({
       clock,
       listRunning: () => this.#listRunning(),
       usualEventMilliseconds: () => this.usualEventMilliseconds,
-      findAvailable: (requirements) => this.#findAvailable(requirements),
+      findAvailable: (requirements) =>
+        this.#availability.findAvailable(requirements),
     });
     servers.watch(() => {
       this.#removeUnregistered();
@@ -249,7 +252,7 @@
 
   /** Sets the number of samples that other nodes run on each engine. */
   setRunningElsewhere(runningElsewhere: ReadonlyMap<string, number>): void {
-    this.#runningElsewhere = runningElsewhere;
+    this.#availability.setRunningElsewhere(runningElsewhere);
     this.#assignEngines();
   }
 
@@ -266,15 +269,12 @@
    * stored entry has none.
    */
   getVersion(engine: BackendServerEntry, model: string): number | undefined {
-    const stored = engine.weightVersions.get(model);
-    if (stored === undefined) return undefined;
-    const state = this.#states.get(engine.identifier);
-    return Math.max(stored, state?.getReportedVersion(model) ?? 0);
+    return this.#availability.getVersion(engine, model);
   }
 
   /** Whether an engine could run a sample with these requirements now. */
   hasAvailable(requirements: EngineRequirements): boolean {
-    return this.#findAvailable(requirements).length > 0;
+    return this.#availability.findAvailable(requirements).length > 0;
   }
 
   /** Whether an engine is much slower than an available one that could continue the sample. */
@@ -285,7 +285,7 @@
     const eventMilliseconds = this.#getEventMilliseconds(identifier);
     if (eventMilliseconds === undefined) return false;
     if (eventMilliseconds <= this.usualEventMilliseconds) return false;
-    return this.#findAvailable(requirements).some((engine) => {
+    return this.#availability.findAvailable(requirements).some((engine) => {
       if (engine.identifier === identifier) return false;
       const other = this.#getEventMilliseconds(engine.identifier);
       return other !== undefined && eventMilliseconds > SLOW_FACTOR * other;
@@ -322,7 +322,7 @@
     this.#planGroups();
     while (this.#queue.size > 0) {
       const next = this.#queue.take((requirements) =>
-        this.#findAvailable(requirements).length > 0
+        this.#availability.findAvailable(requirements).length > 0
       );
       if (next === undefined) return this.#waitForRoom();
       const engine = this.#chooseEngine(next.request);
@@ -336,7 +336,7 @@
     this.#planGroups();
     for (;;) {
       const next = this.#queue.take((requirements) =>
-        this.#isAvailable(engine, requirements)
+        this.#availability.isAvailable(engine, requirements)
       );
       if (next === undefined) return this.#waitForRoom();
       this.#start(next, engine);
@@ -347,9 +347,7 @@
   #waitForRoom(): void {
     if (this.#limits.size === 0) return;
     const free = this.#queue.requirements.flatMap((requirements) =>
-      this.#servers.ofService(requirements.service).filter((engine) =>
-        this.#isFree(engine, requirements)
-      )
+      this.#availability.findFree(requirements)
     );
     const identifiers = free.map(({ identifier }) => identifier);
     const wait = this.#limits.estimateWait(identifiers, 0);
@@ -391,7 +389,7 @@
     for (const end of this.#expectedEnds.values()) {
       milliseconds += Math.max(0, end - now);
     }
-    for (const count of this.#runningElsewhere.values()) {
+    for (const count of this.#availability.runningElsewhere.values()) {
       milliseconds += count * RUN_ELSEWHERE_MILLISECONDS;
     }
     return milliseconds;
@@ -399,14 +397,10 @@
 
   // Counts the slots of the engines that can run any of the waiting samples, free or not.
   #countUsableSlots(): number {
-    const engines = new Map<string, number>();
-    for (const requirements of this.#queue.requirements) {
-      for (const engine of this.#servers.ofService(requirements.service)) {
-        if (!this.#hasUsableVersions(engine, requirements)) continue;
-        engines.set(engine.identifier, engine.slots);
-      }
-    }
-    return [...engines.values()].reduce((sum, slots) => sum + slots, 0);
+    const engines = this.#queue.requirements.flatMap((requirements) =>
+      this.#availability.findUsable(requirements)
+    );
+    return [...new Set(engines)].reduce((sum, { slots }) => sum + slots, 0);
   }
 
   #chooseEngine(request: EngineRequest): BackendServerEntry | undefined {
@@ -414,18 +408,19 @@
     const memoryTokens = this.#findMemoryTokens(requirements.service);
     const toMemoryShare = (tokens: number): number =>
       memoryTokens > 0 ? tokens / memoryTokens : 0;
-    const candidates = this.#findAvailable(requirements).map(
+    const candidates = this.#availability.findAvailable(requirements).map(
       (engine): Candidate => ({
         engine,
         identifier: engine.identifier,
-        running: this.#countOccupiedSlots(engine),
+        running: this.#availability.countOccupiedSlots(engine),
         eventMilliseconds: this.#getEventMilliseconds(engine.identifier),
         memoryShare: toMemoryShare(
-          this.#countTokens(engine, request.expectedTokens),
+          this.#availability.countTokens(engine, request.expectedTokens),
         ),
         isConnected: this.#isConnected(engine),
         hasPrompt: this.#prompts.has(engine.identifier, prompt),
-        versionLead: (this.getVersion(engine, requirements.model) ?? 0) -
+        versionLead:
+          (this.#availability.getVersion(engine, requirements.model) ?? 0) -
           requirements.minimumVersion,
       }),
     );
@@ -438,79 +433,6 @@
     })?.engine;
   }
 
-  #findAvailable(
-    requirements: EngineRequirements,
-  ): ReadonlyArray<BackendServerEntry> {
-    return this.#servers.ofService(requirements.service).filter((engine) =>
-      this.#isAvailable(engine, requirements)
-    );
-  }
-
-  #isAvailable(
-    engine: BackendServerEntry,
-    requirements: EngineRequirements,
-  ): boolean {
-    return this.#isFree(engine, requirements) &&
-      this.#limits.getWait(engine.identifier) === 0;
-  }
-
-  // Whether an engine can run a sample as far as its limit is not concerned.
-  #isFree(
-    engine: BackendServerEntry,
-    requirements: EngineRequirements,
-  ): boolean {
-    if (engine.service !== requirements.service) return false;
-    if (!this.#servers.isServing(engine.identifier)) return false;
-    const occupied = this.#countOccupiedSlots(engine);
-    const state = this.#states.get(engine.identifier);
-    const hasSlot = state === undefined
-      ? occupied < engine.slots
-      : state.running < engine.slots &&
-        occupied < engine.slots + MAXIMUM_EXCESS_REQUESTS &&
-        state.isAccepting(this.#clock.monotonic());
-    return hasSlot && this.#hasUsableVersions(engine, requirements);
-  }
-
-  #hasUsableVersions(
-    engine: BackendServerEntry,
-    requirements: EngineRequirements,
-  ): boolean {
-    const { model, minimumVersion, exactVersion, softwareVersion } =
-      requirements;
-    if (
-      softwareVersion !== undefined &&
-      engine.softwareVersion !== softwareVersion
-    ) return false;
-    const known = this.getVersion(engine, model);
-    if (known === undefined) return false;
-    const now = this.#clock.monotonic();
-    const expected = this.#states.get(engine.identifier)
-      ?.getExpectedVersion(model, now) ?? 0;
-    const version = Math.max(known, expected);
-    return version >= minimumVersion &&
-      (exactVersion === undefined || version === exactVersion);
-  }
-
-  // Returns the tokens that the runs of all nodes are expected to need, if the runs of other nodes are
-  // like those of this node.
-  #countTokens(
-    { identifier }: BackendServerEntry,
-    usualTokens: number,
-  ): number {
-    const state = this.#states.get(identifier);
-    const elsewhere = this.#runningElsewhere.get(identifier) ?? 0;
-    const perRun = state !== undefined && state.running > 0
-      ? state.tokens / state.running
-      : usualTokens;
-    return (state?.tokens ?? 0) + elsewhere * perRun;
-  }
-
-  // Returns the number of slots occupied by all nodes, as far as this node knows.
-  #countOccupiedSlots({ identifier }: BackendServerEntry): number {
-    return this.running(identifier) +
-      (this.#runningElsewhere.get(identifier) ?? 0);
-  }
-
   #assignAfter(milliseconds: number): void {
     void this.#clock.sleep(milliseconds + 1).then(() => this.#assignEngines());
   }
--- a/source/durable_steps/log_samples.ts
+++ b/source/durable_steps/log_samples.ts
@@ -1,6 +1,7 @@
 import type { EventLog } from "../observability/event_log.ts";
 import type { Clock } from "../utilities/clock.ts";
-import type { SampleGeneration, SampleText } from "./sample_generation.ts";
+import type { SampleGeneration } from "./sample_generation.ts";
+import type { SampleText } from "./sample_text.ts";
 
 /** A sample whose run on this node has ended. */
 export interface EndedSample {
--- a/source/durable_steps/progress_store.ts
+++ b/source/durable_steps/progress_store.ts
@@ -2,7 +2,7 @@
   DurableTable,
   RowTransaction,
 } from "../platform/durable_table.ts";
-import type { SampleText } from "./sample_generation.ts";
+import type { SampleText } from "./sample_text.ts";
 import { STEP_TABLE } from "./step_manifest.ts";
 
 /** Minimum number of events since the last save for which a text is saved. */
--- a/source/durable_steps/progress_store_test.ts
+++ b/source/durable_steps/progress_store_test.ts
@@ -1,7 +1,7 @@
 import test from "ava";
 import { MemoryDurableTable } from "../../stand_ins/installation/memory_durable_table.ts";
 import { ProgressStore } from "./progress_store.ts";
-import type { SampleText } from "./sample_generation.ts";
+import type { SampleText } from "./sample_text.ts";
 
 function createText(softwareVersion: string, events: number): SampleText {
   return {
--- a/source/durable_steps/sample_generation.ts
+++ b/source/durable_steps/sample_generation.ts
@@ -1,5 +1,4 @@
 import type { TextLengthEstimate } from "../decisions/text_length.ts";
-import { toContinuationPatience } from "../decisions/text_continuation.ts";
 import type { ServerAnswer, ServerClient } from "../backends/server_client.ts";
 import type { ExchangeFailure } from "../backends/http_exchange.ts";
 import type { BackendServerEntry } from "../installation/backend_server_entry.ts";
@@ -9,6 +8,8 @@
 import type { Clock } from "../utilities/clock.ts";
 import type { EnginePool } from "./engine_pool.ts";
 import type { EngineRequest, EngineRequirements } from "./engine_request.ts";
+import type { SampleText } from "./sample_text.ts";
+import { TextContinuation } from "./text_continuation.ts";
 import type { SampleRequest } from "./step_submission.ts";
 import { ENDED } from "../utilities/ended.ts";
 
@@ -25,19 +26,6 @@
 /** Number of events between two checks for a faster engine. */
 const EVENTS_BETWEEN_SPEED_CHECKS = 4;
 
-/** The text of a sample as generated so far. */
-export interface SampleText {
-  readonly parts: string[];
-  /** Weight versions that generated the text, in the order of their first event. */
-  readonly versions: number[];
-  /** Software version of the engine that began the text; undefined before the first event. */
-  softwareVersion: string | undefined;
-  /** Number of the last event; undefined before the first. */
-  lastEvent: number | undefined;
-  /** Whether the text is complete. */
-  isWhole: boolean;
-}
-
 /** The result of generating a text. */
 export type GenerationOutcome =
   | { readonly kind: "completed" }
@@ -106,12 +94,12 @@
   #since = 0;
   #startedAt: number | undefined;
   #avoidedEngine: string | undefined;
-  /** Monotonic time, in milliseconds, since which the text waits to be continued. */
-  #interruptedAt: number | undefined;
+  readonly #continuation: TextContinuation;
 
   /** @param options - The sample, the engines and the other dependencies. */
   constructor(options: SampleGenerationOptions) {
     this.#options = options;
+    this.#continuation = new TextContinuation(options);
   }
 
   /** The current activity, or the last one after the run has ended. */
@@ -171,9 +159,8 @@
     if (text.lastEvent === undefined) {
       return await pool.acquire(request, signal);
     }
-    const isVersionUnknown = text.softwareVersion === undefined;
-    if (isVersionUnknown || this.#mustRestartText(request.requirements)) {
-      this.#restartText();
+    if (this.#continuation.mustRestart(request.requirements)) {
+      this.#continuation.restart();
       return undefined;
     }
     return await this.#acquireWithin(request, CONTINUATION_CHECK_MILLISECONDS);
@@ -194,48 +181,6 @@
     return engine;
   }
 
-  // Whether an engine of another software version should generate the interrupted text from its
-  // start, since none of its own version could go on with it for some time.
-  #mustRestartText(requirements: EngineRequirements): boolean {
-    const { pool, servers, text, clock } = this.#options;
-    const { service, softwareVersion } = requirements;
-    const now = clock.monotonic();
-    this.#interruptedAt ??= now;
-    if (pool.hasAvailable(requirements)) return false;
-    const engines = servers.ofService(service);
-    const patience = toContinuationPatience({
-      events: text.parts.length,
-      eventMilliseconds: pool.usualEventMilliseconds,
-      isVersionServing: engines.some((engine) =>
-        engine.softwareVersion === softwareVersion
-      ),
-      isOtherServing: engines.some((engine) =>
-        engine.softwareVersion !== softwareVersion
-      ),
-    });
-    const anyVersion = {
-      ...requirements,
-      exactVersion: undefined,
-      softwareVersion: undefined,
-    };
-    return now - this.#interruptedAt >= patience &&
-      pool.hasAvailable(anyVersion);
-  }
-
-  #restartText(): void {
-    const { text, log, sample } = this.#options;
-    log.emit("textRestarted", {
-      sample: sample.identifier,
-      softwareVersion: text.softwareVersion ?? "",
-      events: text.parts.length,
-    });
-    text.parts.length = 0;
-    text.versions.length = 0;
-    text.softwareVersion = undefined;
-    text.lastEvent = undefined;
-    this.#interruptedAt = undefined;
-  }
-
   #setActivity(doing: SampleActivity["doing"]): void {
     if (doing === this.#doing) return;
     this.#doing = doing;
@@ -402,11 +347,10 @@
           "event numbers are not consecutive",
         );
       }
-      if (events === 0 && !this.#hasSoftwareVersion(engine)) {
+      if (events === 0 && !this.#continuation.begin(engine)) {
         answer.abandon();
         return "retry";
       }
-      this.#interruptedAt = undefined;
       text.lastEvent = event.number;
       text.parts.push(event.text);
       if (!text.versions.includes(version)) text.versions.push(version);
@@ -431,29 +375,6 @@
       : "completed";
   }
 
-  // Whether the engine has the software version that began the text. The engine's entry may have
-  // changed since the request was sent.
-  #hasSoftwareVersion(
-    { identifier, softwareVersion }: BackendServerEntry,
-  ): boolean {
-    const { text, log, sample, servers } = this.#options;
-    const current = servers.servers.get(identifier)?.softwareVersion ??
-      softwareVersion;
-    const begunAt = text.softwareVersion ?? softwareVersion;
-    if (current === softwareVersion && begunAt === softwareVersion) {
-      text.softwareVersion = softwareVersion;
-      return true;
-    }
-    log.emit("softwareVersionChanged", {
-      sample: sample.identifier,
-      server: identifier,
-      softwareVersion: current,
-      begunAt,
-      afterEvent: text.lastEvent ?? -1,
-    });
-    return false;
-  }
-
   // Handles a status of 500. Either the engine fails some of its requests or the sample fails on
   // every engine, so the next attempt uses another engine if one is available.
   #handleServerError(identifier: string): AttemptOutcome {
--- a/source/durable_steps/sample_generation_test.ts
+++ b/source/durable_steps/sample_generation_test.ts
@@ -14,7 +14,8 @@
 import { RecordingEventLog } from "../observability/event_log.ts";
 import { SystemClock } from "../utilities/system_clock.ts";
 import { EnginePool } from "./engine_pool.ts";
-import { SampleGeneration, type SampleText } from "./sample_generation.ts";
+import { SampleGeneration } from "./sample_generation.ts";
+import type { SampleText } from "./sample_text.ts";
 
 const TIME_LIMIT_MILLISECONDS = 1500;
 
--- a/source/durable_steps/step_supervisor.ts
+++ b/source/durable_steps/step_supervisor.ts
@@ -4,7 +4,7 @@
 import { selectHighCapacityNodes } from "../installation/select_high_capacity_nodes.ts";
 import type { Rendezvous } from "../membership/rendezvous.ts";
 import type { ReadSignature } from "./sample_scoring.ts";
-import type { SampleText } from "./sample_generation.ts";
+import type { SampleText } from "./sample_text.ts";
 import {
   hasManifest,
   type StepEntry,
