--- a/source/calls/call_forwarder.ts
+++ b/source/calls/call_forwarder.ts
@@ -176,7 +176,7 @@
   // Starts an attempt; returns the monotonic time, in milliseconds, from which a hedged attempt may
   // start, and Infinity when no server of the service can get the call now.
   #startAttempt(): number {
-    const { servers, serverStatistics: statistics, clock } = this.#options;
+    const { serverStatistics: statistics, clock } = this.#options;
     const all = this.#candidates;
     const untried = all.filter(({ identifier }) =>
       !this.#triedServers.has(identifier)
@@ -266,7 +266,7 @@
   }
 
   #hasFreeServer(): boolean {
-    const { servers, serverStatistics } = this.#options;
+    const { serverStatistics } = this.#options;
     return this.#candidates.some((server) =>
       !this.#triedServers.has(server.identifier) &&
       serverStatistics.occupied(server.identifier) < server.slots &&
@@ -275,7 +275,7 @@
   }
 
   #hasRoom(): boolean {
-    const { servers, serverStatistics } = this.#options;
+    const { serverStatistics } = this.#options;
     return this.#candidates.some((server) => serverStatistics.hasRoom(server));
   }
 
@@ -288,7 +288,7 @@
     const failure = this.#failureToReport;
     if (failure?.kind === "complete") return toAnsweredOutcome(failure);
     if (this.#possiblyExecutedAttemptCount === 0) {
-      const { servers, serverStatistics, random } = this.#options;
+      const { serverStatistics, random } = this.#options;
       const all = this.#candidates;
       const backlogMilliseconds = Math.max(
         REFUSED_BACKLOG_MILLISECONDS,
