Use limited servers beside a full one, and pause between refused attempts

Cause: a node asked for its share of a limit only when no server had room at all, so idle nodes did not save up a request for the limited servers; the gate counted the slots of servers that could not be used; and a call that the only usable server refused was sent there again at once, since other servers had not been tried, though they had no room. Class of fault: repetitions that grow as the server gets weaker.

Change: each call that finds a limited server without room records a need, as a number of requests, so that one waiting call does not claim the whole limit. The gate counts servers with room. A call pauses unless an untried server has room, and the pause doubles up to 160 ms.

--- a/source/calls/call_forwarder.ts
+++ b/source/calls/call_forwarder.ts
@@ -22,8 +22,9 @@
 import type { ServerCallStatistics } from "./server_call_statistics.ts";
 import { ENDED } from "../utilities/ended.ts";
 
-/** Pause before the next attempt when every server was tried. */
+/** Pause before the first repeated attempt when every server was tried. */
 const RETRY_PAUSE_MILLISECONDS = 20;
+const MAXIMUM_RETRY_PAUSE_MILLISECONDS = 160;
 /**
  * Share of the latency target for which a call that no server ran is retried before it is refused.
  */
@@ -102,6 +103,7 @@
   readonly #runningAttempts = new Set<Promise<void>>();
   /** Results of ended attempts that were not processed yet. */
   #results: AttemptResult[] = [];
+  #retryPauseMilliseconds = RETRY_PAUSE_MILLISECONDS;
   /** Number of attempts whose request a server has run or may have run. */
   #possiblyExecutedAttemptCount = 0;
   /**
@@ -159,8 +161,8 @@
       if (now >= this.#deadline) return this.#toFinalOutcome();
       if (this.#runningAttempts.size === 0) {
         if (!this.#mayRetry()) return this.#toFinalOutcome();
-        if (this.#hasTriedAllServers() || !this.#hasRoom()) {
-          await this.#waitForAttemptOrTimeout(RETRY_PAUSE_MILLISECONDS);
+        if (!this.#hasUntriedServer()) {
+          await this.#waitForAttemptOrTimeout(this.#nextRetryPause());
         }
         hedgeAt = this.#startAttempt();
       } else if (now >= hedgeAt) {
@@ -274,14 +276,23 @@
     );
   }
 
-  #hasRoom(): boolean {
+  #hasUntriedServer(): boolean {
     const { serverStatistics } = this.#options;
-    return this.#candidates.some((server) => serverStatistics.hasRoom(server));
+    return this.#candidates.some((server) =>
+      !this.#triedServers.has(server.identifier) &&
+      serverStatistics.hasRoom(server)
+    );
   }
 
-  #hasTriedAllServers(): boolean {
-    const serverCount = this.#candidates.length;
-    return this.#triedServers.size >= serverCount;
+  // Returns the pause before the next attempt, twice the last one, so that calls do not come back
+  // faster the fuller the servers are.
+  #nextRetryPause(): number {
+    const pause = this.#retryPauseMilliseconds;
+    this.#retryPauseMilliseconds = Math.min(
+      2 * pause,
+      MAXIMUM_RETRY_PAUSE_MILLISECONDS,
+    );
+    return pause * (0.75 + 0.5 * this.#options.random.next());
   }
 
   #toFinalOutcome(): CallOutcome {
@@ -292,7 +303,7 @@
       const all = this.#candidates;
       const backlogMilliseconds = Math.max(
         REFUSED_BACKLOG_MILLISECONDS,
-        serverStatistics.waitForRoom(all, 0),
+        serverStatistics.waitForRoom(all, { requests: 1, earlier: 0 }),
       );
       return {
         kind: "refused",
--- a/source/calls/call_forwarder_test.ts
+++ b/source/calls/call_forwarder_test.ts
@@ -94,6 +94,8 @@
     readonly kind?: RouteKind;
     readonly maximumAttempts?: number;
     readonly budgetMilliseconds?: number;
+    /** Servers whose limits allow no request at present. */
+    readonly limited?: ReadonlyArray<string>;
   } = {},
 ): Promise<ForwardingResult> {
   const clock = new SystemClock();
@@ -102,6 +104,15 @@
   const client = new ScriptedServerClient(() =>
     remaining.shift() ?? { kind: "notRun" }
   );
+  const limits = new ServerLimits({
+    node: "n1",
+    clock,
+    log: new RecordingEventLog(),
+  });
+  for (const identifier of options.limited ?? []) {
+    limits.recordAnswer(toServer(identifier), 0);
+    limits.recordRequest(identifier);
+  }
   const forwarder = createCallForwarder({
     clock,
     random,
@@ -112,11 +123,7 @@
       clock,
       random,
       failureDomain: "a",
-      limits: new ServerLimits({
-        node: "n1",
-        clock,
-        log: new RecordingEventLog(),
-      }),
+      limits,
       isConnected: () => false,
     }),
   });
@@ -243,3 +250,12 @@
   t.is(describe(result), "timedOut");
   t.true(result.milliseconds < 400);
 });
+
+test("a call that a full server refuses is not sent again without a pause while the others have used up their limits", async (t) => {
+  const { client } = await forward(
+    Array.from({ length: 200 }, () => ({ kind: "notRun", isRefused: true })),
+    { limited: ["b", "c"], budgetMilliseconds: 900 },
+  );
+  const sent = client.requestedServers.length;
+  t.true(sent >= 2 && sent <= 8, `${sent} requests`);
+});
--- a/source/calls/call_gate.ts
+++ b/source/calls/call_gate.ts
@@ -63,7 +63,7 @@
       { ...call, arrivedAt: this.#options.clock.monotonic() },
       this.#waiting.get(call.service) ?? [],
     );
-    const decision = this.#decide(call, { waiting, sent: 0 });
+    const decision = this.#decide(call, { waiting, sent: 0, queued: 1 });
     if (decision.kind === "send") return { kind: "open" };
     if (decision.kind === "reject") return { ...decision, kind: "rejected" };
     return await this.#wait(call);
@@ -117,7 +117,11 @@
     for (let sent = 0;;) {
       const next = findNextCall([...waiting]);
       if (next === undefined) return;
-      const decision = this.#decide(next.call, { waiting: 0, sent });
+      const decision = this.#decide(next.call, {
+        waiting: 0,
+        sent,
+        queued: waiting.size,
+      });
       if (decision.kind === "wait") return;
       if (decision.kind === "send") {
         sent += 1;
@@ -135,37 +139,44 @@
 
   #decide(
     { service, isDeferrable, deadline }: GatedCall,
-    { waiting, sent }: {
+    { waiting, sent, queued }: {
       /** Number of calls that wait before the call. */
       readonly waiting: number;
       /** Number of calls that were let through and do not run yet. */
       readonly sent: number;
+      /** Number of calls that wait for the service, the call included. */
+      readonly queued: number;
     },
   ): CallDecision {
     const { clock, random, servers, serverStatistics } = this.#options;
     const all = servers.ofService(service);
     const available = serverStatistics.filterAvailable(all);
+    const withRoom = available.filter((server) =>
+      serverStatistics.hasRoom(server)
+    );
+    // Without room anywhere, the wait for the limits decides.
+    const usable = withRoom.length > 0 ? withRoom : available;
     const demand: CallDemand = {
       isDeferrable,
       remainingMilliseconds: deadline - clock.monotonic(),
     };
     const slots = this.#hasEngines(service)
       ? Infinity
-      : available.reduce((total, server) => total + server.slots, 0);
+      : usable.reduce((total, server) => total + server.slots, 0);
     const sum = (count: (server: BackendServerEntry) => number): number =>
-      available.reduce((total, server) => total + count(server), 0);
+      usable.reduce((total, server) => total + count(server), 0);
     return decideCall(
       {
-        servers: available.length,
+        servers: usable.length,
         slots,
         running: sent +
           sum(({ identifier }) => serverStatistics.occupied(identifier)),
         waiting,
-        meanMilliseconds: serverStatistics.meanMilliseconds(available),
-        rateWaitMilliseconds: serverStatistics.waitForRoom(
-          available,
-          waiting + sent,
-        ),
+        meanMilliseconds: serverStatistics.meanMilliseconds(usable),
+        rateWaitMilliseconds: serverStatistics.waitForRoom(available, {
+          requests: waiting + queued,
+          earlier: waiting + sent,
+        }),
       },
       demand,
       random.next(),
--- a/source/calls/server_call_statistics.ts
+++ b/source/calls/server_call_statistics.ts
@@ -95,20 +95,25 @@
   }
 
   /**
-   * Returns the time until the limits of the servers allow a request, in milliseconds, and asks the
-   * other nodes for a larger share if that is later than now.
+   * Returns the time until the limits of the servers allow a request, in milliseconds. Asks the other
+   * nodes for a larger share of the limits that do not allow one now.
    * @param servers - Candidate servers.
-   * @param earlier - Number of requests that are sent before the request.
+   * @param waiting - Number of requests that wait, and of those that are sent before the request.
    */
   waitForRoom(
     servers: ReadonlyArray<BackendServerEntry>,
-    earlier: number,
+    { requests, earlier }: {
+      readonly requests: number;
+      readonly earlier: number;
+    },
   ): number {
     const { limits } = this.#options;
     const identifiers = servers.map(({ identifier }) => identifier);
-    const wait = limits.estimateWait(identifiers, earlier);
-    if (wait > 0) limits.recordNeed(identifiers);
-    return wait;
+    limits.recordNeed(
+      identifiers.filter((identifier) => limits.getWait(identifier) > 0),
+      requests,
+    );
+    return limits.estimateWait(identifiers, earlier);
   }
 
   /** Returns the mean of the servers' response times, in milliseconds; 0 without servers. */
--- a/source/durable_steps/engine_pool.ts
+++ b/source/durable_steps/engine_pool.ts
@@ -352,7 +352,7 @@
     const identifiers = free.map(({ identifier }) => identifier);
     const wait = this.#limits.estimateWait(identifiers, 0);
     if (wait === 0) return;
-    this.#limits.recordNeed(identifiers);
+    this.#limits.recordNeed(identifiers, this.#queue.size);
     const now = this.#clock.monotonic();
     if (this.#roomAt > now && this.#roomAt <= now + wait) return;
     this.#roomAt = now + wait;
--- a/source/installation/limited_server.ts
+++ b/source/installation/limited_server.ts
@@ -7,7 +7,7 @@
 
 /** Half-life of the measurement of a node's own request rate. */
 const RATE_HALF_LIFE_MILLISECONDS = 1000;
-/** Time after a request had to wait for which the node is assumed to need more than its share. */
+/** Time in which the requests that wait for the server should be sent. */
 const NEED_MILLISECONDS = 1000;
 /** Time after its last request for which a node counts as active. */
 const ACTIVITY_MILLISECONDS = 10_000;
@@ -40,6 +40,8 @@
   #activeSince: number | undefined;
   #activeAt = -Infinity;
   #neededAt = -Infinity;
+  /** Number of requests that waited at that time. */
+  #needed = 0;
   #isKnown = false;
   #noticeMilliseconds = 0;
   #sent = 0;
@@ -84,9 +86,11 @@
 
   /** Returns the requests a second that this node needs, up to the limit. */
   getDemand(now: number): number {
-    return now - this.#neededAt < NEED_MILLISECONDS
-      ? toUsableRate(this.requestsPerSecond)
-      : this.#rate.perSecond(now);
+    const needed = now - this.#neededAt < NEED_MILLISECONDS ? this.#needed : 0;
+    return Math.min(
+      toUsableRate(this.requestsPerSecond),
+      this.#rate.perSecond(now) + 1000 * needed / NEED_MILLISECONDS,
+    );
   }
 
   /** Returns the expected time until this node may send one more request; 0 when it may now. */
@@ -109,9 +113,10 @@
     return this.#refill(now).requestsPerSecond;
   }
 
-  /** Records that a request waits, so that this node asks for a larger share. */
-  recordNeed(now: number): void {
+  /** Records that requests wait for the server, so that this node asks for a larger share. */
+  recordNeed(requests: number, now: number): void {
     this.#refill(now);
+    this.#needed = requests;
     this.#neededAt = now;
     this.#recordActivity(now);
   }
--- a/source/installation/server_limits.ts
+++ b/source/installation/server_limits.ts
@@ -119,11 +119,15 @@
     return shortest + Math.ceil(1000 * earlier / requestsPerSecond);
   }
 
-  /** Records that a request waits for one of some servers, so that this node gets a larger share. */
-  recordNeed(identifiers: ReadonlyArray<string>): void {
+  /**
+   * Records that requests wait for one of some servers, so that this node gets a larger share.
+   * @param identifiers - The servers.
+   * @param requests - Number of requests that wait.
+   */
+  recordNeed(identifiers: ReadonlyArray<string>, requests: number): void {
     const now = this.#options.clock.monotonic();
     for (const identifier of identifiers) {
-      this.#limited.get(identifier)?.recordNeed(now);
+      this.#limited.get(identifier)?.recordNeed(requests, now);
     }
   }
 
--- a/source/installation/shared_limit_test.ts
+++ b/source/installation/shared_limit_test.ts
@@ -111,7 +111,7 @@
         if (isCounted) counted.push(now);
         if (now >= GRACE_MILLISECONDS) sent += 1;
       }
-      if (node.waiting > 0) limits.recordNeed(["e1"]);
+      if (node.waiting > 0) limits.recordNeed(["e1"], node.waiting);
       // Waiting calls are rejected after a while; waiting samples stay.
       if (node.waiting > 48) node.waiting = 48;
     }
