--- a/source/observability/log_trace.ts
+++ b/source/observability/log_trace.ts
@@ -48,7 +48,16 @@
     }
     if (detail === "unknownKey") return "The key is not in the configuration";
     if (detail === "unknownRoute") return "No route matches the path";
-    if (detail === "noServer") return "No server of the service had capacity";
+    if (detail === "noServer") {
+      return `No server of the service had capacity${
+        describeLimits(source, context)
+      }`;
+    }
+    if (detail === "overloaded") {
+      return `The servers were too busy to answer by the deadline${
+        describeLimits(source, context)
+      }`;
+    }
     return undefined;
   },
   attemptFailed: ({ fields }) =>
@@ -58,7 +67,16 @@
   durableStepTakenOver: ({ fields }) =>
     `The node that ran the step became unreachable (process ${fields["from"]})`,
   sampleTerminated: ({ fields }) => `Terminated: ${fields["reason"]}`,
-  sampleUnfinished: ({ fields }) => describeUnfinished(fields),
+  textRestarted: ({ fields }) =>
+    `No engine of software version ${
+      fields["softwareVersion"]
+    } could go on with the text, and ${fields["events"]} events were discarded`,
+  sampleUnfinished: ({ source, fields }, context) => {
+    const limits = fields["doing"] === "waitingForEngine"
+      ? describeLimits(source, context)
+      : "";
+    return `${describeUnfinished(fields)}${limits}`;
+  },
   weightOrderSent: ({ fields }) =>
     fields["outcome"] === "accepted"
       ? undefined
@@ -77,6 +95,21 @@
   waitingForRoute: "the configuration in force had no route for it",
 };
 
+// Names the servers whose request limits a node had to keep at that time.
+function describeLimits(
+  source: string,
+  context: ReadonlyArray<LogLine>,
+): string {
+  const limits = new Map<string, string>();
+  for (const line of context) {
+    if (line.event !== "serverLimitUsed" || line.source !== source) continue;
+    const { server, requestsPerSecond } = line.fields;
+    limits.set(String(server), `${server} to ${requestsPerSecond} a second`);
+  }
+  if (limits.size === 0) return "";
+  return `; servers limited their requests: ${[...limits.values()].join(", ")}`;
+}
+
 // The counts of attempts explain more than the state at the end of the step alone.
 function describeUnfinished(fields: LogLine["fields"]): string {
   const doing = UNFINISHED_STATES[String(fields["doing"])] ??
--- a/source/observability/log_trace_test.ts
+++ b/source/observability/log_trace_test.ts
@@ -56,6 +56,28 @@
     ],
     cause: "Engine i-2 ended the text early: Connection timed out",
   },
+  {
+    title: "a call rejected while servers limited their requests",
+    lines: [
+      line(1, "serverLimitUsed", { server: "i-1", requestsPerSecond: 2 }),
+      line(2, "serverLimitUsed", { server: "i-1", requestsPerSecond: 1.5 }),
+      line(2, "callEnded", { request: "q1", detail: "overloaded" }),
+    ],
+    cause:
+      "The servers were too busy to answer by the deadline; servers limited their requests: i-1 to 1.5 a second",
+  },
+  {
+    title: "a text that began anew",
+    lines: [
+      line(1, "textRestarted", {
+        sample: "q1",
+        softwareVersion: "v1",
+        events: 12,
+      }),
+    ],
+    cause:
+      "No engine of software version v1 could go on with the text, and 12 events were discarded",
+  },
   {
     title: "a step whose node became unreachable",
     lines: [line(1, "durableStepTakenOver", { step: "q1", from: "p-7" })],
