Let a node use what the others leave of a limit once they know of its need

Cause: growth was bounded by the node's own recent rate for as long as it was active, though the bound is needed only until the others know of its need. The same state was also taken for known right after an outage of the store, when nobody had read anything yet; the model found that (40 nodes, limit 20, surge in an outage).

Change: the bound ends when requests have waited for the notice time; the notice time starts again after an outage.

--- a/source/decisions/request_share.ts
+++ b/source/decisions/request_share.ts
@@ -20,6 +20,8 @@
   readonly rank: number;
   /** Whether this node has been active for long enough that the other nodes know it. */
   readonly isKnown: boolean;
+  /** Whether requests have waited at this node for long enough that the other nodes know it. */
+  readonly isNeedKnown: boolean;
   /** Rate at which this node sent requests recently. */
   readonly ownRate: number;
 }
@@ -37,28 +39,27 @@
  * Load pattern: samples arrive in bursts at a few nodes and calls one by one at all of them, while the
  * nodes learn of each other's demand with a delay. What some nodes do not need goes to the others in
  * equal parts. A node that begins to send gets no more than the others have left for it, and its rate
- * grows only as fast as they can learn of it, so that nodes which begin together do not each take the
- * whole limit. With more nodes than the server accepts in a moment, only some may send at once after a
+ * grows to what they leave over once they have learned of its need, so that nodes which begin together
+ * do not each take the whole limit. With more nodes than the server accepts in a moment, only some may send at once after a
  * pause; the others wait for different times, so that their requests do not arrive together.
  * @example
  * ```ts
  * const share = shareRequests({
- *   limit: 6, otherDemands: [1, 9], nodes: 3, rank: 0, isKnown: true, ownRate: 2,
+ *   limit: 6, otherDemands: [1, 9], nodes: 3, rank: 0, isKnown: true, isNeedKnown: false, ownRate: 2,
  * });
  * ```
  */
 export function shareRequests(
-  { limit, otherDemands, nodes, rank, isKnown, ownRate }: LimitUse,
+  { limit, otherDemands, nodes, rank, isKnown, isNeedKnown, ownRate }: LimitUse,
 ): RequestShare {
   const rate = toUsableRate(limit);
   const ready = Math.min(nodes, Math.floor(rate) + READY_NODES);
   const maximumSaved = rank < ready ? 1 : (nodes - rank - 1) / (nodes - ready);
   if (!isKnown) return { requestsPerSecond: rate / nodes, maximumSaved };
+  const unused = divideEqually(rate, otherDemands);
+  if (isNeedKnown) return { requestsPerSecond: unused, maximumSaved };
   const equal = rate / (otherDemands.length + 1);
-  const requestsPerSecond = Math.min(
-    divideEqually(rate, otherDemands),
-    INITIAL_SHARES * equal + ownRate,
-  );
+  const requestsPerSecond = Math.min(unused, INITIAL_SHARES * equal + ownRate);
   return { requestsPerSecond, maximumSaved };
 }
 
--- a/source/installation/limited_server.ts
+++ b/source/installation/limited_server.ts
@@ -40,6 +40,13 @@
   #activeSince: number | undefined;
   #activeAt = -Infinity;
   #neededAt = -Infinity;
+  /** Time since which requests have waited again and again. */
+  #neededSince = -Infinity;
+  #isNeedKnown = false;
+  /** Time of the last read of the other nodes' heartbeats. */
+  #updatedAt = -Infinity;
+  /** Time since which their heartbeats are read without an outage. */
+  #connectedSince: number;
   /** Number of requests that waited at that time. */
   #needed = 0;
   #isKnown = false;
@@ -62,6 +69,7 @@
     this.#other = other;
     this.#refilledAt = now;
     this.#loggedAt = now;
+    this.#connectedSince = now;
   }
 
   /**
@@ -74,9 +82,14 @@
     this.#refill(now);
     this.#other = other;
     this.#noticeMilliseconds = noticeMilliseconds;
+    // After an outage of the store, the nodes have to learn of each other again.
+    if (now - this.#updatedAt > noticeMilliseconds) this.#connectedSince = now;
+    this.#updatedAt = now;
     if (!this.isActive(now)) this.#activeSince = undefined;
     this.#isKnown = this.#activeSince !== undefined &&
-      now - this.#activeSince >= noticeMilliseconds;
+      this.#isNoticed(this.#activeSince, now);
+    this.#isNeedKnown = now - this.#neededAt < NEED_MILLISECONDS &&
+      this.#isNoticed(this.#neededSince, now);
   }
 
   /** Whether this node sent a request recently or needs to. */
@@ -116,6 +129,7 @@
   /** Records that requests wait for the server, so that this node asks for a larger share. */
   recordNeed(requests: number, now: number): void {
     this.#refill(now);
+    if (now - this.#neededAt >= NEED_MILLISECONDS) this.#neededSince = now;
     this.#needed = requests;
     this.#neededAt = now;
     this.#recordActivity(now);
@@ -146,6 +160,11 @@
     return { sent, milliseconds };
   }
 
+  #isNoticed(since: number, now: number): boolean {
+    return now - Math.max(since, this.#connectedSince) >=
+      this.#noticeMilliseconds;
+  }
+
   #recordActivity(now: number): void {
     this.#activeSince ??= now;
     this.#activeAt = now;
@@ -158,6 +177,7 @@
       nodes: this.#other.nodes,
       rank: this.#other.rank,
       isKnown,
+      isNeedKnown: this.#isNeedKnown,
       ownRate: this.#rate.perSecond(now),
     });
   }
--- a/source/installation/server_limits.ts
+++ b/source/installation/server_limits.ts
@@ -15,7 +15,7 @@
 const MAXIMUM_UNLIMITED_SERVERS = 2000;
 /** Number of heartbeat intervals in which the other nodes learn that this node is active. */
 const NOTICE_HEARTBEATS = 3;
-const MINIMUM_NOTICE_MILLISECONDS = 1000;
+const MINIMUM_NOTICE_MILLISECONDS = 600;
 
 /** A server's limit and a node's use of it, as the node publishes it. */
 export interface LimitRecord {
--- a/source/installation/shared_limit_test.ts
+++ b/source/installation/shared_limit_test.ts
@@ -30,6 +30,9 @@
     now % 9000 >= 6000 && now % 9000 < 7000 ? 1 : 0,
   "steps of two nodes": (node, now) =>
     node < 2 && (now + 2000 * node) % 4000 === 0 ? 24 : 0,
+  "steps of two nodes beside a few calls at all": (node, now, random) =>
+    Number(random.next() < 0.01) +
+    (node < 2 && (now + 2000 * node) % 4000 === 0 ? 24 : 0),
   "steps that move to another node": (node, now) =>
     node === Math.floor(now / 5000) % 4 && now % 1000 === 0 ? 20 : 0,
   "steps of all nodes at once": (_node, now) => now % 8000 === 0 ? 24 : 0,
@@ -145,6 +148,7 @@
   seed: fc.integer({ min: 1, max: 1_000_000 }),
 });
 
+// LIMIT_RUNS sets the number of scenarios.
 test("nodes that hear of each other late do not exceed a server's limit together", async (t) => {
   await fc.assert(
     fc.asyncProperty(SCENARIOS, async (scenario) => {
@@ -161,6 +165,7 @@
   const [pattern, nodes] of [
     ["calls at all nodes", 10],
     ["steps of two nodes", 10],
+    ["steps of two nodes beside a few calls at all", 10],
     ["steps that move to another node", 10],
     ["steps of all nodes at once", 5],
   ] as const
@@ -175,6 +180,7 @@
       outageAt: Infinity,
       seed: 1,
     });
+    t.log(`${sent} requests were sent`);
     const seconds = (DURATION_MILLISECONDS - GRACE_MILLISECONDS) / 1000;
     const most = requestsPerSecond * seconds;
     t.true(sent >= 0.6 * most, `${sent} of ${most} requests were sent`);
