Do not wait for a hanging store to find a stream's origin; index published limits by server

A caller that took a stream up waited for the store's time limit while its calls hung. The records of other nodes are grouped by server once a heartbeat is read instead of for each server. Fields of LimitedServer are ordered and explained.

--- a/source/calls/stream_origins.ts
+++ b/source/calls/stream_origins.ts
@@ -8,6 +8,7 @@
 import type { EventLog } from "../observability/event_log.ts";
 import { deleteRange } from "../platform/delete_rows.ts";
 import type { DurableTable } from "../platform/durable_table.ts";
+import type { StoreHealth } from "../platform/store_health.ts";
 import type { Clock } from "../utilities/clock.ts";
 
 const TABLE = "streams";
@@ -32,6 +33,8 @@
   readonly clock: Clock;
   readonly log: EventLog;
   readonly table: DurableTable;
+  /** Tells whether calls to the store hang; streams do not wait for it then. */
+  readonly storeHealth: Pick<StoreHealth, "isHanging">;
   readonly lease: Pick<DutyLease, "getHeldDuty">;
   readonly stopping: AbortSignal;
 }
@@ -63,6 +66,7 @@
     const name = toName(request);
     const origin = this.#remembered.get(name);
     if (origin !== undefined) return { kind: "found", origin };
+    if (this.#options.storeHealth.isHanging) return { kind: "unreadable" };
     const period = this.#period;
     const findings = await Promise.all([
       this.#read(name, period),
--- a/source/calls/stream_origins_test.ts
+++ b/source/calls/stream_origins_test.ts
@@ -15,18 +15,19 @@
   readonly log: RecordingEventLog;
   readonly table: MemoryDurableTable;
   /** Creates the origins of another node. */
-  readonly createNode: () => StreamOrigins;
+  readonly createNode: (isHanging?: boolean) => StreamOrigins;
 }
 
 function createFixture(): Fixture {
   const clock = new ManualClock();
   const log = new RecordingEventLog();
   const table = new MemoryDurableTable();
-  const createNode = (): StreamOrigins =>
+  const createNode = (isHanging = false): StreamOrigins =>
     new StreamOrigins({
       clock,
       log,
       table,
+      storeHealth: { isHanging },
       lease: { getHeldDuty: () => undefined },
       stopping: new AbortController().signal,
     });
@@ -86,3 +87,10 @@
   await node.deleteOld();
   t.is(await countRecords(table), 1);
 });
+
+test("a stream does not wait for a store whose calls hang", async (t) => {
+  const { clock, createNode } = createFixture();
+  createNode().record(REQUEST, ORIGIN);
+  await clock.advance(1);
+  t.deepEqual(await createNode(true).find(REQUEST), { kind: "unreadable" });
+});
--- a/source/decisions/request_share.ts
+++ b/source/decisions/request_share.ts
@@ -38,10 +38,10 @@
  *
  * Load pattern: samples arrive in bursts at a few nodes and calls one by one at all of them, while the
  * nodes learn of each other's demand with a delay. What some nodes do not need goes to the others in
- * equal parts. A node that begins to send gets no more than the others have left for it, and its rate
- * grows to what they leave over once they have learned of its need, so that nodes which begin together
- * do not each take the whole limit. With more nodes than the server accepts in a moment, only some may send at once after a
- * pause; the others wait for different times, so that their requests do not arrive together.
+ * equal parts. A node that begins to send gets a small share, which grows to what the others leave
+ * over once they have learned of its need, so that nodes which begin together do not each take the
+ * whole limit. With more nodes than the server accepts in a moment, only some may send at once after
+ * a pause; the others wait for different times, so that their requests do not arrive together.
  * @example
  * ```ts
  * const share = shareRequests({
--- a/source/installation/limited_server.ts
+++ b/source/installation/limited_server.ts
@@ -34,23 +34,28 @@
   answeredAt: number | undefined;
   readonly #rate = new DecayedCounter(RATE_HALF_LIFE_MILLISECONDS);
   #other: OtherUse;
-  /** Number of requests that may be sent now; negative after requests that could not wait. */
+  /**
+   * Number of requests that may be sent now, limited at each refill; negative after requests that
+   * could not wait.
+   */
   #saved = Infinity;
   #refilledAt: number;
+  /** Time since which the node has been active; undefined while it is not. */
   #activeSince: number | undefined;
   #activeAt = -Infinity;
+  #isKnown = false;
+  /** Number of requests that waited at `#neededAt`. */
+  #needed = 0;
   #neededAt = -Infinity;
-  /** Time since which requests have waited again and again. */
+  /** Time since which some request has always waited. */
   #neededSince = -Infinity;
   #isNeedKnown = false;
   /** Time of the last read of the other nodes' heartbeats. */
   #updatedAt = -Infinity;
   /** Time since which their heartbeats are read without an outage. */
   #connectedSince: number;
-  /** Number of requests that waited at that time. */
-  #needed = 0;
-  #isKnown = false;
   #noticeMilliseconds = 0;
+  /** Number of requests sent since `#loggedAt`. */
   #sent = 0;
   #loggedAt: number;
 
--- a/source/installation/server_limits.ts
+++ b/source/installation/server_limits.ts
@@ -56,7 +56,10 @@
     max: MAXIMUM_UNLIMITED_SERVERS,
   });
   readonly #watchers: (() => void)[] = [];
-  #news: LimitNews = { records: [], nodes: [], heartbeatMilliseconds: 0 };
+  /** Names of the nodes that may send requests. */
+  #nodes: ReadonlyArray<string> = [];
+  /** What the other nodes published, by server. */
+  #records: ReadonlyMap<string, ReadonlyArray<LimitRecord>> = new Map();
 
   /** @param options - Clock and event log. */
   constructor(options: ServerLimitsOptions) {
@@ -165,7 +168,8 @@
   /** Applies what other nodes published in their latest heartbeats. */
   apply(news: LimitNews): void {
     const now = this.#options.clock.monotonic();
-    this.#news = news;
+    this.#nodes = news.nodes;
+    this.#records = groupByServer(news.records);
     for (const record of news.records) {
       const unlimitedAt = this.#unlimitedAt.get(record.identifier) ?? -Infinity;
       const isOutdated = now - unlimitedAt < ANSWER_VALIDITY_MILLISECONDS;
@@ -179,9 +183,7 @@
       NOTICE_HEARTBEATS * news.heartbeatMilliseconds,
     );
     for (const [identifier, limited] of this.#limited) {
-      const isNamed = news.records.some((record) =>
-        record.identifier === identifier
-      );
+      const isNamed = this.#records.has(identifier);
       if (limited.answeredAt === undefined && !isNamed) this.#lift(identifier);
       else {
         const other = this.#toOtherUse(identifier);
@@ -223,10 +225,9 @@
   }
 
   #toOtherUse(identifier: string): OtherUse {
-    const { records, nodes } = this.#news;
-    const demands = records.flatMap((record) =>
-      record.identifier === identifier ? record.demand ?? [] : []
-    );
+    const nodes = this.#nodes;
+    const records = this.#records.get(identifier) ?? [];
+    const demands = records.flatMap(({ demand }) => demand ?? []);
     const position = nodes.indexOf(this.#options.node);
     // A node that does not serve callers, as it starts or drains, comes after those that do.
     if (position < 0) {
@@ -241,6 +242,18 @@
   }
 }
 
+function groupByServer(
+  records: ReadonlyArray<LimitRecord>,
+): ReadonlyMap<string, ReadonlyArray<LimitRecord>> {
+  const groups = new Map<string, LimitRecord[]>();
+  for (const record of records) {
+    const group = groups.get(record.identifier);
+    if (group === undefined) groups.set(record.identifier, [record]);
+    else group.push(record);
+  }
+  return groups;
+}
+
 // Lets other nodes be the first for each server; identifiers differ mostly in their last characters.
 function toOffset(identifier: string): number {
   return Buffer.from(identifier).subarray(-4).reduce(
--- a/source/node/create_installation_node.ts
+++ b/source/node/create_installation_node.ts
@@ -263,7 +263,11 @@
     },
   });
   const lease = new DutyLease(leaseElector, settings.node);
-  const streamOrigins = new StreamOrigins({ ...stored, lease });
+  const streamOrigins = new StreamOrigins({
+    ...stored,
+    storeHealth: table.health,
+    lease,
+  });
   const calls = new CallService({
     clock: sharedClock,
     operator,
