--- a/source/calls/server_call_statistics.ts
+++ b/source/calls/server_call_statistics.ts
@@ -98,7 +98,7 @@
    * Returns the time until the limits of the servers allow a request, in milliseconds. Asks the other
    * nodes for a larger share of the limits that do not allow one now.
    * @param servers - Candidate servers.
-   * @param waiting - Number of requests that wait, and of those that are sent before the request.
+   * @param queue - Number of requests that wait, this one included, and of those before it.
    */
   waitForRoom(
     servers: ReadonlyArray<BackendServerEntry>,
--- a/source/decisions/call_admission.ts
+++ b/source/decisions/call_admission.ts
@@ -42,9 +42,10 @@
  * Decides whether a call is sent, waits at this node or is rejected.
  *
  * Load pattern: few servers, bursts of deferrable calls, callers that return at the same time after
- * an outage, and servers in need that limit the rate of their requests. Calls beyond what the servers can run wait here, where the more important one goes
- * first, and not at the servers; a call whose turn comes too late is rejected at once with a time at
- * which the backlog is gone. The returns are spread over that time, so that they don't come at once.
+ * an outage, and servers in need that limit the rate of their requests. Calls beyond what the servers
+ * can run wait here, where the more important one goes first, and not at the servers; a call whose
+ * turn comes too late is rejected at once with a time at which the backlog is gone. The returns are
+ * spread over that time, so that they don't come at once.
  * @param load - The service's load.
  * @param demand - The call.
  * @param draw - Random number from 0 up to but not including 1.
