Log which content of calls was running when a server ended

After a connection was cut in the middle of an answer, the node asks the server's address over a new connection whether the same start still runs (health check with the expected identifier). If not, event 9208 names the call, a digest of caller, path and body, and the server.

--- a/source/backends/server_client.ts
+++ b/source/backends/server_client.ts
@@ -79,6 +79,16 @@
   readonly running: number;
 }
 
+/** How a server is checked. */
+export interface HealthCheck {
+  readonly path: string;
+  /** Time limit of the check. */
+  readonly milliseconds: number;
+}
+
+/** State of a server's process; `unknown` when the check got no answer. */
+export type ServerProcessState = "running" | "ended" | "unknown";
+
 /** Called with a server whose answer says that it is about to stop. */
 export type LeavingListener = (server: BackendServerEntry) => void;
 
@@ -106,6 +116,11 @@
     request: ServerRequest,
     options: ExchangeOptions,
   ): Promise<ServerAnswer | ExchangeFailure>;
+  /** Checks over a new connection whether the start of a server that an entry describes still runs. */
+  checkProcess(
+    server: BackendServerEntry,
+    check: HealthCheck,
+  ): Promise<ServerProcessState>;
   /** Returns whether a request could be sent without opening a connection. */
   isConnected(server: BackendServerEntry): boolean;
   /** Reads the complete events of a generated text; throws when the body ends early. */
--- a/source/calls/attempt_result.ts
+++ b/source/calls/attempt_result.ts
@@ -1,3 +1,5 @@
+import type { FailureCause } from "../backends/failure_cause.ts";
+import { toFailureCause } from "../backends/http_exchange.ts";
 import type { ServerAnswer } from "../backends/server_client.ts";
 
 /** Maximum size of a response that is buffered whole; a larger one is streamed to the caller. */
@@ -20,7 +22,11 @@
      */
     readonly isRefused: boolean;
   }
-  | { readonly kind: "failed"; readonly reason: string };
+  | {
+    readonly kind: "failed";
+    readonly reason: string;
+    readonly cause: FailureCause;
+  };
 
 /**
  * Buffers a response; returns a stream when it is larger than MAXIMUM_BUFFERED_BYTES.
@@ -45,6 +51,7 @@
     return {
       kind: "failed",
       reason: `Response body was cut off: ${String(error)}`,
+      cause: toFailureCause(error),
     };
   }
   const body = Buffer.concat(chunks);
--- a/source/calls/call_forwarder.ts
+++ b/source/calls/call_forwarder.ts
@@ -19,6 +19,8 @@
 import type { Clock } from "../utilities/clock.ts";
 import type { RandomSource } from "../utilities/random_source.ts";
 import type { CallOutcome } from "./call_outcome.ts";
+import { toContentDigest } from "./content_digest.ts";
+import type { CrashDetector } from "./crash_detector.ts";
 import type { ServerCallStatistics } from "./server_call_statistics.ts";
 import { ENDED } from "../utilities/ended.ts";
 
@@ -65,6 +67,7 @@
   readonly servers: ServerView;
   readonly client: ServerClient;
   readonly serverStatistics: ServerCallStatistics;
+  readonly crashDetector: CrashDetector;
   readonly gate: CallGate;
   readonly retryBudget: RetryBudget;
   readonly hedgeTiming: HedgeTiming;
@@ -352,9 +355,23 @@
         reason,
       });
     }
+    if (result.kind === "failed" && result.cause === "cut") {
+      await this.#detectCrash(server);
+    }
     return result;
   }
 
+  async #detectCrash(server: BackendServerEntry): Promise<void> {
+    const { crashDetector, log } = this.#options;
+    if (!await crashDetector.hasEnded(server)) return;
+    const { request } = this.#call;
+    log.emit("serverEndedDuringCall", {
+      request: request.identifier,
+      content: toContentDigest(request),
+      server: server.identifier,
+    });
+  }
+
   async #sendRequest(
     server: BackendServerEntry,
     signal: AbortSignal,
@@ -373,11 +390,15 @@
     if (answer.kind !== "answered") {
       return answer.kind === "notRun"
         ? { kind: "notRun", isRefused: answer.cause === "refused" }
-        : { kind: "failed", reason: answer.reason };
+        : { kind: "failed", reason: answer.reason, cause: answer.cause };
     }
     if (answer.signature === undefined) {
       answer.abandon();
-      return { kind: "failed", reason: "The response has no signature" };
+      return {
+        kind: "failed",
+        reason: "The response has no signature",
+        cause: "untrusted",
+      };
     }
     this.#call.onAnswered?.(answer.status);
     if (this.#call.route.kind === "streaming") {
--- a/source/calls/call_forwarder_test.ts
+++ b/source/calls/call_forwarder_test.ts
@@ -12,6 +12,7 @@
 import { createRandomSource } from "../utilities/random_source.ts";
 import { SystemClock } from "../utilities/system_clock.ts";
 import type { CallOutcome } from "./call_outcome.ts";
+import { CrashDetector } from "./crash_detector.ts";
 import { createCallForwarder } from "./create_call_forwarder.ts";
 import { ServerCallStatistics } from "./server_call_statistics.ts";
 
@@ -114,6 +115,10 @@
     limits.recordRequest(identifier);
   }
   const forwarder = createCallForwarder({
+    crashDetector: new CrashDetector({
+      client,
+      findHealthPath: () => "/health",
+    }),
     clock,
     random,
     client,
--- a/source/installation/configuration.ts
+++ b/source/installation/configuration.ts
@@ -61,6 +61,8 @@
 /** A service and the limits of its servers. */
 export interface Service {
   readonly name: string;
+  /** Path of the health check of its servers. */
+  readonly healthPath: string;
   /** Maximum number of connections that one server accepts from all its clients together. */
   readonly maximumConnections: number;
   /** Names of the models that its engines serve; empty for a service without engines. */
--- a/source/node/create_installation_node.ts
+++ b/source/node/create_installation_node.ts
@@ -3,6 +3,7 @@
 import { randomInt } from "node:crypto";
 import type { ServerClient } from "../backends/server_client.ts";
 import { createCallForwarder } from "../calls/create_call_forwarder.ts";
+import { CrashDetector } from "../calls/crash_detector.ts";
 import { CallService } from "../calls/call_service.ts";
 import { StreamOrigins } from "../calls/stream_origins.ts";
 import { ServerCallStatistics } from "../calls/server_call_statistics.ts";
@@ -233,6 +234,11 @@
       servers,
       client,
       serverStatistics: statistics,
+      crashDetector: new CrashDetector({
+        client,
+        findHealthPath: (service) =>
+          operator.configuration?.services.get(service)?.healthPath,
+      }),
     }),
     storeHealth: table.health,
     configuration: () => operator.configuration,
--- a/source/observability/events/installation_events.ts
+++ b/source/observability/events/installation_events.ts
@@ -112,6 +112,14 @@
     action: "",
     fields: ["reason"],
   }),
+  serverEndedDuringCall: defineEvent(9208, {
+    level: "warn",
+    message:
+      "A server ended while it ran a call; content is the same for all calls with the same caller, path and body",
+    action:
+      "If the same content is named for several servers, its calls crash them; find its caller",
+    fields: ["request", "content", "server"],
+  }),
   callEnded: defineEvent(9202, {
     level: "info",
     message: "A call ended without a server's answer",
--- a/stand_ins/installation/create_step_tools.ts
+++ b/stand_ins/installation/create_step_tools.ts
@@ -1,3 +1,4 @@
+import { CrashDetector } from "../../source/calls/crash_detector.ts";
 import { createCallForwarder } from "../../source/calls/create_call_forwarder.ts";
 import { ServerCallStatistics } from "../../source/calls/server_call_statistics.ts";
 import { TextLengthEstimate } from "../../source/decisions/text_length.ts";
@@ -67,6 +68,10 @@
     servers,
     client,
     forwarder: createCallForwarder({
+      crashDetector: new CrashDetector({
+        client,
+        findHealthPath: () => "/health",
+      }),
       ...common,
       random,
       servers,
--- a/stand_ins/installation/scripted_server_client.ts
+++ b/stand_ins/installation/scripted_server_client.ts
@@ -3,6 +3,7 @@
   EngineReport,
   ServerAnswer,
   ServerClient,
+  ServerProcessState,
   ServerRequest,
   TextEvent,
   WeightOrderOutcome,
@@ -40,6 +41,8 @@
   readonly requestedServers: string[] = [];
   /** Identifiers of the servers whose requests were cancelled, in order. */
   readonly cancelledServers: string[] = [];
+  /** Identifiers of the servers whose process has ended. */
+  readonly endedServers = new Set<string>();
 
   /** @param respond - Returns the scripted response of a server to a request. */
   constructor(
@@ -95,6 +98,13 @@
     };
   }
 
+  /** Returns the state that the test has set for the server; running if it set none. */
+  checkProcess(server: BackendServerEntry): Promise<ServerProcessState> {
+    return Promise.resolve(
+      this.endedServers.has(server.identifier) ? "ended" : "running",
+    );
+  }
+
   /** Returns false, since there are no connections. */
   isConnected(): boolean {
     return false;
