Hold requests that crash servers after the second one

Cause: nothing counted the servers that end under a request. Each try has an identifier of its own, each node knows only its own tries, and a call whose connection was cut goes at once to the next server.

Change: the nodes count in the store (table crashes) which starts of servers ended under a content, a digest of caller, path and body. After two, without a complete answer since, calls with it are refused as crashesServers with the time of the next trial; one call of all nodes, claimed by a conditional write, is tried after 3 s, 1 min and 10 min. A complete answer clears the record, so that calls that only ran beside are served. A suspected call is not hedged, and not repeated once it is held. Scores of samples are never held.

--- a/source/calls/call_forwarder.ts
+++ b/source/calls/call_forwarder.ts
@@ -19,8 +19,7 @@
 import type { Clock } from "../utilities/clock.ts";
 import type { RandomSource } from "../utilities/random_source.ts";
 import type { CallOutcome } from "./call_outcome.ts";
-import { toContentDigest } from "./content_digest.ts";
-import type { CrashDetector } from "./crash_detector.ts";
+import type { CrashGuard, GuardedCall } from "./crash_guard.ts";
 import type { ServerCallStatistics } from "./server_call_statistics.ts";
 import { ENDED } from "../utilities/ended.ts";
 
@@ -53,6 +52,8 @@
    * request.
    */
   readonly onAnswered?: (status: number) => void;
+  /** Whether the call may crash the servers that run it; scoring requests of samples do not. */
+  readonly mayCrashServers: boolean;
   /** Called with the server that begins to answer with a stream. */
   readonly onStreaming?: (server: BackendServerEntry) => void;
   /** The only service and software version that may answer; any of the route if absent. */
@@ -67,7 +68,7 @@
   readonly servers: ServerView;
   readonly client: ServerClient;
   readonly serverStatistics: ServerCallStatistics;
-  readonly crashDetector: CrashDetector;
+  readonly crashGuard: CrashGuard;
   readonly gate: CallGate;
   readonly retryBudget: RetryBudget;
   readonly hedgeTiming: HedgeTiming;
@@ -100,6 +101,7 @@
   readonly #service: string;
   readonly #startedAt: number;
   readonly #deadline: number;
+  readonly #guarded: GuardedCall | undefined;
   /** Identifiers of the servers to which an attempt was sent. */
   readonly #triedServers = new Set<string>();
   readonly #attemptControllers = new Set<AbortController>();
@@ -121,6 +123,9 @@
     this.#service = call.origin?.service ??
       selectService(call.route, options.random.next());
     this.#startedAt = options.clock.monotonic();
+    this.#guarded = call.mayCrashServers
+      ? options.crashGuard.watch(call.request)
+      : undefined;
     this.#deadline = Math.min(
       call.deadline - RESPONSE_MARGIN_MILLISECONDS,
       this.#startedAt + call.route.timeoutMilliseconds,
@@ -130,6 +135,8 @@
   async run(): Promise<CallOutcome> {
     const { gate, retryBudget } = this.#options;
     const { priority, isDeferrable, signal, route } = this.#call;
+    const hold = this.#guarded?.findHold();
+    if (hold !== undefined) return toHeldOutcome(hold);
     const passed = await gate.pass({
       service: this.#service,
       priority,
@@ -142,10 +149,17 @@
       const { retryAfterMilliseconds } = passed;
       return { kind: "refused", refusal: "overloaded", retryAfterMilliseconds };
     }
-    retryBudget.recordFirstAttempt(route.name);
     try {
+      const admission = await this.#guarded?.admit();
+      if (admission?.kind === "held") {
+        return toHeldOutcome(admission.retryAfterMilliseconds);
+      }
+      retryBudget.recordFirstAttempt(route.name);
       return await this.#runAttempts();
     } finally {
+      if (this.#possiblyExecutedAttemptCount === 0) {
+        this.#guarded?.recordUnsent();
+      }
       gate.recordEnd(this.#service);
       for (const controller of this.#attemptControllers) {
         controller.abort(ENDED);
@@ -253,6 +267,7 @@
     }
     return route.kind === "idempotent" &&
       this.#possiblyExecutedAttemptCount < route.maximumAttempts &&
+      this.#guarded?.mayRepeat !== false &&
       this.#options.retryBudget.takeRetry(route.name);
   }
 
@@ -267,6 +282,7 @@
     return route.kind === "idempotent" &&
       this.#possiblyExecutedAttemptCount < route.maximumAttempts &&
       this.#hasFreeServer() &&
+      this.#guarded?.isSuspect !== true &&
       this.#options.retryBudget.takeRetry(route.name);
   }
 
@@ -330,7 +346,10 @@
     this.#call.signal.addEventListener("abort", cancelAttempt, { once: true });
     statistics.recordStart(identifier);
     const sentAt = clock.monotonic();
-    const result = await this.#sendRequest(server, controller.signal);
+    const result = this.#watchStream(
+      server,
+      await this.#sendRequest(server, controller.signal),
+    );
     const milliseconds = clock.monotonic() - sentAt;
     statistics.recordEnd(identifier);
     if (result.kind !== "streaming") {
@@ -355,21 +374,19 @@
         reason,
       });
     }
-    if (result.kind === "failed" && result.cause === "cut") {
-      await this.#detectCrash(server);
-    }
+    await this.#guarded?.recordEnd(server, result);
     return result;
   }
 
-  async #detectCrash(server: BackendServerEntry): Promise<void> {
-    const { crashDetector, log } = this.#options;
-    if (!await crashDetector.hasEnded(server)) return;
-    const { request } = this.#call;
-    log.emit("serverEndedDuringCall", {
-      request: request.identifier,
-      content: toContentDigest(request),
-      server: server.identifier,
-    });
+  #watchStream(
+    server: BackendServerEntry,
+    result: AttemptResult,
+  ): AttemptResult {
+    if (result.kind !== "streaming" || this.#guarded === undefined) {
+      return result;
+    }
+    const body = this.#guarded.watchBody(server, result.answer.body);
+    return { ...result, answer: { ...result.answer, body } };
   }
 
   async #sendRequest(
@@ -422,6 +439,10 @@
   }
 }
 
+function toHeldOutcome(retryAfterMilliseconds: number): CallOutcome {
+  return { kind: "refused", refusal: "crashesServers", retryAfterMilliseconds };
+}
+
 function toAnsweredOutcome(
   result: Extract<AttemptResult, { kind: "complete" }>,
 ): CallOutcome {
--- a/source/calls/call_forwarder_test.ts
+++ b/source/calls/call_forwarder_test.ts
@@ -12,7 +12,7 @@
 import { createRandomSource } from "../utilities/random_source.ts";
 import { SystemClock } from "../utilities/system_clock.ts";
 import type { CallOutcome } from "./call_outcome.ts";
-import { CrashDetector } from "./crash_detector.ts";
+import { createCrashGuard } from "../../stand_ins/installation/create_crash_guard.ts";
 import { createCallForwarder } from "./create_call_forwarder.ts";
 import { ServerCallStatistics } from "./server_call_statistics.ts";
 
@@ -115,10 +115,7 @@
     limits.recordRequest(identifier);
   }
   const forwarder = createCallForwarder({
-    crashDetector: new CrashDetector({
-      client,
-      findHealthPath: () => "/health",
-    }),
+    crashGuard: createCrashGuard(client),
     clock,
     random,
     client,
@@ -145,6 +142,7 @@
     route: toRoute(options.kind ?? "idempotent", options.maximumAttempts ?? 3),
     priority: 1,
     isDeferrable: false,
+    mayCrashServers: true,
     deadline: startedAt + (options.budgetMilliseconds ?? 1000),
     signal: new AbortController().signal,
   });
--- a/source/calls/call_outcome.ts
+++ b/source/calls/call_outcome.ts
@@ -20,6 +20,8 @@
   | "noServer"
   /** The service's servers are too busy to serve the request by its deadline. */
   | "overloaded"
+  /** Servers ended while they ran the same request, so it is held for some time. */
+  | "crashesServers"
   /** The store is unreachable or did not confirm the operation. */
   | "storeAway"
   /** The caller's organisation has no such step or sample. */
--- a/source/calls/call_service.ts
+++ b/source/calls/call_service.ts
@@ -256,6 +256,7 @@
         route,
         priority: this.#findPriority(route, organisation),
         isDeferrable: false,
+        mayCrashServers: true,
         deadline: call.arrivedAt +
           (call.budgetMilliseconds ?? route.timeoutMilliseconds),
         signal: call.signal,
--- a/source/durable_steps/sample_scoring.ts
+++ b/source/durable_steps/sample_scoring.ts
@@ -51,6 +51,7 @@
         route,
         priority: route.priority,
         isDeferrable: true,
+        mayCrashServers: false,
         deadline: clock.monotonic() + route.timeoutMilliseconds,
         signal,
         onAnswered: (status) => {
--- a/source/node/create_installation_node.ts
+++ b/source/node/create_installation_node.ts
@@ -4,6 +4,8 @@
 import type { ServerClient } from "../backends/server_client.ts";
 import { createCallForwarder } from "../calls/create_call_forwarder.ts";
 import { CrashDetector } from "../calls/crash_detector.ts";
+import { CrashGuard } from "../calls/crash_guard.ts";
+import { CrashRecords } from "../calls/crash_records.ts";
 import { CallService } from "../calls/call_service.ts";
 import { StreamOrigins } from "../calls/stream_origins.ts";
 import { ServerCallStatistics } from "../calls/server_call_statistics.ts";
@@ -214,6 +216,34 @@
   );
   register.watch(() => limits.apply(toLimitNews(register)));
   const stepRegistry = new StepRegistry({ ...common, pace });
+  const leaseElector = new LeaseElector({
+    name: DUTY_LEASE,
+    countLeaseCandidates: () => register.running.length,
+    returnMilliseconds: bounds.leaseMilliseconds,
+    isNodeProcessUnique: true,
+    context: {
+      ...common,
+      nodeStart,
+      random,
+      settings: {
+        node: settings.node,
+        leaseMilliseconds: LEASE_MILLISECONDS,
+        orderDeadlineMilliseconds: ORDER_DEADLINE_MILLISECONDS,
+      },
+      platform: { table: new LeaseTable(table) },
+    },
+  });
+  const lease = new DutyLease(leaseElector, settings.node);
+  const crashRecords = new CrashRecords({ ...stored, lease, pace });
+  const crashGuard = new CrashGuard({
+    log,
+    records: crashRecords,
+    detector: new CrashDetector({
+      client,
+      findHealthPath: (service) =>
+        operator.configuration?.services.get(service)?.healthPath,
+    }),
+  });
   const tools: StepTools = {
     ...stored,
     stepRegistry,
@@ -234,11 +264,7 @@
       servers,
       client,
       serverStatistics: statistics,
-      crashDetector: new CrashDetector({
-        client,
-        findHealthPath: (service) =>
-          operator.configuration?.services.get(service)?.healthPath,
-      }),
+      crashGuard,
     }),
     storeHealth: table.health,
     configuration: () => operator.configuration,
@@ -251,24 +277,6 @@
     readSignature: adapters.readSignature,
     stopping,
   });
-  const leaseElector = new LeaseElector({
-    name: DUTY_LEASE,
-    countLeaseCandidates: () => register.running.length,
-    returnMilliseconds: bounds.leaseMilliseconds,
-    isNodeProcessUnique: true,
-    context: {
-      ...common,
-      nodeStart,
-      random,
-      settings: {
-        node: settings.node,
-        leaseMilliseconds: LEASE_MILLISECONDS,
-        orderDeadlineMilliseconds: ORDER_DEADLINE_MILLISECONDS,
-      },
-      platform: { table: new LeaseTable(table) },
-    },
-  });
-  const lease = new DutyLease(leaseElector, settings.node);
   const streamOrigins = new StreamOrigins({
     ...stored,
     storeHealth: table.health,
@@ -338,6 +346,7 @@
         steps,
         pool,
         limits,
+        crashRecords,
         lease,
       }),
     background: [
@@ -349,6 +358,7 @@
       usage,
       leaseElector,
       streamOrigins,
+      crashRecords,
       new StepRetention({
         ...stored,
         stepRegistry,
--- a/source/node/installation_gauges.ts
+++ b/source/node/installation_gauges.ts
@@ -1,3 +1,4 @@
+import type { CrashRecords } from "../calls/crash_records.ts";
 import type { DutyLease } from "../duties/duty_lease.ts";
 import type { EnginePool } from "../durable_steps/engine_pool.ts";
 import type { StepSupervisor } from "../durable_steps/step_supervisor.ts";
@@ -16,6 +17,7 @@
   readonly steps: StepSupervisor;
   readonly pool: EnginePool;
   readonly limits: ServerLimits;
+  readonly crashRecords: Pick<CrashRecords, "size">;
   readonly lease: DutyLease;
 }
 
@@ -25,6 +27,7 @@
 ): void {
   const { metrics, operator, servers, register, steps, pool, limits, lease } =
     options;
+  const { crashRecords } = options;
   const age = operator.ageMilliseconds() ?? -1;
   metrics.gauge("operator_view_age_milliseconds", age, {});
   metrics.gauge("key_view_fresh", Number(operator.isKeyViewFresh()), {});
@@ -32,6 +35,7 @@
   metrics.gauge("configuration_version", version, {});
   metrics.gauge("servers_known", servers.servers.size, {});
   metrics.gauge("servers_limited", limits.size, {});
+  metrics.gauge("contents_with_crashes", crashRecords.size, {});
   metrics.gauge("nodes_running", register.running.length, {});
   metrics.gauge("steps_running", steps.running, {});
   metrics.gauge("samples_waiting", pool.waiting, {});
--- a/source/observability/events/installation_events.ts
+++ b/source/observability/events/installation_events.ts
@@ -120,6 +120,42 @@
       "If the same content is named for several servers, its calls crash them; find its caller",
     fields: ["request", "content", "server"],
   }),
+  crashingCallsHeld: defineEvent(9209, {
+    level: "warn",
+    message:
+      "Several servers ended under calls with one content, which are held for some time",
+    action:
+      "Find the caller by the calls that event 9208 names with this content; it must change the request",
+    fields: ["content", "crashes"],
+  }),
+  crashTrialStarted: defineEvent(9210, {
+    level: "info",
+    message:
+      "One of the calls that were held is sent, to find out whether it still crashes servers",
+    action: "",
+    fields: ["content", "crashes", "trials"],
+  }),
+  crashRecordCleared: defineEvent(9211, {
+    level: "info",
+    message:
+      "A server answered a call with a content under which servers had ended, so its calls are not held",
+    action: "",
+    fields: ["content", "crashes"],
+  }),
+  crashRecordNotSaved: defineEvent(9212, {
+    level: "warn",
+    message:
+      "The store did not accept what this node knows of servers that ended under a content",
+    action: "Check the store",
+    fields: ["content"],
+  }),
+  crashRecordMalformed: defineEvent(9213, {
+    level: "warn",
+    message:
+      "A row of the crash records can't be read; it counts as a content without crashes",
+    action: "Find the program that wrote the row",
+    fields: ["content"],
+  }),
   callEnded: defineEvent(9202, {
     level: "info",
     message: "A call ended without a server's answer",
--- a/source/observability/log_trace.ts
+++ b/source/observability/log_trace.ts
@@ -58,10 +58,17 @@
         describeLimits(source, context)
       }`;
     }
+    if (detail === "crashesServers") {
+      return "Servers ended while they ran the same request, so it is held";
+    }
     return undefined;
   },
   attemptFailed: ({ fields }) =>
     `Server ${fields["server"]} failed: ${fields["reason"]}`,
+  serverEndedDuringCall: ({ fields }) =>
+    `Server ${fields["server"]} ended while it ran the call, whose content is ${
+      fields["content"]
+    }`,
   sampleAttemptCut: ({ fields }) =>
     `Engine ${fields["server"]} ended the text early: ${fields["reason"]}`,
   durableStepTakenOver: ({ fields }) =>
--- a/stand_ins/installation/create_step_tools.ts
+++ b/stand_ins/installation/create_step_tools.ts
@@ -1,4 +1,4 @@
-import { CrashDetector } from "../../source/calls/crash_detector.ts";
+import { createCrashGuard } from "./create_crash_guard.ts";
 import { createCallForwarder } from "../../source/calls/create_call_forwarder.ts";
 import { ServerCallStatistics } from "../../source/calls/server_call_statistics.ts";
 import { TextLengthEstimate } from "../../source/decisions/text_length.ts";
@@ -68,10 +68,7 @@
     servers,
     client,
     forwarder: createCallForwarder({
-      crashDetector: new CrashDetector({
-        client,
-        findHealthPath: () => "/health",
-      }),
+      crashGuard: createCrashGuard(client),
       ...common,
       random,
       servers,
