Log when a node reaches none of several servers

The log could not tell a node that is cut off from all servers from servers that fail: each failed attempt names one server only.

When a request gets no answer, the node opens connections to up to six servers of different services and failure domains (at most once in 0.7 s). If none accepts one, event 9214 says so, event 9215 when one does again, and the gauge cut_off_from_servers shows it. No decision uses it yet.

--- a/source/backends/server_client.ts
+++ b/source/backends/server_client.ts
@@ -1,6 +1,7 @@
 import type { IncomingHttpHeaders } from "node:http";
 import type { BackendServerEntry } from "../installation/backend_server_entry.ts";
 import type { ExchangeOptions } from "./engine_client.ts";
+import type { FailureCause } from "./failure_cause.ts";
 import type { ExchangeFailure } from "./http_exchange.ts";
 
 /** A request to a backend server. */
@@ -86,8 +87,21 @@
   readonly milliseconds: number;
 }
 
-/** State of a server's process; `unknown` when the check got no answer. */
-export type ServerProcessState = "running" | "ended" | "unknown";
+/** What a check over a new connection finds out about the start of a server. */
+export type ServerProcessState =
+  /** The server answered. */
+  | "running"
+  /** Another server answered at the address. */
+  | "replaced"
+  /** The address does not accept connections. */
+  | "refused"
+  /** The connection was accepted, and no answer arrived. */
+  | "silent"
+  /** No connection was established in the time limit. */
+  | "unreachable";
+
+/** Called with the cause when a request to a server got no answer, but not for cancelled requests. */
+export type FailureListener = (cause: FailureCause) => void;
 
 /** Called with a server whose answer says that it is about to stop. */
 export type LeavingListener = (server: BackendServerEntry) => void;
@@ -116,6 +130,8 @@
     request: ServerRequest,
     options: ExchangeOptions,
   ): Promise<ServerAnswer | ExchangeFailure>;
+  /** Registers a function that is called for each request that got no answer, except checks. */
+  watchFailures(onFailure: FailureListener): void;
   /** Checks over a new connection whether the start of a server that an entry describes still runs. */
   checkProcess(
     server: BackendServerEntry,
--- a/source/calls/crash_detector.ts
+++ b/source/calls/crash_detector.ts
@@ -44,6 +44,6 @@
       path,
       milliseconds: CHECK_MILLISECONDS,
     });
-    return state === "ended";
+    return state === "refused" || state === "replaced";
   }
 }
--- /dev/null
+++ b/source/installation/server_paths.ts
@@ -0,0 +1,127 @@
+import type { ServerClient } from "../backends/server_client.ts";
+import {
+  type ConnectionCheck,
+  isCutOff,
+  selectCheckedServers,
+} from "../decisions/server_reach.ts";
+import type { EventLog } from "../observability/event_log.ts";
+import type { Clock } from "../utilities/clock.ts";
+import type { RandomSource } from "../utilities/random_source.ts";
+import type { BackendServerEntry } from "./backend_server_entry.ts";
+
+/** Time limit of a check; a reachable server accepts a connection within a few milliseconds. */
+const CHECK_MILLISECONDS = 250;
+/** Time after a check in which no other one is made. */
+const CHECKED_MILLISECONDS = 700;
+/** Interval at which a node that is cut off checks whether it reaches servers again. */
+const RECHECK_MILLISECONDS = 400;
+
+/** Dependencies of the paths to servers. */
+export interface ServerPathsOptions {
+  readonly clock: Clock;
+  readonly log: EventLog;
+  readonly random: RandomSource;
+  readonly client: Pick<ServerClient, "checkProcess">;
+  /** Returns the servers that take requests. */
+  readonly listServers: () => ReadonlyArray<BackendServerEntry>;
+  /** Returns the path of the health check of a service's servers; undefined for unknown services. */
+  readonly findHealthPath: (service: string) => string | undefined;
+  readonly stopping: AbortSignal;
+}
+
+/**
+ * Knows whether this node reaches servers at all. Requests that fail or hang give the reason to check;
+ * the checks open new connections, since old ones may live on or hang in a different way.
+ */
+export class ServerPaths {
+  readonly #options: ServerPathsOptions;
+  readonly #watchers: (() => void)[] = [];
+  #isCutOff = false;
+  /** Monotonic time, in milliseconds, of the last answer of a server. */
+  #heardAt = -Infinity;
+  /** Monotonic time, in milliseconds, of the last check. */
+  #checkedAt = -Infinity;
+  #runningCheck: Promise<boolean> | undefined;
+
+  /** @param options - The servers and the client that checks them. */
+  constructor(options: ServerPathsOptions) {
+    this.#options = options;
+  }
+
+  /** Whether the node reached none of several servers at the last check. */
+  get isCutOff(): boolean {
+    return this.#isCutOff;
+  }
+
+  /** Registers a function that is called when the node is cut off or reaches servers again. */
+  watch(onChange: () => void): void {
+    this.#watchers.push(onChange);
+  }
+
+  /** Records that a server has answered. */
+  recordAnswer(): void {
+    this.#heardAt = this.#options.clock.monotonic();
+  }
+
+  /** Whether any server has answered since a monotonic time in milliseconds. */
+  hasHeardSince(time: number): boolean {
+    return this.#heardAt >= time;
+  }
+
+  /**
+   * Checks whether the node reaches servers, after a request has failed or hangs.
+   * @returns Whether the node is cut off; by the last check if that is recent.
+   */
+  async check(): Promise<boolean> {
+    const age = this.#options.clock.monotonic() - this.#checkedAt;
+    const isRecent = age < CHECKED_MILLISECONDS;
+    if (this.#runningCheck === undefined && (isRecent || this.#isCutOff)) {
+      return this.#isCutOff;
+    }
+    return await this.#checkOnce();
+  }
+
+  async #checkOnce(): Promise<boolean> {
+    this.#runningCheck ??= this.#checkServers();
+    const isNodeCutOff = await this.#runningCheck;
+    this.#runningCheck = undefined;
+    this.#checkedAt = this.#options.clock.monotonic();
+    this.#update(isNodeCutOff);
+    return this.#isCutOff;
+  }
+
+  async #checkServers(): Promise<boolean> {
+    const { listServers, random } = this.#options;
+    const checks = selectCheckedServers(listServers(), random)
+      .map((server) => this.#checkServer(server));
+    return isCutOff(await Promise.all(checks));
+  }
+
+  async #checkServer(server: BackendServerEntry): Promise<ConnectionCheck> {
+    const { client, findHealthPath } = this.#options;
+    const path = findHealthPath(server.service);
+    if (path === undefined) return "unreachable";
+    const state = await client.checkProcess(server, {
+      path,
+      milliseconds: CHECK_MILLISECONDS,
+    });
+    return state === "refused" || state === "unreachable" ? state : "accepted";
+  }
+
+  #update(isNodeCutOff: boolean): void {
+    if (isNodeCutOff === this.#isCutOff) return;
+    const { log } = this.#options;
+    this.#isCutOff = isNodeCutOff;
+    log.emit(isNodeCutOff ? "serversUnreachable" : "serversReachable", {});
+    for (const onChange of this.#watchers) onChange();
+    if (isNodeCutOff) void this.#recheck();
+  }
+
+  async #recheck(): Promise<void> {
+    const { clock, stopping } = this.#options;
+    while (this.#isCutOff && !stopping.aborted) {
+      await clock.sleep(RECHECK_MILLISECONDS, stopping);
+      await this.#checkOnce();
+    }
+  }
+}
--- a/source/node/create_installation_node.ts
+++ b/source/node/create_installation_node.ts
@@ -41,6 +41,7 @@
   OperatorView,
 } from "../installation/operator_view.ts";
 import { ServerLimits } from "../installation/server_limits.ts";
+import { ServerPaths } from "../installation/server_paths.ts";
 import { ServerView } from "../installation/server_view.ts";
 import { listOwnedSteps } from "../durable_steps/list_owned_steps.ts";
 import { SharedClock } from "../installation/shared_clock.ts";
@@ -165,6 +166,22 @@
     findMemoryTokens: (service) =>
       operator.configuration?.services.get(service)?.engineMemoryTokens ?? 0,
   });
+  const findHealthPath = (service: string): string | undefined =>
+    operator.configuration?.services.get(service)?.healthPath;
+  const serverPaths = new ServerPaths({
+    clock,
+    log,
+    random,
+    client,
+    listServers: () =>
+      [...servers.servers.values()].filter(({ identifier }) =>
+        servers.isServing(identifier)
+      ),
+    findHealthPath,
+    stopping,
+  });
+  client.watchLimits(() => serverPaths.recordAnswer());
+  client.watchFailures(() => void serverPaths.check());
   const engineUseExchange = new EngineUseExchange(clock, { pool, statistics });
   const sharedClock = new SharedClock({
     clock,
@@ -238,11 +255,7 @@
   const crashGuard = new CrashGuard({
     log,
     records: crashRecords,
-    detector: new CrashDetector({
-      client,
-      findHealthPath: (service) =>
-        operator.configuration?.services.get(service)?.healthPath,
-    }),
+    detector: new CrashDetector({ client, findHealthPath }),
   });
   const tools: StepTools = {
     ...stored,
@@ -347,6 +360,7 @@
         pool,
         limits,
         crashRecords,
+        serverPaths,
         lease,
       }),
     background: [
--- a/source/node/installation_gauges.ts
+++ b/source/node/installation_gauges.ts
@@ -5,6 +5,7 @@
 import type { NodeRegister } from "../installation/node_register.ts";
 import type { ServerLimits } from "../installation/server_limits.ts";
 import type { OperatorView } from "../installation/operator_view.ts";
+import type { ServerPaths } from "../installation/server_paths.ts";
 import type { ServerView } from "../installation/server_view.ts";
 import type { Metrics } from "../observability/metrics.ts";
 
@@ -18,6 +19,7 @@
   readonly pool: EnginePool;
   readonly limits: ServerLimits;
   readonly crashRecords: Pick<CrashRecords, "size">;
+  readonly serverPaths: Pick<ServerPaths, "isCutOff">;
   readonly lease: DutyLease;
 }
 
@@ -27,7 +29,7 @@
 ): void {
   const { metrics, operator, servers, register, steps, pool, limits, lease } =
     options;
-  const { crashRecords } = options;
+  const { crashRecords, serverPaths } = options;
   const age = operator.ageMilliseconds() ?? -1;
   metrics.gauge("operator_view_age_milliseconds", age, {});
   metrics.gauge("key_view_fresh", Number(operator.isKeyViewFresh()), {});
@@ -36,6 +38,8 @@
   metrics.gauge("servers_known", servers.servers.size, {});
   metrics.gauge("servers_limited", limits.size, {});
   metrics.gauge("contents_with_crashes", crashRecords.size, {});
+  const isCutOff = Number(serverPaths.isCutOff);
+  metrics.gauge("cut_off_from_servers", isCutOff, {});
   metrics.gauge("nodes_running", register.running.length, {});
   metrics.gauge("steps_running", steps.running, {});
   metrics.gauge("samples_waiting", pool.waiting, {});
--- a/source/observability/events/installation_events.ts
+++ b/source/observability/events/installation_events.ts
@@ -156,6 +156,19 @@
     action: "Find the program that wrote the row",
     fields: ["content"],
   }),
+  serversUnreachable: defineEvent(9214, {
+    level: "warn",
+    message:
+      "The node can't connect to any of several servers and counts as cut off from them",
+    action: "Check the network between the node and the servers",
+    fields: [],
+  }),
+  serversReachable: defineEvent(9215, {
+    level: "info",
+    message: "The node can connect to servers again",
+    action: "",
+    fields: [],
+  }),
   callEnded: defineEvent(9202, {
     level: "info",
     message: "A call ended without a server's answer",
--- a/stand_ins/installation/scripted_server_client.ts
+++ b/stand_ins/installation/scripted_server_client.ts
@@ -98,10 +98,13 @@
     };
   }
 
+  /** Registers nothing; tests record failures themselves. */
+  watchFailures(): void {}
+
   /** Returns the state that the test has set for the server; running if it set none. */
   checkProcess(server: BackendServerEntry): Promise<ServerProcessState> {
     return Promise.resolve(
-      this.endedServers.has(server.identifier) ? "ended" : "running",
+      this.endedServers.has(server.identifier) ? "refused" : "running",
     );
   }
 
