--- a/stand_ins/installation/call_node.ts
+++ b/stand_ins/installation/call_node.ts
@@ -14,7 +14,7 @@
 /** Sends a caller's request to a node and reads the response. */
 export function callNode(
   installation: TestInstallation,
-  node: InstallationNode,
+  node: Pick<InstallationNode, "caller">,
   call: {
     readonly method: string;
     readonly path: string;
--- /dev/null
+++ b/stand_ins/installation/in_process_nodes.ts
@@ -0,0 +1,102 @@
+import { createServer } from "node:net";
+import type { AddressInfo } from "node:net";
+import { InstallationEntryServer } from "../../platform/entry_server.ts";
+import { HEADER } from "../../platform/header_names.ts";
+import { readOperatorRow } from "../../platform/operator_rows.ts";
+import { InstallationServerClient } from "../../platform/server_client.ts";
+import { readServerRow } from "../../platform/server_rows.ts";
+import { readSettingsFile } from "../../platform/settings_file.ts";
+import { readSubmission } from "../../platform/step_messages.ts";
+import { toProcessIdentity } from "../../source/installation/process_identity.ts";
+import { createInstallationNode } from "../../source/node/create_installation_node.ts";
+import type { InstallationNode } from "../../source/node/installation_node.ts";
+import { RecordingEventLog } from "../../source/observability/event_log.ts";
+import { ScrapedMetrics } from "../../source/observability/scraped_metrics.ts";
+import { SystemClock } from "../../source/utilities/system_clock.ts";
+import { BreakablePools } from "./breakable_pools.ts";
+import type { MemoryDurableTable } from "./memory_durable_table.ts";
+
+/** A node that runs in the process of the test. */
+export interface InProcessNode {
+  readonly name: string;
+  /** HOST:PORT that callers connect to. */
+  readonly caller: string;
+  readonly node: InstallationNode;
+  readonly log: RecordingEventLog;
+  /** Connections to servers, whose path the test can break. */
+  readonly pools: BreakablePools;
+  readonly stop: () => Promise<void>;
+}
+
+/** Starts a node in this process and waits until it is ready. */
+export async function startInProcessNode(
+  table: MemoryDurableTable,
+  name: string,
+): Promise<InProcessNode> {
+  const [front, peer] = await Promise.all([findFreePort(), findFreePort()]);
+  const caller = `127.0.0.1:${front}`;
+  const read = readSettingsFile(JSON.stringify({
+    "node_name": name,
+    zone: "a",
+    region: "r",
+    ip: "127.0.0.1",
+    "internal_ports": [peer, peer],
+    listen: { front: caller },
+    platform: { address: "127.0.0.1:1" },
+  }));
+  if (read.kind !== "read") throw new Error(read.problem);
+  const { settings } = read;
+  const clock = new SystemClock();
+  const log = new RecordingEventLog();
+  const pools = new BreakablePools();
+  const stopping = new AbortController();
+  const node = await createInstallationNode({
+    settings,
+    nodeStart: toProcessIdentity(name, "1"),
+    clock,
+    log,
+    metrics: new ScrapedMetrics(),
+    stopping: stopping.signal,
+    adapters: {
+      table,
+      watchStoreTime: () => {},
+      client: new InstallationServerClient({ clock, pools }),
+      duties: undefined,
+      operatorTable: "op",
+      serverTable: "servers",
+      readOperatorRow,
+      readServerRow,
+      readSubmission,
+      readSignature: (headers) => {
+        const signature = headers[HEADER.signature];
+        return typeof signature === "string" ? signature : undefined;
+      },
+    },
+  });
+  const entry = new InstallationEntryServer({ clock, log, node });
+  void node.run();
+  await entry.listenForCallers(caller);
+  while (!node.isReady || !node.parts.register.isLoaded) await clock.sleep(50);
+  return {
+    name,
+    caller,
+    node,
+    log,
+    pools,
+    stop: async () => {
+      stopping.abort();
+      entry.close();
+      await pools.close();
+    },
+  };
+}
+
+function findFreePort(): Promise<number> {
+  return new Promise((resolve) => {
+    const server = createServer();
+    server.listen(0, "127.0.0.1", () => {
+      const { port } = server.address() as AddressInfo;
+      server.close(() => resolve(port));
+    });
+  });
+}
--- a/stand_ins/installation/installation_steps.ts
+++ b/stand_ins/installation/installation_steps.ts
@@ -48,7 +48,7 @@
 /** Submits a step of eight samples and returns the status of the response. */
 export async function submitStep(
   installation: TestInstallation,
-  node: InstallationNode,
+  node: Pick<InstallationNode, "caller">,
   identifier: string,
 ): Promise<number> {
   const answer = await callNode(installation, node, {
@@ -63,7 +63,7 @@
 /** Reads results until all are listed, in up to 60 calls; retries after the `retry-after` time. */
 export async function readAllResults(
   installation: TestInstallation,
-  node: InstallationNode,
+  node: Pick<InstallationNode, "caller">,
   step: string,
 ): Promise<ReadonlyArray<ReadResult>> {
   const results: ReadResult[] = [];
--- a/stand_ins/installation/test_installation.ts
+++ b/stand_ins/installation/test_installation.ts
@@ -184,6 +184,13 @@
         kind: "idempotent",
         service: "plain",
       },
+      {
+        ...route,
+        name: "e",
+        prefix: "/once/",
+        kind: "non_idempotent",
+        service: "plain",
+      },
       {
         ...route,
         name: "b",
