Send calls through other nodes while a node reaches no server

What callers saw: nodes that had lost their paths to all servers, while callers, the store and other nodes reached them, served none of their calls; steps and the duty lease stayed with them, so trainers waited as well.

Cause: an attempt had one way only, from the node itself to a server, and no other node learnt that the way was gone.

Change: a node that reaches none of several servers says so in its heartbeats. It sends its calls to another node, at the first internal port, in the format of callers; that node checks the key itself, makes one attempt at a server and counts the use. A first try that hangs is hedged that way once the check has failed. Such a node is no longer named to callers, hands its steps over, takes none over and releases the duty lease, as long as another node is known that reaches servers. Refused connections there blame no request for a crash.

--- a/source/calls/attempt_result.ts
+++ b/source/calls/attempt_result.ts
@@ -1,5 +1,8 @@
 import type { FailureCause } from "../backends/failure_cause.ts";
-import { toFailureCause } from "../backends/http_exchange.ts";
+import {
+  type ExchangeFailure,
+  toFailureCause,
+} from "../backends/http_exchange.ts";
 import type { ServerAnswer } from "../backends/server_client.ts";
 
 /** Maximum size of a response that is buffered whole; a larger one is streamed to the caller. */
@@ -28,6 +31,32 @@
     readonly cause: FailureCause;
   };
 
+/**
+ * Converts the answer to one attempt, whose body is buffered unless it is streamed.
+ * @param answer - The answer or the failure.
+ * @param isStreaming - Whether the body is passed on as it arrives.
+ */
+export async function toAttemptResult(
+  answer: ServerAnswer | ExchangeFailure,
+  isStreaming: boolean,
+): Promise<AttemptResult> {
+  if (answer.kind !== "answered") {
+    return answer.kind === "notRun"
+      ? { kind: "notRun", isRefused: answer.cause === "refused" }
+      : { kind: "failed", reason: answer.reason, cause: answer.cause };
+  }
+  if (answer.signature === undefined) {
+    answer.abandon();
+    return {
+      kind: "failed",
+      reason: "The response has no signature",
+      cause: "untrusted",
+    };
+  }
+  if (isStreaming) return { kind: "streaming", answer };
+  return await bufferBody(answer);
+}
+
 /**
  * Buffers a response; returns a stream when it is larger than MAXIMUM_BUFFERED_BYTES.
  * @param answer - The response, whose body has not been read.
--- a/source/calls/call_forwarder.ts
+++ b/source/calls/call_forwarder.ts
@@ -1,4 +1,4 @@
-import { type AttemptResult, bufferBody } from "./attempt_result.ts";
+import { type AttemptResult, toAttemptResult } from "./attempt_result.ts";
 import { toRetryAfter } from "../decisions/call_admission.ts";
 import type { StreamOrigin } from "../decisions/stream_continuation.ts";
 import type { HedgeTiming } from "../decisions/hedge_timing.ts";
@@ -19,6 +19,7 @@
 import type { Clock } from "../utilities/clock.ts";
 import type { RandomSource } from "../utilities/random_source.ts";
 import type { CallOutcome } from "./call_outcome.ts";
+import type { CallRelay, Peer } from "./call_relay.ts";
 import type { CrashGuard, GuardedCall } from "./crash_guard.ts";
 import type { ServerCallStatistics } from "./server_call_statistics.ts";
 import { ENDED } from "../utilities/ended.ts";
@@ -32,6 +33,9 @@
 const UNRUN_RETRY_SHARE = 0.5;
 /** Time that servers which refused a call are assumed to need for what they run. */
 const REFUSED_BACKLOG_MILLISECONDS = 150;
+/** Maximum number of nodes that are tried in turn while this node does not reach the servers. */
+const MAXIMUM_RELAYS = 3;
+const OPEN = { kind: "open" } as const;
 /** Time reserved for the response to reach the caller before the caller's deadline. */
 const RESPONSE_MARGIN_MILLISECONDS = 15;
 
@@ -48,13 +52,18 @@
   /** Aborted when the caller disconnects. */
   readonly signal: AbortSignal;
   /**
-   * Called with the status of each signed response; the signature proves that the server ran the
-   * request.
+   * Called with the status of each signed response of a server to this node; the signature proves that
+   * the server ran the request.
    */
   readonly onAnswered?: (status: number) => void;
   /** Whether the call may crash the servers that run it; scoring requests of samples do not. */
   readonly mayCrashServers: boolean;
-  /** Called with the server that begins to answer with a stream. */
+  /** What other nodes need to forward the call; absent if they may not. */
+  readonly relay?: {
+    /** API key of the caller; undefined if it sent none. */
+    readonly key: string | undefined;
+  };
+  /** Called with the server that begins to answer this node with a stream. */
   readonly onStreaming?: (server: BackendServerEntry) => void;
   /** The only service and software version that may answer; any of the route if absent. */
   readonly origin?: StreamOrigin;
@@ -69,6 +78,7 @@
   readonly client: ServerClient;
   readonly serverStatistics: ServerCallStatistics;
   readonly crashGuard: CrashGuard;
+  readonly callRelay: CallRelay;
   readonly gate: CallGate;
   readonly retryBudget: RetryBudget;
   readonly hedgeTiming: HedgeTiming;
@@ -108,6 +118,10 @@
   readonly #runningAttempts = new Set<Promise<void>>();
   /** Results of ended attempts that were not processed yet. */
   #results: AttemptResult[] = [];
+  /** Whether the last attempt that ended had no connection to its server. */
+  #hasFailedToConnect = false;
+  /** Number of attempts through other nodes. */
+  #relayCount = 0;
   #retryPauseMilliseconds = RETRY_PAUSE_MILLISECONDS;
   /** Number of attempts whose request a server has run or may have run. */
   #possiblyExecutedAttemptCount = 0;
@@ -137,7 +151,7 @@
     const { priority, isDeferrable, signal, route } = this.#call;
     const hold = this.#guarded?.findHold();
     if (hold !== undefined) return toHeldOutcome(hold);
-    const passed = await gate.pass({
+    const passed = this.#isRelayNeeded ? OPEN : await gate.pass({
       service: this.#service,
       priority,
       isDeferrable,
@@ -177,13 +191,14 @@
       const now = clock.monotonic();
       if (now >= this.#deadline) return this.#toFinalOutcome();
       if (this.#runningAttempts.size === 0) {
+        if (this.#hasFailedToConnect) await this.#options.callRelay.check();
         if (!this.#mayRetry()) return this.#toFinalOutcome();
-        if (!this.#hasUntriedServer()) {
+        if (!this.#isRelayNeeded && !this.#hasUntriedServer()) {
           await this.#waitForAttemptOrTimeout(this.#nextRetryPause());
         }
         hedgeAt = this.#startAttempt();
       } else if (now >= hedgeAt) {
-        hedgeAt = this.#mayHedge() ? this.#startAttempt() : Infinity;
+        hedgeAt = await this.#startHedge();
       } else {
         await this.#waitForAttemptOrTimeout(
           Math.min(hedgeAt, this.#deadline) - now,
@@ -192,10 +207,25 @@
     }
   }
 
+  get #isRelayNeeded(): boolean {
+    return this.#call.relay !== undefined && this.#options.callRelay.isNeeded;
+  }
+
+  // Starts a second attempt while the first one runs. If no server has answered this node meanwhile,
+  // the first one may hang because the node is cut off from all of them.
+  async #startHedge(): Promise<number> {
+    const { callRelay } = this.#options;
+    if (callRelay.isQuietSince(this.#startedAt)) await callRelay.check();
+    const isStillWaiting = this.#results.length === 0;
+    return isStillWaiting && this.#mayHedge() ? this.#startAttempt() : Infinity;
+  }
+
   // Starts an attempt; returns the monotonic time, in milliseconds, from which a hedged attempt may
   // start, and Infinity when no server of the service can get the call now.
   #startAttempt(): number {
-    const { serverStatistics: statistics, clock } = this.#options;
+    const { serverStatistics: statistics, callRelay } = this.#options;
+    const peer = this.#isRelayNeeded ? callRelay.choosePeer() : undefined;
+    if (peer !== undefined) return this.#startRelay(peer);
     const all = this.#candidates;
     const untried = all.filter(({ identifier }) =>
       !this.#triedServers.has(identifier)
@@ -206,15 +236,27 @@
       return Infinity;
     }
     this.#triedServers.add(server.identifier);
+    return this.#track(this.#attempt(server));
+  }
+
+  #startRelay(peer: Peer): number {
+    this.#relayCount += 1;
+    return this.#track(this.#relay(peer));
+  }
+
+  // Adds an attempt to the running ones; returns the time from which a hedged attempt may start.
+  #track(started: Promise<AttemptResult>): number {
     this.#possiblyExecutedAttemptCount += 1;
-    const attempt = this.#attempt(server).then((result) => {
+    const attempt = started.then((result) => {
       this.#runningAttempts.delete(attempt);
       if (result.kind === "notRun") this.#possiblyExecutedAttemptCount -= 1;
+      this.#hasFailedToConnect = result.kind === "notRun" && !result.isRefused;
       this.#results.push(result);
     });
     this.#runningAttempts.add(attempt);
+    const { hedgeTiming, clock } = this.#options;
     const { name, latencyTargetMilliseconds } = this.#call.route;
-    return clock.monotonic() + this.#options.hedgeTiming.delayMilliseconds(
+    return clock.monotonic() + hedgeTiming.delayMilliseconds(
       name,
       latencyTargetMilliseconds,
     );
@@ -272,6 +314,7 @@
   }
 
   #mayRetryUnrunCall(): boolean {
+    if (this.#isRelayNeeded) return this.#relayCount < MAXIMUM_RELAYS;
     const { latencyTargetMilliseconds } = this.#call.route;
     const waited = this.#options.clock.monotonic() - this.#startedAt;
     return waited < UNRUN_RETRY_SHARE * latencyTargetMilliseconds;
@@ -281,7 +324,7 @@
     const { route } = this.#call;
     return route.kind === "idempotent" &&
       this.#possiblyExecutedAttemptCount < route.maximumAttempts &&
-      this.#hasFreeServer() &&
+      (this.#isRelayNeeded || this.#hasFreeServer()) &&
       this.#guarded?.isSuspect !== true &&
       this.#options.retryBudget.takeRetry(route.name);
   }
@@ -378,6 +421,31 @@
     return result;
   }
 
+  // Sends the call through another node, which counts its use and records where a stream began.
+  async #relay(peer: Peer): Promise<AttemptResult> {
+    const { callRelay, clock, hedgeTiming } = this.#options;
+    const { request, relay, route, signal } = this.#call;
+    const controller = new AbortController();
+    const cancelAttempt = (): void => controller.abort(ENDED);
+    this.#attemptControllers.add(controller);
+    signal.addEventListener("abort", cancelAttempt, { once: true });
+    const sentAt = clock.monotonic();
+    const answer = await callRelay.send(peer, {
+      ...request,
+      key: relay?.key,
+      budgetMilliseconds: this.#deadline - sentAt,
+    }, controller.signal);
+    const result = await toAttemptResult(answer, route.kind === "streaming");
+    if (result.kind !== "streaming") {
+      this.#attemptControllers.delete(controller);
+      signal.removeEventListener("abort", cancelAttempt);
+    }
+    if (result.kind === "complete" && result.status < 500) {
+      hedgeTiming.record(route.name, clock.monotonic() - sentAt);
+    }
+    return result;
+  }
+
   #watchStream(
     server: BackendServerEntry,
     result: AttemptResult,
@@ -404,24 +472,11 @@
         mayStart: () => servers.isServing(server.identifier),
       },
     );
-    if (answer.kind !== "answered") {
-      return answer.kind === "notRun"
-        ? { kind: "notRun", isRefused: answer.cause === "refused" }
-        : { kind: "failed", reason: answer.reason, cause: answer.cause };
-    }
-    if (answer.signature === undefined) {
-      answer.abandon();
-      return {
-        kind: "failed",
-        reason: "The response has no signature",
-        cause: "untrusted",
-      };
-    }
-    this.#call.onAnswered?.(answer.status);
-    if (this.#call.route.kind === "streaming") {
-      return { kind: "streaming", answer };
+    if (answer.kind === "answered" && answer.signature !== undefined) {
+      this.#call.onAnswered?.(answer.status);
     }
-    return await bufferBody(answer);
+    const isStreaming = this.#call.route.kind === "streaming";
+    return await toAttemptResult(answer, isStreaming);
   }
 
   // Waits until an attempt ends, the time has passed or the caller disconnects.
--- a/source/calls/call_forwarder_test.ts
+++ b/source/calls/call_forwarder_test.ts
@@ -12,6 +12,7 @@
 import { createRandomSource } from "../utilities/random_source.ts";
 import { SystemClock } from "../utilities/system_clock.ts";
 import type { CallOutcome } from "./call_outcome.ts";
+import { createCallRelay } from "../../stand_ins/installation/create_call_relay.ts";
 import { createCrashGuard } from "../../stand_ins/installation/create_crash_guard.ts";
 import { createCallForwarder } from "./create_call_forwarder.ts";
 import { ServerCallStatistics } from "./server_call_statistics.ts";
@@ -116,6 +117,7 @@
   }
   const forwarder = createCallForwarder({
     crashGuard: createCrashGuard(client),
+    callRelay: createCallRelay(client),
     clock,
     random,
     client,
--- a/source/calls/call_service.ts
+++ b/source/calls/call_service.ts
@@ -49,6 +49,8 @@
   readonly resumedRequest: string;
   /** Time of arrival, in milliseconds on the monotonic clock. */
   readonly arrivedAt: number;
+  /** Whether another node sent the call because it does not reach the servers. */
+  readonly isRelayed: boolean;
   /** Aborted when the caller disconnects. */
   readonly signal: AbortSignal;
 }
@@ -253,10 +255,12 @@
             ? {}
             : { afterEvent: call.afterEvent }),
         },
-        route,
+        // The node that relays a call counts one attempt.
+        route: call.isRelayed ? { ...route, maximumAttempts: 1 } : route,
         priority: this.#findPriority(route, organisation),
         isDeferrable: false,
         mayCrashServers: true,
+        ...(call.isRelayed ? {} : { relay: { key: call.key } }),
         deadline: call.arrivedAt +
           (call.budgetMilliseconds ?? route.timeoutMilliseconds),
         signal: call.signal,
--- a/source/calls/crash_detector.ts
+++ b/source/calls/crash_detector.ts
@@ -9,6 +9,8 @@
   readonly client: Pick<ServerClient, "checkProcess">;
   /** Returns the path of the health check of a service's servers; undefined for unknown services. */
   readonly findHealthPath: (service: string) => string | undefined;
+  /** Checks whether this node reaches no server. */
+  readonly isCutOff: () => Promise<boolean>;
 }
 
 /** Tells a server that has ended from one that only closed a connection. */
@@ -44,6 +46,8 @@
       path,
       milliseconds: CHECK_MILLISECONDS,
     });
-    return state === "refused" || state === "replaced";
+    // A node that is cut off is refused by all servers, whether they run or not.
+    return state === "replaced" ||
+      (state === "refused" && !await this.#options.isCutOff());
   }
 }
--- a/source/control/lease_elector.ts
+++ b/source/control/lease_elector.ts
@@ -53,6 +53,11 @@
    * lease.
    */
   readonly returnMilliseconds?: number;
+  /**
+   * Whether this node may hold the lease at present; a holder that may not releases it. Always if
+   * absent.
+   */
+  readonly isCandidate?: () => boolean;
   /**
    * Whether a node has only one process at a time, so that a new process takes over the lease of its
    * node's earlier one without waiting for its end; false if absent.
@@ -115,6 +120,7 @@
   readonly #countLeaseCandidates: () => number;
   readonly #returnMilliseconds: number;
   readonly #isNodeProcessUnique: boolean;
+  readonly #isCandidate: () => boolean;
   /** Monotonic time, in milliseconds, at which this node may last have held the lease. */
   #mayHaveHeldAt: number;
   #confirmedWrite: ConfirmedWrite | undefined;
@@ -140,6 +146,7 @@
     this.#countLeaseCandidates = options.countLeaseCandidates ?? (() => 1);
     this.#returnMilliseconds = options.returnMilliseconds ?? 0;
     this.#isNodeProcessUnique = options.isNodeProcessUnique ?? false;
+    this.#isCandidate = options.isCandidate ?? (() => true);
     this.#mayHaveHeldAt = options.context.clock.monotonic();
   }
 
@@ -185,7 +192,8 @@
   }
 
   async #acquireOrRenew(): Promise<void> {
-    this.getHeldLease();
+    const held = this.getHeldLease();
+    if (!this.#isCandidate()) return await this.#stepDown(held);
     if (this.#mustRead && !(await this.#read())) return;
     if (this.#confirmedWrite !== undefined) {
       return await this.#renew(this.#confirmedWrite);
@@ -336,10 +344,19 @@
     );
   }
 
+  async #stepDown(held: HeldLease | undefined): Promise<void> {
+    this.#confirmedWrite = undefined;
+    this.#mustRead = true;
+    if (held !== undefined) await this.#writeReleased(held);
+  }
+
   async #release(): Promise<void> {
     const held = this.getHeldLease();
     this.#isReleased = true;
-    if (held === undefined) return;
+    if (held !== undefined) await this.#writeReleased(held);
+  }
+
+  async #writeReleased(held: HeldLease): Promise<void> {
     this.#writeCount += 1;
     const write: PendingWrite = {
       fencingNumber: held.fencingNumber,
--- a/source/durable_steps/engine_pool.ts
+++ b/source/durable_steps/engine_pool.ts
@@ -68,6 +68,8 @@
       readonly limits: ServerLimits;
       readonly isConnected: (engine: BackendServerEntry) => boolean;
       readonly findMemoryTokens: (service: string) => number;
+      /** Called while runs wait and no engine is heard. */
+      readonly onQuiet?: () => void;
     },
   ) {
     const { servers, limits } = engines;
@@ -88,6 +90,7 @@
       usualEventMilliseconds: () => this.usualEventMilliseconds,
       findAvailable: (requirements) =>
         this.#availability.findAvailable(requirements),
+      onQuiet: () => engines.onQuiet?.(),
     });
     servers.watch(() => {
       this.#removeUnregistered();
--- a/source/durable_steps/engine_stall_watch.ts
+++ b/source/durable_steps/engine_stall_watch.ts
@@ -9,6 +9,9 @@
 /** Interval between two checks. */
 const CHECK_MILLISECONDS = 100;
 
+/** Time without an answer or event of any engine after which this node may be cut off from them. */
+const QUIET_MILLISECONDS = 500;
+
 /** A run whose engine may stall. */
 export interface WatchedRun {
   readonly engine: string;
@@ -28,6 +31,8 @@
   readonly findAvailable: (
     requirements: EngineRequirements,
   ) => ReadonlyArray<BackendServerEntry>;
+  /** Called while runs wait and no engine is heard. */
+  readonly onQuiet: () => void;
 }
 
 /** Reports to runs that their engine has stalled, while another engine could go on with them. */
@@ -71,6 +76,8 @@
   #reportStalls(): void {
     const { clock, listRunning, usualEventMilliseconds, findAvailable } =
       this.#options;
+    const quietMilliseconds = clock.monotonic() - this.#heardAt;
+    if (quietMilliseconds > QUIET_MILLISECONDS) this.#options.onQuiet();
     const stalled = selectStalledEngines(listRunning(), {
       now: clock.monotonic(),
       heardAt: this.#heardAt,
--- a/source/durable_steps/step_supervisor.ts
+++ b/source/durable_steps/step_supervisor.ts
@@ -37,6 +37,8 @@
   /** Identity of this process: the node's name and a random part that is new at each start. */
   readonly nodeStart: string;
   readonly readSignature: ReadSignature;
+  /** Whether other nodes should run the steps, since this one reaches no engine; false if absent. */
+  readonly mustYield?: () => boolean;
   readonly stopping: AbortSignal;
 }
 
@@ -82,6 +84,7 @@
     const { tools, stopping } = this.#options;
     while (!stopping.aborted) {
       this.#checkSteps();
+      if (this.#mustYield && this.#runs.size > 0) await this.handOver();
       const isIdle = this.#runs.size === 0 && this.#orphanedSince.size === 0;
       await tools.clock.sleep(
         isIdle ? IDLE_CHECK_INTERVAL_MILLISECONDS : CHECK_INTERVAL_MILLISECONDS,
@@ -111,6 +114,10 @@
     }));
   }
 
+  get #mustYield(): boolean {
+    return this.#options.mustYield?.() ?? false;
+  }
+
   #checkSteps(): void {
     const { tools, nodeStart } = this.#options;
     for (const entry of tools.stepRegistry.entries) {
@@ -159,9 +166,8 @@
   #considerTakeOver(entry: StepEntry): void {
     const { register, tools } = this.#options;
     const { identifier } = entry.manifest;
-    if (this.#isTakeOverStopped || this.#pendingTakeOvers.has(identifier)) {
-      return;
-    }
+    if (this.#isTakeOverStopped || this.#mustYield) return;
+    if (this.#pendingTakeOvers.has(identifier)) return;
     if (this.#isExpired(entry)) return;
     if (this.#isOwnerOnThisNode(entry)) return void this.#takeOver(entry);
     if (!register.isCurrent) return;
--- a/source/durable_steps/step_supervisor_test.ts
+++ b/source/durable_steps/step_supervisor_test.ts
@@ -61,6 +61,8 @@
       engineUse: undefined,
       leavingServers: [],
       limits: [],
+      peerAddress: undefined,
+      isCutOff: false,
       wallOffset: undefined,
       usageSettledThrough: 0,
     }),
--- a/source/installation/installation_settings.ts
+++ b/source/installation/installation_settings.ts
@@ -8,6 +8,8 @@
   readonly processorShare: number;
   /** HOST:PORT that callers connect to. */
   readonly callerAddress: string;
+  /** HOST:PORT at which other nodes are served; undefined when the node serves none. */
+  readonly peerAddress: string | undefined;
   /** HOST:PORT of the readiness check; undefined when the node serves none. */
   readonly readinessAddress: string | undefined;
   /**
--- a/source/installation/limit_news_test.ts
+++ b/source/installation/limit_news_test.ts
@@ -17,6 +17,8 @@
     engineUse: undefined,
     leavingServers: [],
     limits: [],
+    peerAddress: undefined,
+    isCutOff: false,
     wallOffset: undefined,
     usageSettledThrough: -1,
     heartbeatMilliseconds: 300,
--- a/source/installation/node_record.ts
+++ b/source/installation/node_record.ts
@@ -14,6 +14,10 @@
   readonly processorShare: number;
   /** HOST:PORT that callers connect to. */
   readonly callerAddress: string;
+  /** HOST:PORT at which the node forwards calls for other nodes; undefined if it does not. */
+  readonly peerAddress: string | undefined;
+  /** Whether the node reaches no server. */
+  readonly isCutOff: boolean;
   /** Whether the node takes new callers. */
   readonly isServing: boolean;
   /** Whether the node runs steps, which stop until its loss is detected. */
--- a/source/installation/node_record_row.ts
+++ b/source/installation/node_record_row.ts
@@ -3,6 +3,8 @@
 
 /** Index before that of any usage window; nodes of an earlier version publish none. */
 const NO_WINDOW = -1;
+/** Port of a node that does not serve other nodes. */
+const NO_PORT = 0;
 
 // Every node reads the rows of all nodes at each heartbeat, so a record is stored as a compact
 // tuple.
@@ -28,6 +30,8 @@
       demand?: number,
     ]
   >,
+  isCutOff?: number,
+  peerPort?: number,
 ];
 
 /** Serialises a node's record. */
@@ -60,16 +64,32 @@
           Number(demand.toFixed(2)),
         ] as const,
   );
-  const tuple: RecordTuple = limits.length > 0
-    ? [...base, wallOffset, leaving, limits]
-    : leaving.length > 0
-    ? [...base, wallOffset, leaving]
-    : wallOffset === null
-    ? base
-    : [...base, wallOffset];
+  const tuple: RecordTuple = [
+    ...base,
+    wallOffset,
+    leaving,
+    limits,
+    Number(record.isCutOff),
+    readPort(record.peerAddress),
+  ];
   return Buffer.from(JSON.stringify(tuple));
 }
 
+// Nodes serve callers and other nodes at the same host.
+function toPeerAddress(
+  callerAddress: string,
+  port: number | undefined,
+): string | undefined {
+  if (port === undefined || port === NO_PORT) return undefined;
+  return `${callerAddress.slice(0, callerAddress.lastIndexOf(":"))}:${port}`;
+}
+
+function readPort(address: string | undefined): number {
+  return address === undefined
+    ? NO_PORT
+    : Number(address.slice(address.lastIndexOf(":") + 1));
+}
+
 /**
  * Parses a node's record.
  * @returns The record; undefined when this program did not write the row.
@@ -88,6 +108,8 @@
       processorShare,
       callerAddress,
       isServing: tuple[4] === 1,
+      isCutOff: tuple[12] === 1,
+      peerAddress: toPeerAddress(callerAddress, tuple[13]),
       heartbeatMilliseconds: tuple[5],
       engineUse: tuple[6] ?? undefined,
       usageSettledThrough: tuple[7] ?? NO_WINDOW,
--- a/source/installation/node_register_test.ts
+++ b/source/installation/node_register_test.ts
@@ -48,6 +48,8 @@
       engineUse: undefined,
       leavingServers: [],
       limits: [],
+      peerAddress: undefined,
+      isCutOff: false,
       wallOffset: undefined,
       usageSettledThrough: 0,
     }),
--- a/source/installation/select_high_capacity_nodes.ts
+++ b/source/installation/select_high_capacity_nodes.ts
@@ -28,14 +28,17 @@
 }
 
 /**
- * Selects the nodes that should get callers and steps: the serving nodes with high capacity.
+ * Selects the nodes that should get callers and steps: the serving nodes with high capacity that reach
+ * servers, or all if none does.
  * @param running - The running nodes.
- * @returns The selected nodes; all serving nodes when fewer than six of them have high capacity.
+ * @returns The selected nodes; those of any capacity when fewer than six of them have high capacity.
  */
 export function selectHighCapacityNodes(
   running: ReadonlyArray<NodeRecord>,
 ): ReadonlyArray<NodeRecord> {
-  const serving = running.filter(({ isServing }) => isServing);
+  const all = running.filter(({ isServing }) => isServing);
+  const connected = all.filter(({ isCutOff }) => !isCutOff);
+  const serving = connected.length > 0 ? connected : all;
   const highCapacity = filterHighCapacity(serving);
   return highCapacity.length >= MINIMUM_HIGH_CAPACITY_NODES
     ? highCapacity
--- a/source/installation/select_high_capacity_nodes_test.ts
+++ b/source/installation/select_high_capacity_nodes_test.ts
@@ -19,6 +19,8 @@
     engineUse: undefined,
     leavingServers: [],
     limits: [],
+    peerAddress: undefined,
+    isCutOff: false,
     wallOffset: undefined,
     usageSettledThrough: 0,
   };
--- a/source/installation/server_paths.ts
+++ b/source/installation/server_paths.ts
@@ -94,7 +94,16 @@
     const { listServers, random } = this.#options;
     const checks = selectCheckedServers(listServers(), random)
       .map((server) => this.#checkServer(server));
-    return isCutOff(await Promise.all(checks));
+    const firstAccepted = new Promise<ReadonlyArray<ConnectionCheck>>(
+      (resolve) => {
+        for (const check of checks) {
+          void check.then((result) => {
+            if (result === "accepted") resolve([result]);
+          });
+        }
+      },
+    );
+    return isCutOff(await Promise.race([Promise.all(checks), firstAccepted]));
   }
 
   async #checkServer(server: BackendServerEntry): Promise<ConnectionCheck> {
--- a/source/node/create_installation_node.ts
+++ b/source/node/create_installation_node.ts
@@ -6,7 +6,9 @@
 import { CrashDetector } from "../calls/crash_detector.ts";
 import { CrashGuard } from "../calls/crash_guard.ts";
 import { CrashRecords } from "../calls/crash_records.ts";
+import { CallRelay } from "../calls/call_relay.ts";
 import { CallService } from "../calls/call_service.ts";
+import type { PeerClient } from "../calls/peer_client.ts";
 import { StreamOrigins } from "../calls/stream_origins.ts";
 import { ServerCallStatistics } from "../calls/server_call_statistics.ts";
 import { LeaseElector } from "../control/lease_elector.ts";
@@ -85,6 +87,7 @@
   /** Registers a function that receives the store's steady time in milliseconds. */
   readonly watchStoreTime: (onTime: (milliseconds: number) => void) => void;
   readonly client: ServerClient;
+  readonly peers: PeerClient;
   /** Client for duty calls; undefined in an installation without duties. */
   readonly duties: DutyClient | undefined;
   /** Name of the table that the operator writes. */
@@ -159,13 +162,6 @@
     limits,
     isConnected: (server) => client.isConnected(server),
   });
-  const pool = new EnginePool(clock, {
-    servers,
-    limits,
-    isConnected: (engine) => client.isConnected(engine),
-    findMemoryTokens: (service) =>
-      operator.configuration?.services.get(service)?.engineMemoryTokens ?? 0,
-  });
   const findHealthPath = (service: string): string | undefined =>
     operator.configuration?.services.get(service)?.healthPath;
   const serverPaths = new ServerPaths({
@@ -182,6 +178,14 @@
   });
   client.watchLimits(() => serverPaths.recordAnswer());
   client.watchFailures(() => void serverPaths.check());
+  const pool = new EnginePool(clock, {
+    servers,
+    limits,
+    isConnected: (engine) => client.isConnected(engine),
+    findMemoryTokens: (service) =>
+      operator.configuration?.services.get(service)?.engineMemoryTokens ?? 0,
+    onQuiet: () => void serverPaths.check(),
+  });
   const engineUseExchange = new EngineUseExchange(clock, { pool, statistics });
   const sharedClock = new SharedClock({
     clock,
@@ -205,6 +209,8 @@
       failureDomain,
       processorShare: settings.processorShare,
       callerAddress: settings.callerAddress,
+      peerAddress: settings.peerAddress,
+      isCutOff: serverPaths.isCutOff,
       isRunningSteps: (created.node?.parts.steps.running ?? 0) > 0,
       engineUse: engineUseExchange.toRecord(),
       isServing: created.node?.isReady ?? false,
@@ -237,6 +243,7 @@
     name: DUTY_LEASE,
     countLeaseCandidates: () => register.running.length,
     returnMilliseconds: bounds.leaseMilliseconds,
+    isCandidate: () => !callRelay.isNeeded,
     isNodeProcessUnique: true,
     context: {
       ...common,
@@ -251,11 +258,24 @@
     },
   });
   const lease = new DutyLease(leaseElector, settings.node);
+  const callRelay = new CallRelay({
+    clock,
+    log,
+    random,
+    client: adapters.peers,
+    paths: serverPaths,
+    failureDomain,
+    listOthers: () => register.others,
+  });
   const crashRecords = new CrashRecords({ ...stored, lease, pace });
   const crashGuard = new CrashGuard({
     log,
     records: crashRecords,
-    detector: new CrashDetector({ client, findHealthPath }),
+    detector: new CrashDetector({
+      client,
+      findHealthPath,
+      isCutOff: () => serverPaths.check(),
+    }),
   });
   const tools: StepTools = {
     ...stored,
@@ -278,6 +298,7 @@
       client,
       serverStatistics: statistics,
       crashGuard,
+      callRelay,
     }),
     storeHealth: table.health,
     configuration: () => operator.configuration,
@@ -288,6 +309,7 @@
     rendezvous,
     nodeStart,
     readSignature: adapters.readSignature,
+    mustYield: () => callRelay.isNeeded,
     stopping,
   });
   const streamOrigins = new StreamOrigins({
--- a/source/node/installation_node_test.ts
+++ b/source/node/installation_node_test.ts
@@ -19,6 +19,8 @@
   engineUse: undefined,
   leavingServers: [],
   limits: [],
+  peerAddress: undefined,
+  isCutOff: false,
   wallOffset: undefined,
   usageSettledThrough: 0,
 }));
--- a/source/observability/events/installation_events.ts
+++ b/source/observability/events/installation_events.ts
@@ -169,6 +169,13 @@
     action: "",
     fields: [],
   }),
+  relayFailed: defineEvent(9216, {
+    level: "info",
+    message:
+      "A node that should forward a call to the servers did not answer and gets none for some time",
+    action: "",
+    fields: ["request", "node", "reason"],
+  }),
   callEnded: defineEvent(9202, {
     level: "info",
     message: "A call ended without a server's answer",
--- a/source/programs/snipepath_installation.ts
+++ b/source/programs/snipepath_installation.ts
@@ -5,6 +5,7 @@
 import { InstallationEntryServer } from "../../platform/entry_server.ts";
 import { HEADER } from "../../platform/header_names.ts";
 import { readOperatorRow } from "../../platform/operator_rows.ts";
+import { InstallationPeerClient } from "../../platform/peer_client.ts";
 import { InstallationServerClient } from "../../platform/server_client.ts";
 import { readServerRow } from "../../platform/server_rows.ts";
 import {
@@ -165,6 +166,13 @@
         keepAliveMilliseconds: IDLE_CONNECTION_MILLISECONDS,
       }),
     }),
+    peers: new InstallationPeerClient({
+      clock,
+      pools: new ConnectionPools({
+        connectMilliseconds: CONNECT_MILLISECONDS,
+        keepAliveMilliseconds: IDLE_CONNECTION_MILLISECONDS,
+      }),
+    }),
     duties: settings.dutyAddress === undefined
       ? undefined
       : new InstallationDutyClient(
@@ -190,10 +198,16 @@
   settings: InstallationSettings,
   metrics: ScrapedMetrics,
 ): Promise<void> {
-  const { callerAddress, readinessAddress, directoryAddress, metricsAddress } =
-    settings;
+  const {
+    callerAddress,
+    peerAddress,
+    readinessAddress,
+    directoryAddress,
+    metricsAddress,
+  } = settings;
   await Promise.all([
     entry.listenForCallers(callerAddress),
+    peerAddress && entry.listenForPeers(peerAddress),
     readinessAddress && entry.listenForReadiness(readinessAddress),
     directoryAddress && entry.listenForAddresses(directoryAddress),
     metricsAddress.startsWith(":") ||
--- a/stand_ins/installation/create_crash_guard.ts
+++ b/stand_ins/installation/create_crash_guard.ts
@@ -12,7 +12,11 @@
   const log = new RecordingEventLog();
   return new CrashGuard({
     log,
-    detector: new CrashDetector({ client, findHealthPath: () => "/health" }),
+    detector: new CrashDetector({
+      client,
+      findHealthPath: () => "/health",
+      isCutOff: () => Promise.resolve(false),
+    }),
     records: new CrashRecords({
       clock: new SystemClock(),
       log,
--- a/stand_ins/installation/create_step_tools.ts
+++ b/stand_ins/installation/create_step_tools.ts
@@ -1,3 +1,4 @@
+import { createCallRelay } from "./create_call_relay.ts";
 import { createCrashGuard } from "./create_crash_guard.ts";
 import { createCallForwarder } from "../../source/calls/create_call_forwarder.ts";
 import { ServerCallStatistics } from "../../source/calls/server_call_statistics.ts";
@@ -69,6 +70,7 @@
     client,
     forwarder: createCallForwarder({
       crashGuard: createCrashGuard(client),
+      callRelay: createCallRelay(client),
       ...common,
       random,
       servers,
--- a/stand_ins/installation/in_process_nodes.ts
+++ b/stand_ins/installation/in_process_nodes.ts
@@ -3,10 +3,12 @@
 import { InstallationEntryServer } from "../../platform/entry_server.ts";
 import { HEADER } from "../../platform/header_names.ts";
 import { readOperatorRow } from "../../platform/operator_rows.ts";
+import { InstallationPeerClient } from "../../platform/peer_client.ts";
 import { InstallationServerClient } from "../../platform/server_client.ts";
 import { readServerRow } from "../../platform/server_rows.ts";
 import { readSettingsFile } from "../../platform/settings_file.ts";
 import { readSubmission } from "../../platform/step_messages.ts";
+import { ConnectionPools } from "../../source/backends/connection_pools.ts";
 import { toProcessIdentity } from "../../source/installation/process_identity.ts";
 import { createInstallationNode } from "../../source/node/create_installation_node.ts";
 import type { InstallationNode } from "../../source/node/installation_node.ts";
@@ -49,6 +51,7 @@
   const clock = new SystemClock();
   const log = new RecordingEventLog();
   const pools = new BreakablePools();
+  const peerPools = new ConnectionPools();
   const stopping = new AbortController();
   const node = await createInstallationNode({
     settings,
@@ -61,6 +64,7 @@
       table,
       watchStoreTime: () => {},
       client: new InstallationServerClient({ clock, pools }),
+      peers: new InstallationPeerClient({ clock, pools: peerPools }),
       duties: undefined,
       operatorTable: "op",
       serverTable: "servers",
@@ -76,6 +80,7 @@
   const entry = new InstallationEntryServer({ clock, log, node });
   void node.run();
   await entry.listenForCallers(caller);
+  await entry.listenForPeers(settings.peerAddress ?? "");
   while (!node.isReady || !node.parts.register.isLoaded) await clock.sleep(50);
   return {
     name,
@@ -86,7 +91,7 @@
     stop: async () => {
       stopping.abort();
       entry.close();
-      await pools.close();
+      await Promise.all([pools.close(), peerPools.close()]);
     },
   };
 }
