Relay calls within the region, and to nodes with no older configuration only

A node that forwards another one's call could be in another region, or lag behind with the configuration, so that a caller would see an older one than its node had applied. Calls now name the version that their node has applied and are refused as not run by nodes that are behind; other regions are left out.

--- a/source/calls/call_forwarder.ts
+++ b/source/calls/call_forwarder.ts
@@ -21,6 +21,7 @@
 import type { CallOutcome } from "./call_outcome.ts";
 import type { CallRelay, Peer } from "./call_relay.ts";
 import type { CrashGuard, GuardedCall } from "./crash_guard.ts";
+import type { RelayedRequest } from "./peer_client.ts";
 import type { ServerCallStatistics } from "./server_call_statistics.ts";
 import { ENDED } from "../utilities/ended.ts";
 
@@ -59,10 +60,7 @@
   /** Whether the call may crash the servers that run it; scoring requests of samples do not. */
   readonly mayCrashServers: boolean;
   /** What other nodes need to forward the call; absent if they may not. */
-  readonly relay?: {
-    /** API key of the caller; undefined if it sent none. */
-    readonly key: string | undefined;
-  };
+  readonly relay?: Pick<RelayedRequest, "key" | "configurationVersion">;
   /** Called with the server that begins to answer this node with a stream. */
   readonly onStreaming?: (server: BackendServerEntry) => void;
   /** The only service and software version that may answer; any of the route if absent. */
@@ -433,6 +431,7 @@
     const answer = await callRelay.send(peer, {
       ...request,
       key: relay?.key,
+      configurationVersion: relay?.configurationVersion ?? 0,
       budgetMilliseconds: this.#deadline - sentAt,
     }, controller.signal);
     const result = await toAttemptResult(answer, route.kind === "streaming");
--- a/source/calls/call_relay.ts
+++ b/source/calls/call_relay.ts
@@ -27,6 +27,8 @@
   readonly client: PeerClient;
   readonly paths: ServerPaths;
   readonly failureDomain: string;
+  /** Whether a failure domain is in this node's region, which calls must not leave. */
+  readonly isInRegion: (failureDomain: string) => boolean;
   /** Returns the other running nodes. */
   readonly listOthers: () => ReadonlyArray<NodeRecord>;
 }
@@ -95,8 +97,11 @@
   }
 
   get #candidates(): ReadonlyArray<NodeRecord> {
-    return selectHighCapacityNodes(this.#options.listOthers()).filter((
-      { isCutOff, peerAddress },
-    ) => !isCutOff && peerAddress !== undefined);
+    const { listOthers, isInRegion } = this.#options;
+    const usable = listOthers().filter(
+      ({ isCutOff, peerAddress, failureDomain }) =>
+        !isCutOff && peerAddress !== undefined && isInRegion(failureDomain),
+    );
+    return selectHighCapacityNodes(usable);
   }
 }
--- a/source/calls/call_service.ts
+++ b/source/calls/call_service.ts
@@ -49,8 +49,11 @@
   readonly resumedRequest: string;
   /** Time of arrival, in milliseconds on the monotonic clock. */
   readonly arrivedAt: number;
-  /** Whether another node sent the call because it does not reach the servers. */
-  readonly isRelayed: boolean;
+  /** Set for a call that another node sent because it does not reach the servers. */
+  readonly relayed: {
+    /** Version of the configuration that the other node has applied. */
+    readonly minimumConfiguration: number;
+  } | undefined;
   /** Aborted when the caller disconnects. */
   readonly signal: AbortSignal;
 }
@@ -108,6 +111,9 @@
   async #dispatch(call: IncomingCall): Promise<CallOutcome> {
     const { configuration } = this.#options.operator;
     if (configuration === undefined) return NOT_CONFIGURED;
+    // A caller must not see an older configuration than its node has applied.
+    const minimum = call.relayed?.minimumConfiguration ?? 0;
+    if (configuration.version < minimum) return NOT_CONFIGURED;
     const path = call.target.split("?")[0] ?? "";
     const route = findRoute(configuration, call.host, path);
     if (route === undefined) {
@@ -237,7 +243,7 @@
       readonly onStreaming?: (server: BackendServerEntry) => void;
     },
   ): Promise<CallOutcome> {
-    const { forwarder, usage, clock } = this.#options;
+    const { forwarder, usage, clock, operator } = this.#options;
     const entry = organisation === undefined
       ? undefined
       : usage.open(organisation, clock.wall());
@@ -256,11 +262,20 @@
             : { afterEvent: call.afterEvent }),
         },
         // The node that relays a call counts one attempt.
-        route: call.isRelayed ? { ...route, maximumAttempts: 1 } : route,
+        route: call.relayed === undefined
+          ? route
+          : { ...route, maximumAttempts: 1 },
         priority: this.#findPriority(route, organisation),
         isDeferrable: false,
         mayCrashServers: true,
-        ...(call.isRelayed ? {} : { relay: { key: call.key } }),
+        ...(call.relayed === undefined
+          ? {
+            relay: {
+              key: call.key,
+              configurationVersion: operator.configuration?.version ?? 0,
+            },
+          }
+          : {}),
         deadline: call.arrivedAt +
           (call.budgetMilliseconds ?? route.timeoutMilliseconds),
         signal: call.signal,
--- a/source/calls/peer_client.ts
+++ b/source/calls/peer_client.ts
@@ -8,6 +8,8 @@
   /** API key of the caller, which the other node checks itself; undefined if it sent none. */
   readonly key: string | undefined;
   readonly budgetMilliseconds: number;
+  /** Version of the configuration that this node has applied; the other node refuses the call before it. */
+  readonly configurationVersion: number;
 }
 
 /** Client for the other nodes, which forward calls to servers that this node can't reach. */
--- a/source/control/lease_elector_test.ts
+++ b/source/control/lease_elector_test.ts
@@ -397,3 +397,24 @@
   await clock.advance(RETURN_MILLISECONDS);
   t.is(other.lease.getHeldLease()?.fencingNumber, 3);
 });
+
+test("a holder that may not hold the lease any more releases it, and returns only after the lease time", async (t) => {
+  const run = new LeaseSimulation();
+  const state = { isCandidate: true };
+  run.firstLease = new LeaseElector({
+    context: run.first.context,
+    name: "usage",
+    isCandidate: () => state.isCandidate,
+    returnMilliseconds: 3 * LEASE_MILLISECONDS,
+  });
+  await run.start();
+  t.truthy(run.firstLease.getHeldLease());
+  state.isCandidate = false;
+  await run.advance(LEASE_MILLISECONDS + ORDER_DEADLINE_MILLISECONDS);
+  t.is(run.firstLease.getHeldLease(), undefined);
+  t.truthy(run.secondLease.getHeldLease());
+  state.isCandidate = true;
+  await run.advance(2 * LEASE_MILLISECONDS);
+  t.is(run.firstLease.getHeldLease(), undefined);
+  t.deepEqual(run.holders, ["node-1:1", "node-2:2"]);
+});
--- a/source/installation/installation_settings.ts
+++ b/source/installation/installation_settings.ts
@@ -4,6 +4,8 @@
   readonly node: string;
   readonly failureDomain: string;
   readonly region: string;
+  /** Region by failure domain, as far as known. */
+  readonly regions: ReadonlyMap<string, string>;
   /** Processor capacity that the node may use, in cores of reference speed. */
   readonly processorShare: number;
   /** HOST:PORT that callers connect to. */
--- a/source/node/create_installation_node.ts
+++ b/source/node/create_installation_node.ts
@@ -265,6 +265,10 @@
     client: adapters.peers,
     paths: serverPaths,
     failureDomain,
+    isInRegion: (domain) => {
+      const { regions, region } = settings;
+      return (regions.get(domain) ?? region) === region;
+    },
     listOthers: () => register.others,
   });
   const crashRecords = new CrashRecords({ ...stored, lease, pace });
--- a/stand_ins/installation/breakable_pools.ts
+++ b/stand_ins/installation/breakable_pools.ts
@@ -10,7 +10,9 @@
   /** Nothing arrives, over new connections or old ones. */
   | "hangs"
   /** Connections are refused, and old ones are closed. */
-  | "refuses";
+  | "refuses"
+  /** New connections are refused, and old ones work. */
+  | "refuses new connections";
 
 /** Connections of one node to servers, whose path a test can break. */
 export class BreakablePools extends ConnectionPools {
@@ -22,6 +24,9 @@
     const dispatcher = super.getDispatcher(address, newConnection);
     if (this.fault === undefined) return dispatcher;
     const isConnected = !newConnection && this.countIdle(address) > 0;
+    if (isConnected && this.fault === "refuses new connections") {
+      return dispatcher;
+    }
     const fail = FAULTS[this.fault];
     return {
       request: (options: TrackedRequestOptions & { signal: AbortSignal }) =>
@@ -48,8 +53,11 @@
     );
     throw new Error("Connect timeout");
   },
-  refuses: async () => {
-    await wait(1);
-    throw new Error("connect ECONNREFUSED");
-  },
+  refuses: refuse,
+  "refuses new connections": refuse,
 };
+
+async function refuse(): Promise<never> {
+  await wait(1);
+  throw new Error("connect ECONNREFUSED");
+}
--- a/stand_ins/installation/create_call_relay.ts
+++ b/stand_ins/installation/create_call_relay.ts
@@ -28,6 +28,7 @@
       stopping: new AbortController().signal,
     }),
     failureDomain: "a",
+    isInRegion: () => true,
     listOthers: () => [],
   });
 }
--- a/stand_ins/installation/in_process_nodes.ts
+++ b/stand_ins/installation/in_process_nodes.ts
@@ -23,6 +23,8 @@
   readonly name: string;
   /** HOST:PORT that callers connect to. */
   readonly caller: string;
+  /** HOST:PORT at which the node serves other nodes. */
+  readonly peer: string;
   readonly node: InstallationNode;
   readonly log: RecordingEventLog;
   /** Connections to servers, whose path the test can break. */
@@ -85,6 +87,7 @@
   return {
     name,
     caller,
+    peer: `127.0.0.1:${peer}`,
     node,
     log,
     pools,
