--- a/source/calls/call_forwarder.ts
+++ b/source/calls/call_forwarder.ts
@@ -1,19 +1,12 @@
 import { type AttemptResult, toAttemptResult } from "./attempt_result.ts";
+import { type AttemptRun, AttemptSet } from "./attempt_set.ts";
 import { toRetryAfter } from "../decisions/call_admission.ts";
-import type { StreamOrigin } from "../decisions/stream_continuation.ts";
 import type { HedgeTiming } from "../decisions/hedge_timing.ts";
 import type { RetryBudget } from "../decisions/retry_budget.ts";
 import type { CallGate } from "./call_gate.ts";
-import type {
-  ServerAnswer,
-  ServerClient,
-  ServerRequest,
-} from "../backends/server_client.ts";
+import type { ServerAnswer, ServerClient } from "../backends/server_client.ts";
 import type { BackendServerEntry } from "../installation/backend_server_entry.ts";
-import {
-  selectService,
-  type ServiceRoute,
-} from "../installation/configuration.ts";
+import { selectService } from "../installation/configuration.ts";
 import type { ServerView } from "../installation/server_view.ts";
 import type { EventLog } from "../observability/event_log.ts";
 import type { Clock } from "../utilities/clock.ts";
@@ -21,9 +14,13 @@
 import type { CallOutcome } from "./call_outcome.ts";
 import type { CallRelay, Peer } from "./call_relay.ts";
 import type { CrashGuard, GuardedCall } from "./crash_guard.ts";
-import type { RelayedRequest } from "./peer_client.ts";
+import type { ForwardedCall } from "./forwarded_call.ts";
+import {
+  describeFailure,
+  toAnsweredOutcome,
+  toHeldOutcome,
+} from "./forwarding_outcomes.ts";
 import type { ServerCallStatistics } from "./server_call_statistics.ts";
-import { ENDED } from "../utilities/ended.ts";
 
 /** Pause before the first repeated attempt when every server was tried. */
 const RETRY_PAUSE_MILLISECONDS = 20;
@@ -40,33 +37,6 @@
 /** Time reserved for the response to reach the caller before the caller's deadline. */
 const RESPONSE_MARGIN_MILLISECONDS = 15;
 
-/** A call to forward to a backend server. */
-export interface ForwardedCall {
-  readonly request: Omit<ServerRequest, "budgetMilliseconds">;
-  readonly route: ServiceRoute;
-  /** The caller's deadline, in milliseconds on the monotonic clock. */
-  readonly deadline: number;
-  /** Rank of the call's organisation or else of its route; 0 goes first. */
-  readonly priority: number;
-  /** Whether calls of the same rank that callers wait for go first. */
-  readonly isDeferrable: boolean;
-  /** Aborted when the caller disconnects. */
-  readonly signal: AbortSignal;
-  /**
-   * Called with the status of each signed response of a server to this node; the signature proves that
-   * the server ran the request.
-   */
-  readonly onAnswered?: (status: number) => void;
-  /** Whether the call may crash the servers that run it; scoring requests of samples do not. */
-  readonly mayCrashServers: boolean;
-  /** What other nodes need to forward the call; absent if they may not. */
-  readonly relay?: Pick<RelayedRequest, "key" | "configurationVersion">;
-  /** Called with the server that begins to answer this node with a stream. */
-  readonly onStreaming?: (server: BackendServerEntry) => void;
-  /** The only service and software version that may answer; any of the route if absent. */
-  readonly origin?: StreamOrigin;
-}
-
 /** Dependencies of a call forwarder. */
 export interface CallForwarderOptions {
   readonly clock: Clock;
@@ -112,17 +82,10 @@
   readonly #guarded: GuardedCall | undefined;
   /** Identifiers of the servers to which an attempt was sent. */
   readonly #triedServers = new Set<string>();
-  readonly #attemptControllers = new Set<AbortController>();
-  readonly #runningAttempts = new Set<Promise<void>>();
-  /** Results of ended attempts that were not processed yet. */
-  #results: AttemptResult[] = [];
-  /** Whether the last attempt that ended had no connection to its server. */
-  #hasFailedToConnect = false;
+  readonly #attempts: AttemptSet;
   /** Number of attempts through other nodes. */
   #relayCount = 0;
   #retryPauseMilliseconds = RETRY_PAUSE_MILLISECONDS;
-  /** Number of attempts whose request a server has run or may have run. */
-  #possiblyExecutedAttemptCount = 0;
   /**
    * Result to report when no attempt succeeds; a response with a 5xx status replaces any other
    * result.
@@ -135,6 +98,7 @@
     this.#service = call.origin?.service ??
       selectService(call.route, options.random.next());
     this.#startedAt = options.clock.monotonic();
+    this.#attempts = new AttemptSet(options.clock, call.signal);
     this.#guarded = call.mayCrashServers
       ? options.crashGuard.watch(call.request)
       : undefined;
@@ -169,13 +133,11 @@
       retryBudget.recordFirstAttempt(route.name);
       return await this.#runAttempts();
     } finally {
-      if (this.#possiblyExecutedAttemptCount === 0) {
+      if (this.#attempts.possiblyExecuted === 0) {
         this.#guarded?.recordUnsent();
       }
       gate.recordEnd(this.#service);
-      for (const controller of this.#attemptControllers) {
-        controller.abort(ENDED);
-      }
+      this.#attempts.cancel();
     }
   }
 
@@ -188,17 +150,19 @@
       if (done !== undefined) return done;
       const now = clock.monotonic();
       if (now >= this.#deadline) return this.#toFinalOutcome();
-      if (this.#runningAttempts.size === 0) {
-        if (this.#hasFailedToConnect) await this.#options.callRelay.check();
+      if (this.#attempts.running === 0) {
+        if (this.#attempts.hasFailedToConnect) {
+          await this.#options.callRelay.check();
+        }
         if (!this.#mayRetry()) return this.#toFinalOutcome();
         if (!this.#isRelayNeeded && !this.#hasUntriedServer()) {
-          await this.#waitForAttemptOrTimeout(this.#nextRetryPause());
+          await this.#attempts.wait(this.#nextRetryPause());
         }
         hedgeAt = this.#startAttempt();
       } else if (now >= hedgeAt) {
         hedgeAt = await this.#startHedge();
       } else {
-        await this.#waitForAttemptOrTimeout(
+        await this.#attempts.wait(
           Math.min(hedgeAt, this.#deadline) - now,
         );
       }
@@ -214,8 +178,8 @@
   async #startHedge(): Promise<number> {
     const { callRelay } = this.#options;
     if (callRelay.isQuietSince(this.#startedAt)) await callRelay.check();
-    const isStillWaiting = this.#results.length === 0;
-    return isStillWaiting && this.#mayHedge() ? this.#startAttempt() : Infinity;
+    if (this.#attempts.hasResult || !this.#mayHedge()) return Infinity;
+    return this.#startAttempt();
   }
 
   // Starts an attempt; returns the monotonic time, in milliseconds, from which a hedged attempt may
@@ -230,28 +194,21 @@
     );
     const server = statistics.pick(untried) ?? statistics.pick(all);
     if (server === undefined) {
-      this.#results.push({ kind: "notRun", isRefused: true });
+      this.#attempts.add({ kind: "notRun", isRefused: true });
       return Infinity;
     }
     this.#triedServers.add(server.identifier);
-    return this.#track(this.#attempt(server));
+    return this.#start((signal) => this.#attempt(server, signal));
   }
 
   #startRelay(peer: Peer): number {
     this.#relayCount += 1;
-    return this.#track(this.#relay(peer));
+    return this.#start((signal) => this.#relay(peer, signal));
   }
 
-  // Adds an attempt to the running ones; returns the time from which a hedged attempt may start.
-  #track(started: Promise<AttemptResult>): number {
-    this.#possiblyExecutedAttemptCount += 1;
-    const attempt = started.then((result) => {
-      this.#runningAttempts.delete(attempt);
-      if (result.kind === "notRun") this.#possiblyExecutedAttemptCount -= 1;
-      this.#hasFailedToConnect = result.kind === "notRun" && !result.isRefused;
-      this.#results.push(result);
-    });
-    this.#runningAttempts.add(attempt);
+  // Returns the monotonic time, in milliseconds, from which a hedged attempt may start.
+  #start(run: AttemptRun): number {
+    this.#attempts.start(run);
     const { hedgeTiming, clock } = this.#options;
     const { name, latencyTargetMilliseconds } = this.#call.route;
     return clock.monotonic() + hedgeTiming.delayMilliseconds(
@@ -261,9 +218,7 @@
   }
 
   #takeOutcome(): CallOutcome | undefined {
-    const results = this.#results;
-    this.#results = [];
-    for (const result of results) {
+    for (const result of this.#attempts.takeResults()) {
       if (result.kind === "streaming") {
         return this.#toStreamingOutcome(result.answer);
       }
@@ -293,20 +248,17 @@
   #toStreamingOutcome(answer: ServerAnswer): CallOutcome {
     const { status, headers, body } = answer;
     // The stream outlives this run, so `finish`, not `run`, cancels the attempts.
-    const controllers = [...this.#attemptControllers];
-    this.#attemptControllers.clear();
-    const finish = (): void =>
-      controllers.forEach((controller) => controller.abort(ENDED));
+    const finish = this.#attempts.detach();
     return { kind: "streaming", status, headers, body, finish };
   }
 
   #mayRetry(): boolean {
     const { route } = this.#call;
-    if (this.#possiblyExecutedAttemptCount === 0) {
+    if (this.#attempts.possiblyExecuted === 0) {
       return this.#mayRetryUnrunCall();
     }
     return route.kind === "idempotent" &&
-      this.#possiblyExecutedAttemptCount < route.maximumAttempts &&
+      this.#attempts.possiblyExecuted < route.maximumAttempts &&
       this.#guarded?.mayRepeat !== false &&
       this.#options.retryBudget.takeRetry(route.name);
   }
@@ -321,7 +273,7 @@
   #mayHedge(): boolean {
     const { route } = this.#call;
     return route.kind === "idempotent" &&
-      this.#possiblyExecutedAttemptCount < route.maximumAttempts &&
+      this.#attempts.possiblyExecuted < route.maximumAttempts &&
       (this.#isRelayNeeded || this.#hasFreeServer()) &&
       this.#guarded?.isSuspect !== true &&
       this.#options.retryBudget.takeRetry(route.name);
@@ -358,7 +310,7 @@
   #toFinalOutcome(): CallOutcome {
     const failure = this.#failureToReport;
     if (failure?.kind === "complete") return toAnsweredOutcome(failure);
-    if (this.#possiblyExecutedAttemptCount === 0) {
+    if (this.#attempts.possiblyExecuted === 0) {
       const { serverStatistics, random } = this.#options;
       const all = this.#candidates;
       const backlogMilliseconds = Math.max(
@@ -374,36 +326,31 @@
         ),
       };
     }
-    const reason = this.#runningAttempts.size > 0 ? "timedOut" : "serverFailed";
+    const reason = this.#attempts.running > 0 ? "timedOut" : "serverFailed";
     return { kind: "unknown", reason };
   }
 
-  async #attempt(server: BackendServerEntry): Promise<AttemptResult> {
+  async #attempt(
+    server: BackendServerEntry,
+    signal: AbortSignal,
+  ): Promise<AttemptResult> {
     const { serverStatistics: statistics, clock, log } = this.#options;
     const { identifier } = server;
-    const controller = new AbortController();
-    const cancelAttempt = (): void => controller.abort(ENDED);
-    this.#attemptControllers.add(controller);
-    this.#call.signal.addEventListener("abort", cancelAttempt, { once: true });
     statistics.recordStart(identifier);
     const sentAt = clock.monotonic();
     const result = this.#watchStream(
       server,
-      await this.#sendRequest(server, controller.signal),
+      await this.#sendRequest(server, signal),
     );
     const milliseconds = clock.monotonic() - sentAt;
     statistics.recordEnd(identifier);
-    if (result.kind !== "streaming") {
-      this.#attemptControllers.delete(controller);
-      this.#call.signal.removeEventListener("abort", cancelAttempt);
-    }
     if (result.kind === "streaming") this.#call.onStreaming?.(server);
     const isServed = result.kind === "streaming" ||
       (result.kind === "complete" && result.status < 500);
     if (isServed) {
       statistics.recordSuccess(identifier, milliseconds);
       this.#options.hedgeTiming.record(this.#call.route.name, milliseconds);
-    } else if (controller.signal.aborted) {
+    } else if (signal.aborted) {
       statistics.recordMinimumDuration(identifier, milliseconds);
     } else if (result.kind !== "notRun" || !result.isRefused) {
       statistics.recordFailure(identifier);
@@ -420,25 +367,17 @@
   }
 
   // Sends the call through another node, which counts its use and records where a stream began.
-  async #relay(peer: Peer): Promise<AttemptResult> {
+  async #relay(peer: Peer, signal: AbortSignal): Promise<AttemptResult> {
     const { callRelay, clock, hedgeTiming } = this.#options;
-    const { request, relay, route, signal } = this.#call;
-    const controller = new AbortController();
-    const cancelAttempt = (): void => controller.abort(ENDED);
-    this.#attemptControllers.add(controller);
-    signal.addEventListener("abort", cancelAttempt, { once: true });
+    const { request, relay, route } = this.#call;
     const sentAt = clock.monotonic();
     const answer = await callRelay.send(peer, {
       ...request,
       key: relay?.key,
       configurationVersion: relay?.configurationVersion ?? 0,
       budgetMilliseconds: this.#deadline - sentAt,
-    }, controller.signal);
+    }, signal);
     const result = await toAttemptResult(answer, route.kind === "streaming");
-    if (result.kind !== "streaming") {
-      this.#attemptControllers.delete(controller);
-      signal.removeEventListener("abort", cancelAttempt);
-    }
     if (result.kind === "complete" && result.status < 500) {
       hedgeTiming.record(route.name, clock.monotonic() - sentAt);
     }
@@ -477,36 +416,4 @@
     const isStreaming = this.#call.route.kind === "streaming";
     return await toAttemptResult(answer, isStreaming);
   }
-
-  // Waits until an attempt ends, the time has passed or the caller disconnects.
-  async #waitForAttemptOrTimeout(milliseconds: number): Promise<void> {
-    const wake = new AbortController();
-    const { signal } = this.#call;
-    const wakeUp = (): void => wake.abort(ENDED);
-    signal.addEventListener("abort", wakeUp, { once: true });
-    await Promise.race([
-      ...this.#runningAttempts,
-      this.#options.clock.sleep(Math.max(1, milliseconds), wake.signal),
-    ]);
-    signal.removeEventListener("abort", wakeUp);
-    wake.abort(ENDED);
-  }
-}
-
-function toHeldOutcome(retryAfterMilliseconds: number): CallOutcome {
-  return { kind: "refused", refusal: "crashesServers", retryAfterMilliseconds };
-}
-
-function toAnsweredOutcome(
-  result: Extract<AttemptResult, { kind: "complete" }>,
-): CallOutcome {
-  const { status, body, answer } = result;
-  return { kind: "answered", status, headers: answer.headers, body };
-}
-
-function describeFailure(result: AttemptResult): string {
-  if (result.kind === "failed") return result.reason;
-  return result.kind === "complete"
-    ? `status ${result.status}`
-    : "request was not run";
 }
--- a/source/node/create_installation_node.ts
+++ b/source/node/create_installation_node.ts
@@ -1,18 +1,15 @@
 import { type FollowerPace, USUAL_PACE } from "../platform/table_follower.ts";
 import { TextLengthEstimate } from "../decisions/text_length.ts";
 import { randomInt } from "node:crypto";
-import type { ServerClient } from "../backends/server_client.ts";
 import { createCallForwarder } from "../calls/create_call_forwarder.ts";
 import { CrashDetector } from "../calls/crash_detector.ts";
 import { CrashGuard } from "../calls/crash_guard.ts";
 import { CrashRecords } from "../calls/crash_records.ts";
 import { CallRelay } from "../calls/call_relay.ts";
 import { CallService } from "../calls/call_service.ts";
-import type { PeerClient } from "../calls/peer_client.ts";
 import { StreamOrigins } from "../calls/stream_origins.ts";
 import { ServerCallStatistics } from "../calls/server_call_statistics.ts";
 import { LeaseElector } from "../control/lease_elector.ts";
-import type { DutyClient } from "../duties/duty_client.ts";
 import { DutyLease } from "../duties/duty_lease.ts";
 import { LeaseTable } from "../duties/lease_table.ts";
 import { ServerReplacer } from "../duties/server_replacer.ts";
@@ -24,24 +21,18 @@
 import { EnginePool } from "../durable_steps/engine_pool.ts";
 import { ProgressStore } from "../durable_steps/progress_store.ts";
 import { ResultList } from "../durable_steps/result_list.ts";
-import type { ReadSignature } from "../durable_steps/sample_scoring.ts";
 import { StepRegistry } from "../durable_steps/step_registry.ts";
 import { StepAdmissionControl } from "../durable_steps/step_admission_control.ts";
 import { StepIntake } from "../durable_steps/step_intake.ts";
 import { StepSupervisor } from "../durable_steps/step_supervisor.ts";
 import { StepReader } from "../durable_steps/step_reader.ts";
 import { StepRetention } from "../durable_steps/step_retention.ts";
-import type { ReadSubmission } from "../durable_steps/step_submission.ts";
 import type { StepTools } from "../durable_steps/step_tools.ts";
 import { SubmissionStore } from "../durable_steps/submission_store.ts";
-import type { BackendServerEntry } from "../installation/backend_server_entry.ts";
 import type { InstallationSettings } from "../installation/installation_settings.ts";
 import { toLimitNews } from "../installation/limit_news.ts";
 import { NodeRegister } from "../installation/node_register.ts";
-import {
-  type OperatorRow,
-  OperatorView,
-} from "../installation/operator_view.ts";
+import { OperatorView } from "../installation/operator_view.ts";
 import { ServerLimits } from "../installation/server_limits.ts";
 import { ServerPaths } from "../installation/server_paths.ts";
 import { ServerView } from "../installation/server_view.ts";
@@ -52,10 +43,10 @@
 import type { Metrics } from "../observability/metrics.ts";
 import type { EventLog } from "../observability/event_log.ts";
 import { MeasuredTable } from "../platform/measured_table.ts";
-import type { DurableTable } from "../platform/durable_table.ts";
 import type { Clock } from "../utilities/clock.ts";
 import { createRandomSource } from "../utilities/random_source.ts";
 import { setInstallationGauges } from "./installation_gauges.ts";
+import type { InstallationAdapters } from "./installation_adapters.ts";
 import { type BackgroundPart, InstallationNode } from "./installation_node.ts";
 
 /**
@@ -81,28 +72,6 @@
 /** Time from its start in which a node publishes the difference in each heartbeat. */
 const WALL_OFFSET_START_SECONDS = 4;
 
-/** Clients of an installation's services and parsers of its messages. */
-export interface InstallationAdapters {
-  readonly table: DurableTable;
-  /** Registers a function that receives the store's steady time in milliseconds. */
-  readonly watchStoreTime: (onTime: (milliseconds: number) => void) => void;
-  readonly client: ServerClient;
-  readonly peers: PeerClient;
-  /** Client for duty calls; undefined in an installation without duties. */
-  readonly duties: DutyClient | undefined;
-  /** Name of the table that the operator writes. */
-  readonly operatorTable: string;
-  /** Name of the table in which servers register. */
-  readonly serverTable: string;
-  readonly readOperatorRow: (key: string, value: Buffer) => OperatorRow;
-  readonly readServerRow: (
-    key: string,
-    value: Buffer,
-  ) => BackendServerEntry | undefined;
-  readonly readSubmission: ReadSubmission;
-  readonly readSignature: ReadSignature;
-}
-
 /** Dependencies of a node of an installation. */
 export interface InstallationNodeOptions {
   readonly settings: InstallationSettings;
--- a/source/programs/snipepath_installation.ts
+++ b/source/programs/snipepath_installation.ts
@@ -17,10 +17,8 @@
 import { ConnectionPools } from "../backends/connection_pools.ts";
 import type { InstallationSettings } from "../installation/installation_settings.ts";
 import { toProcessIdentity } from "../installation/process_identity.ts";
-import {
-  createInstallationNode,
-  type InstallationAdapters,
-} from "../node/create_installation_node.ts";
+import { createInstallationNode } from "../node/create_installation_node.ts";
+import type { InstallationAdapters } from "../node/installation_adapters.ts";
 import type { InstallationNode } from "../node/installation_node.ts";
 import { createEventLog, type EventLog } from "../observability/event_log.ts";
 import { ScrapedMetrics } from "../observability/scraped_metrics.ts";
