Try held requests sooner while other servers run, and return trials that show nothing

Causes, read in the code: the first hold lasted 3 s although the servers were back after 0.7 s; and a trial whose connection was cut by a server that runs on was spent, which held the calls for a minute.

The first trial comes after 1 s while two servers run that did not end under the request, so that another crash would not end the service.

--- a/source/calls/call_forwarder.ts
+++ b/source/calls/call_forwarder.ts
@@ -100,7 +100,7 @@
     this.#startedAt = options.clock.monotonic();
     this.#attempts = new AttemptSet(options.clock, call.signal);
     this.#guarded = call.mayCrashServers
-      ? options.crashGuard.watch(call.request)
+      ? options.crashGuard.watch(call.request, this.#service)
       : undefined;
     this.#deadline = Math.min(
       call.deadline - RESPONSE_MARGIN_MILLISECONDS,
@@ -134,7 +134,7 @@
       return await this.#runAttempts();
     } finally {
       if (this.#attempts.possiblyExecuted === 0) {
-        this.#guarded?.recordUnsent();
+        this.#guarded?.returnTrial();
       }
       gate.recordEnd(this.#service);
       this.#attempts.cancel();
--- a/source/calls/crash_detector.ts
+++ b/source/calls/crash_detector.ts
@@ -1,4 +1,7 @@
-import type { ServerClient } from "../backends/server_client.ts";
+import type {
+  ServerClient,
+  ServerProcessState,
+} from "../backends/server_client.ts";
 import type { BackendServerEntry } from "../installation/backend_server_entry.ts";
 
 /** Time limit of a check; a running server accepts connections within a few milliseconds. */
@@ -13,19 +16,30 @@
   readonly isCutOff: () => Promise<boolean>;
 }
 
+/** Whether the process of a server outlived a connection; `unknown` if the check can't tell. */
+export type ServerFate = "ended" | "running" | "unknown";
+
+const FATES: Readonly<Record<ServerProcessState, ServerFate>> = {
+  running: "running",
+  silent: "running",
+  replaced: "ended",
+  refused: "ended",
+  unreachable: "unknown",
+};
+
 /** Tells a server that has ended from one that only closed a connection. */
 export class CrashDetector {
   readonly #options: CrashDetectorOptions;
   /** Checks in progress by the start of the server, which the calls that were cut with it share. */
-  readonly #checks = new Map<string, Promise<boolean>>();
+  readonly #checks = new Map<string, Promise<ServerFate>>();
 
   /** @param options - The client and the health checks of services. */
   constructor(options: CrashDetectorOptions) {
     this.#options = options;
   }
 
-  /** Whether the start of a server that an entry describes has ended; false if that is not known. */
-  async hasEnded(server: BackendServerEntry): Promise<boolean> {
+  /** Finds out whether the start of a server that an entry describes has ended. */
+  async findFate(server: BackendServerEntry): Promise<ServerFate> {
     const start = `${server.identifier}/${server.startedAt}`;
     const running = this.#checks.get(start);
     if (running !== undefined) return await running;
@@ -38,16 +52,15 @@
     }
   }
 
-  async #check(server: BackendServerEntry): Promise<boolean> {
-    const { client, findHealthPath } = this.#options;
+  async #check(server: BackendServerEntry): Promise<ServerFate> {
+    const { client, findHealthPath, isCutOff } = this.#options;
     const path = findHealthPath(server.service);
-    if (path === undefined) return false;
+    if (path === undefined) return "unknown";
     const state = await client.checkProcess(server, {
       path,
       milliseconds: CHECK_MILLISECONDS,
     });
     // A node that is cut off is refused by all servers, whether they run or not.
-    return state === "replaced" ||
-      (state === "refused" && !await this.#options.isCutOff());
+    return state === "refused" && await isCutOff() ? "unknown" : FATES[state];
   }
 }
--- a/source/calls/crash_guard.ts
+++ b/source/calls/crash_guard.ts
@@ -18,7 +18,7 @@
 /** Dependencies of a crash guard. */
 export interface CrashGuardOptions {
   readonly log: EventLog;
-  readonly detector: Pick<CrashDetector, "hasEnded">;
+  readonly detector: Pick<CrashDetector, "findFate">;
   readonly records: Pick<
     CrashRecords,
     | "size"
@@ -40,9 +40,12 @@
     this.#options = options;
   }
 
-  /** Begins to watch the attempts of one call. */
-  watch(request: Omit<ServerRequest, "budgetMilliseconds">): GuardedCall {
-    return new GuardedCall(this.#options, request);
+  /** Begins to watch the attempts of one call to a service. */
+  watch(
+    request: Omit<ServerRequest, "budgetMilliseconds">,
+    service: string,
+  ): GuardedCall {
+    return new GuardedCall(this.#options, request, service);
   }
 }
 
@@ -50,19 +53,23 @@
 export class GuardedCall {
   readonly #options: CrashGuardOptions;
   readonly #request: Omit<ServerRequest, "budgetMilliseconds">;
+  readonly #service: string;
   #isOnTrial = false;
   #computedContent: string | undefined;
 
   /**
    * @param options - The detector of crashes and the records of all nodes.
    * @param request - The request that the attempts send.
+   * @param service - Service that the request is sent to.
    */
   constructor(
     options: CrashGuardOptions,
     request: Omit<ServerRequest, "budgetMilliseconds">,
+    service: string,
   ) {
     this.#options = options;
     this.#request = request;
+    this.#service = service;
   }
 
   /** Whether servers have ended under calls with the same content, so that it must not be hedged. */
@@ -75,14 +82,15 @@
   get mayRepeat(): boolean {
     const { records } = this.#options;
     if (records.size === 0) return true;
-    return !this.#isOnTrial && records.decide(this.#content).kind === "send";
+    return !this.#isOnTrial &&
+      records.decide(this.#content, this.#service).kind === "send";
   }
 
   /** Returns how long the call must be held at present; undefined if it need not be. */
   findHold(): number | undefined {
     const { records } = this.#options;
     if (records.size === 0) return undefined;
-    const decision = records.decide(this.#content);
+    const decision = records.decide(this.#content, this.#service);
     return decision.kind === "reject"
       ? decision.retryAfterMilliseconds
       : undefined;
@@ -92,7 +100,7 @@
   async admit(): Promise<CrashAdmission> {
     const { records } = this.#options;
     if (records.size === 0) return { kind: "open" };
-    const decision = records.decide(this.#content);
+    const decision = records.decide(this.#content, this.#service);
     if (decision.kind === "send") return { kind: "open" };
     if (decision.kind === "reject") return { ...decision, kind: "held" };
     this.#isOnTrial = await records.claimTrial(this.#content);
@@ -110,7 +118,10 @@
     const { detector, records, log } = this.#options;
     if (result.kind === "complete") this.recordSuccess();
     if (result.kind !== "failed" || result.cause !== "cut") return;
-    if (!await detector.hasEnded(server)) return;
+    const fate = await detector.findFate(server);
+    // The connection was cut for another reason, so the trial shows nothing.
+    if (fate === "running") this.returnTrial();
+    if (fate !== "ended") return;
     log.emit("serverEndedDuringCall", {
       request: this.#request.identifier,
       content: this.#content,
@@ -143,8 +154,8 @@
     this.recordSuccess();
   }
 
-  /** Returns the trial, if the call has it and no server ran the call. */
-  recordUnsent(): void {
+  /** Returns the trial, if the call has it, so that another call can be tried. */
+  returnTrial(): void {
     if (!this.#isOnTrial) return;
     this.#isOnTrial = false;
     this.#options.records.returnTrial(this.#content);
--- a/source/calls/crash_records.ts
+++ b/source/calls/crash_records.ts
@@ -41,6 +41,8 @@
   readonly log: EventLog;
   readonly table: DurableTable;
   readonly lease: Pick<DutyLease, "getHeldDuty">;
+  /** Returns the servers of a service that take requests. */
+  readonly findServers: (service: string) => ReadonlyArray<BackendServerEntry>;
   /** How often the store is called at present. */
   readonly pace: () => FollowerPace;
   readonly stopping: AbortSignal;
@@ -91,12 +93,13 @@
     return this.#known.size;
   }
 
-  /** Decides whether a call with a content may be sent to a server. */
-  decide(content: string): SuspectDecision {
-    return decideSuspect(
-      this.#known.get(content)?.record,
-      this.#options.clock.wall(),
-    );
+  /** Decides whether a call with a content may be sent to a server of a service. */
+  decide(content: string, service: string): SuspectDecision {
+    const { clock, findServers } = this.#options;
+    return decideSuspect(this.#known.get(content)?.record, {
+      now: clock.wall(),
+      servers: findServers(service),
+    });
   }
 
   /** Whether a server has ended under calls with a content, and none was answered since. */
@@ -140,14 +143,14 @@
   /** Records that a server ended while it ran a call with a content. */
   recordCrash(
     content: string,
-    { identifier, startedAt }: BackendServerEntry,
+    { identifier, startedAt, service }: BackendServerEntry,
   ): void {
     const at = this.#options.clock.wall();
     void this.#update(
       content,
       (record) => addCrash(record, { server: identifier, startedAt, at }),
     );
-    if (this.decide(content).kind !== "reject") return;
+    if (this.decide(content, service).kind !== "reject") return;
     const crashes = this.#known.get(content)?.record.crashes.length ?? 0;
     this.#options.log.emit("crashingCallsHeld", { content, crashes });
   }
--- a/source/calls/crash_records_test.ts
+++ b/source/calls/crash_records_test.ts
@@ -18,6 +18,7 @@
     clock: new SystemClock(),
     log: new RecordingEventLog(),
     table,
+    findServers: () => [],
     lease: { getHeldDuty: () => undefined },
     pace: () => USUAL_PACE,
     stopping: stopping.signal,
@@ -50,7 +51,7 @@
   recordCrashes(second, ["b"]);
   for (const records of [first, second, third]) {
     t.true(
-      await waitUntil(() => records.decide(CONTENT).kind === "reject"),
+      await waitUntil(() => records.decide(CONTENT, "s").kind === "reject"),
     );
   }
 });
@@ -62,15 +63,15 @@
   recordCrashes(first, ["a"]);
   recordCrashes(second, ["a"]);
   t.true(await waitUntil(() => first.size === 1 && second.size === 1));
-  t.is(first.decide(CONTENT).kind, "send");
-  t.is(second.decide(CONTENT).kind, "send");
+  t.is(first.decide(CONTENT, "s").kind, "send");
+  t.is(second.decide(CONTENT, "s").kind, "send");
 });
 
 test("a node that starts later knows the crashes", async (t) => {
   const table = new MemoryDurableTable();
   recordCrashes(startRecords(t, table), ["a", "b"]);
   const later = startRecords(t, table);
-  t.true(await waitUntil(() => later.decide(CONTENT).kind === "reject"));
+  t.true(await waitUntil(() => later.decide(CONTENT, "s").kind === "reject"));
 });
 
 test("an answered call clears the record at all nodes", async (t) => {
@@ -81,7 +82,7 @@
   t.true(await waitUntil(() => second.isSuspect(CONTENT)));
   second.recordSuccess(CONTENT);
   t.true(await waitUntil(() => !first.isSuspect(CONTENT)));
-  t.is(first.decide(CONTENT).kind, "send");
+  t.is(first.decide(CONTENT, "s").kind, "send");
 });
 
 test("only one call of all nodes gets a trial", async (t) => {
@@ -89,7 +90,7 @@
   const [first, second] = [1, 2].map(() => startRecords(t, table));
   if (!first || !second) return t.fail();
   recordCrashes(first, ["a", "b"]);
-  t.true(await waitUntil(() => second.decide(CONTENT).kind === "reject"));
+  t.true(await waitUntil(() => second.decide(CONTENT, "s").kind === "reject"));
   const claims = await Promise.all([
     first.claimTrial(CONTENT),
     second.claimTrial(CONTENT),
@@ -102,11 +103,11 @@
   const records = startRecords(t, table);
   table.isDown = true;
   recordCrashes(records, ["a", "b"]);
-  t.is(records.decide(CONTENT).kind, "reject");
+  t.is(records.decide(CONTENT, "s").kind, "reject");
   t.false(await records.claimTrial(CONTENT));
   table.isDown = false;
   const other = startRecords(t, table);
-  t.true(await waitUntil(() => other.decide(CONTENT).kind === "reject"));
+  t.true(await waitUntil(() => other.decide(CONTENT, "s").kind === "reject"));
 });
 
 test("a lost answer of the store leaves the count as it is", async (t) => {
@@ -117,7 +118,7 @@
   const other = startRecords(t, table);
   t.true(await waitUntil(() => other.isSuspect(CONTENT)));
   recordCrashes(other, ["b"]);
-  t.true(await waitUntil(() => records.decide(CONTENT).kind === "reject"));
+  t.true(await waitUntil(() => records.decide(CONTENT, "s").kind === "reject"));
 });
 
 test("a row that another program wrote is ignored", async (t) => {
@@ -133,5 +134,5 @@
   });
   const records = startRecords(t, table);
   recordCrashes(records, ["a", "b"]);
-  t.is(records.decide(CONTENT).kind, "reject");
+  t.is(records.decide(CONTENT, "s").kind, "reject");
 });
--- a/source/decisions/crash_suspicion.ts
+++ b/source/decisions/crash_suspicion.ts
@@ -17,6 +17,16 @@
   readonly triedAt: number;
 }
 
+/** When a decision is made, and the servers that could run the request. */
+export interface SuspectState {
+  /** Time in milliseconds since the Unix epoch. */
+  readonly now: number;
+  /** Starts of servers that take requests, as far as known. */
+  readonly servers: ReadonlyArray<
+    Readonly<{ identifier: string; startedAt: number }>
+  >;
+}
+
 /** Record of a content under which no server ended. */
 export const NO_CRASHES: CrashRecord = { crashes: [], trials: 0, triedAt: 0 };
 
@@ -29,6 +39,13 @@
 
 /** Number of servers that must have ended; one also ends under requests that only ran beside. */
 const SUSPICIOUS_CRASHES = 2;
+/**
+ * Time after the last crash for which requests are held before the first trial, while enough servers
+ * run that the service outlives another crash.
+ */
+const SPARE_HOLD_MILLISECONDS = 1000;
+/** Number of servers that must run for that. */
+const SPARE_SERVERS = 2;
 /**
  * Time after the last crash or trial for which requests are held, by the number of trials so far. The
  * first one lets crashed servers come back.
@@ -49,22 +66,25 @@
  * Load pattern: a request ends each server that runs it and comes again and again, at any node, so
  * that all servers of a service are down most of the time. Other requests run on the same servers and
  * end with them, also when all servers lose power at once, and must be served soon after. A request
- * under which two servers have ended is held, and sent on trial after 3 s, 1 min and 10 min, so that
- * it reaches at most three servers after the third one.
+ * under which two servers have ended is held, and sent on trial after 1 to 3 s, 1 min and 10 min, so
+ * that it reaches at most three servers after the third one.
  * @param record - What is known of the content; undefined if no server ended under it.
- * @param now - Time in milliseconds since the Unix epoch.
+ * @param state - The time and the servers.
  * @example
  * ```ts
- * const { kind } = decideSuspect(records.get(content), clock.wall());
+ * const decision = decideSuspect(record, { now: clock.wall(), servers });
  * ```
  */
 export function decideSuspect(
   record: CrashRecord | undefined,
-  now: number,
+  { now, servers }: SuspectState,
 ): SuspectDecision {
   if (record === undefined || isForgotten(record, now)) return { kind: "send" };
   if (record.crashes.length < SUSPICIOUS_CRASHES) return { kind: "send" };
-  const remaining = toChangedAt(record) + toHold(record) - now;
+  const hold = record.trials === 0 && hasSpareServers(record, servers)
+    ? SPARE_HOLD_MILLISECONDS
+    : toHold(record);
+  const remaining = toChangedAt(record) + hold - now;
   if (remaining <= 0) return { kind: "try" };
   const trialRemaining = record.triedAt + TRIAL_MILLISECONDS - now;
   const isOnTrial = record.triedAt >= toLastCrashAt(record) &&
@@ -104,6 +124,19 @@
     : age > FINAL_HOLD_MILLISECONDS;
 }
 
+// The entries of servers that have ended are still listed for some time.
+function hasSpareServers(
+  { crashes }: CrashRecord,
+  servers: SuspectState["servers"],
+): boolean {
+  const running = servers.filter(({ identifier, startedAt }) =>
+    !crashes.some((crash) =>
+      crash.server === identifier && crash.startedAt === startedAt
+    )
+  );
+  return running.length >= SPARE_SERVERS;
+}
+
 function toHold({ trials }: CrashRecord): number {
   return HOLD_MILLISECONDS[trials] ?? FINAL_HOLD_MILLISECONDS;
 }
--- a/source/decisions/crash_suspicion_test.ts
+++ b/source/decisions/crash_suspicion_test.ts
@@ -37,8 +37,17 @@
   return record;
 }
 
-function describe(record: CrashRecord | undefined, now: number): string {
-  const decision = decideSuspect(record, now);
+function describe(
+  { record, now, servers = [] }: {
+    readonly record: CrashRecord | undefined;
+    readonly now: number;
+    readonly servers?: ReadonlyArray<string>;
+  },
+): string {
+  const decision = decideSuspect(record, {
+    now,
+    servers: servers.map((identifier) => ({ identifier, startedAt: 1 })),
+  });
   return decision.kind === "reject"
     ? `reject for ${decision.retryAfterMilliseconds} ms`
     : decision.kind;
@@ -48,6 +57,7 @@
   readonly title: string;
   readonly record: CrashRecord | undefined;
   readonly now: number;
+  readonly servers?: ReadonlyArray<string>;
   readonly decision: string;
 }> = [
   {
@@ -74,6 +84,27 @@
     now: NOW + 3000,
     decision: "try",
   },
+  {
+    title: "that was held is tried soon if enough servers run",
+    record: toRecord(2),
+    now: NOW + 1000,
+    servers: ["s2", "s3"],
+    decision: "try",
+  },
+  {
+    title: "that was held is not tried soon if its crash would end the service",
+    record: toRecord(2),
+    now: NOW + 1000,
+    servers: ["s0", "s1", "s2"],
+    decision: "reject for 2000 ms",
+  },
+  {
+    title: "whose trial failed is held for longer, whatever servers run",
+    record: addTrial(toRecord(2) ?? raise(), NOW),
+    now: NOW + 5000,
+    servers: ["s2", "s3"],
+    decision: "reject for 55000 ms",
+  },
   {
     title: "on trial is held until the trial has ended",
     record: addTrial(toRecord(2) ?? raise(), NOW + 3000),
@@ -98,9 +129,9 @@
   },
 ];
 
-for (const { title, record, now, decision } of CASES) {
+for (const { title, decision, ...situation } of CASES) {
   test(`a request ${title}`, (t) => {
-    t.is(describe(record, now), decision);
+    t.is(describe(situation), decision);
   });
 }
 
--- a/source/node/create_installation_node.ts
+++ b/source/node/create_installation_node.ts
@@ -240,7 +240,12 @@
     },
     listOthers: () => register.others,
   });
-  const crashRecords = new CrashRecords({ ...stored, lease, pace });
+  const crashRecords = new CrashRecords({
+    ...stored,
+    lease,
+    pace,
+    findServers: (service) => servers.ofService(service),
+  });
   const crashGuard = new CrashGuard({
     log,
     records: crashRecords,
--- a/stand_ins/decisions/crash_model.ts
+++ b/stand_ins/decisions/crash_model.ts
@@ -3,6 +3,7 @@
   addTrial,
   type CrashRecord,
   decideSuspect,
+  type SuspectDecision,
 } from "../../source/decisions/crash_suspicion.ts";
 import { createRandomSource } from "../../source/utilities/random_source.ts";
 import { Agenda } from "./agenda.ts";
@@ -120,7 +121,7 @@
   ): void {
     if (call.content === POPULAR) this.#sent += 1;
     const record = this.#known[call.node]?.get(call.content);
-    const { kind } = (this.#options.decide ?? decideSuspect)(record, now);
+    const { kind } = this.#decide(record, now);
     if (kind === "reject") return;
     if (kind === "try") {
       const stored = this.#stored.get(call.content);
@@ -131,6 +132,14 @@
     this.#send(now, { ...call, isOnTrial: kind === "try", attempt: 1 });
   }
 
+  #decide(record: CrashRecord | undefined, now: number): SuspectDecision {
+    const decide = this.#options.decide ?? decideSuspect;
+    const servers = this.#servers.flatMap(({ starts, upAt }, index) =>
+      upAt <= now ? [{ identifier: `s${index}`, startedAt: starts }] : []
+    );
+    return decide(record, { now, servers });
+  }
+
   #send(
     now: number,
     call: {
@@ -160,7 +169,7 @@
       const crash = { server: `s${index}`, startedAt: start, at };
       const record = addCrash(this.#stored.get(call.content), crash);
       this.#publish(at, call, record);
-      const decision = (this.#options.decide ?? decideSuspect)(record, at);
+      const decision = this.#decide(record, at);
       const mayRepeat = !call.isOnTrial && decision.kind === "send" &&
         call.attempt < this.#options.attempts;
       if (mayRepeat) this.#send(at, { ...call, attempt: call.attempt + 1 });
--- a/stand_ins/installation/create_crash_guard.ts
+++ b/stand_ins/installation/create_crash_guard.ts
@@ -21,6 +21,7 @@
       clock: new SystemClock(),
       log,
       table: new MemoryDurableTable(),
+      findServers: () => [],
       lease: { getHeldDuty: () => undefined },
       pace: () => USUAL_PACE,
       stopping: new AbortController().signal,
