Check the path to servers only after failures that a broken one explains

Requests that were withheld or answered in a wrong way also caused checks, and servers of unknown services counted as unreachable.

--- a/source/installation/server_paths.ts
+++ b/source/installation/server_paths.ts
@@ -1,3 +1,4 @@
+import type { FailureCause } from "../backends/failure_cause.ts";
 import type { ServerClient } from "../backends/server_client.ts";
 import {
   type ConnectionCheck,
@@ -13,6 +14,12 @@
 const CHECK_MILLISECONDS = 250;
 /** Time after a check in which no other one is made. */
 const CHECKED_MILLISECONDS = 700;
+/** Failures that a broken path to the servers explains. */
+const PATH_FAILURES: ReadonlySet<FailureCause> = new Set([
+  "connect",
+  "cut",
+  "silent",
+]);
 /** Interval at which a node that is cut off checks whether it reaches servers again. */
 const RECHECK_MILLISECONDS = 400;
 
@@ -63,6 +70,11 @@
     this.#heardAt = this.#options.clock.monotonic();
   }
 
+  /** Checks the paths if a request failed in a way that a broken path explains. */
+  recordFailure(cause: FailureCause): void {
+    if (PATH_FAILURES.has(cause)) void this.check();
+  }
+
   /** Whether any server has answered since a monotonic time in milliseconds. */
   hasHeardSince(time: number): boolean {
     return this.#heardAt >= time;
@@ -91,9 +103,12 @@
   }
 
   async #checkServers(): Promise<boolean> {
-    const { listServers, random } = this.#options;
+    const { listServers, findHealthPath, random } = this.#options;
     const checks = selectCheckedServers(listServers(), random)
-      .map((server) => this.#checkServer(server));
+      .flatMap((server) => {
+        const path = findHealthPath(server.service);
+        return path === undefined ? [] : [this.#checkServer(server, path)];
+      });
     const firstAccepted = new Promise<ReadonlyArray<ConnectionCheck>>(
       (resolve) => {
         for (const check of checks) {
@@ -106,11 +121,11 @@
     return isCutOff(await Promise.race([Promise.all(checks), firstAccepted]));
   }
 
-  async #checkServer(server: BackendServerEntry): Promise<ConnectionCheck> {
-    const { client, findHealthPath } = this.#options;
-    const path = findHealthPath(server.service);
-    if (path === undefined) return "unreachable";
-    const state = await client.checkProcess(server, {
+  async #checkServer(
+    server: BackendServerEntry,
+    path: string,
+  ): Promise<ConnectionCheck> {
+    const state = await this.#options.client.checkProcess(server, {
       path,
       milliseconds: CHECK_MILLISECONDS,
     });
--- a/source/node/create_installation_node.ts
+++ b/source/node/create_installation_node.ts
@@ -146,7 +146,7 @@
     stopping,
   });
   client.watchLimits(() => serverPaths.recordAnswer());
-  client.watchFailures(() => void serverPaths.check());
+  client.watchFailures((cause) => serverPaths.recordFailure(cause));
   const pool = new EnginePool(clock, {
     servers,
     limits,
--- a/stand_ins/installation/in_process_nodes.ts
+++ b/stand_ins/installation/in_process_nodes.ts
@@ -36,6 +36,20 @@
 export async function startInProcessNode(
   table: MemoryDurableTable,
   name: string,
+): Promise<InProcessNode> {
+  for (;;) {
+    try {
+      return await tryStartNode(table, name);
+    } catch (error) {
+      // Another process may bind a port after it was chosen and before the node binds it.
+      if (!String(error).includes("EADDRINUSE")) throw error;
+    }
+  }
+}
+
+async function tryStartNode(
+  table: MemoryDurableTable,
+  name: string,
 ): Promise<InProcessNode> {
   const [front, peer] = await Promise.all([findFreePort(), findFreePort()]);
   const caller = `127.0.0.1:${front}`;
@@ -80,9 +94,14 @@
     },
   });
   const entry = new InstallationEntryServer({ clock, log, node });
+  try {
+    await entry.listenForCallers(caller);
+    await entry.listenForPeers(settings.peerAddress ?? "");
+  } catch (error) {
+    entry.close();
+    throw error;
+  }
   void node.run();
-  await entry.listenForCallers(caller);
-  await entry.listenForPeers(settings.peerAddress ?? "");
   while (!node.isReady || !node.parts.register.isLoaded) await clock.sleep(50);
   return {
     name,
