Count a node as cut off only after two checks that ran out of time

A node that was suspended, or is slow, sees the time limits of its own checks pass, and would hand its steps over and release the duty lease without need. Refused connections still count at once.

--- a/source/installation/server_paths.ts
+++ b/source/installation/server_paths.ts
@@ -42,7 +42,6 @@
  */
 export class ServerPaths {
   readonly #options: ServerPathsOptions;
-  readonly #watchers: (() => void)[] = [];
   #isCutOff = false;
   /** Monotonic time, in milliseconds, of the last answer of a server. */
   #heardAt = -Infinity;
@@ -60,11 +59,6 @@
     return this.#isCutOff;
   }
 
-  /** Registers a function that is called when the node is cut off or reaches servers again. */
-  watch(onChange: () => void): void {
-    this.#watchers.push(onChange);
-  }
-
   /** Records that a server has answered. */
   recordAnswer(): void {
     this.#heardAt = this.#options.clock.monotonic();
@@ -94,7 +88,7 @@
   }
 
   async #checkOnce(): Promise<boolean> {
-    this.#runningCheck ??= this.#checkServers();
+    this.#runningCheck ??= this.#findCutOff();
     const isNodeCutOff = await this.#runningCheck;
     this.#runningCheck = undefined;
     this.#checkedAt = this.#options.clock.monotonic();
@@ -102,7 +96,16 @@
     return this.#isCutOff;
   }
 
-  async #checkServers(): Promise<boolean> {
+  async #findCutOff(): Promise<boolean> {
+    const checks = await this.#checkServers();
+    if (!isCutOff(checks)) return false;
+    // The time limits also pass on a node that was stopped or slow itself.
+    return checks.every((check) => check === "refused") ||
+      isCutOff(await this.#checkServers());
+  }
+
+  // Returns the results of all checks, or only that of the first server that accepts a connection.
+  async #checkServers(): Promise<ReadonlyArray<ConnectionCheck>> {
     const { listServers, findHealthPath, random } = this.#options;
     const checks = selectCheckedServers(listServers(), random)
       .flatMap((server) => {
@@ -118,7 +121,7 @@
         }
       },
     );
-    return isCutOff(await Promise.race([Promise.all(checks), firstAccepted]));
+    return await Promise.race([Promise.all(checks), firstAccepted]);
   }
 
   async #checkServer(
@@ -137,7 +140,6 @@
     const { log } = this.#options;
     this.#isCutOff = isNodeCutOff;
     log.emit(isNodeCutOff ? "serversUnreachable" : "serversReachable", {});
-    for (const onChange of this.#watchers) onChange();
     if (isNodeCutOff) void this.#recheck();
   }
 
