Replay many callers that take their streams up at once

The model kills 35 % of 20 nodes under 2000 streams, with two software versions, one of them gone, and outages of the store; 50 seeds each. No stream goes on at another version; at least half go on where the store kept their beginning. A rule that takes any serving version mixes streams in it.

--- a/source/decisions/stream_continuation_test.ts
+++ b/source/decisions/stream_continuation_test.ts
@@ -1,4 +1,8 @@
 import test from "ava";
+import {
+  runStreamModel,
+  type StreamModelOptions,
+} from "../../stand_ins/decisions/stream_model.ts";
 import {
   type ContinuationServers,
   decideStreamContinuation,
@@ -88,3 +92,73 @@
     t.deepEqual(decision, expected);
   });
 }
+
+/** Least share of the streams that go on, of the share of new streams that begin. */
+const GOES_ON_RATIO = 0.5;
+
+const LOAD: StreamModelOptions = {
+  seed: 1,
+  nodes: 20,
+  streams: 2000,
+  interruptedAt: 70_000,
+  killedShare: 0.35,
+  releasedAt: 40_000,
+  followedSince: 0,
+};
+
+const LOADS: Readonly<
+  Record<
+    string,
+    {
+      readonly load: Partial<StreamModelOptions>;
+      readonly expectsMost: boolean;
+    }
+  >
+> = {
+  "two versions serve side by side": { load: {}, expectsMost: true },
+  "one version serves": {
+    load: { releasedAt: Infinity },
+    expectsMost: true,
+  },
+  "the store was out while some streams began": {
+    load: { storeOutage: [20_000, 30_000] },
+    expectsMost: true,
+  },
+  "the store is out": {
+    load: { storeOutage: [60_000, 90_000] },
+    expectsMost: false,
+  },
+  "the first version has gone": {
+    load: { removedAt: 69_000 },
+    expectsMost: false,
+  },
+  "the store was out and the nodes have just started": {
+    load: { storeOutage: [0, 60_000], followedSince: 65_000 },
+    expectsMost: false,
+  },
+};
+
+for (const [title, { load, expectsMost }] of Object.entries(LOADS)) {
+  test(`replay: many callers take their streams up at once, and ${title}`, (t) => {
+    for (let seed = 1; seed <= 50; seed += 1) {
+      const outcome = runStreamModel({ ...LOAD, ...load, seed });
+      t.is(outcome.mixed, 0, `seed ${seed}`);
+      if (!expectsMost || outcome.takenUp < 12) continue;
+      t.true(
+        outcome.continued >= GOES_ON_RATIO * outcome.takenUp,
+        `seed ${seed}: ${outcome.continued} of ${outcome.takenUp} went on`,
+      );
+    }
+  });
+}
+
+test("replay: a rule that takes any serving version mixes streams", (t) => {
+  const { mixed } = runStreamModel({
+    ...LOAD,
+    decide: (_finding, { serving }) => ({
+      kind: "continue",
+      origin: { service: "s", softwareVersion: [...serving("s")][0] ?? "" },
+    }),
+  });
+  t.true(mixed > 0);
+});
