Let the stand-in for the store tell a steady time

Cause: the stand-in answered each call with time 0. Holds that one node writes and another reads were seconds too long. The program is not changed.

--- a/stand_ins/installation/users_store_server.ts
+++ b/stand_ins/installation/users_store_server.ts
@@ -48,7 +48,7 @@
       rows: rows.map(writeRow),
       "has_more": hasMore,
       "schema_ver": version,
-      "now_ms": 0,
+      "now_ms": readSteadyTime(),
     });
   },
   "GET /-/rows-feed": async ({ table, query, response }) => {
@@ -66,7 +66,11 @@
         ? { ...writeRow(change), deleted: true }
         : writeRow(change)
     );
-    sendJson(response, { rows, "schema_ver": version, "now_ms": 0 });
+    sendJson(response, {
+      rows,
+      "schema_ver": version,
+      "now_ms": readSteadyTime(),
+    });
   },
   "POST /-/rows-tx": async ({ table, body, response }) => {
     const call = JSON.parse(body.toString()) as {
@@ -95,10 +99,18 @@
         412,
       );
     }
-    sendJson(response, { "schema_ver": outcome.value.version, "now_ms": 0 });
+    sendJson(response, {
+      "schema_ver": outcome.value.version,
+      "now_ms": readSteadyTime(),
+    });
   },
 };
 
+// Nodes derive the time on which they agree from the store's steady time.
+function readSteadyTime(): number {
+  return Math.round(performance.now());
+}
+
 function sendFailure(
   kind: "notRun" | "unknown",
   response: ServerResponse,
