Save crash records also after the store has refused a write

Found by reading: a change was applied to this node's copy and, when the store refused it, compared with that copy again, so the retry saw nothing to do. A second crash or the end of a hold stayed unknown to the other nodes.

The store's records and this node's unsaved changes are kept apart now, and a change is repeated until the store has it. A claim of a trial whose answer was lost is returned; a trial is named by its time, so returning it twice changes nothing. Without records, a call needs no look at the clock; the cleaning writes nothing when nothing is old.

--- a/source/calls/crash_guard.ts
+++ b/source/calls/crash_guard.ts
@@ -54,7 +54,8 @@
   readonly #options: CrashGuardOptions;
   readonly #request: Omit<ServerRequest, "budgetMilliseconds">;
   readonly #service: string;
-  #isOnTrial = false;
+  /** Time of the trial that the call has; undefined if it has none. */
+  #triedAt: number | undefined;
   #computedContent: string | undefined;
 
   /**
@@ -82,7 +83,7 @@
   get mayRepeat(): boolean {
     const { records } = this.#options;
     if (records.size === 0) return true;
-    return !this.#isOnTrial &&
+    return this.#triedAt === undefined &&
       records.decide(this.#content, this.#service).kind === "send";
   }
 
@@ -103,8 +104,8 @@
     const decision = records.decide(this.#content, this.#service);
     if (decision.kind === "send") return { kind: "open" };
     if (decision.kind === "reject") return { ...decision, kind: "held" };
-    this.#isOnTrial = await records.claimTrial(this.#content);
-    return this.#isOnTrial ? { kind: "open" } : {
+    this.#triedAt = await records.claimTrial(this.#content);
+    return this.#triedAt !== undefined ? { kind: "open" } : {
       kind: "held",
       retryAfterMilliseconds: TRIAL_RETRY_MILLISECONDS,
     };
@@ -156,9 +157,9 @@
 
   /** Returns the trial, if the call has it, so that another call can be tried. */
   returnTrial(): void {
-    if (!this.#isOnTrial) return;
-    this.#isOnTrial = false;
-    this.#options.records.returnTrial(this.#content);
+    if (this.#triedAt === undefined) return;
+    this.#options.records.returnTrial(this.#content, this.#triedAt);
+    this.#triedAt = undefined;
   }
 
   get #content(): string {
--- a/source/calls/crash_guard_test.ts
+++ b/source/calls/crash_guard_test.ts
@@ -31,8 +31,10 @@
       size: 1,
       decide: () => decision,
       isSuspect: () => true,
-      claimTrial: () => Promise.resolve(options.isClaimed ?? true),
-      returnTrial: () => void recorded.push("trial returned"),
+      claimTrial: () =>
+        Promise.resolve(options.isClaimed === false ? undefined : 7),
+      returnTrial: (_content, triedAt) =>
+        void recorded.push(`trial ${triedAt} returned`),
       recordCrash: () => void recorded.push("crash"),
       recordSuccess: () => void recorded.push("success"),
     },
@@ -91,7 +93,7 @@
     decision: { kind: "try" },
     fate: "running",
     result: CUT,
-    recorded: ["trial returned"],
+    recorded: ["trial 7 returned"],
   },
   {
     title: "a trial is not returned if the fate of the server is unknown",
@@ -123,7 +125,7 @@
   t.false(call.mayRepeat);
   call.returnTrial();
   call.returnTrial();
-  t.deepEqual(recorded, ["trial returned"]);
+  t.deepEqual(recorded, ["trial 7 returned"]);
 });
 
 test("a call is held while another one has the trial", async (t) => {
--- a/source/calls/crash_records.ts
+++ b/source/calls/crash_records.ts
@@ -5,6 +5,7 @@
   decideSuspect,
   isForgotten,
   NO_CRASHES,
+  removeTrial,
   type SuspectDecision,
 } from "../decisions/crash_suspicion.ts";
 import type { DutyLease } from "../duties/duty_lease.ts";
@@ -48,13 +49,16 @@
   readonly stopping: AbortSignal;
 }
 
-interface KnownRecord {
+interface SavedRecord {
   readonly record: CrashRecord;
-  /** Version of the row; 0 if the store does not have it yet. */
+  /** Version of the row. */
   readonly version: number;
 }
 
-/** Returns what becomes of a record; undefined deletes it. */
+/**
+ * Returns what becomes of a record; undefined deletes it. Applied again after an answer of the store was
+ * lost, so a second application must change nothing.
+ */
 type RecordChange = (
   record: CrashRecord | undefined,
 ) => CrashRecord | undefined;
@@ -66,7 +70,10 @@
 export class CrashRecords {
   readonly #options: CrashRecordsOptions;
   readonly #follower: TableFollower;
-  readonly #known = new Map<string, KnownRecord>();
+  /** Records by content, as the store has them. */
+  readonly #saved = new Map<string, SavedRecord>();
+  /** Changes by content that this node has not saved yet. */
+  readonly #unsaved = new Map<string, Set<RecordChange>>();
 
   /** @param options - The store, the clock and the duty lease. */
   constructor(options: CrashRecordsOptions) {
@@ -90,13 +97,15 @@
 
   /** Number of contents under which servers have ended. */
   get size(): number {
-    return this.#known.size;
+    return this.#saved.size + this.#unsaved.size;
   }
 
   /** Decides whether a call with a content may be sent to a server of a service. */
   decide(content: string, service: string): SuspectDecision {
+    const record = this.#find(content);
+    if (record === undefined) return { kind: "send" };
     const { clock, findServers } = this.#options;
-    return decideSuspect(this.#known.get(content)?.record, {
+    return decideSuspect(record, {
       now: clock.wall(),
       servers: findServers(service),
     });
@@ -104,40 +113,43 @@
 
   /** Whether a server has ended under calls with a content, and none was answered since. */
   isSuspect(content: string): boolean {
-    return this.#known.has(content);
+    return this.#find(content) !== undefined;
   }
 
   /**
    * Claims the trial of a content for one call of this node.
-   * @returns Whether the store confirmed that no other call has it.
+   * @returns The time of the trial; undefined unless the store confirmed that no other call has it.
    */
-  async claimTrial(content: string): Promise<boolean> {
+  async claimTrial(content: string): Promise<number | undefined> {
     const { clock, log } = this.#options;
-    const known = this.#known.get(content);
-    if (known === undefined) return true;
-    const now = clock.wall();
-    const outcome = await this.#commit(
-      content,
-      addTrial(known.record, now),
-      known.version,
-    );
-    if (outcome !== "committed") return false;
-    log.emit("crashTrialStarted", {
-      content,
-      crashes: known.record.crashes.length,
-      trials: known.record.trials + 1,
+    const saved = this.#saved.get(content);
+    if (saved === undefined) return undefined;
+    const triedAt = clock.wall();
+    const { record, version } = saved;
+    const outcome = await this.#commit(content, {
+      record: addTrial(record, triedAt),
+      version,
     });
-    return true;
+    if (outcome === "committed") {
+      log.emit("crashTrialStarted", {
+        content,
+        crashes: record.crashes.length,
+        trials: record.trials + 1,
+      });
+      return triedAt;
+    }
+    // The store may have applied the claim although its answer was lost.
+    if (outcome === "failed") this.returnTrial(content, triedAt);
+    return undefined;
   }
 
-  /** Returns the trial of a call that was not sent to a server. */
-  returnTrial(content: string): void {
-    void this.#update(content, (record) =>
-      record === undefined ? undefined : {
-        ...record,
-        trials: Math.max(0, record.trials - 1),
-        triedAt: 0,
-      });
+  /** Returns a trial that showed nothing, so that another call can have it. */
+  returnTrial(content: string, triedAt: number): void {
+    void this.#update(
+      content,
+      (record) =>
+        record === undefined ? undefined : removeTrial(record, triedAt),
+    );
   }
 
   /** Records that a server ended while it ran a call with a content. */
@@ -151,15 +163,15 @@
       (record) => addCrash(record, { server: identifier, startedAt, at }),
     );
     if (this.decide(content, service).kind !== "reject") return;
-    const crashes = this.#known.get(content)?.record.crashes.length ?? 0;
+    const crashes = this.#find(content)?.crashes.length ?? 0;
     this.#options.log.emit("crashingCallsHeld", { content, crashes });
   }
 
   /** Records that a server completed a call with a content, which so does not crash servers. */
   recordSuccess(content: string): void {
-    const known = this.#known.get(content);
-    if (known === undefined) return;
-    const crashes = known.record.crashes.length;
+    const record = this.#find(content);
+    if (record === undefined) return;
+    const crashes = record.crashes.length;
     this.#options.log.emit("crashRecordCleared", { content, crashes });
     void this.#update(content, () => undefined);
   }
@@ -169,19 +181,33 @@
     await Promise.all([this.#follower.run(), this.#clean()]);
   }
 
-  // Applies a change at once on this node and then in the store, as often as other nodes change the
-  // row meanwhile.
+  // Returns the record of a content with the changes that this node has not saved yet.
+  #find(content: string): CrashRecord | undefined {
+    let record = this.#saved.get(content)?.record;
+    for (const change of this.#unsaved.get(content) ?? []) {
+      record = change(record);
+    }
+    return record;
+  }
+
+  // Applies a change at once on this node, and then in the store until it has it.
   async #update(content: string, change: RecordChange): Promise<void> {
+    const unsaved = this.#unsaved.get(content) ?? new Set();
+    this.#unsaved.set(content, unsaved.add(change));
+    await this.#save(content, change);
+    unsaved.delete(change);
+    if (unsaved.size === 0) this.#unsaved.delete(content);
+  }
+
+  async #save(content: string, change: RecordChange): Promise<void> {
     const { clock, stopping, log } = this.#options;
     const until = clock.monotonic() + WRITE_LIMIT_MILLISECONDS;
     for (;;) {
-      const known = this.#known.get(content);
-      const changed = change(known?.record);
-      if (changed === known?.record && (known?.version ?? 1) > 0) return;
-      const version = known?.version ?? 0;
-      if (changed === undefined) this.#known.delete(content);
-      else this.#known.set(content, { record: changed, version });
-      const outcome = await this.#commit(content, changed, version);
+      const saved = this.#saved.get(content);
+      const record = change(saved?.record);
+      if (record === saved?.record) return;
+      const version = saved?.version ?? 0;
+      const outcome = await this.#commit(content, { record, version });
       if (outcome === "committed") return;
       if (outcome === "conflict") continue;
       if (stopping.aborted || clock.monotonic() > until) {
@@ -194,8 +220,10 @@
   // Writes or deletes a row that has a version; takes over what other nodes made of it.
   async #commit(
     content: string,
-    record: CrashRecord | undefined,
-    version: number,
+    { record, version }: {
+      readonly record: CrashRecord | undefined;
+      readonly version: number;
+    },
   ): Promise<"committed" | "conflict" | "failed"> {
     const place = { table: TABLE, partition: PARTITION, key: content };
     const outcome = await this.#options.table.commit({
@@ -203,32 +231,30 @@
       puts: record === undefined
         ? []
         : [{ ...place, value: writeCrashRecord(record) }],
-      deletes: record === undefined && version > 0 ? [place] : [],
+      deletes: record === undefined ? [place] : [],
     });
     if (outcome.kind !== "ok") return "failed";
     if (outcome.value.kind === "conflict") {
       const row = outcome.value.rows.find(({ key }) => key === content);
-      if (row === undefined) this.#known.delete(content);
+      if (row === undefined) this.#saved.delete(content);
       else this.#put(row);
       return "conflict";
     }
-    if (record === undefined) this.#known.delete(content);
-    else this.#known.set(content, { record, version: outcome.value.version });
+    if (record === undefined) this.#saved.delete(content);
+    else this.#saved.set(content, { record, version: outcome.value.version });
     return "committed";
   }
 
   #replace(rows: ReadonlyArray<StoredRow>): void {
-    const unsaved = [...this.#known].filter(([, { version }]) => version === 0);
-    this.#known.clear();
-    for (const [content, known] of unsaved) this.#known.set(content, known);
+    this.#saved.clear();
     for (const row of rows) this.#put(row);
   }
 
   #apply(changes: ReadonlyArray<RowChange>): void {
     for (const change of changes) {
-      const version = this.#known.get(change.key)?.version ?? 0;
+      const version = this.#saved.get(change.key)?.version ?? 0;
       if (change.version < version) continue;
-      if (change.isDeleted) this.#known.delete(change.key);
+      if (change.isDeleted) this.#saved.delete(change.key);
       else this.#put(change);
     }
   }
@@ -238,7 +264,7 @@
     if (record === undefined) {
       this.#options.log.emit("crashRecordMalformed", { content: key });
     }
-    this.#known.set(key, { record: record ?? NO_CRASHES, version });
+    this.#saved.set(key, { record: record ?? NO_CRASHES, version });
   }
 
   #logHealth(problem: string | undefined): void {
@@ -253,9 +279,10 @@
       await clock.sleep(CLEANING_INTERVAL_MILLISECONDS, stopping);
       if (lease.getHeldDuty() === undefined) continue;
       const now = clock.wall();
-      const old = [...this.#known].filter(([, { record }]) =>
+      const old = [...this.#saved].filter(([, { record }]) =>
         isForgotten(record, now)
       );
+      if (old.length === 0) continue;
       await deleteRows(
         table,
         old.slice(0, MAXIMUM_DELETIONS).map(([key]) => ({
--- a/source/calls/crash_records_test.ts
+++ b/source/calls/crash_records_test.ts
@@ -95,7 +95,7 @@
     first.claimTrial(CONTENT),
     second.claimTrial(CONTENT),
   ]);
-  t.deepEqual(claims.filter((isClaimed) => isClaimed).length, 1);
+  t.deepEqual(claims.filter((triedAt) => triedAt !== undefined).length, 1);
 });
 
 test("while the store is away, a node holds calls by what it saw itself, tries none and reports later", async (t) => {
@@ -104,7 +104,7 @@
   table.isDown = true;
   recordCrashes(records, ["a", "b"]);
   t.is(records.decide(CONTENT, "s").kind, "reject");
-  t.false(await records.claimTrial(CONTENT));
+  t.is(await records.claimTrial(CONTENT), undefined);
   table.isDown = false;
   const other = startRecords(t, table);
   t.true(await waitUntil(() => other.decide(CONTENT, "s").kind === "reject"));
@@ -136,3 +136,49 @@
   recordCrashes(records, ["a", "b"]);
   t.is(records.decide(CONTENT, "s").kind, "reject");
 });
+
+test("a second crash that the store refused at first is known to other nodes", async (t) => {
+  const table = new MemoryDurableTable();
+  const [first, second] = [1, 2].map(() => startRecords(t, table));
+  if (!first || !second) return t.fail();
+  recordCrashes(first, ["a"]);
+  t.true(await waitUntil(() => second.isSuspect(CONTENT)));
+  table.commitFaults.push("refused");
+  recordCrashes(first, ["b"]);
+  t.true(await waitUntil(() => second.decide(CONTENT, "s").kind === "reject"));
+});
+
+test("a record whose deletion the store refused at first is cleared at all nodes", async (t) => {
+  const table = new MemoryDurableTable();
+  const [first, second] = [1, 2].map(() => startRecords(t, table));
+  if (!first || !second) return t.fail();
+  recordCrashes(first, ["a", "b"]);
+  t.true(
+    await waitUntil(() => second.decide(CONTENT, "s").kind === "reject"),
+  );
+  table.commitFaults.push("refused");
+  first.recordSuccess(CONTENT);
+  t.true(await waitUntil(() => !second.isSuspect(CONTENT)));
+});
+
+test("a claim whose answer the store lost is returned", async (t) => {
+  const table = new MemoryDurableTable();
+  const [first, second] = [1, 2].map(() => startRecords(t, table));
+  if (!first || !second) return t.fail();
+  recordCrashes(first, ["a", "b"]);
+  t.true(
+    await waitUntil(() => second.decide(CONTENT, "s").kind === "reject"),
+  );
+  table.commitFaults.push("answerLost");
+  t.is(await second.claimTrial(CONTENT), undefined);
+  t.true(
+    await waitUntil(() => {
+      const decision = first.decide(CONTENT, "s");
+      return decision.kind === "reject" &&
+        decision.retryAfterMilliseconds <= 3000;
+    }),
+  );
+  const claims = [first.claimTrial(CONTENT), second.claimTrial(CONTENT)];
+  const claimed = (await Promise.all(claims)).filter(Boolean);
+  t.is(claimed.length, 1);
+});
--- a/source/decisions/crash_suspicion.ts
+++ b/source/decisions/crash_suspicion.ts
@@ -116,6 +116,12 @@
   return { ...record, trials: record.trials + 1, triedAt: now };
 }
 
+/** Removes the trial that began at a time; returns the same record if that is not its last one. */
+export function removeTrial(record: CrashRecord, triedAt: number): CrashRecord {
+  if (record.triedAt !== triedAt) return record;
+  return { ...record, trials: record.trials - 1, triedAt: 0 };
+}
+
 /** Whether a record is too old to count. */
 export function isForgotten(record: CrashRecord, now: number): boolean {
   const age = now - toChangedAt(record);
