Pause between attempts of a cut-off node while no other node answers

Calls are relayed only while a node is left that did not just fail to answer; else the usual rule for calls that no server ran applies. Steps and the duty lease still move as long as another node is known.

--- a/source/calls/call_forwarder_test.ts
+++ b/source/calls/call_forwarder_test.ts
@@ -12,7 +12,10 @@
 import { createRandomSource } from "../utilities/random_source.ts";
 import { SystemClock } from "../utilities/system_clock.ts";
 import type { CallOutcome } from "./call_outcome.ts";
-import { createCallRelay } from "../../stand_ins/installation/create_call_relay.ts";
+import {
+  createCallRelay,
+  type CutOffNode,
+} from "../../stand_ins/installation/create_call_relay.ts";
 import { createCrashGuard } from "../../stand_ins/installation/create_crash_guard.ts";
 import { createCallForwarder } from "./create_call_forwarder.ts";
 import { ServerCallStatistics } from "./server_call_statistics.ts";
@@ -98,6 +101,8 @@
     readonly budgetMilliseconds?: number;
     /** Servers whose limits allow no request at present. */
     readonly limited?: ReadonlyArray<string>;
+    /** Other nodes of a node that reaches no server. */
+    readonly cutOff?: CutOffNode;
   } = {},
 ): Promise<ForwardingResult> {
   const clock = new SystemClock();
@@ -117,7 +122,7 @@
   }
   const forwarder = createCallForwarder({
     crashGuard: createCrashGuard(client),
-    callRelay: createCallRelay(client),
+    callRelay: createCallRelay(client, options.cutOff),
     clock,
     random,
     client,
@@ -145,6 +150,7 @@
     priority: 1,
     isDeferrable: false,
     mayCrashServers: true,
+    relay: { key: undefined, configurationVersion: 1 },
     deadline: startedAt + (options.budgetMilliseconds ?? 1000),
     signal: new AbortController().signal,
   });
@@ -264,3 +270,50 @@
   const sent = client.requestedServers.length;
   t.true(sent >= 2 && sent <= 8, `${sent} requests`);
 });
+
+test("a call of a node that is cut off is answered through another node", async (t) => {
+  const addresses: string[] = [];
+  const { outcome } = await forward([], {
+    cutOff: {
+      others: ["n2", "n3"],
+      open: (address) => {
+        addresses.push(address);
+        return Promise.resolve({
+          kind: "answered",
+          status: 200,
+          headers: {},
+          signature: "signed",
+          weightVersion: undefined,
+          body: (async function* (): AsyncGenerator<Buffer> {
+            yield Buffer.from("relayed");
+          })(),
+          abandon: () => {},
+        });
+      },
+    },
+  });
+  t.is(outcome.kind === "answered" ? String(outcome.body) : "", "relayed");
+  t.is(addresses.length, 1);
+});
+
+// Half of the latency target is 50 ms, and pauses between attempts are 15 ms and longer.
+test("a call of a node that is cut off is not sent again without a pause while no other node answers", async (t) => {
+  let relayed = 0;
+  const { outcome, client } = await forward([], {
+    cutOff: {
+      others: ["n2"],
+      open: () => {
+        relayed += 1;
+        return Promise.resolve({
+          kind: "notRun",
+          reason: "scripted",
+          cause: "connect",
+        });
+      },
+    },
+  });
+  t.is(outcome.kind, "refused");
+  t.is(relayed, 1);
+  const sent = client.requestedServers.length;
+  t.true(sent <= 8, `${sent} attempts at servers`);
+});
--- a/source/calls/call_relay.ts
+++ b/source/calls/call_relay.ts
@@ -45,8 +45,13 @@
   }
 
   /** Whether this node is cut off from the servers and another node is known that is not. */
+  get isNodeReplaceable(): boolean {
+    return this.#options.paths.isCutOff && this.#peers.length > 0;
+  }
+
+  /** Whether calls go through other nodes, as this node is cut off and one of them may answer. */
   get isNeeded(): boolean {
-    return this.#options.paths.isCutOff && this.#candidates.length > 0;
+    return this.#options.paths.isCutOff && this.#available.length > 0;
   }
 
   /** Checks, after an attempt has failed or hangs, whether this node reaches the servers. */
@@ -61,17 +66,8 @@
 
   /** Chooses the node that forwards a call; undefined if there is none. */
   choosePeer(): Peer | undefined {
-    const { clock, random, failureDomain } = this.#options;
-    const now = clock.monotonic();
-    for (const [node, until] of this.#avoidedUntil) {
-      if (until <= now) this.#avoidedUntil.delete(node);
-    }
-    const avoided = new Set(this.#avoidedUntil.keys());
-    const chosen = choosePeer(this.#candidates, {
-      failureDomain,
-      avoided,
-      random,
-    });
+    const { random, failureDomain } = this.#options;
+    const chosen = choosePeer(this.#available, { failureDomain, random });
     if (chosen?.peerAddress === undefined) return undefined;
     return { node: chosen.node, address: chosen.peerAddress };
   }
@@ -96,7 +92,16 @@
     return answer;
   }
 
-  get #candidates(): ReadonlyArray<NodeRecord> {
+  // The peers without those that did not answer recently.
+  get #available(): ReadonlyArray<NodeRecord> {
+    const now = this.#options.clock.monotonic();
+    for (const [node, until] of this.#avoidedUntil) {
+      if (until <= now) this.#avoidedUntil.delete(node);
+    }
+    return this.#peers.filter(({ node }) => !this.#avoidedUntil.has(node));
+  }
+
+  get #peers(): ReadonlyArray<NodeRecord> {
     const { listOthers, isInRegion } = this.#options;
     const usable = listOthers().filter(
       ({ isCutOff, peerAddress, failureDomain }) =>
--- a/source/decisions/peer_choice.ts
+++ b/source/decisions/peer_choice.ts
@@ -9,8 +9,6 @@
 /** The node that needs another one. */
 export interface PeerChoiceOptions {
   readonly failureDomain: string;
-  /** Names of nodes that did not answer recently. */
-  readonly avoided: ReadonlySet<string>;
   readonly random: RandomSource;
 }
 
@@ -20,22 +18,21 @@
  * Load pattern: some nodes, also all of a failure domain, lose their paths to all servers at once and
  * send all their calls to the others. They choose at random, so that no node gets the calls of all of
  * them, and within their failure domain if they can, as traffic between domains is charged.
- * @param candidates - Serving nodes that reach servers.
- * @param options - This node, and the nodes to avoid.
+ * @param candidates - Serving nodes that reach servers and answered when they were last asked.
+ * @param options - This node and its random source.
  * @returns The node; undefined without a candidate.
  * @example
  * ```ts
- * const peer = choosePeer(candidates, { failureDomain: "a", avoided: new Set(), random });
+ * const peer = choosePeer(candidates, { failureDomain: "a", random });
  * ```
  */
 export function choosePeer<Candidate extends PeerCandidate>(
   candidates: ReadonlyArray<Candidate>,
-  { failureDomain, avoided, random }: PeerChoiceOptions,
+  { failureDomain, random }: PeerChoiceOptions,
 ): Candidate | undefined {
-  const usable = candidates.filter(({ node }) => !avoided.has(node));
-  const near = usable.filter((candidate) =>
+  const near = candidates.filter((candidate) =>
     candidate.failureDomain === failureDomain
   );
-  const choices = near.length > 0 ? near : usable;
+  const choices = near.length > 0 ? near : candidates;
   return choices[random.nextBelow(Math.max(1, choices.length))];
 }
--- a/source/decisions/peer_choice_test.ts
+++ b/source/decisions/peer_choice_test.ts
@@ -11,14 +11,13 @@
 
 function listChoices(
   failureDomain: string,
-  avoided: ReadonlyArray<string> = [],
+  absent: ReadonlyArray<string> = [],
 ): ReadonlyArray<string> {
   const random = createRandomSource(1);
+  const candidates = NODES.filter(({ node }) => !absent.includes(node));
   const chosen = Array.from(
     { length: 50 },
-    () =>
-      choosePeer(NODES, { failureDomain, avoided: new Set(avoided), random })
-        ?.node,
+    () => choosePeer(candidates, { failureDomain, random })?.node,
   );
   return [...new Set(chosen)].map(String).sort();
 }
@@ -27,10 +26,6 @@
   t.deepEqual(listChoices("a"), ["a1", "a2"]);
 });
 
-test("a node that did not answer is avoided", (t) => {
-  t.deepEqual(listChoices("a", ["a1"]), ["a2"]);
-});
-
 test("without a node in the own failure domain, any other one is chosen", (t) => {
   t.deepEqual(listChoices("d"), ["a1", "a2", "b1", "c1"]);
   t.deepEqual(listChoices("a", ["a1", "a2"]), ["b1", "c1"]);
@@ -52,7 +47,6 @@
     for (let call = 0; call < 200; call += 1) {
       const chosen = choosePeer(candidates, {
         failureDomain: "a",
-        avoided: new Set(),
         random,
       });
       const name = chosen?.node ?? "";
--- a/source/node/create_installation_node.ts
+++ b/source/node/create_installation_node.ts
@@ -212,7 +212,7 @@
     name: DUTY_LEASE,
     countLeaseCandidates: () => register.running.length,
     returnMilliseconds: bounds.leaseMilliseconds,
-    isCandidate: () => !callRelay.isNeeded,
+    isCandidate: () => !callRelay.isNodeReplaceable,
     isNodeProcessUnique: true,
     context: {
       ...common,
@@ -287,7 +287,7 @@
     rendezvous,
     nodeStart,
     readSignature: adapters.readSignature,
-    mustYield: () => callRelay.isNeeded,
+    mustYield: () => callRelay.isNodeReplaceable,
     stopping,
   });
   const streamOrigins = new StreamOrigins({
