Leave the trial of a held call to the node that forwards it

Found by reading: a cut-off node claimed the trial and sent the call through another node, which found it claimed and refused; the claim was returned and made again, two writes to the store for nothing and no trial elsewhere meanwhile. call_forwarder_test.ts, 'a node that is cut off leaves the trial of a held call to the node that forwards it', failed before.

--- a/source/calls/call_forwarder.ts
+++ b/source/calls/call_forwarder.ts
@@ -126,7 +126,10 @@
       return { kind: "refused", refusal: "overloaded", retryAfterMilliseconds };
     }
     try {
-      const admission = await this.#guarded?.admit();
+      // The node that forwards a call claims the trial itself.
+      const admission = this.#isRelayNeeded
+        ? undefined
+        : await this.#guarded?.admit();
       if (admission?.kind === "held") {
         return toHeldOutcome(admission.retryAfterMilliseconds);
       }
--- a/source/calls/call_forwarder_test.ts
+++ b/source/calls/call_forwarder_test.ts
@@ -4,6 +4,7 @@
   type ScriptedResponse,
   ScriptedServerClient,
 } from "../../stand_ins/installation/scripted_server_client.ts";
+import type { ExchangeFailure } from "../backends/http_exchange.ts";
 import type { BackendServerEntry } from "../installation/backend_server_entry.ts";
 import type { RouteKind, ServiceRoute } from "../installation/configuration.ts";
 import { ServerLimits } from "../installation/server_limits.ts";
@@ -11,6 +12,7 @@
 import { RecordingEventLog } from "../observability/event_log.ts";
 import { createRandomSource } from "../utilities/random_source.ts";
 import { SystemClock } from "../utilities/system_clock.ts";
+import { CrashGuard } from "./crash_guard.ts";
 import type { CallOutcome } from "./call_outcome.ts";
 import {
   createCallRelay,
@@ -103,6 +105,10 @@
     readonly limited?: ReadonlyArray<string>;
     /** Other nodes of a node that reaches no server. */
     readonly cutOff?: CutOffNode;
+    /** Whether the node knows before the call that it is cut off; false if absent. */
+    readonly isCutOffKnown?: boolean;
+    /** Guard of calls that crash servers; one without records if absent. */
+    readonly crashGuard?: CrashGuard;
   } = {},
 ): Promise<ForwardingResult> {
   const clock = new SystemClock();
@@ -120,9 +126,11 @@
     limits.recordAnswer(toServer(identifier), 0);
     limits.recordRequest(identifier);
   }
+  const callRelay = createCallRelay(client, options.cutOff);
+  if (options.isCutOffKnown === true) await callRelay.check();
   const forwarder = createCallForwarder({
-    crashGuard: createCrashGuard(client),
-    callRelay: createCallRelay(client, options.cutOff),
+    crashGuard: options.crashGuard ?? createCrashGuard(client),
+    callRelay,
     clock,
     random,
     client,
@@ -317,3 +325,28 @@
   const sent = client.requestedServers.length;
   t.true(sent <= 8, `${sent} attempts at servers`);
 });
+
+test("a node that is cut off leaves the trial of a held call to the node that forwards it", async (t) => {
+  const claims: string[] = [];
+  const crashGuard = new CrashGuard({
+    log: new RecordingEventLog(),
+    detector: { findFate: () => Promise.resolve("unknown") },
+    records: {
+      size: 1,
+      decide: () => ({ kind: "try" }),
+      isSuspect: () => true,
+      claimTrial: (content) => {
+        claims.push(content);
+        return Promise.resolve(1);
+      },
+      returnTrial: () => {},
+      recordCrash: () => {},
+      recordSuccess: () => {},
+    },
+  });
+  const open = (): Promise<ExchangeFailure> =>
+    Promise.resolve({ kind: "notRun", reason: "scripted", cause: "refused" });
+  const cutOff = { others: ["n2"], open };
+  await forward([], { cutOff, crashGuard, isCutOffKnown: true });
+  t.deepEqual(claims, []);
+});
