--- a/source/calls/call_forwarder.ts
+++ b/source/calls/call_forwarder.ts
@@ -20,6 +20,7 @@
   toAnsweredOutcome,
   toHeldOutcome,
 } from "./forwarding_outcomes.ts";
+import { ServerCandidates } from "./server_candidates.ts";
 import type { ServerCallStatistics } from "./server_call_statistics.ts";
 
 /** Pause before the first repeated attempt when every server was tried. */
@@ -80,8 +81,7 @@
   readonly #startedAt: number;
   readonly #deadline: number;
   readonly #guarded: GuardedCall | undefined;
-  /** Identifiers of the servers to which an attempt was sent. */
-  readonly #triedServers = new Set<string>();
+  readonly #candidates: ServerCandidates;
   readonly #attempts: AttemptSet;
   /** Number of attempts through other nodes. */
   #relayCount = 0;
@@ -99,6 +99,11 @@
       selectService(call.route, options.random.next());
     this.#startedAt = options.clock.monotonic();
     this.#attempts = new AttemptSet(options.clock, call.signal);
+    this.#candidates = new ServerCandidates({
+      ...options,
+      service: this.#service,
+      origin: call.origin,
+    });
     this.#guarded = call.mayCrashServers
       ? options.crashGuard.watch(call.request, this.#service)
       : undefined;
@@ -158,7 +163,7 @@
           await this.#options.callRelay.check();
         }
         if (!this.#mayRetry()) return this.#toFinalOutcome();
-        if (!this.#isRelayNeeded && !this.#hasUntriedServer()) {
+        if (!this.#isRelayNeeded && !this.#candidates.hasUntried) {
           await this.#attempts.wait(this.#nextRetryPause());
         }
         hedgeAt = this.#startAttempt();
@@ -188,19 +193,14 @@
   // Starts an attempt; returns the monotonic time, in milliseconds, from which a hedged attempt may
   // start, and Infinity when no server of the service can get the call now.
   #startAttempt(): number {
-    const { serverStatistics: statistics, callRelay } = this.#options;
+    const { callRelay } = this.#options;
     const peer = this.#isRelayNeeded ? callRelay.choosePeer() : undefined;
     if (peer !== undefined) return this.#startRelay(peer);
-    const all = this.#candidates;
-    const untried = all.filter(({ identifier }) =>
-      !this.#triedServers.has(identifier)
-    );
-    const server = statistics.pick(untried) ?? statistics.pick(all);
+    const server = this.#candidates.take();
     if (server === undefined) {
       this.#attempts.add({ kind: "notRun", isRefused: true });
       return Infinity;
     }
-    this.#triedServers.add(server.identifier);
     return this.#start((signal) => this.#attempt(server, signal));
   }
 
@@ -237,17 +237,6 @@
     return undefined;
   }
 
-  // Servers of the service that may answer the call.
-  get #candidates(): ReadonlyArray<BackendServerEntry> {
-    const { origin } = this.#call;
-    const all = this.#options.servers.ofService(this.#service);
-    return origin === undefined
-      ? all
-      : all.filter(({ softwareVersion }) =>
-        softwareVersion === origin.softwareVersion
-      );
-  }
-
   #toStreamingOutcome(answer: ServerAnswer): CallOutcome {
     const { status, headers, body } = answer;
     // The stream outlives this run, so `finish`, not `run`, cancels the attempts.
@@ -277,28 +266,11 @@
     const { route } = this.#call;
     return route.kind === "idempotent" &&
       this.#attempts.possiblyExecuted < route.maximumAttempts &&
-      (this.#isRelayNeeded || this.#hasFreeServer()) &&
+      (this.#isRelayNeeded || this.#candidates.hasFree) &&
       this.#guarded?.isSuspect !== true &&
       this.#options.retryBudget.takeRetry(route.name);
   }
 
-  #hasFreeServer(): boolean {
-    const { serverStatistics } = this.#options;
-    return this.#candidates.some((server) =>
-      !this.#triedServers.has(server.identifier) &&
-      serverStatistics.occupied(server.identifier) < server.slots &&
-      serverStatistics.hasRoom(server)
-    );
-  }
-
-  #hasUntriedServer(): boolean {
-    const { serverStatistics } = this.#options;
-    return this.#candidates.some((server) =>
-      !this.#triedServers.has(server.identifier) &&
-      serverStatistics.hasRoom(server)
-    );
-  }
-
   // Returns the pause before the next attempt, twice the last one, so that calls do not come back
   // faster the fuller the servers are.
   #nextRetryPause(): number {
@@ -315,7 +287,7 @@
     if (failure?.kind === "complete") return toAnsweredOutcome(failure);
     if (this.#attempts.possiblyExecuted === 0) {
       const { serverStatistics, random } = this.#options;
-      const all = this.#candidates;
+      const { all } = this.#candidates;
       const backlogMilliseconds = Math.max(
         REFUSED_BACKLOG_MILLISECONDS,
         serverStatistics.waitForRoom(all, { requests: 1, earlier: 0 }),
--- a/source/node/create_installation_node.ts
+++ b/source/node/create_installation_node.ts
@@ -30,6 +30,8 @@
 import type { StepTools } from "../durable_steps/step_tools.ts";
 import { SubmissionStore } from "../durable_steps/submission_store.ts";
 import type { InstallationSettings } from "../installation/installation_settings.ts";
+import { findSettledWindow } from "../installation/find_settled_window.ts";
+import { isWallOffsetPublished } from "../installation/is_wall_offset_published.ts";
 import { toLimitNews } from "../installation/limit_news.ts";
 import { NodeRegister } from "../installation/node_register.ts";
 import { OperatorView } from "../installation/operator_view.ts";
@@ -67,11 +69,6 @@
   longPollMilliseconds: 2000,
   pauseAfterChangesMilliseconds: 700,
 };
-/** Period in which a node publishes the difference of its wall clock for one second. */
-const WALL_OFFSET_PERIOD_SECONDS = 8;
-/** Time from its start in which a node publishes the difference in each heartbeat. */
-const WALL_OFFSET_START_SECONDS = 4;
-
 /** Dependencies of a node of an installation. */
 export interface InstallationNodeOptions {
   readonly settings: InstallationSettings;
@@ -395,24 +392,3 @@
   created.node = node;
   return node;
 }
-
-// Returns the last usage window that all nodes have settled which may still count calls; undefined
-// while the view of the nodes is not current. A node that lost the store counts calls for up to
-// `keyWithdrawalMilliseconds`.
-function findSettledWindow(
-  register: NodeRegister,
-  countingMilliseconds: number,
-): number | undefined {
-  if (!register.isCurrent) return undefined;
-  const settled = register.heardWithin(countingMilliseconds).map((node) =>
-    node.usageSettledThrough
-  );
-  return Math.min(...settled);
-}
-
-// Every node reads all heartbeats, so only some of them contain the difference, which rarely changes.
-function isWallOffsetPublished(clock: Clock): boolean {
-  const seconds = Math.floor(clock.monotonic() / 1000);
-  return seconds < WALL_OFFSET_START_SECONDS ||
-    seconds % WALL_OFFSET_PERIOD_SECONDS === 0;
-}
--- a/source/programs/snipepath_installation.ts
+++ b/source/programs/snipepath_installation.ts
@@ -3,9 +3,9 @@
 import { readFileSync, statSync } from "node:fs";
 import { InstallationDutyClient } from "../../platform/duty_client.ts";
 import { InstallationEntryServer } from "../../platform/entry_server.ts";
-import { HEADER } from "../../platform/header_names.ts";
 import { readOperatorRow } from "../../platform/operator_rows.ts";
 import { InstallationPeerClient } from "../../platform/peer_client.ts";
+import { readSignature } from "../../platform/server_answer.ts";
 import { InstallationServerClient } from "../../platform/server_client.ts";
 import { readServerRow } from "../../platform/server_rows.ts";
 import {
@@ -184,10 +184,7 @@
     readOperatorRow,
     readServerRow,
     readSubmission,
-    readSignature: (headers) => {
-      const signature = headers[HEADER.signature];
-      return typeof signature === "string" ? signature : undefined;
-    },
+    readSignature,
   };
 }
 
--- a/stand_ins/installation/in_process_nodes.ts
+++ b/stand_ins/installation/in_process_nodes.ts
@@ -1,9 +1,7 @@
-import { createServer } from "node:net";
-import type { AddressInfo } from "node:net";
 import { InstallationEntryServer } from "../../platform/entry_server.ts";
-import { HEADER } from "../../platform/header_names.ts";
 import { readOperatorRow } from "../../platform/operator_rows.ts";
 import { InstallationPeerClient } from "../../platform/peer_client.ts";
+import { readSignature } from "../../platform/server_answer.ts";
 import { InstallationServerClient } from "../../platform/server_client.ts";
 import { readServerRow } from "../../platform/server_rows.ts";
 import { readSettingsFile } from "../../platform/settings_file.ts";
@@ -16,6 +14,7 @@
 import { ScrapedMetrics } from "../../source/observability/scraped_metrics.ts";
 import { SystemClock } from "../../source/utilities/system_clock.ts";
 import { BreakablePools } from "./breakable_pools.ts";
+import { findFreePort } from "./find_free_port.ts";
 import type { MemoryDurableTable } from "./memory_durable_table.ts";
 
 /** A node that runs in the process of the test. */
@@ -87,10 +86,7 @@
       readOperatorRow,
       readServerRow,
       readSubmission,
-      readSignature: (headers) => {
-        const signature = headers[HEADER.signature];
-        return typeof signature === "string" ? signature : undefined;
-      },
+      readSignature,
     },
   });
   const entry = new InstallationEntryServer({ clock, log, node });
@@ -117,13 +113,3 @@
     },
   };
 }
-
-function findFreePort(): Promise<number> {
-  return new Promise((resolve) => {
-    const server = createServer();
-    server.listen(0, "127.0.0.1", () => {
-      const { port } = server.address() as AddressInfo;
-      server.close(() => resolve(port));
-    });
-  });
-}
--- a/stand_ins/installation/test_installation.ts
+++ b/stand_ins/installation/test_installation.ts
@@ -1,10 +1,9 @@
 import { type ChildProcess, spawn } from "node:child_process";
 import { mkdtempSync, writeFileSync } from "node:fs";
-import { createServer } from "node:net";
-import type { AddressInfo } from "node:net";
 import { tmpdir } from "node:os";
 import { join } from "node:path";
 import { fileURLToPath } from "node:url";
+import { findFreePort } from "./find_free_port.ts";
 import { MemoryDurableTable } from "./memory_durable_table.ts";
 import { RequestLimit } from "./request_limit.ts";
 import { type StartedServer, startHttpServer } from "./start_http_server.ts";
@@ -319,13 +318,3 @@
   }
   return false;
 }
-
-function findFreePort(): Promise<number> {
-  return new Promise((resolve) => {
-    const server = createServer();
-    server.listen(0, "127.0.0.1", () => {
-      const { port } = server.address() as AddressInfo;
-      server.close(() => resolve(port));
-    });
-  });
-}
