--- a/source/calls/crash_detector.ts
+++ b/source/calls/crash_detector.ts
@@ -1,17 +1,10 @@
-import type {
-  ServerClient,
-  ServerProcessState,
-} from "../backends/server_client.ts";
+import type { ServerProcessState } from "../backends/server_client.ts";
+import type { ServerCheck } from "../installation/server_check.ts";
 import type { BackendServerEntry } from "../installation/backend_server_entry.ts";
 
-/** Time limit of a check; a running server accepts connections within a few milliseconds. */
-const CHECK_MILLISECONDS = 250;
-
 /** Dependencies of a crash detector. */
 export interface CrashDetectorOptions {
-  readonly client: Pick<ServerClient, "checkProcess">;
-  /** Returns the path of the health check of a service's servers; undefined for unknown services. */
-  readonly findHealthPath: (service: string) => string | undefined;
+  readonly check: Pick<ServerCheck, "run">;
   /** Checks whether this node reaches no server. */
   readonly isCutOff: () => Promise<boolean>;
 }
@@ -33,7 +26,7 @@
   /** Checks in progress by the start of the server, which the calls that were cut with it share. */
   readonly #checks = new Map<string, Promise<ServerFate>>();
 
-  /** @param options - The client and the health checks of services. */
+  /** @param options - The check of a server and of the node's own paths. */
   constructor(options: CrashDetectorOptions) {
     this.#options = options;
   }
@@ -53,13 +46,9 @@
   }
 
   async #check(server: BackendServerEntry): Promise<ServerFate> {
-    const { client, findHealthPath, isCutOff } = this.#options;
-    const path = findHealthPath(server.service);
-    if (path === undefined) return "unknown";
-    const state = await client.checkProcess(server, {
-      path,
-      milliseconds: CHECK_MILLISECONDS,
-    });
+    const { check, isCutOff } = this.#options;
+    const state = await check.run(server);
+    if (state === undefined) return "unknown";
     // A node that is cut off is refused by all servers, whether they run or not.
     return state === "refused" && await isCutOff() ? "unknown" : FATES[state];
   }
--- a/source/installation/server_paths.ts
+++ b/source/installation/server_paths.ts
@@ -1,5 +1,4 @@
 import type { FailureCause } from "../backends/failure_cause.ts";
-import type { ServerClient } from "../backends/server_client.ts";
 import {
   type ConnectionCheck,
   isCutOff,
@@ -8,10 +7,9 @@
 import type { EventLog } from "../observability/event_log.ts";
 import type { Clock } from "../utilities/clock.ts";
 import type { RandomSource } from "../utilities/random_source.ts";
+import type { ServerCheck } from "./server_check.ts";
 import type { BackendServerEntry } from "./backend_server_entry.ts";
 
-/** Time limit of a check; a reachable server accepts a connection within a few milliseconds. */
-const CHECK_MILLISECONDS = 250;
 /** Time after a check in which no other one is made. */
 const CHECKED_MILLISECONDS = 700;
 /** Failures that a broken path to the servers explains. */
@@ -28,11 +26,9 @@
   readonly clock: Clock;
   readonly log: EventLog;
   readonly random: RandomSource;
-  readonly client: Pick<ServerClient, "checkProcess">;
-  /** Returns the servers that take requests. */
+  readonly check: Pick<ServerCheck, "run">;
+  /** Returns the servers that take requests and whose service is known. */
   readonly listServers: () => ReadonlyArray<BackendServerEntry>;
-  /** Returns the path of the health check of a service's servers; undefined for unknown services. */
-  readonly findHealthPath: (service: string) => string | undefined;
   readonly stopping: AbortSignal;
 }
 
@@ -106,12 +102,9 @@
 
   // Returns the results of all checks, or only that of the first server that accepts a connection.
   async #checkServers(): Promise<ReadonlyArray<ConnectionCheck>> {
-    const { listServers, findHealthPath, random } = this.#options;
+    const { listServers, random } = this.#options;
     const checks = selectCheckedServers(listServers(), random)
-      .flatMap((server) => {
-        const path = findHealthPath(server.service);
-        return path === undefined ? [] : [this.#checkServer(server, path)];
-      });
+      .map((server) => this.#checkServer(server));
     const firstAccepted = new Promise<ReadonlyArray<ConnectionCheck>>(
       (resolve) => {
         for (const check of checks) {
@@ -124,14 +117,8 @@
     return await Promise.race([Promise.all(checks), firstAccepted]);
   }
 
-  async #checkServer(
-    server: BackendServerEntry,
-    path: string,
-  ): Promise<ConnectionCheck> {
-    const state = await this.#options.client.checkProcess(server, {
-      path,
-      milliseconds: CHECK_MILLISECONDS,
-    });
+  async #checkServer(server: BackendServerEntry): Promise<ConnectionCheck> {
+    const state = await this.#options.check.run(server) ?? "unreachable";
     return state === "refused" || state === "unreachable" ? state : "accepted";
   }
 
--- a/source/installation/server_paths_test.ts
+++ b/source/installation/server_paths_test.ts
@@ -15,8 +15,8 @@
     clock: new SystemClock(),
     log: new RecordingEventLog(),
     random: createRandomSource(1),
-    client: {
-      checkProcess: () => {
+    check: {
+      run: () => {
         const round = rounds[Math.floor(checks / 3)] ?? [];
         const state = round[checks % 3] ?? "running";
         checks += 1;
@@ -24,7 +24,6 @@
       },
     },
     listServers: () => ["a", "b", "c"].map((name) => createServerEntry(name)),
-    findHealthPath: () => "/health",
     stopping: new AbortController().signal,
   });
   return { paths, countChecks: () => checks };
--- a/source/node/create_installation_node.ts
+++ b/source/node/create_installation_node.ts
@@ -35,6 +35,7 @@
 import { toLimitNews } from "../installation/limit_news.ts";
 import { NodeRegister } from "../installation/node_register.ts";
 import { OperatorView } from "../installation/operator_view.ts";
+import { ServerCheck } from "../installation/server_check.ts";
 import { ServerLimits } from "../installation/server_limits.ts";
 import { ServerPaths } from "../installation/server_paths.ts";
 import { ServerView } from "../installation/server_view.ts";
@@ -130,16 +131,16 @@
   });
   const findHealthPath = (service: string): string | undefined =>
     operator.configuration?.services.get(service)?.healthPath;
+  const serverCheck = new ServerCheck({ client, findHealthPath });
   const serverPaths = new ServerPaths({
     clock,
     log,
     random,
-    client,
+    check: serverCheck,
     listServers: () =>
-      [...servers.servers.values()].filter(({ identifier }) =>
-        servers.isServing(identifier)
+      [...servers.servers.values()].filter(({ identifier, service }) =>
+        servers.isServing(identifier) && findHealthPath(service) !== undefined
       ),
-    findHealthPath,
     stopping,
   });
   client.watchLimits(() => serverPaths.recordAnswer());
@@ -247,8 +248,7 @@
     log,
     records: crashRecords,
     detector: new CrashDetector({
-      client,
-      findHealthPath,
+      check: serverCheck,
       isCutOff: () => serverPaths.check(),
     }),
   });
--- a/stand_ins/installation/create_call_relay.ts
+++ b/stand_ins/installation/create_call_relay.ts
@@ -1,6 +1,7 @@
 import { CallRelay } from "../../source/calls/call_relay.ts";
 import type { PeerClient } from "../../source/calls/peer_client.ts";
 import type { NodeRecord } from "../../source/installation/node_record.ts";
+import { ServerCheck } from "../../source/installation/server_check.ts";
 import { ServerPaths } from "../../source/installation/server_paths.ts";
 import { RecordingEventLog } from "../../source/observability/event_log.ts";
 import { createRandomSource } from "../../source/utilities/random_source.ts";
@@ -47,9 +48,8 @@
       clock,
       log,
       random,
-      client,
+      check: new ServerCheck({ client, findHealthPath: () => "/health" }),
       listServers: () => servers,
-      findHealthPath: () => "/health",
       stopping: AbortSignal.abort(),
     }),
     failureDomain: "a",
--- a/stand_ins/installation/create_crash_guard.ts
+++ b/stand_ins/installation/create_crash_guard.ts
@@ -2,6 +2,7 @@
 import { CrashDetector } from "../../source/calls/crash_detector.ts";
 import { CrashGuard } from "../../source/calls/crash_guard.ts";
 import { CrashRecords } from "../../source/calls/crash_records.ts";
+import { ServerCheck } from "../../source/installation/server_check.ts";
 import { RecordingEventLog } from "../../source/observability/event_log.ts";
 import { USUAL_PACE } from "../../source/platform/table_follower.ts";
 import { SystemClock } from "../../source/utilities/system_clock.ts";
@@ -13,8 +14,7 @@
   return new CrashGuard({
     log,
     detector: new CrashDetector({
-      client,
-      findHealthPath: () => "/health",
+      check: new ServerCheck({ client, findHealthPath: () => "/health" }),
       isCutOff: () => Promise.resolve(false),
     }),
     records: new CrashRecords({
