Tests of the call forwarder: simulate the time of retries

Cause: a call that no server ran is retried for half of the latency target, 50 ms here, on the system's clock. All tests of the file start at once, so on a loaded machine the event loop is late by more than that, and the call is refused as it should be. With an answer that blocks the event loop for 60 ms, both fail in each run.

The tests that depend on the window now advance a clock of their own.

--- a/source/calls/call_forwarder_test.ts
+++ b/source/calls/call_forwarder_test.ts
@@ -10,6 +10,7 @@
 import { ServerLimits } from "../installation/server_limits.ts";
 import { ServerView } from "../installation/server_view.ts";
 import { RecordingEventLog } from "../observability/event_log.ts";
+import { ManualClock } from "../utilities/manual_clock.ts";
 import { createRandomSource } from "../utilities/random_source.ts";
 import { SystemClock } from "../utilities/system_clock.ts";
 import { CrashGuard } from "./crash_guard.ts";
@@ -109,9 +110,11 @@
     readonly isCutOffKnown?: boolean;
     /** Guard of calls that crash servers; one without records if absent. */
     readonly crashGuard?: CrashGuard;
+    /** Clock that is advanced while the call is forwarded; the system's clock if absent. */
+    readonly clock?: ManualClock;
   } = {},
 ): Promise<ForwardingResult> {
-  const clock = new SystemClock();
+  const clock = options.clock ?? new SystemClock();
   const random = createRandomSource(7);
   const remaining = [...answers];
   const client = new ScriptedServerClient(() =>
@@ -145,7 +148,7 @@
     }),
   });
   const startedAt = clock.monotonic();
-  const outcome = await forwarder.forward({
+  const forwarding = forwarder.forward({
     request: {
       identifier: "q",
       method: "GET",
@@ -162,9 +165,25 @@
     deadline: startedAt + (options.budgetMilliseconds ?? 1000),
     signal: new AbortController().signal,
   });
+  if (options.clock !== undefined) {
+    await advanceUntilSettled(options.clock, forwarding);
+  }
+  const outcome = await forwarding;
   return { outcome, client, milliseconds: clock.monotonic() - startedAt };
 }
 
+async function advanceUntilSettled(
+  clock: ManualClock,
+  forwarding: Promise<unknown>,
+): Promise<void> {
+  let isSettled = false;
+  const settle = (): void => {
+    isSettled = true;
+  };
+  forwarding.then(settle, settle);
+  while (!isSettled) await clock.advance(1);
+}
+
 function describe({ outcome }: ForwardingResult): string {
   if (outcome.kind === "answered") return `${outcome.status} ${outcome.body}`;
   if (outcome.kind === "refused") return `refused ${outcome.refusal}`;
@@ -231,7 +250,10 @@
 
 for (const each of CASES) {
   test(`forwarding: ${each.title}`, async (t) => {
-    const result = await forward(each.answers, each);
+    const result = await forward(each.answers, {
+      ...each,
+      clock: new ManualClock(),
+    });
     t.is(describe(result), each.expected);
     t.is(result.client.requestedServers.length, each.sent);
   });
@@ -253,7 +275,7 @@
     kind: "notRun",
     isRefused: true,
   });
-  const result = await forward(full);
+  const result = await forward(full, { clock: new ManualClock() });
   t.is(describe(result), "refused noServer");
   t.true(result.milliseconds < 300);
 });
@@ -273,7 +295,11 @@
 test("a call that a full server refuses is not sent again without a pause while the others have used up their limits", async (t) => {
   const { client } = await forward(
     Array.from({ length: 200 }, () => ({ kind: "notRun", isRefused: true })),
-    { limited: ["b", "c"], budgetMilliseconds: 900 },
+    {
+      limited: ["b", "c"],
+      budgetMilliseconds: 900,
+      clock: new ManualClock(),
+    },
   );
   const sent = client.requestedServers.length;
   t.true(sent >= 2 && sent <= 8, `${sent} requests`);
