Failing tests: engines that restart under their identifiers with another software version

An engine may start again under the identifier it had. Until its new entry is read, and for as long as the store is away, nodes know it by the entry of its earlier start. They go on with streams and texts of the earlier software version at it, and record what it begins with the wrong version, so what they go on with elsewhere does not fit either.

--- a/stand_ins/installation/users_engine_server.ts
+++ b/stand_ins/installation/users_engine_server.ts
@@ -6,7 +6,9 @@
 export interface UsersEngineOptions {
   readonly identifier: string;
   /** Version of the engine's software, which each event names. */
-  readonly softwareVersion: string;
+  softwareVersion: string;
+  /** Start of the process that the engine reports, in milliseconds since the Unix epoch; 1 if absent. */
+  startedAt?: number;
   /** Number of events in each stream. */
   readonly events: number;
   readonly millisecondsPerEvent: number;
@@ -51,7 +53,12 @@
         version,
       }));
       response.end(
-        JSON.stringify({ models, busy: false, seq: acceptedOrders }),
+        JSON.stringify({
+          models,
+          busy: false,
+          seq: acceptedOrders,
+          born: options.startedAt ?? 1,
+        }),
       );
     } else if (request.url === "/-/order") {
       const order = JSON.parse(body.toString());
