Let streams and texts go on only at the start of an engine that its entry describes

What callers and trainers saw: events of two software versions in one stream or text, after an engine had started again under its identifier with another version.

Cause: nodes knew the engine by its entry, which they read some hundred milliseconds later, or much later while the store is away. Streams and texts of the earlier version went on there, and what the engine began was recorded with the version in its entry.

A request that goes on after an event is now sent only once the engine's own report names the start that its entry describes; otherwise it has not run, and the next server is tried. The start of the engine that began a stream or text is kept with it. Before it goes on elsewhere that engine's start is compared too: if it has started again since and its software may be another one, the stream is refused as not run, and the text is generated again. A report that can't be read changes nothing. At a limited engine the report counts as a request. Events 9217 and 9218.

--- a/source/backends/server_client.ts
+++ b/source/backends/server_client.ts
@@ -70,6 +70,8 @@
 
 /** State that an engine reports. */
 export interface EngineReport {
+  /** Time of the engine's start in Unix milliseconds; undefined when it does not report it. */
+  readonly startedAt: number | undefined;
   readonly weightVersions: ReadonlyMap<string, number>;
   readonly acceptedOrders: number;
   /** Whether the engine is executing an order. */
--- a/source/calls/call_forwarder.ts
+++ b/source/calls/call_forwarder.ts
@@ -44,7 +44,7 @@
   readonly random: RandomSource;
   readonly log: EventLog;
   readonly servers: ServerView;
-  readonly client: ServerClient;
+  readonly client: Pick<ServerClient, "open">;
   readonly serverStatistics: ServerCallStatistics;
   readonly crashGuard: CrashGuard;
   readonly callRelay: CallRelay;
--- a/source/calls/call_service.ts
+++ b/source/calls/call_service.ts
@@ -13,6 +13,7 @@
 import type { CallForwarder } from "./call_forwarder.ts";
 import type { CallOutcome } from "./call_outcome.ts";
 import type { StreamOrigins } from "./stream_origins.ts";
+import type { ServerStarts } from "../installation/server_starts.ts";
 import {
   decideStreamContinuation,
   type StreamContinuation,
@@ -79,6 +80,7 @@
   readonly forwarder: CallForwarder;
   readonly servers: ServerView;
   readonly streamOrigins: StreamOrigins;
+  readonly serverStarts: Pick<ServerStarts, "mayHaveChanged">;
   readonly intake: StepIntake;
   readonly usage: UsageMeter;
   readonly metrics: Metrics;
@@ -191,10 +193,14 @@
     const { organisation } = target;
     const { identifier } = call;
     return await this.#forwardTo(call, target, {
-      onStreaming: ({ service, softwareVersion }) =>
+      onStreaming: (server) =>
         this.#options.streamOrigins.record({ identifier, organisation }, {
-          service,
-          softwareVersion,
+          service: server.service,
+          softwareVersion: server.softwareVersion,
+          server: {
+            identifier: server.identifier,
+            startedAt: server.startedAt,
+          },
         }),
     });
   }
@@ -219,12 +225,18 @@
     call: IncomingCall,
     { route, organisation }: CallTarget,
   ): Promise<StreamContinuation> {
-    const { servers, streamOrigins } = this.#options;
+    const { servers, streamOrigins, serverStarts } = this.#options;
     const finding = await streamOrigins.find({
       identifier: call.resumedRequest,
       organisation,
     });
+    const origin = finding.kind === "found" ? finding.origin : undefined;
     return decideStreamContinuation(finding, {
+      isOriginDoubtful: origin?.server !== undefined &&
+        await serverStarts.mayHaveChanged(
+          origin.server,
+          origin.softwareVersion,
+        ),
       services: route.services.map(({ service }) => service),
       serving: (service) =>
         new Set(
--- a/source/calls/stream_origins.ts
+++ b/source/calls/stream_origins.ts
@@ -27,6 +27,14 @@
   readonly organisation: string | undefined;
 }
 
+/** Service and software version of a stream's origin, and identifier and start of the server. */
+type OriginRecord = readonly [
+  service: string,
+  softwareVersion: string,
+  identifier?: string,
+  startedAt?: number,
+];
+
 /** Dependencies of the origins of streams. */
 export interface StreamOriginsOptions {
   /** Clock whose wall time is close to that of the other nodes. */
@@ -107,9 +115,7 @@
         table: TABLE,
         partition: toPartition(name),
         key: toKey(this.#period, name),
-        value: Buffer.from(
-          JSON.stringify([origin.service, origin.softwareVersion]),
-        ),
+        value: Buffer.from(JSON.stringify(toRecord(origin))),
       }],
     });
     if (outcome.kind !== "ok") {
@@ -128,14 +134,28 @@
     if (outcome.kind !== "ok") return { kind: "unreadable" };
     const [row] = outcome.value.rows;
     if (row === undefined) return { kind: "absent" };
-    const [service, softwareVersion] = JSON.parse(row.value.toString()) as [
-      string,
-      string,
-    ];
-    return { kind: "found", origin: { service, softwareVersion } };
+    return { kind: "found", origin: readRecord(row.value) };
   }
 }
 
+function toRecord(
+  { service, softwareVersion, server }: StreamOrigin,
+): OriginRecord {
+  return server === undefined
+    ? [service, softwareVersion]
+    : [service, softwareVersion, server.identifier, server.startedAt];
+}
+
+function readRecord(value: Buffer): StreamOrigin {
+  const [service, softwareVersion, identifier, startedAt] = JSON.parse(
+    value.toString(),
+  ) as OriginRecord;
+  const server = identifier === undefined || startedAt === undefined
+    ? undefined
+    : { identifier, startedAt };
+  return { service, softwareVersion, server };
+}
+
 // Callers choose identifiers, so the digest bounds the length of the key.
 function toName({ identifier, organisation }: StreamRequest): string {
   return createHash("sha256")
--- a/source/calls/stream_origins_test.ts
+++ b/source/calls/stream_origins_test.ts
@@ -6,7 +6,11 @@
 import { StreamOrigins } from "./stream_origins.ts";
 
 const REQUEST = { identifier: "q1", organisation: "o1" };
-const ORIGIN = { service: "s", softwareVersion: "v1" };
+const ORIGIN = {
+  service: "s",
+  softwareVersion: "v1",
+  server: { identifier: "e1", startedAt: 7 },
+};
 const FOUND: StreamOriginFinding = { kind: "found", origin: ORIGIN };
 const PERIOD_MILLISECONDS = 300_000;
 
--- a/source/decisions/stream_continuation.ts
+++ b/source/decisions/stream_continuation.ts
@@ -1,7 +1,11 @@
+import type { ServerStart } from "../installation/backend_server_entry.ts";
+
 /** Service and software version of the server that began a stream. */
 export interface StreamOrigin {
   readonly service: string;
   readonly softwareVersion: string;
+  /** Start of that server that its entry described; undefined if it is not known. */
+  readonly server: ServerStart | undefined;
 }
 
 /** What a node could find out about the beginning of a stream. */
@@ -15,6 +19,8 @@
 export interface ContinuationServers {
   /** Services to which the route sends requests. */
   readonly services: ReadonlyArray<string>;
+  /** Whether the server that began the stream may have had another software version than recorded. */
+  readonly isOriginDoubtful: boolean;
   /** Returns the software versions that serve in a service. */
   readonly serving: (service: string) => ReadonlySet<string>;
   /**
@@ -35,7 +41,8 @@
  * Load pattern: nodes are killed and connections reset while engines of two software versions serve
  * side by side, so many callers take their streams up at other nodes at the same time. A stream goes
  * on only at the version that began it; when that is not known, only if no other version can have
- * begun it.
+ * begun it. A server may have had another version than recorded if it had started again under its
+ * identifier.
  * @example
  * ```ts
  * const continuation = decideStreamContinuation({ kind: "absent" }, servers);
@@ -51,7 +58,7 @@
   const origin = finding.kind === "found"
     ? finding.origin
     : inferOrigin(servers);
-  const isServing = origin !== undefined &&
+  const isServing = origin !== undefined && !servers.isOriginDoubtful &&
     servers.services.includes(origin.service) &&
     servers.serving(origin.service).has(origin.softwareVersion);
   return isServing
@@ -67,5 +74,5 @@
   const [softwareVersion, ...otherVersions] = seen(service) ?? [];
   return softwareVersion === undefined || otherVersions.length > 0
     ? undefined
-    : { service, softwareVersion };
+    : { service, softwareVersion, server: undefined };
 }
--- a/source/decisions/stream_continuation_test.ts
+++ b/source/decisions/stream_continuation_test.ts
@@ -12,19 +12,20 @@
 
 const FOUND: StreamOriginFinding = {
   kind: "found",
-  origin: { service: "s", softwareVersion: "v1" },
+  origin: { service: "s", softwareVersion: "v1", server: undefined },
 };
 const BOTH: ReadonlySet<string> = new Set(["v1", "v2"]);
 const FIRST: ReadonlySet<string> = new Set(["v1"]);
 const SERVERS: ContinuationServers = {
   services: ["s"],
+  isOriginDoubtful: false,
   serving: () => BOTH,
   seen: () => BOTH,
 };
 const NO_SERVER: StreamContinuation = { kind: "reject", refusal: "noServer" };
 const GOES_ON: StreamContinuation = {
   kind: "continue",
-  origin: { service: "s", softwareVersion: "v1" },
+  origin: { service: "s", softwareVersion: "v1", server: undefined },
 };
 
 const CASES: ReadonlyArray<{
@@ -45,6 +46,12 @@
     servers: { serving: () => new Set(["v2"]) },
     expected: NO_SERVER,
   },
+  {
+    title: "is rejected when the server may have had another version",
+    finding: FOUND,
+    servers: { isOriginDoubtful: true },
+    expected: NO_SERVER,
+  },
   {
     title: "is rejected when its route goes to another service now",
     finding: FOUND,
@@ -157,7 +164,11 @@
     ...LOAD,
     decide: (_finding, { serving }) => ({
       kind: "continue",
-      origin: { service: "s", softwareVersion: [...serving("s")][0] ?? "" },
+      origin: {
+        service: "s",
+        softwareVersion: [...serving("s")][0] ?? "",
+        server: undefined,
+      },
     }),
   });
   t.true(mixed > 0);
--- a/source/durable_steps/progress_store_test.ts
+++ b/source/durable_steps/progress_store_test.ts
@@ -8,6 +8,7 @@
     parts: Array.from({ length: events }, () => "part"),
     versions: [1],
     softwareVersion,
+    begunBy: { identifier: "e1", startedAt: 1 },
     lastEvent: events,
     isWhole: false,
   };
--- a/source/durable_steps/sample_generation.ts
+++ b/source/durable_steps/sample_generation.ts
@@ -3,6 +3,7 @@
 import type { ExchangeFailure } from "../backends/http_exchange.ts";
 import type { BackendServerEntry } from "../installation/backend_server_entry.ts";
 import type { ServiceRoute } from "../installation/configuration.ts";
+import type { ServerStarts } from "../installation/server_starts.ts";
 import type { ServerView } from "../installation/server_view.ts";
 import type { EventLog } from "../observability/event_log.ts";
 import type { Clock } from "../utilities/clock.ts";
@@ -41,8 +42,9 @@
   readonly clock: Clock;
   readonly log: EventLog;
   readonly pool: EnginePool;
-  readonly client: ServerClient;
+  readonly client: Pick<ServerClient, "open" | "readEvents">;
   readonly servers: ServerView;
+  readonly serverStarts: Pick<ServerStarts, "mayHaveChanged">;
   readonly sample: SampleRequest;
   readonly text: SampleText;
   readonly host: string;
@@ -159,7 +161,12 @@
     if (text.lastEvent === undefined) {
       return await pool.acquire(request, signal);
     }
-    if (this.#continuation.mustRestart(request.requirements)) {
+    const mustRestart = await this.#continuation.mustRestart(
+      request.requirements,
+    );
+    // After the abort, the run of a later step may already be continuing the text.
+    if (signal.aborted) return undefined;
+    if (mustRestart) {
       this.#continuation.restart();
       return undefined;
     }
--- a/source/durable_steps/sample_generation_test.ts
+++ b/source/durable_steps/sample_generation_test.ts
@@ -38,6 +38,7 @@
   text: SampleText,
   answer: (request: ServerRequest, count: number) => ScriptedResponse,
   softwareVersions: Readonly<Record<string, string>> = {},
+  mayHaveChanged: () => Promise<boolean> = () => Promise.resolve(false),
 ): Promise<RunResult> {
   const clock = new SystemClock();
   const log = new RecordingEventLog();
@@ -88,6 +89,7 @@
     }),
     client,
     servers,
+    serverStarts: { mayHaveChanged },
     sample: createSampleRequest("q1"),
     text,
     host: "h",
@@ -118,6 +120,7 @@
     parts: Array.from({ length: events }, (_unused, index) => `part ${index}`),
     versions: events > 0 ? [5] : [],
     softwareVersion: events > 0 ? "v1" : undefined,
+    begunBy: events > 0 ? { identifier: "e1", startedAt: 0 } : undefined,
     lastEvent: events > 0 ? events - 1 : undefined,
     isWhole: false,
   };
@@ -234,6 +237,17 @@
   t.is(text.parts.length, 2);
 });
 
+test("a text whose first engine may have had another software version is generated again from its start", async (t) => {
+  const { text, requests } = await run(
+    createText(3),
+    () => ({ status: 200, weightVersion: 5, events: createEvents(0, 2) }),
+    {},
+    () => Promise.resolve(true),
+  );
+  t.deepEqual(requests.map(({ afterEvent }) => afterEvent), [undefined]);
+  t.is(text.parts.length, 2);
+});
+
 test("a text whose software version only fails is generated again by another one", async (t) => {
   const { text, outcome } = await run(
     createText(2),
--- a/source/durable_steps/step_run.ts
+++ b/source/durable_steps/step_run.ts
@@ -351,6 +351,7 @@
       parts: [],
       versions: [],
       softwareVersion: undefined,
+      begunBy: undefined,
       lastEvent: undefined,
       isWhole: false,
     };
--- a/source/durable_steps/text_continuation.ts
+++ b/source/durable_steps/text_continuation.ts
@@ -1,5 +1,6 @@
 import { toContinuationPatience } from "../decisions/text_continuation.ts";
 import type { BackendServerEntry } from "../installation/backend_server_entry.ts";
+import type { ServerStarts } from "../installation/server_starts.ts";
 import type { ServerView } from "../installation/server_view.ts";
 import type { EventLog } from "../observability/event_log.ts";
 import type { Clock } from "../utilities/clock.ts";
@@ -14,6 +15,7 @@
   readonly log: EventLog;
   readonly pool: EnginePool;
   readonly servers: ServerView;
+  readonly serverStarts: Pick<ServerStarts, "mayHaveChanged">;
   readonly sample: SampleRequest;
   readonly text: SampleText;
 }
@@ -23,6 +25,8 @@
   readonly #options: TextContinuationOptions;
   /** Monotonic time, in milliseconds, since which the text waits to be continued. */
   #interruptedAt: number | undefined;
+  /** Whether the engine that began the text was checked for having had another software version. */
+  #isBeginningChecked = false;
 
   /** @param options - The text and the engines. */
   constructor(options: TextContinuationOptions) {
@@ -31,11 +35,13 @@
 
   /**
    * Whether an engine should generate the interrupted text from its start: its software version is
-   * unknown, or none of its version could go on with it for some time and another version can.
+   * unknown or doubtful, or none of its version could go on with it for some time and another
+   * version can.
    */
-  mustRestart(requirements: EngineRequirements): boolean {
+  async mustRestart(requirements: EngineRequirements): Promise<boolean> {
     const { pool, text, clock } = this.#options;
     if (text.softwareVersion === undefined) return true;
+    if (await this.#isVersionDoubtful(text.softwareVersion)) return true;
     const now = clock.monotonic();
     this.#interruptedAt ??= now;
     if (pool.hasAvailable(requirements)) return false;
@@ -59,6 +65,7 @@
     text.parts.length = 0;
     text.versions.length = 0;
     text.softwareVersion = undefined;
+    text.begunBy = undefined;
     text.lastEvent = undefined;
     this.#interruptedAt = undefined;
   }
@@ -67,13 +74,19 @@
    * Begins or goes on with the text at an engine, whose entry may have changed since it was asked.
    * @returns Whether the engine has the software version that began the text.
    */
-  begin({ identifier, softwareVersion }: BackendServerEntry): boolean {
+  begin(
+    { identifier, startedAt, softwareVersion }: BackendServerEntry,
+  ): boolean {
     const { text, log, sample, servers } = this.#options;
     const current = servers.servers.get(identifier)?.softwareVersion ??
       softwareVersion;
     const begunAt = text.softwareVersion ?? softwareVersion;
     if (current === softwareVersion && begunAt === softwareVersion) {
-      text.softwareVersion = softwareVersion;
+      if (text.softwareVersion === undefined) {
+        text.softwareVersion = softwareVersion;
+        text.begunBy = { identifier, startedAt };
+        this.#isBeginningChecked = false;
+      }
       this.#interruptedAt = undefined;
       return true;
     }
@@ -87,6 +100,13 @@
     return false;
   }
 
+  async #isVersionDoubtful(softwareVersion: string): Promise<boolean> {
+    const { text, serverStarts } = this.#options;
+    if (this.#isBeginningChecked || text.begunBy === undefined) return false;
+    this.#isBeginningChecked = true;
+    return await serverStarts.mayHaveChanged(text.begunBy, softwareVersion);
+  }
+
   #getPatience({ service, softwareVersion }: EngineRequirements): number {
     const { pool, servers, text } = this.#options;
     const engines = servers.ofService(service);
--- a/source/installation/backend_server_entry.ts
+++ b/source/installation/backend_server_entry.ts
@@ -23,3 +23,6 @@
   /** Whether the platform may reclaim the server at short notice. */
   readonly isReclaimable: boolean;
 }
+
+/** One start of a server. */
+export type ServerStart = Pick<BackendServerEntry, "identifier" | "startedAt">;
--- a/source/installation/node_record.ts
+++ b/source/installation/node_record.ts
@@ -1,5 +1,5 @@
 import type { LimitRecord } from "./server_limits.ts";
-import type { LeavingServer } from "./server_view.ts";
+import type { ServerStart } from "./backend_server_entry.ts";
 
 /** What a node publishes about itself. */
 export interface NodeDescription {
@@ -27,7 +27,7 @@
    */
   readonly engineUse: EngineUseRecord | undefined;
   /** Servers that are about to stop according to answers that the node got. */
-  readonly leavingServers: ReadonlyArray<LeavingServer>;
+  readonly leavingServers: ReadonlyArray<ServerStart>;
   /** Limits that servers named to the node, and its use of them. */
   readonly limits: ReadonlyArray<LimitRecord>;
   /**
--- /dev/null
+++ b/source/installation/server_starts.ts
@@ -0,0 +1,78 @@
+import type { ServerClient } from "../backends/server_client.ts";
+import type { EventLog } from "../observability/event_log.ts";
+import type {
+  BackendServerEntry,
+  ServerStart,
+} from "./backend_server_entry.ts";
+import type { ServerLimits } from "./server_limits.ts";
+import type { ServerPaths } from "./server_paths.ts";
+import type { ServerView } from "./server_view.ts";
+
+/** Time limit for reading a server's report. */
+const REPORT_MILLISECONDS = 250;
+
+/** Dependencies of the check of servers' starts. */
+export interface ServerStartsOptions {
+  readonly log: EventLog;
+  readonly client: Pick<ServerClient, "readReport">;
+  readonly limits: Pick<ServerLimits, "recordRequest">;
+  readonly paths: Pick<ServerPaths, "isCutOff">;
+  readonly servers: Pick<ServerView, "servers">;
+}
+
+/**
+ * Tells whether servers were started again under their identifiers. A new start may have another
+ * software version, and its entry is read later, or much later while the store is away.
+ */
+export class ServerStarts {
+  readonly #options: ServerStartsOptions;
+
+  /** @param options - The servers and the client that reads their reports. */
+  constructor(options: ServerStartsOptions) {
+    this.#options = options;
+  }
+
+  /**
+   * Whether a server reports another start than its entry describes.
+   * @returns False if the server reports none, which is logged unless this node reaches no server.
+   */
+  async isReplaced(server: BackendServerEntry): Promise<boolean> {
+    const { log, client, limits, paths } = this.#options;
+    if (paths.isCutOff) return false;
+    const { identifier, startedAt } = server;
+    limits.recordRequest(identifier);
+    const report = await client.readReport(server, {
+      signal: AbortSignal.timeout(REPORT_MILLISECONDS),
+      silenceMilliseconds: REPORT_MILLISECONDS,
+    });
+    const reported = report?.startedAt;
+    if (reported === undefined) {
+      log.emit("serverStartUnknown", { server: identifier, startedAt });
+      return false;
+    }
+    if (reported === startedAt) return false;
+    log.emit("serverStartReplaced", {
+      server: identifier,
+      startedAt,
+      reported,
+    });
+    return true;
+  }
+
+  /**
+   * Whether the software of a server may have been another one than its entry named, because the
+   * server has started again since the entry was read.
+   * @param start - The start that the entry described.
+   * @param softwareVersion - The version that it named.
+   */
+  async mayHaveChanged(
+    { identifier, startedAt }: ServerStart,
+    softwareVersion: string,
+  ): Promise<boolean> {
+    const entry = this.#options.servers.servers.get(identifier);
+    if (entry === undefined) return false;
+    return entry.startedAt === startedAt
+      ? await this.isReplaced(entry)
+      : entry.softwareVersion !== softwareVersion;
+  }
+}
--- /dev/null
+++ b/source/installation/server_starts_test.ts
@@ -0,0 +1,122 @@
+import test from "ava";
+import { createServerEntry } from "../../stand_ins/installation/create_server_entry.ts";
+import type { EngineReport } from "../backends/server_client.ts";
+import { RecordingEventLog } from "../observability/event_log.ts";
+import type { BackendServerEntry } from "./backend_server_entry.ts";
+import { ServerStarts } from "./server_starts.ts";
+
+const ENTRY = createServerEntry("e1", { startedAt: 100 });
+
+interface Fixture {
+  readonly log: RecordingEventLog;
+  readonly starts: ServerStarts;
+  /** Identifiers of the servers whose reports were read, in order. */
+  readonly asked: ReadonlyArray<string>;
+  /** Identifiers of the servers whose limits counted a request, in order. */
+  readonly counted: ReadonlyArray<string>;
+}
+
+function createFixture(
+  { reportedAt, entry, isCutOff = false }: {
+    /** Start that the server reports; undefined if its report can't be read. */
+    readonly reportedAt?: number;
+    readonly entry?: BackendServerEntry;
+    readonly isCutOff?: boolean;
+  },
+): Fixture {
+  const log = new RecordingEventLog();
+  const asked: string[] = [];
+  const counted: string[] = [];
+  const report: EngineReport | undefined = reportedAt === undefined
+    ? undefined
+    : {
+      startedAt: reportedAt,
+      weightVersions: new Map(),
+      acceptedOrders: 0,
+      isBusy: false,
+      waiting: 0,
+      running: 0,
+    };
+  const starts = new ServerStarts({
+    log,
+    client: {
+      readReport: ({ identifier }) => {
+        asked.push(identifier);
+        return Promise.resolve(report);
+      },
+    },
+    limits: { recordRequest: (identifier) => void counted.push(identifier) },
+    paths: { isCutOff },
+    servers: {
+      servers: new Map(entry === undefined ? [] : [[entry.identifier, entry]]),
+    },
+  });
+  return { log, starts, asked, counted };
+}
+
+test("a server that reports the start of its entry is not replaced", async (t) => {
+  const { starts, log, counted } = createFixture({ reportedAt: 100 });
+  t.false(await starts.isReplaced(ENTRY));
+  t.deepEqual(log.events, []);
+  t.deepEqual(counted, ["e1"]);
+});
+
+test("a server that reports another start is replaced", async (t) => {
+  const { starts, log } = createFixture({ reportedAt: 200 });
+  t.true(await starts.isReplaced(ENTRY));
+  t.deepEqual(log.events, [{
+    name: "serverStartReplaced",
+    fields: { server: "e1", startedAt: 100, reported: 200 },
+  }]);
+});
+
+test("a server whose report can't be read counts as not replaced", async (t) => {
+  const { starts, log } = createFixture({});
+  t.false(await starts.isReplaced(ENTRY));
+  t.deepEqual(log.events.map(({ name }) => name), ["serverStartUnknown"]);
+});
+
+test("a node that is cut off asks no server", async (t) => {
+  const { starts, asked } = createFixture({ reportedAt: 200, isCutOff: true });
+  t.false(await starts.isReplaced(ENTRY));
+  t.deepEqual(asked, []);
+});
+
+const CHANGES: ReadonlyArray<{
+  readonly title: string;
+  readonly entry?: BackendServerEntry;
+  readonly reportedAt?: number;
+  readonly expected: boolean;
+}> = [
+  { title: "of a server without an entry did not change", expected: false },
+  {
+    title: "of a server that reports the start of its entry did not change",
+    entry: ENTRY,
+    reportedAt: 100,
+    expected: false,
+  },
+  {
+    title: "of a server that reports a later start may have changed",
+    entry: ENTRY,
+    reportedAt: 200,
+    expected: true,
+  },
+  {
+    title: "of a server whose new entry names the same version did not change",
+    entry: { ...ENTRY, startedAt: 200 },
+    expected: false,
+  },
+  {
+    title: "of a server whose new entry names another version may have changed",
+    entry: { ...ENTRY, startedAt: 200, softwareVersion: "v2" },
+    expected: true,
+  },
+];
+
+for (const { title, expected, ...more } of CHANGES) {
+  test(`the software ${title}`, async (t) => {
+    const { starts } = createFixture(more);
+    const begun = { identifier: "e1", startedAt: 100 };
+    t.is(await starts.mayHaveChanged(begun, "v1"), expected);
+  });
+}
--- a/source/installation/server_view.ts
+++ b/source/installation/server_view.ts
@@ -7,7 +7,10 @@
 } from "../platform/durable_table.ts";
 import { TableFollower, USUAL_PACE } from "../platform/table_follower.ts";
 import type { Clock } from "../utilities/clock.ts";
-import type { BackendServerEntry } from "./backend_server_entry.ts";
+import type {
+  BackendServerEntry,
+  ServerStart,
+} from "./backend_server_entry.ts";
 
 /**
  * Pause after each response with changes, as a share of `drainMilliseconds`. Servers write a row at
@@ -26,12 +29,6 @@
 /** Maximum number of leaving servers that are remembered; beyond it, the oldest is forgotten. */
 const MAXIMUM_LEAVING_SERVERS = 2000;
 
-/** One start of a server that is about to stop. */
-export type LeavingServer = Pick<
-  BackendServerEntry,
-  "identifier" | "startedAt"
->;
-
 /** How a node learned that a server is about to stop. */
 export interface LeavingNotice {
   /** "answer" for an answer of the server to this node, else the name of the node that got it. */
@@ -72,7 +69,7 @@
   readonly #loggedMalformed = new Set<string>();
   readonly #follower: TableFollower;
   /** Servers that are about to stop, by their start, and the node that got their answer. */
-  readonly #leaving = new LRUCache<string, LeavingServer & LeavingNotice>({
+  readonly #leaving = new LRUCache<string, ServerStart & LeavingNotice>({
     max: MAXIMUM_LEAVING_SERVERS,
   });
   /** Identifiers of servers without an entry that are retained while they may still renew it. */
@@ -169,7 +166,7 @@
    * @param notice - How this node learned it.
    */
   markLeaving(
-    { identifier, startedAt }: LeavingServer,
+    { identifier, startedAt }: ServerStart,
     { learnedFrom }: LeavingNotice,
   ): void {
     const start = toServerStart({ identifier, startedAt });
@@ -183,7 +180,7 @@
   }
 
   /** The servers that told this node that they are about to stop and whose entry does not say so. */
-  get leavingByAnswer(): ReadonlyArray<LeavingServer> {
+  get leavingByAnswer(): ReadonlyArray<ServerStart> {
     return [...this.#leaving.values()].filter(
       ({ identifier, startedAt, learnedFrom }) => {
         const server = this.#servers.get(identifier);
@@ -308,7 +305,7 @@
   }
 }
 
-function toServerStart({ identifier, startedAt }: LeavingServer): string {
+function toServerStart({ identifier, startedAt }: ServerStart): string {
   return `${identifier}/${startedAt}`;
 }
 
--- /dev/null
+++ b/source/node/apply_server_news.ts
@@ -0,0 +1,37 @@
+import type { ServerClient } from "../backends/server_client.ts";
+import type { EngineUseExchange } from "../durable_steps/engine_use_exchange.ts";
+import { toLimitNews } from "../installation/limit_news.ts";
+import type { NodeRegister } from "../installation/node_register.ts";
+import type { ServerLimits } from "../installation/server_limits.ts";
+import type { ServerView } from "../installation/server_view.ts";
+
+/** The sources of news about servers and the parts that use it. */
+export interface ServerNewsOptions {
+  readonly client: Pick<ServerClient, "watchLeaving">;
+  readonly register: NodeRegister;
+  readonly servers: ServerView;
+  readonly engineUseExchange: EngineUseExchange;
+  readonly limits: ServerLimits;
+}
+
+/** Applies what answers and other nodes say of servers that leave, of engines' use and of limits. */
+export function applyServerNews(
+  { client, register, servers, engineUseExchange, limits }: ServerNewsOptions,
+): void {
+  client.watchLeaving((server) =>
+    servers.markLeaving(server, { learnedFrom: "answer" })
+  );
+  register.watch(() => {
+    for (const { node, leavingServers } of register.others) {
+      for (const server of leavingServers) {
+        servers.markLeaving(server, { learnedFrom: node });
+      }
+    }
+  });
+  register.watch(() =>
+    engineUseExchange.apply(
+      register.others.flatMap(({ engineUse }) => engineUse ?? []),
+    )
+  );
+  register.watch(() => limits.apply(toLimitNews(register)));
+}
--- a/source/node/create_installation_node.ts
+++ b/source/node/create_installation_node.ts
@@ -32,12 +32,13 @@
 import type { InstallationSettings } from "../installation/installation_settings.ts";
 import { findSettledWindow } from "../installation/find_settled_window.ts";
 import { isWallOffsetPublished } from "../installation/is_wall_offset_published.ts";
-import { toLimitNews } from "../installation/limit_news.ts";
 import { NodeRegister } from "../installation/node_register.ts";
 import { OperatorView } from "../installation/operator_view.ts";
+import { ContinuationClient } from "../installation/continuation_client.ts";
 import { ServerCheck } from "../installation/server_check.ts";
 import { ServerLimits } from "../installation/server_limits.ts";
 import { ServerPaths } from "../installation/server_paths.ts";
+import { ServerStarts } from "../installation/server_starts.ts";
 import { ServerView } from "../installation/server_view.ts";
 import { listOwnedSteps } from "../durable_steps/list_owned_steps.ts";
 import { SharedClock } from "../installation/shared_clock.ts";
@@ -48,6 +49,7 @@
 import { MeasuredTable } from "../platform/measured_table.ts";
 import type { Clock } from "../utilities/clock.ts";
 import { createRandomSource } from "../utilities/random_source.ts";
+import { applyServerNews } from "./apply_server_news.ts";
 import { setInstallationGauges } from "./installation_gauges.ts";
 import type { InstallationAdapters } from "./installation_adapters.ts";
 import { type BackgroundPart, InstallationNode } from "./installation_node.ts";
@@ -189,22 +191,7 @@
       usageSettledThrough: usage.settledThrough,
     }),
   });
-  client.watchLeaving((server) =>
-    servers.markLeaving(server, { learnedFrom: "answer" })
-  );
-  register.watch(() => {
-    for (const { node, leavingServers } of register.others) {
-      for (const server of leavingServers) {
-        servers.markLeaving(server, { learnedFrom: node });
-      }
-    }
-  });
-  register.watch(() =>
-    engineUseExchange.apply(
-      register.others.flatMap(({ engineUse }) => engineUse ?? []),
-    )
-  );
-  register.watch(() => limits.apply(toLimitNews(register)));
+  applyServerNews({ client, register, servers, engineUseExchange, limits });
   const stepRegistry = new StepRegistry({ ...common, pace });
   const leaseElector = new LeaseElector({
     name: DUTY_LEASE,
@@ -252,13 +239,22 @@
       isCutOff: () => serverPaths.check(),
     }),
   });
+  const serverStarts = new ServerStarts({
+    log,
+    client,
+    limits,
+    paths: serverPaths,
+    servers,
+  });
+  const continuationClient = new ContinuationClient({ client, serverStarts });
   const tools: StepTools = {
     ...stored,
     stepRegistry,
     pool,
     textLengths: new TextLengthEstimate(),
     servers,
-    client,
+    client: continuationClient,
+    serverStarts,
     submissionStore: new SubmissionStore({
       table,
       rowBytes: settings.rowBytes,
@@ -270,7 +266,7 @@
       ...common,
       random,
       servers,
-      client,
+      client: continuationClient,
       serverStatistics: statistics,
       crashGuard,
       callRelay,
@@ -297,6 +293,7 @@
     operator,
     forwarder: tools.forwarder,
     servers,
+    serverStarts,
     streamOrigins,
     usage,
     metrics,
--- a/source/observability/events/installation_events.ts
+++ b/source/observability/events/installation_events.ts
@@ -176,6 +176,20 @@
     action: "",
     fields: ["request", "node", "reason"],
   }),
+  serverStartUnknown: defineEvent(9217, {
+    level: "info",
+    message:
+      "A server did not report its start; a stream goes on as if its entry described it",
+    action: "",
+    fields: ["server", "startedAt"],
+  }),
+  serverStartReplaced: defineEvent(9218, {
+    level: "info",
+    message:
+      "A server has started again under its identifier, and its entry describes an earlier start; no stream or text of that start goes on there",
+    action: "",
+    fields: ["server", "startedAt", "reported"],
+  }),
   callEnded: defineEvent(9202, {
     level: "info",
     message: "A call ended without a server's answer",
--- a/stand_ins/decisions/stream_model.ts
+++ b/stand_ins/decisions/stream_model.ts
@@ -98,6 +98,7 @@
   const decide = options.decide ?? decideStreamContinuation;
   const continuation = decide(finding, {
     services: [SERVICE],
+    isOriginDoubtful: false,
     serving: () => new Set(listServing(options, interruptedAt)),
     seen: () =>
       followedSince > interruptedAt - SEEN_MILLISECONDS
@@ -120,7 +121,10 @@
   const softwareVersion = memory.get(identifier) ??
     (isStoreOut ? undefined : stored.get(identifier));
   if (softwareVersion !== undefined) {
-    return { kind: "found", origin: { service: SERVICE, softwareVersion } };
+    return {
+      kind: "found",
+      origin: { service: SERVICE, softwareVersion, server: undefined },
+    };
   }
   return { kind: isStoreOut ? "unreadable" : "absent" };
 }
--- a/stand_ins/installation/create_step_tools.ts
+++ b/stand_ins/installation/create_step_tools.ts
@@ -68,6 +68,7 @@
     textLengths: new TextLengthEstimate(),
     servers,
     client,
+    serverStarts: { mayHaveChanged: () => Promise.resolve(false) },
     forwarder: createCallForwarder({
       crashGuard: createCrashGuard(client),
       callRelay: createCallRelay(client),
