Membership tests: run the groups one after another

Cause: the file started the groups of all its tests, some hundred nodes, at once in one process, which then got too little processor time for their connections.

The tests run one after another; bounds are the same.

--- a/source/membership/membership_test.ts
+++ b/source/membership/membership_test.ts
@@ -167,7 +167,7 @@
 };
 
 for (const [name, faults] of Object.entries(CASES)) {
-  test(`a withdrawal reaches all nodes: ${name}`, async (t) => {
+  test.serial(`a withdrawal reaches all nodes: ${name}`, async (t) => {
     const group = await startGroup(t, 5);
     for (const injectFault of faults) await injectFault(group);
     withdraw(memberOf(group, 0), "key-1");
@@ -178,7 +178,7 @@
   });
 }
 
-test("a silent stream is replaced on a new connection", async (t) => {
+test.serial("a silent stream is replaced on a new connection", async (t) => {
   const group = await startGroup(t, 2);
   const members = [...group.members.values()];
   const opened = members.map((member) =>
@@ -197,7 +197,7 @@
   t.true(members.some((member) => countEvents(member, "peerStreamSilent") > 0));
 });
 
-test("confirmWithdrawal returns which peers confirmed a withdrawal and which did not", async (t) => {
+test.serial("confirmWithdrawal returns which peers confirmed a withdrawal and which did not", async (t) => {
   const group = await startGroup(t, 4);
   memberOf(group, 3).relay.isRefusing = true;
   const request = create(ConfirmWithdrawalRequestSchema, {
@@ -227,7 +227,7 @@
   );
 });
 
-test("a node that starts during a table outage adopts the newest configuration and the key withdrawals that its peers hold", async (t) => {
+test.serial("a node that starts during a table outage adopts the newest configuration and the key withdrawals that its peers hold", async (t) => {
   const group = await startGroup(t, 3);
   const writer = memberOf(group, 0).membership.configurationWriter;
   for (const revision of [0, 1]) {
@@ -249,7 +249,7 @@
   );
 });
 
-test("the view of keys ages on a node that reaches neither the table nor peers, and is fresh once it reaches peers again", async (t) => {
+test.serial("the view of keys ages on a node that reaches neither the table nor peers, and is fresh once it reaches peers again", async (t) => {
   const group = await startGroup(t, 3);
   const isolatedPlatform = new MemoryPlatform();
   const isolated = await group.start("node-8", { platform: isolatedPlatform });
@@ -289,7 +289,7 @@
   t.pass();
 });
 
-test("new configurations reach a node whose connections were destroyed, and no node adopts a lower revision", async (t) => {
+test.serial("new configurations reach a node whose connections were destroyed, and no node adopts a lower revision", async (t) => {
   const group = await startGroup(t, 3);
   const writer = memberOf(group, 0).membership.configurationWriter;
   const revisions = new Map<string, bigint[]>();
