Test of weight versions: texts that last until the weights have changed

Cause: the texts took 1 s, and on the loaded machine the orders to the engines took longer, so all texts were complete before the weights changed.

The texts are three times as long; the checks are the same, over more tokens.

--- a/source/steps/true_versions_test.ts
+++ b/source/steps/true_versions_test.ts
@@ -17,7 +17,7 @@
 const GROUPS = 3;
 const SAMPLES_PER_GROUP = 4;
 const WANTED = GROUPS * SAMPLES_PER_GROUP;
-const MAXIMUM_TOKENS = 60;
+const MAXIMUM_TOKENS = 180;
 const MAXIMUM_PULLS = 60;
 const ENGINE = {
   batchSlots: 4,
