Ask no server for its start if its entry names none

An entry by another writer may lack the time of the start. The engine then counted as replaced for good, and no text or stream went on at it. Found by reading; the test failed before.

--- a/source/installation/server_starts.ts
+++ b/source/installation/server_starts.ts
@@ -34,12 +34,13 @@
 
   /**
    * Whether a server reports another start than its entry describes.
-   * @returns False if the server reports none, which is logged unless this node reaches no server.
+   * @returns False if the entry names no start or the server reports none; the latter is logged, unless
+   *   this node reaches no server.
    */
   async isReplaced(server: BackendServerEntry): Promise<boolean> {
     const { log, client, limits, paths } = this.#options;
-    if (paths.isCutOff) return false;
     const { identifier, startedAt } = server;
+    if (startedAt === 0 || paths.isCutOff) return false;
     limits.recordRequest(identifier);
     const report = await client.readReport(server, {
       signal: AbortSignal.timeout(REPORT_MILLISECONDS),
--- a/source/installation/server_starts_test.ts
+++ b/source/installation/server_starts_test.ts
@@ -76,6 +76,12 @@
   t.deepEqual(log.events.map(({ name }) => name), ["serverStartUnknown"]);
 });
 
+test("a server whose entry names no start is asked for none", async (t) => {
+  const { starts, asked } = createFixture({ reportedAt: 200 });
+  t.false(await starts.isReplaced({ ...ENTRY, startedAt: 0 }));
+  t.deepEqual(asked, []);
+});
+
 test("a node that is cut off asks no server", async (t) => {
   const { starts, asked } = createFixture({ reportedAt: 200, isCutOff: true });
   t.false(await starts.isReplaced(ENTRY));
