--- a/source/membership/membership_test.ts
+++ b/source/membership/membership_test.ts
@@ -12,6 +12,7 @@
 } from "../../stand_ins/membership/membership_group.ts";
 import { MemoryPlatform } from "../../stand_ins/membership/memory_platform.ts";
 
+// The tests are serial, as the nodes of all groups together need more time than one process has.
 const FAILURE_DOMAINS = ["domain-a", "domain-b", "domain-c"];
 
 /** Starts nodes in three failure domains and waits until each has received the facts of all others. */
--- a/source/steps/true_versions_test.ts
+++ b/source/steps/true_versions_test.ts
@@ -17,6 +17,7 @@
 const GROUPS = 3;
 const SAMPLES_PER_GROUP = 4;
 const WANTED = GROUPS * SAMPLES_PER_GROUP;
+/** Makes texts that last longer than the orders to the engines take. */
 const MAXIMUM_TOKENS = 180;
 const MAXIMUM_PULLS = 60;
 const ENGINE = {
