--- a/source/control/lease_elector_test.ts
+++ b/source/control/lease_elector_test.ts
@@ -10,66 +10,11 @@
 } from "../../stand_ins/platform/local_platform.ts";
 import { createPlatformState } from "../../stand_ins/platform/platform_state.ts";
 import { ManualClock } from "../utilities/manual_clock.ts";
+import { LeaseSimulation } from "../../stand_ins/control/lease_simulation.ts";
 import { LeaseElector } from "./lease_elector.ts";
 
-const STEP_MILLISECONDS = 50;
 const WAIT_MILLISECONDS = LEASE_MILLISECONDS + ORDER_DEADLINE_MILLISECONDS;
 
-/** Two nodes that compete for a lease, which the first one holds at the start. */
-class LeaseSimulation {
-  readonly clock = new ManualClock();
-  readonly state = createPlatformState({ clock: this.clock });
-  readonly first = this.#createNode("node-1");
-  readonly second = this.#createNode("node-2");
-  firstLease = new LeaseElector({ context: this.first.context, name: "usage" });
-  secondLease = new LeaseElector({
-    context: this.second.context,
-    name: "usage",
-  });
-  /** Successive holders with their fencing numbers, such as "node-1:1". */
-  readonly holders: string[] = [];
-
-  async start(): Promise<void> {
-    void this.firstLease.run();
-    await this.advance(100);
-    void this.secondLease.run();
-    await this.advance(100);
-  }
-
-  /** Advances the clock; returns the time during which no node held the lease, in milliseconds. */
-  async advance(milliseconds: number): Promise<number> {
-    let vacant = 0;
-    for (
-      let elapsed = 0;
-      elapsed < milliseconds;
-      elapsed += STEP_MILLISECONDS
-    ) {
-      await this.clock.advance(STEP_MILLISECONDS);
-      if (!this.#observe()) vacant += STEP_MILLISECONDS;
-    }
-    return vacant;
-  }
-
-  #observe(): boolean {
-    const held = [
-      { node: this.first, lease: this.firstLease.getHeldLease() },
-      { node: this.second, lease: this.secondLease.getHeldLease() },
-    ].filter(({ node, lease }) => lease !== undefined && !node.clock.isStopped);
-    const names = held.map(({ node, lease }) =>
-      `${node.name}:${lease?.fencingNumber}`
-    );
-    const holder = names.join(" and ");
-    if (holder !== "" && holder !== this.holders.at(-1)) {
-      this.holders.push(holder);
-    }
-    return holder !== "";
-  }
-
-  #createNode(name: string): ControlNode {
-    return new ControlNode({ name, clock: this.clock, state: this.state });
-  }
-}
-
 function createFateDecider(kind: CallBehaviour["kind"]): () => CallBehaviour {
   return () => ({
     kind,
