--- a/source/installation/server_starts_test.ts
+++ b/source/installation/server_starts_test.ts
@@ -88,6 +88,12 @@
   t.deepEqual(asked, []);
 });
 
+test("checks of one server at the same time read its report once", async (t) => {
+  const { starts, asked } = createFixture({ reportedAt: 100 });
+  await Promise.all(Array.from({ length: 16 }, () => starts.isReplaced(ENTRY)));
+  t.is(asked.length, 1);
+});
+
 const CHANGES: ReadonlyArray<{
   readonly title: string;
   readonly entry?: BackendServerEntry;
