Decode warm-up, evacuation and allowed regions from the operator's rows

Cause: the rows and settings of an installation can name a warm-up of servers (cold_start_s, cold_per_s, cold_remaining_ms, cold_overage, cold_slack), evacuated failure domains (op/evacuate/DOMAIN, evac_ms) and allowed regions of routes and organisations (allowed_regions). Only cold_remaining_ms was decoded, and nothing used it.

A row that is deleted or missing in a complete read ends its evacuation; a failed read does not. Nothing acts on these fields yet.

--- a/source/calls/call_forwarder_test.ts
+++ b/source/calls/call_forwarder_test.ts
@@ -43,6 +43,7 @@
     isPublic: true,
     isResumable: false,
     isSingleVersion: false,
+    allowedRegions: undefined,
     sampleLifetimeMilliseconds: 0,
     resultDeadlineMilliseconds: 0,
   };
--- a/source/installation/backend_server_entry.ts
+++ b/source/installation/backend_server_entry.ts
@@ -14,8 +14,11 @@
   readonly slots: number;
   /** Whether the server is draining and takes no new requests. */
   readonly isDraining: boolean;
-  /** Remaining warm-up time after the server's start, in which it responds slowly. */
-  readonly warmUpMilliseconds: number;
+  /**
+   * Remaining time of the server's warm-up when it wrote the entry, 0 when it is warm; undefined when
+   * the entry doesn't name it.
+   */
+  readonly warmUpMilliseconds: number | undefined;
   /** Loaded weight version by name of the model. */
   readonly weightVersions: ReadonlyMap<string, number>;
   /** Number of weight orders that the server has accepted since its start. */
--- a/source/installation/configuration.ts
+++ b/source/installation/configuration.ts
@@ -42,6 +42,8 @@
   readonly sampleLifetimeMilliseconds: number;
   /** Time from a step's submission until its results are due. */
   readonly resultDeadlineMilliseconds: number;
+  /** Regions in which the route's requests may be processed; undefined for any region. */
+  readonly allowedRegions: ReadonlySet<string> | undefined;
 }
 
 /** Limits and prices for ordering servers of a service. */
@@ -58,6 +60,14 @@
   readonly domainPrices: ReadonlyMap<string, number>;
 }
 
+/** Warm-up of a server after its start, in which it accepts few requests. */
+export interface ServiceWarmUp {
+  /** Time from the start of a server to the end of its warm-up. */
+  readonly durationMilliseconds: number;
+  /** Requests a second that a server in its warm-up accepts from all nodes together. */
+  readonly requestsPerSecond: number;
+}
+
 /** A service and the limits of its servers. */
 export interface Service {
   readonly name: string;
@@ -80,6 +90,8 @@
    * Limits and prices for ordering servers; undefined when the service's servers can't be ordered.
    */
   readonly scaling: ServiceScaling | undefined;
+  /** Warm-up of the service's servers; undefined when they need none. */
+  readonly warmUp: ServiceWarmUp | undefined;
 }
 
 /** Limits on the requests and connections of callers. */
@@ -102,6 +114,11 @@
   readonly organisationsByKey: ReadonlyMap<string, string> | undefined;
   /** Rank of an organisation's calls by its name; 0 goes first. */
   readonly organisationPriorities: ReadonlyMap<string, number>;
+  /**
+   * Regions in which an organisation's requests may be processed, by its name; organisations without
+   * an entry may use any region.
+   */
+  readonly organisationRegions: ReadonlyMap<string, ReadonlySet<string>>;
 }
 
 /**
--- a/source/installation/installation_settings.ts
+++ b/source/installation/installation_settings.ts
@@ -54,4 +54,13 @@
   readonly resultRetentionMilliseconds: number;
   /** Maximum time for which a caller may cache the result of an address lookup. */
   readonly addressKeepMilliseconds: number;
+  /** Time from the evacuation of a failure domain until its servers get no new requests. */
+  readonly evacuationMilliseconds: number;
+  /**
+   * Factor on the requests a second of a server in its warm-up up to which it may be exceeded in one
+   * second.
+   */
+  readonly warmUpOverageFactor: number;
+  /** Number of requests in one second that a server in its warm-up may get beyond that. */
+  readonly warmUpSlackRequests: number;
 }
--- a/source/installation/operator_view.ts
+++ b/source/installation/operator_view.ts
@@ -19,6 +19,8 @@
     readonly model: string;
     readonly version: number;
   }
+  /** The servers of a failure domain get no requests until the row is deleted. */
+  | { readonly kind: "evacuation"; readonly failureDomain: string }
   /** Fields of the row are missing or have the wrong type. */
   | { readonly kind: "malformed"; readonly key: string }
   /** The row has an unknown key and is ignored. */
@@ -60,6 +62,8 @@
   readonly #options: OperatorViewOptions;
   readonly #follower: TableFollower;
   readonly #versions = new Map<string, number>();
+  /** Evacuated failure domains by the key of their row. */
+  readonly #evacuations = new Map<string, string>();
   readonly #watchers: (() => void)[] = [];
   #configuration: Configuration | undefined;
 
@@ -74,8 +78,11 @@
       partition: "",
       ...(options.pace === undefined ? {} : { pace: options.pace }),
       stopping,
-      onSnapshot: (rows) =>
-        this.#apply(rows.map((row) => ({ ...row, isDeleted: false }))),
+      onSnapshot: (rows) => {
+        // Evacuations whose rows are gone have ended.
+        this.#evacuations.clear();
+        this.#apply(rows.map((row) => ({ ...row, isDeleted: false })));
+      },
       onChanges: (changes) => this.#apply(changes),
       onHealthChange: (problem) =>
         problem === undefined
@@ -94,6 +101,11 @@
     return this.#versions;
   }
 
+  /** Names of the failure domains whose servers must get no requests. */
+  get evacuatedDomains(): ReadonlySet<string> {
+    return new Set(this.#evacuations.values());
+  }
+
   /**
    * Whether the view is recent enough to reject withdrawn keys within `keyWithdrawalMilliseconds`.
    */
@@ -129,8 +141,9 @@
 
   #apply(changes: ReadonlyArray<RowChange>): void {
     for (const change of changes) {
-      // When a row is deleted, the values that were read from it stay in force.
-      if (!change.isDeleted) this.#applyRow(change);
+      // When another row is deleted, the values that were read from it stay in force.
+      if (change.isDeleted) this.#evacuations.delete(change.key);
+      else this.#applyRow(change);
     }
     for (const onChange of this.#watchers) onChange();
   }
@@ -145,6 +158,8 @@
       this.#versions.set(row.model, Math.max(known, row.version));
     } else if (row.kind === "configuration") {
       this.#adopt(row.configuration);
+    } else if (row.kind === "evacuation") {
+      this.#evacuations.set(key, row.failureDomain);
     }
   }
 
--- a/source/installation/operator_view_test.ts
+++ b/source/installation/operator_view_test.ts
@@ -27,6 +27,9 @@
 }
 
 function readRow(key: string, value: Buffer): OperatorRow {
+  if (key.startsWith("evacuate/")) {
+    return { kind: "evacuation", failureDomain: key.slice("evacuate/".length) };
+  }
   const version = Number(value.toString());
   if (Number.isNaN(version)) return { kind: "malformed", key };
   if (key !== "config") return { kind: "namedVersion", model: key, version };
@@ -42,6 +45,7 @@
     },
     organisationsByKey: undefined,
     organisationPriorities: new Map(),
+    organisationRegions: new Map(),
   };
   return { kind: "configuration", configuration };
 }
@@ -73,6 +77,14 @@
   return { table, clock, view, log, put };
 }
 
+async function deleteRow(
+  table: MemoryDurableTable,
+  key: string,
+): Promise<void> {
+  const deletes = [{ table: "op", partition: "", key }];
+  await table.commit({ conditions: [], puts: [], deletes });
+}
+
 test("only a newer configuration replaces the one in force", async (t) => {
   const { view, put, clock } = await start(t);
   t.is(view.configuration?.version, 5);
@@ -118,3 +130,33 @@
   await clock.sleep(2300);
   t.true(view.isKeyViewFresh());
 });
+
+test("a failure domain is evacuated until its row is deleted, also through an outage", async (t) => {
+  const { view, put, table, clock } = await start(t);
+  t.is(view.evacuatedDomains.size, 0);
+  await put("evacuate/a", "{}");
+  await clock.sleep(50);
+  t.deepEqual(view.evacuatedDomains, new Set(["a"]));
+  table.isDown = true;
+  await clock.sleep(50);
+  t.deepEqual(view.evacuatedDomains, new Set(["a"]));
+  table.isDown = false;
+  await clock.sleep(700);
+  t.deepEqual(view.evacuatedDomains, new Set(["a"]));
+  await deleteRow(table, "evacuate/a");
+  await clock.sleep(50);
+  t.is(view.evacuatedDomains.size, 0);
+});
+
+test("an evacuation whose deletion was missed ends with the next read of all rows", async (t) => {
+  const { view, put, table, clock } = await start(t);
+  await put("evacuate/a", "{}");
+  await put("evacuate/b", "{}");
+  await clock.sleep(50);
+  table.isDown = true;
+  await clock.sleep(50);
+  table.isDown = false;
+  await deleteRow(table, "evacuate/a");
+  await clock.sleep(700);
+  t.deepEqual(view.evacuatedDomains, new Set(["b"]));
+});
