Send no request to the servers of evacuated failure domains

Cause: OperatorView names the evacuated failure domains, but nothing used them, so an operator could not empty a failure domain.

Change: ServerView gets the evacuated domains in the tick in which they are read, leaves their servers out of ofService and isServing and notifies its watchers. Reports of servers (weight duty, checks of starts) and health checks had no check in the tick of the send; they have one now. A health check of an evacuated server tells nothing of the path, so it counts neither for nor against being cut off. Calls to a service whose servers are all evacuated are refused at once with a time to return, and steps are rejected. An attempt that is withheld in the tick of its send no longer counts as a failure of its server. ServerReplacer counts evacuated servers as present and orders none there. Events 9109 and 9110, gauges failure_domains_evacuated and servers_evacuated.

Ruled out: to filter in each user of the server view, as a new user would forget it; to ask OperatorView at each check, as it builds a set each time.

--- a/source/backends/server_client.ts
+++ b/source/backends/server_client.ts
@@ -87,6 +87,8 @@
   readonly path: string;
   /** Time limit of the check. */
   readonly milliseconds: number;
+  /** Called in the tick that writes the first byte; false ends the check without a request. */
+  readonly mayStart?: () => boolean;
 }
 
 /** What a check over a new connection finds out about the start of a server. */
--- a/source/calls/attempt_result.ts
+++ b/source/calls/attempt_result.ts
@@ -8,6 +8,15 @@
 /** Maximum size of a response that is buffered whole; a larger one is streamed to the caller. */
 const MAXIMUM_BUFFERED_BYTES = 1024 * 1024;
 
+/**
+ * Causes that say nothing against the server or the path to it: it refused, or it left the servers
+ * that get requests just before the send.
+ */
+const UNAVAILABLE: ReadonlySet<FailureCause> = new Set([
+  "refused",
+  "withheld",
+]);
+
 /** The result of one attempt of a call. */
 export type AttemptResult =
   | {
@@ -42,7 +51,7 @@
 ): Promise<AttemptResult> {
   if (answer.kind !== "answered") {
     return answer.kind === "notRun"
-      ? { kind: "notRun", isRefused: answer.cause === "refused" }
+      ? { kind: "notRun", isRefused: UNAVAILABLE.has(answer.cause) }
       : { kind: "failed", reason: answer.reason, cause: answer.cause };
   }
   if (answer.signature === undefined) {
--- a/source/calls/call_forwarder.ts
+++ b/source/calls/call_forwarder.ts
@@ -1,6 +1,5 @@
 import { type AttemptResult, toAttemptResult } from "./attempt_result.ts";
 import { type AttemptRun, AttemptSet } from "./attempt_set.ts";
-import { toRetryAfter } from "../decisions/call_admission.ts";
 import type { HedgeTiming } from "../decisions/hedge_timing.ts";
 import type { RetryBudget } from "../decisions/retry_budget.ts";
 import type { CallGate } from "./call_gate.ts";
@@ -18,7 +17,9 @@
 import {
   describeFailure,
   toAnsweredOutcome,
+  toEvacuatedOutcome,
   toHeldOutcome,
+  toUnrunOutcome,
 } from "./forwarding_outcomes.ts";
 import { ServerCandidates } from "./server_candidates.ts";
 import type { ServerCallStatistics } from "./server_call_statistics.ts";
@@ -30,8 +31,6 @@
  * Share of the latency target for which a call that no server ran is retried before it is refused.
  */
 const UNRUN_RETRY_SHARE = 0.5;
-/** Time that servers which refused a call are assumed to need for what they run. */
-const REFUSED_BACKLOG_MILLISECONDS = 150;
 /** Maximum number of nodes that are tried in turn while this node does not reach the servers. */
 const MAXIMUM_RELAYS = 3;
 const OPEN = { kind: "open" } as const;
@@ -118,6 +117,7 @@
     const { priority, isDeferrable, signal, route } = this.#call;
     const hold = this.#guarded?.findHold();
     if (hold !== undefined) return toHeldOutcome(hold);
+    if (this.#isEvacuated) return this.#refuseEvacuated();
     const passed = this.#isRelayNeeded ? OPEN : await gate.pass({
       service: this.#service,
       priority,
@@ -130,6 +130,8 @@
       const { retryAfterMilliseconds } = passed;
       return { kind: "refused", refusal: "overloaded", retryAfterMilliseconds };
     }
+    // The evacuation may have started while the call waited.
+    if (this.#isEvacuated) return this.#refuseEvacuated();
     try {
       // The node that forwards a call claims the trial itself.
       const admission = this.#isRelayNeeded
@@ -177,6 +179,14 @@
     }
   }
 
+  get #isEvacuated(): boolean {
+    return this.#options.servers.isServiceEvacuated(this.#service);
+  }
+
+  #refuseEvacuated(): CallOutcome {
+    return toEvacuatedOutcome(this.#options.random.next());
+  }
+
   get #isRelayNeeded(): boolean {
     return this.#call.relay !== undefined && this.#options.callRelay.isNeeded;
   }
@@ -256,6 +266,7 @@
   }
 
   #mayRetryUnrunCall(): boolean {
+    if (this.#isEvacuated) return false;
     if (this.#isRelayNeeded) return this.#relayCount < MAXIMUM_RELAYS;
     const { latencyTargetMilliseconds } = this.#call.route;
     const waited = this.#options.clock.monotonic() - this.#startedAt;
@@ -286,20 +297,13 @@
     const failure = this.#failureToReport;
     if (failure?.kind === "complete") return toAnsweredOutcome(failure);
     if (this.#attempts.possiblyExecuted === 0) {
+      if (this.#isEvacuated) return this.#refuseEvacuated();
       const { serverStatistics, random } = this.#options;
       const { all } = this.#candidates;
-      const backlogMilliseconds = Math.max(
-        REFUSED_BACKLOG_MILLISECONDS,
+      return toUnrunOutcome(
         serverStatistics.waitForRoom(all, { requests: 1, earlier: 0 }),
+        random.next(),
       );
-      return {
-        kind: "refused",
-        refusal: "noServer",
-        retryAfterMilliseconds: toRetryAfter(
-          backlogMilliseconds,
-          random.next(),
-        ),
-      };
     }
     const reason = this.#attempts.running > 0 ? "timedOut" : "serverFailed";
     return { kind: "unknown", reason };
--- a/source/calls/forwarding_outcomes.ts
+++ b/source/calls/forwarding_outcomes.ts
@@ -1,11 +1,41 @@
+import { toRetryAfter } from "../decisions/call_admission.ts";
+import { toEvacuationRetry } from "../decisions/evacuation.ts";
 import type { AttemptResult } from "./attempt_result.ts";
 import type { CallOutcome } from "./call_outcome.ts";
 
+/** Time that servers which refused a call are assumed to need for what they run. */
+const REFUSED_BACKLOG_MILLISECONDS = 150;
+
 /** Returns the outcome of a call that is held because calls with its content crash servers. */
 export function toHeldOutcome(retryAfterMilliseconds: number): CallOutcome {
   return { kind: "refused", refusal: "crashesServers", retryAfterMilliseconds };
 }
 
+/**
+ * Returns the outcome of a call to a service whose servers are all evacuated.
+ * @param draw - Random number from 0 up to but not including 1.
+ */
+export function toEvacuatedOutcome(draw: number): CallOutcome {
+  return toNoServerOutcome(toEvacuationRetry(draw));
+}
+
+/**
+ * Returns the outcome of a call that no server ran.
+ * @param backlogMilliseconds - Time until the servers have room by their limits.
+ * @param draw - Random number from 0 up to but not including 1.
+ */
+export function toUnrunOutcome(
+  backlogMilliseconds: number,
+  draw: number,
+): CallOutcome {
+  const backlog = Math.max(REFUSED_BACKLOG_MILLISECONDS, backlogMilliseconds);
+  return toNoServerOutcome(toRetryAfter(backlog, draw));
+}
+
+function toNoServerOutcome(retryAfterMilliseconds: number): CallOutcome {
+  return { kind: "refused", refusal: "noServer", retryAfterMilliseconds };
+}
+
 /** Returns the outcome of a call that a server answered. */
 export function toAnsweredOutcome(
   result: Extract<AttemptResult, { kind: "complete" }>,
--- a/source/decisions/step_admission.ts
+++ b/source/decisions/step_admission.ts
@@ -15,6 +15,11 @@
   readonly samples: number;
   /** Number of samples that the engines run concurrently. */
   readonly slots: number;
+  /**
+   * Delay after which a trainer may return while evacuations leave the step no engine; undefined if
+   * they don't.
+   */
+  readonly evacuationRetryMilliseconds?: number | undefined;
   /** Usual time that a sample uses a slot, in milliseconds. */
   readonly sampleMilliseconds: number;
   /** Time from its submission after which a sample is given up, in milliseconds. */
@@ -26,7 +31,7 @@
 /** Whether a step is accepted. */
 export type StepDecision =
   | { readonly kind: "accept" }
-  /** The engines can't run the step's samples within their lifetime. */
+  /** The engines can't run the step's samples within their lifetime, or are all evacuated. */
   | { readonly kind: "reject"; readonly retryAfterMilliseconds: number };
 
 /**
@@ -36,7 +41,8 @@
  * of a sample. Steps that are accepted then only take slots from others until they are given up. The
  * backlog is that of engines that always used all their slots since the oldest open step, so it is
  * at most what is really open and a step that fits is not refused. Accepted steps are kept. Rejected
- * trainers are told to return one after the other, at the pace at which steps find room.
+ * trainers are told to return one after the other, at the pace at which steps find room. Steps whose
+ * engines are all evacuated are rejected, as nobody knows when their samples could start.
  * @example
  * ```ts
  * const decision = decideStep({ ...input, samples: 96, slots: 162 });
@@ -45,6 +51,13 @@
 export function decideStep(input: StepAdmissionInput): StepDecision {
   const { now, samples, slots, sampleMilliseconds, lifetimeMilliseconds } =
     input;
+  const { evacuationRetryMilliseconds } = input;
+  if (evacuationRetryMilliseconds !== undefined) {
+    return {
+      kind: "reject",
+      retryAfterMilliseconds: evacuationRetryMilliseconds,
+    };
+  }
   // Without engines there is no measure; they may be about to return.
   if (slots === 0) return { kind: "accept" };
   const needed = samples * sampleMilliseconds / slots;
--- a/source/decisions/step_admission_test.ts
+++ b/source/decisions/step_admission_test.ts
@@ -110,3 +110,13 @@
   t.is(decideStep({ ...INPUT, slots: 0 }).kind, "accept");
   t.is(decideStep({ ...INPUT, open: [], samples: 10_000 }).kind, "accept");
 });
+
+test("a step whose engines are all evacuated is rejected, however few steps are open", (t) => {
+  const evacuated = { ...INPUT, slots: 0, evacuationRetryMilliseconds: 900 };
+  for (const open of [[], INPUT.open]) {
+    t.deepEqual(decideStep({ ...evacuated, open }), {
+      kind: "reject",
+      retryAfterMilliseconds: 900,
+    });
+  }
+});
--- a/source/durable_steps/step_admission_control.ts
+++ b/source/durable_steps/step_admission_control.ts
@@ -1,3 +1,4 @@
+import { toEvacuationRetry } from "../decisions/evacuation.ts";
 import { decideStep, type StepDecision } from "../decisions/step_admission.ts";
 import type { ServiceRoute } from "../installation/configuration.ts";
 import { hasManifest } from "./step_registry.ts";
@@ -21,17 +22,22 @@
     const now = clock.wall();
     const service = route.services[0]?.service ?? "";
     const engines = servers.ofService(service);
+    const isEvacuated = servers.isServiceEvacuated(service);
     const decision = decideStep({
       now,
       open: this.#listOpenSteps(now - route.sampleLifetimeMilliseconds),
       samples: submission.samples.length,
       slots: engines.reduce((sum, { slots }) => sum + slots, 0),
+      evacuationRetryMilliseconds: isEvacuated
+        ? toEvacuationRetry(this.#tools.random.next())
+        : undefined,
       sampleMilliseconds: pool.usualEventMilliseconds *
         textLengths.usualEvents,
       lifetimeMilliseconds: route.sampleLifetimeMilliseconds,
       lastReturnAt: this.#lastReturnAt,
     });
-    if (decision.kind === "reject") {
+    // The end of an evacuation is not known, so those times are not taken one after the other.
+    if (decision.kind === "reject" && !isEvacuated) {
       this.#lastReturnAt = now + decision.retryAfterMilliseconds;
     }
     return decision;
--- a/source/durable_steps/step_tools.ts
+++ b/source/durable_steps/step_tools.ts
@@ -7,6 +7,7 @@
 import type { EventLog } from "../observability/event_log.ts";
 import type { DurableTable } from "../platform/durable_table.ts";
 import type { Clock } from "../utilities/clock.ts";
+import type { RandomSource } from "../utilities/random_source.ts";
 import type { StoreHealth } from "../platform/store_health.ts";
 import type { EnginePool } from "./engine_pool.ts";
 import type { ProgressStore } from "./progress_store.ts";
@@ -17,6 +18,7 @@
 /** Dependencies shared by the components that accept, run and read steps. */
 export interface StepTools {
   readonly clock: Clock;
+  readonly random: RandomSource;
   readonly log: EventLog;
   readonly table: DurableTable;
   readonly stepRegistry: StepRegistry;
--- a/source/duties/server_replacer.ts
+++ b/source/duties/server_replacer.ts
@@ -71,7 +71,9 @@
     for (const service of operator.configuration?.services.values() ?? []) {
       const { scaling } = service;
       if (scaling === undefined) continue;
-      const present = countByDomain(servers.ofService(service.name));
+      const present = countByDomain(
+        servers.ofServiceWithEvacuated(service.name),
+      );
       const targets = await this.#loadTargets(service, present);
       if (targets === undefined) continue;
       for (const domain of Object.keys(targets)) {
@@ -115,7 +117,9 @@
     const now = this.#options.clock.monotonic();
     const key = `${service.name}/${domain}`;
     const target = Math.min(targets[domain] ?? 0, scaling.maximum);
-    if ((present.get(domain) ?? 0) >= target) {
+    // Nothing is ordered in an evacuated failure domain, and servers that end there meanwhile count as
+    // missing only after the evacuation.
+    if ((present.get(domain) ?? 0) >= target || this.#isEvacuated(domain)) {
       this.#missingSince.delete(key);
       return;
     }
@@ -128,6 +132,10 @@
     await this.#sendOrder(service.name, { domain, servers: target });
   }
 
+  #isEvacuated(failureDomain: string): boolean {
+    return this.#options.servers.isEvacuated({ failureDomain });
+  }
+
   async #sendOrder(
     service: string,
     { domain, servers }: { readonly domain: string; readonly servers: number },
@@ -140,7 +148,10 @@
       failureDomain: domain,
       servers,
       isReclaimable: false,
-    }, { duty, guard: () => lease.isStillHeld(duty) });
+    }, {
+      duty,
+      guard: () => lease.isStillHeld(duty) && !this.#isEvacuated(domain),
+    });
     log.emit("serverOrderSent", {
       service,
       failureDomain: domain,
--- a/source/duties/weight_load_scheduler.ts
+++ b/source/duties/weight_load_scheduler.ts
@@ -198,11 +198,12 @@
     engine: BackendServerEntry,
     target: ModelTarget,
   ): Promise<number | undefined> {
-    const { client, pool, stopping, clock, limits } = this.#options;
+    const { client, pool, stopping, clock, limits, servers } = this.#options;
     limits.recordRequest(engine.identifier);
     const report = await client.readReport(engine, {
       signal: stopping,
       silenceMilliseconds: ORDER_IDLE_TIMEOUT_MILLISECONDS,
+      mayStart: () => servers.isServing(engine.identifier),
     });
     if (report === undefined || report.isBusy) {
       this.#getState(engine).nextOrderAt = clock.monotonic() +
--- a/source/installation/server_check.ts
+++ b/source/installation/server_check.ts
@@ -12,6 +12,8 @@
   readonly client: Pick<ServerClient, "checkProcess">;
   /** Returns the path of the health check of a service's servers; undefined for unknown services. */
   readonly findHealthPath: (service: string) => string | undefined;
+  /** Whether a server must get no request of any kind. */
+  readonly isEvacuated: (server: BackendServerEntry) => boolean;
 }
 
 /** Checks over new connections whether servers run. */
@@ -23,16 +25,21 @@
     this.#options = options;
   }
 
-  /** Checks the start of a server that an entry describes; undefined without a health check. */
+  /**
+   * Checks the start of a server that an entry describes.
+   * @returns Its state; undefined without a health check and for a server that is evacuated.
+   */
   async run(
     server: BackendServerEntry,
   ): Promise<ServerProcessState | undefined> {
-    const { client, findHealthPath } = this.#options;
+    const { client, findHealthPath, isEvacuated } = this.#options;
     const path = findHealthPath(server.service);
-    if (path === undefined) return undefined;
-    return await client.checkProcess(server, {
+    if (path === undefined || isEvacuated(server)) return undefined;
+    const state = await client.checkProcess(server, {
       path,
       milliseconds: CHECK_MILLISECONDS,
+      mayStart: () => !isEvacuated(server),
     });
+    return isEvacuated(server) ? undefined : state;
   }
 }
--- a/source/installation/server_paths.ts
+++ b/source/installation/server_paths.ts
@@ -114,11 +114,18 @@
         }
       },
     );
-    return await Promise.race([Promise.all(checks), firstAccepted]);
+    const results = Promise.all(checks).then((all) =>
+      all.filter((result) => result !== undefined)
+    );
+    return await Promise.race([results, firstAccepted]);
   }
 
-  async #checkServer(server: BackendServerEntry): Promise<ConnectionCheck> {
-    const state = await this.#options.check.run(server) ?? "unreachable";
+  // Returns undefined for a server that was evacuated meanwhile, which tells nothing of the path.
+  async #checkServer(
+    server: BackendServerEntry,
+  ): Promise<ConnectionCheck | undefined> {
+    const state = await this.#options.check.run(server);
+    if (state === undefined) return undefined;
     return state === "refused" || state === "unreachable" ? state : "accepted";
   }
 
--- a/source/installation/server_paths_test.ts
+++ b/source/installation/server_paths_test.ts
@@ -4,6 +4,7 @@
 import { RecordingEventLog } from "../observability/event_log.ts";
 import { createRandomSource } from "../utilities/random_source.ts";
 import { SystemClock } from "../utilities/system_clock.ts";
+import { ServerCheck } from "./server_check.ts";
 import { ServerPaths } from "./server_paths.ts";
 
 // Creates paths to three servers whose checks return the states of each round.
@@ -88,3 +89,29 @@
   paths.recordFailure("silent");
   t.is(countChecks(), 3);
 });
+
+test("servers that are evacuated during a check don't make the node count as cut off", async (t) => {
+  const evacuated = new Set<string>();
+  const paths = new ServerPaths({
+    clock: new SystemClock(),
+    log: new RecordingEventLog(),
+    random: createRandomSource(1),
+    check: new ServerCheck({
+      client: {
+        checkProcess: (server, { mayStart }) => {
+          evacuated.add(server.failureDomain);
+          return Promise.resolve(mayStart?.() ? "running" : "refused");
+        },
+      },
+      findHealthPath: () => "/health",
+      isEvacuated: ({ failureDomain }) => evacuated.has(failureDomain),
+    }),
+    listServers: () =>
+      ["a", "b", "c"].map((name) => createServerEntry(name)).filter((
+        { failureDomain },
+      ) => !evacuated.has(failureDomain)),
+    stopping: new AbortController().signal,
+  });
+  t.false(await paths.check());
+  t.false(paths.isCutOff);
+});
--- a/source/installation/server_starts.ts
+++ b/source/installation/server_starts.ts
@@ -17,7 +17,7 @@
   readonly client: Pick<ServerClient, "readReport">;
   readonly limits: Pick<ServerLimits, "recordRequest">;
   readonly paths: Pick<ServerPaths, "isCutOff">;
-  readonly servers: Pick<ServerView, "servers">;
+  readonly servers: Pick<ServerView, "servers" | "isEvacuated">;
 }
 
 /**
@@ -34,17 +34,19 @@
 
   /**
    * Whether a server reports another start than its entry describes.
-   * @returns False if the entry names no start or the server reports none; the latter is logged, unless
-   *   this node reaches no server.
+   * @returns False if the entry names no start, the server is evacuated and so not asked, or it reports
+   *   no start; the last is logged, unless this node reaches no server.
    */
   async isReplaced(server: BackendServerEntry): Promise<boolean> {
-    const { log, client, limits, paths } = this.#options;
+    const { log, client, limits, paths, servers } = this.#options;
     const { identifier, startedAt } = server;
     if (startedAt === 0 || paths.isCutOff) return false;
+    if (servers.isEvacuated(server)) return false;
     limits.recordRequest(identifier);
     const report = await client.readReport(server, {
       signal: AbortSignal.timeout(REPORT_MILLISECONDS),
       silenceMilliseconds: REPORT_MILLISECONDS,
+      mayStart: () => !servers.isEvacuated(server),
     });
     const reported = report?.startedAt;
     if (reported === undefined) {
--- a/source/installation/server_starts_test.ts
+++ b/source/installation/server_starts_test.ts
@@ -17,11 +17,12 @@
 }
 
 function createFixture(
-  { reportedAt, entry, isCutOff = false }: {
+  { reportedAt, entry, isCutOff = false, isEvacuated = false }: {
     /** Start that the server reports; undefined if its report can't be read. */
     readonly reportedAt?: number;
     readonly entry?: BackendServerEntry;
     readonly isCutOff?: boolean;
+    readonly isEvacuated?: boolean;
   },
 ): Fixture {
   const log = new RecordingEventLog();
@@ -49,6 +50,7 @@
     paths: { isCutOff },
     servers: {
       servers: new Map(entry === undefined ? [] : [[entry.identifier, entry]]),
+      isEvacuated: () => isEvacuated,
     },
   });
   return { log, starts, asked, counted };
@@ -88,6 +90,18 @@
   t.deepEqual(asked, []);
 });
 
+test("an evacuated server is not asked for its start", async (t) => {
+  const { starts, asked, log } = createFixture({
+    reportedAt: 200,
+    entry: ENTRY,
+    isEvacuated: true,
+  });
+  t.false(await starts.isReplaced(ENTRY));
+  t.false(await starts.mayHaveChanged(ENTRY, ENTRY.softwareVersion));
+  t.deepEqual(asked, []);
+  t.deepEqual(log.events, []);
+});
+
 test("checks of one server at the same time read its report once", async (t) => {
   const { starts, asked } = createFixture({ reportedAt: 100 });
   await Promise.all(Array.from({ length: 16 }, () => starts.isReplaced(ENTRY)));
--- a/source/installation/server_view.ts
+++ b/source/installation/server_view.ts
@@ -1,4 +1,5 @@
 import { LRUCache } from "lru-cache";
+import { isServiceEvacuated } from "../decisions/evacuation.ts";
 import type { EventLog } from "../observability/event_log.ts";
 import type {
   DurableTable,
@@ -11,6 +12,7 @@
   BackendServerEntry,
   ServerStart,
 } from "./backend_server_entry.ts";
+import { EvacuationLog } from "./evacuation_log.ts";
 
 /**
  * Pause after each response with changes, as a share of `drainMilliseconds`. Servers write a row at
@@ -77,6 +79,8 @@
   #servers = new Map<string, BackendServerEntry>();
   #byService: ReadonlyMap<string, ReadonlyArray<BackendServerEntry>> =
     new Map();
+  readonly #evacuationLog: EvacuationLog;
+  #evacuatedDomains: ReadonlySet<string> = new Set();
   #isFailing = false;
   /** Monotonic times, in milliseconds, at which each software version of a service was last seen. */
   readonly #versionsSeen = new Map<string, Map<string, number>>();
@@ -91,6 +95,7 @@
   /** @param options - The store and the parser of its rows. */
   constructor(options: ServerViewOptions) {
     this.#options = options;
+    this.#evacuationLog = new EvacuationLog(options.log);
     const { clock, table, tableName, stopping, drainMilliseconds } = options;
     this.#follower = new TableFollower({
       clock,
@@ -126,6 +131,51 @@
     return this.#servers;
   }
 
+  /** Names of the failure domains whose servers get no requests. */
+  get evacuatedDomains(): ReadonlySet<string> {
+    return this.#evacuatedDomains;
+  }
+
+  /** Number of registered and retained servers that are in evacuated failure domains. */
+  get evacuatedServers(): number {
+    const servers = [...this.#servers.values()];
+    return servers.filter((server) => this.isEvacuated(server)).length;
+  }
+
+  /** Sets the failure domains whose servers get no requests. */
+  setEvacuatedDomains(domains: ReadonlySet<string>): void {
+    const known = this.#evacuatedDomains;
+    const isUnchanged = domains.size === known.size &&
+      [...domains].every((domain) => known.has(domain));
+    if (isUnchanged) return;
+    this.#evacuatedDomains = new Set(domains);
+    this.#regroupAndNotify();
+  }
+
+  /** Whether a server must get no request of any kind because its failure domain is evacuated. */
+  isEvacuated(
+    { failureDomain }: Pick<BackendServerEntry, "failureDomain">,
+  ): boolean {
+    return this.#evacuatedDomains.has(failureDomain);
+  }
+
+  /** Whether evacuations are the reason that no server of a service takes new requests. */
+  isServiceEvacuated(service: string): boolean {
+    if (this.#evacuatedDomains.size === 0) return false;
+    const servers = this.#registeredOfService(service).map((server) => ({
+      failureDomain: server.failureDomain,
+      takesRequests: this.#isAvailable(server),
+    }));
+    return isServiceEvacuated(servers, this.#evacuatedDomains);
+  }
+
+  /** Returns the servers of a service that take new requests or would without an evacuation. */
+  ofServiceWithEvacuated(service: string): ReadonlyArray<BackendServerEntry> {
+    return this.#registeredOfService(service).filter((server) =>
+      this.#isAvailable(server)
+    );
+  }
+
   /** Returns the servers of a service that take new requests. */
   ofService(service: string): ReadonlyArray<BackendServerEntry> {
     return this.#byService.get(service) ?? [];
@@ -150,9 +200,7 @@
     const seen = [...this.#versionsSeen.get(service) ?? []].filter(
       ([, seenAt]) => seenAt >= since,
     );
-    const current = [...this.#servers.values()].filter((server) =>
-      server.service === service
-    );
+    const current = this.#registeredOfService(service);
     return new Set([
       ...seen.map(([version]) => version),
       ...current.map(({ softwareVersion }) => softwareVersion),
@@ -191,9 +239,19 @@
   }
 
   #takesRequests(server: BackendServerEntry): boolean {
+    return this.#isAvailable(server) && !this.isEvacuated(server);
+  }
+
+  #isAvailable(server: BackendServerEntry): boolean {
     return !server.isDraining && !this.#leaving.has(toServerStart(server));
   }
 
+  #registeredOfService(service: string): ReadonlyArray<BackendServerEntry> {
+    return [...this.#servers.values()].filter((server) =>
+      server.service === service
+    );
+  }
+
   /** Registers a function that is called after each change. */
   watch(onChange: () => void): void {
     this.#watchers.push(onChange);
@@ -281,9 +339,20 @@
       this.#takesRequests(server)
     );
     this.#byService = groupByService(available);
+    if (this.#isLoaded) this.#logEvacuations();
     for (const onChange of this.#watchers) onChange();
   }
 
+  // Not before the first read, as the number of servers is unknown until then.
+  #logEvacuations(): void {
+    const servers = [...this.#servers.values()];
+    this.#evacuationLog.update(
+      this.#evacuatedDomains,
+      (domain) =>
+        servers.filter(({ failureDomain }) => failureDomain === domain).length,
+    );
+  }
+
   // Called before each change, as the servers that it removes were present until then.
   #recordSoftwareVersions(): void {
     const now = this.#options.clock.monotonic();
--- a/source/node/create_installation_node.ts
+++ b/source/node/create_installation_node.ts
@@ -112,6 +112,8 @@
     isInReserve: () => register.isInReserve,
     drainMilliseconds: bounds.drainMilliseconds,
   });
+  // First among the watchers, so that nothing uses a configuration without its evacuations.
+  operator.watch(() => servers.setEvacuatedDomains(operator.evacuatedDomains));
   const limits = new ServerLimits({
     node: settings.node,
     clock,
@@ -133,7 +135,11 @@
   });
   const findHealthPath = (service: string): string | undefined =>
     operator.configuration?.services.get(service)?.healthPath;
-  const serverCheck = new ServerCheck({ client, findHealthPath });
+  const serverCheck = new ServerCheck({
+    client,
+    findHealthPath,
+    isEvacuated: (server) => servers.isEvacuated(server),
+  });
   const serverPaths = new ServerPaths({
     clock,
     log,
@@ -249,6 +255,7 @@
   const continuationClient = new ContinuationClient({ client, serverStarts });
   const tools: StepTools = {
     ...stored,
+    random,
     stepRegistry,
     pool,
     textLengths: new TextLengthEstimate(),
--- a/source/node/installation_gauges.ts
+++ b/source/node/installation_gauges.ts
@@ -36,6 +36,9 @@
   const version = operator.configuration?.version ?? -1;
   metrics.gauge("configuration_version", version, {});
   metrics.gauge("servers_known", servers.servers.size, {});
+  const evacuatedDomains = servers.evacuatedDomains.size;
+  metrics.gauge("failure_domains_evacuated", evacuatedDomains, {});
+  metrics.gauge("servers_evacuated", servers.evacuatedServers, {});
   metrics.gauge("servers_limited", limits.size, {});
   metrics.gauge("contents_with_crashes", crashRecords.size, {});
   const isCutOff = Number(serverPaths.isCutOff);
--- a/source/observability/events/installation_events.ts
+++ b/source/observability/events/installation_events.ts
@@ -78,6 +78,20 @@
     action: "",
     fields: ["count", "nodeStarts"],
   }),
+  evacuationStarted: defineEvent(9109, {
+    level: "info",
+    message:
+      "The node sends no requests to the servers of a failure domain, which the operator evacuates; servers is the number that it knows there",
+    action: "",
+    fields: ["failureDomain", "servers"],
+  }),
+  evacuationEnded: defineEvent(9110, {
+    level: "info",
+    message:
+      "The evacuation of a failure domain has ended, and its servers get requests again",
+    action: "",
+    fields: ["failureDomain", "servers"],
+  }),
   attemptFailed: defineEvent(9201, {
     level: "info",
     message: "A server did not return a complete, signed answer",
--- a/stand_ins/installation/create_call_relay.ts
+++ b/stand_ins/installation/create_call_relay.ts
@@ -48,7 +48,11 @@
       clock,
       log,
       random,
-      check: new ServerCheck({ client, findHealthPath: () => "/health" }),
+      check: new ServerCheck({
+        client,
+        findHealthPath: () => "/health",
+        isEvacuated: () => false,
+      }),
       listServers: () => servers,
       stopping: AbortSignal.abort(),
     }),
--- a/stand_ins/installation/create_crash_guard.ts
+++ b/stand_ins/installation/create_crash_guard.ts
@@ -14,7 +14,11 @@
   return new CrashGuard({
     log,
     detector: new CrashDetector({
-      check: new ServerCheck({ client, findHealthPath: () => "/health" }),
+      check: new ServerCheck({
+        client,
+        findHealthPath: () => "/health",
+        isEvacuated: () => false,
+      }),
       isCutOff: () => Promise.resolve(false),
     }),
     records: new CrashRecords({
--- a/stand_ins/installation/create_step_tools.ts
+++ b/stand_ins/installation/create_step_tools.ts
@@ -51,6 +51,7 @@
   });
   return {
     ...common,
+    random,
     stepRegistry: new StepRegistry(common),
     submissionStore: new SubmissionStore({
       table,
