--- a/stand_ins/installation/crashing_servers.ts
+++ b/stand_ins/installation/crashing_servers.ts
@@ -19,12 +19,23 @@
   readonly isCrashing: (path: string) => boolean;
   /** Whether a server starts again under its identifier; else under a new one. */
   readonly keepsIdentifier?: boolean;
+  /** Returns the failure domain of a server by its number; "a" if absent. */
+  readonly toFailureDomain?: (index: number) => string;
+}
+
+/** A request that arrived at one of the servers. */
+export interface CrashingServerArrival {
+  readonly failureDomain: string;
+  /** Monotonic time, in milliseconds. */
+  readonly at: number;
 }
 
 /** Plain servers of which some requests crash those that run them, and which start again. */
 export interface CrashingServers {
   /** Monotonic times, in milliseconds, at which servers began to run requests that crash them. */
   readonly crashes: ReadonlyArray<number>;
+  /** All requests that arrived, in order. */
+  readonly arrivals: ReadonlyArray<CrashingServerArrival>;
   /** Ends all processes that run, as a loss of power does; they start again. */
   readonly endAll: () => void;
   readonly close: () => void;
@@ -35,35 +46,45 @@
   options: CrashingServersOptions,
 ): Promise<CrashingServers> {
   const crashes: number[] = [];
+  const arrivals: CrashingServerArrival[] = [];
   const servers = Array.from(
     { length: options.count },
-    (_, index) => new CrashingServer(`c${index}`, options, crashes),
+    (_, index) => new CrashingServer(index, options, { crashes, arrivals }),
   );
   await Promise.all(servers.map((server) => server.start()));
   return {
     crashes,
+    arrivals,
     endAll: () => servers.forEach((server) => server.end()),
     close: () => servers.forEach((server) => server.close()),
   };
 }
 
+/** What the servers record together. */
+interface SeenRequests {
+  readonly crashes: number[];
+  readonly arrivals: CrashingServerArrival[];
+}
+
 class CrashingServer {
   readonly #name: string;
   readonly #options: CrashingServersOptions;
-  readonly #crashes: number[];
+  readonly #failureDomain: string;
+  readonly #seen: SeenRequests;
   #server: Server | undefined;
   #restart: NodeJS.Timeout | undefined;
   #port = 0;
   #starts = 0;
 
   constructor(
-    name: string,
+    index: number,
     options: CrashingServersOptions,
-    crashes: number[],
+    seen: SeenRequests,
   ) {
-    this.#name = name;
+    this.#name = `c${index}`;
+    this.#failureDomain = options.toFailureDomain?.(index) ?? "a";
     this.#options = options;
-    this.#crashes = crashes;
+    this.#seen = seen;
   }
 
   async start(): Promise<void> {
@@ -115,7 +136,7 @@
         value: Buffer.from(JSON.stringify({
           service: "plain",
           address: `127.0.0.1:${this.#port}`,
-          zone: "a",
+          zone: this.#failureDomain,
           version: "v1",
           slots: 6,
           state: "ready",
@@ -134,6 +155,10 @@
     response: ServerResponse,
   ): Promise<void> {
     response.on("error", () => {});
+    this.#seen.arrivals.push({
+      failureDomain: this.#failureDomain,
+      at: performance.now(),
+    });
     const { headers, url = "" } = request;
     const expected = headers["expect-instance"];
     if (expected !== undefined && expected !== identifier) {
@@ -141,7 +166,7 @@
     }
     if (url === "/health") return void response.writeHead(200).end();
     const isCrashing = this.#options.isCrashing(url);
-    if (isCrashing) this.#crashes.push(performance.now());
+    if (isCrashing) this.#seen.crashes.push(performance.now());
     await new Promise((resolve) => setTimeout(resolve, RUN_MILLISECONDS));
     if (isCrashing) return this.end();
     response.writeHead(200, {
--- a/stand_ins/installation/in_process_nodes.ts
+++ b/stand_ins/installation/in_process_nodes.ts
@@ -12,10 +12,10 @@
 import type { InstallationNode } from "../../source/node/installation_node.ts";
 import { RecordingEventLog } from "../../source/observability/event_log.ts";
 import { ScrapedMetrics } from "../../source/observability/scraped_metrics.ts";
+import type { DurableTable } from "../../source/platform/durable_table.ts";
 import { SystemClock } from "../../source/utilities/system_clock.ts";
 import { BreakablePools } from "./breakable_pools.ts";
 import { findFreePort } from "./find_free_port.ts";
-import type { MemoryDurableTable } from "./memory_durable_table.ts";
 
 /** A node that runs in the process of the test. */
 export interface InProcessNode {
@@ -33,7 +33,7 @@
 
 /** Starts a node in this process and waits until it is ready. */
 export async function startInProcessNode(
-  table: MemoryDurableTable,
+  table: DurableTable,
   name: string,
 ): Promise<InProcessNode> {
   for (;;) {
@@ -47,7 +47,7 @@
 }
 
 async function tryStartNode(
-  table: MemoryDurableTable,
+  table: DurableTable,
   name: string,
 ): Promise<InProcessNode> {
   const [front, peer] = await Promise.all([findFreePort(), findFreePort()]);
--- a/stand_ins/installation/installation_steps.ts
+++ b/stand_ins/installation/installation_steps.ts
@@ -22,11 +22,11 @@
   readonly results: ReadonlyArray<ReadResult>;
 }
 
-function createStepBody(identifier: string): string {
+function createStepBody(identifier: string, minimumVersion: number): string {
   return JSON.stringify({
     step: 1,
     model: "model-a",
-    "min_version": 1,
+    "min_version": minimumVersion,
     "target_groups": 1,
     requests: Array.from({ length: SAMPLES_PER_STEP }, (_unused, index) => ({
       id: `${identifier}-${index}`,
@@ -45,17 +45,24 @@
   });
 }
 
-/** Submits a step of eight samples and returns the status of the response. */
+/**
+ * Submits a step of eight samples and returns the status of the response.
+ * @param installation - The host and key of the request.
+ * @param node - The node that is called.
+ * @param identifier - Identifier of the step.
+ * @param minimumVersion - Lowest weight version that its samples may use.
+ */
 export async function submitStep(
   installation: TestInstallation,
   node: Pick<InstallationNode, "caller">,
   identifier: string,
+  minimumVersion = 1,
 ): Promise<number> {
   const answer = await callNode(installation, node, {
     method: "POST",
     path: "/steps/",
     identifier,
-    body: createStepBody(identifier),
+    body: createStepBody(identifier, minimumVersion),
   });
   return answer.status;
 }
--- a/stand_ins/installation/read_stream.ts
+++ b/stand_ins/installation/read_stream.ts
@@ -21,7 +21,7 @@
  */
 export function readStream(
   installation: TestInstallation,
-  node: InstallationNode,
+  node: Pick<InstallationNode, "caller">,
   call: {
     readonly identifier: string;
     readonly headers?: Readonly<Record<string, string>>;
--- a/stand_ins/installation/request_limit.ts
+++ b/stand_ins/installation/request_limit.ts
@@ -2,6 +2,15 @@
 
 const WINDOW_MILLISECONDS = 4000;
 
+/** A request that arrived at a stand-in for a server. */
+export interface ArrivedRequest {
+  /** Monotonic time, in milliseconds. */
+  readonly at: number;
+  readonly path: string;
+  /** Whether it goes on with a stream or text after its first event. */
+  readonly isContinuation: boolean;
+}
+
 /**
  * The limit of a stand-in for a server, which names it in each answer and refuses what exceeds it.
  */
@@ -10,6 +19,8 @@
   requestsPerSecond: number | undefined;
   /** Monotonic times of all requests that arrived, in milliseconds. */
   readonly arrivals: number[] = [];
+  /** All requests that arrived, in order. */
+  readonly requests: ArrivedRequest[] = [];
   #tokens = 1;
   #filledAt = performance.now();
 
@@ -20,6 +31,11 @@
   admit(request: IncomingMessage, response: ServerResponse): boolean {
     const now = performance.now();
     this.arrivals.push(now);
+    this.requests.push({
+      at: now,
+      path: request.url ?? "",
+      isContinuation: "last-event-id" in request.headers,
+    });
     const { requestsPerSecond } = this;
     if (requestsPerSecond === undefined) return true;
     response.setHeader("server-limit", String(requestsPerSecond));
--- a/stand_ins/installation/test_installation.ts
+++ b/stand_ins/installation/test_installation.ts
@@ -57,6 +57,8 @@
   readonly isSingleVersion?: boolean;
   /** Software versions of the four engines; all "v1" if absent. */
   readonly softwareVersions?: ReadonlyArray<string>;
+  /** Time of an engine for one of the twelve events of a stream; 20 if absent. */
+  readonly millisecondsPerEvent?: number;
 }
 
 /** Starts the servers of an installation, without nodes. */
@@ -72,7 +74,7 @@
         identifier,
         softwareVersion: options.softwareVersions?.[index] ?? "v1",
         events: 12,
-        millisecondsPerEvent: 20,
+        millisecondsPerEvent: options.millisecondsPerEvent ?? 20,
         versions: new Map([["model-a", 1]]),
       })
     ),
--- a/stand_ins/installation/users_engine_server.ts
+++ b/stand_ins/installation/users_engine_server.ts
@@ -25,6 +25,8 @@
   readonly request: string;
   readonly organisation: string | undefined;
   readonly afterEvent: number | undefined;
+  /** Weight version of the run's model when the run arrived; undefined if it names no loaded one. */
+  readonly weightVersion: number | undefined;
 }
 
 /** A running stand-in for an engine of the users. */
@@ -69,20 +71,24 @@
       options.versions.set(order.model, order.version);
       response.writeHead(202).end();
     } else {
-      runs.push(describeRun(request));
+      runs.push(describeRun(request, options));
       await sendEvents(request, response, options);
     }
   });
   return { ...server, options, runs, limit };
 }
 
-function describeRun(request: IncomingMessage): ReceivedRun {
+function describeRun(
+  request: IncomingMessage,
+  { versions }: UsersEngineOptions,
+): ReceivedRun {
   const { headers } = request;
   const after = headers["last-event-id"];
   return {
     request: String(headers["request-id"]),
     organisation: headers["tenant"] as string | undefined,
     afterEvent: after === undefined ? undefined : Number(after),
+    weightVersion: versions.get(String(headers["model"])),
   };
 }
 
