Name no node to callers whose last heartbeat was sent long ago

Cause: a node counts as running from the read of a heartbeat, not from its sending. So the directory named a node that had ended more than 7 s before when its last heartbeats were written 6 s late, when the naming node had read none for a while and then read old ones, and after each failed read or dropped history, which measure the silence of all nodes anew, also of nodes that were lost long ago.

Ruled out: comparing clocks of nodes, as a node without a settled offset would be dated wrongly; counting two heartbeats, as several of a node may be late together; dropping nodes from the register itself, as an outage of the store must make no node count as lost.

Change: a heartbeat names the newest version of the store that its sender knew (last field of the tuple). A reader knows when it last saw an earlier version, so it knows a time after which the heartbeat was sent, without comparing clocks. Callers are told of a node for 5 s after that time (five of its heartbeat intervals if these are longer). A node that is cut off from the store tells of the nodes that it knew last, as before. A heartbeat that is written after a later one of its node is ignored, and a node that counts as lost stays lost until its row changes. The pace of heartbeats and the log of starts have files of their own.

--- a/source/installation/node_record.ts
+++ b/source/installation/node_record.ts
@@ -43,6 +43,11 @@
 export interface NodeRecord extends NodeDescription {
   /** Interval between two of the node's heartbeats, in milliseconds. */
   readonly heartbeatMilliseconds: number;
+  /**
+   * Newest version of the store that the node knew when it sent the heartbeat, 0 before it knew one;
+   * undefined if an earlier program sent it.
+   */
+  readonly storeVersion?: number | undefined;
 }
 
 /** One node's use of engines, which it publishes to the other nodes. */
--- a/source/installation/node_record_row.ts
+++ b/source/installation/node_record_row.ts
@@ -3,6 +3,8 @@
 
 /** Index before that of any usage window; nodes of an earlier version publish none. */
 const NO_WINDOW = -1;
+/** Version before that of any state of the store. */
+const NO_VERSION = 0;
 /** Port of a node that does not serve other nodes. */
 const NO_PORT = 0;
 
@@ -32,6 +34,7 @@
   >,
   isCutOff?: number,
   peerPort?: number,
+  storeVersion?: number,
 ];
 
 /** Serialises a node's record. */
@@ -71,6 +74,7 @@
     limits,
     Number(record.isCutOff),
     readPort(record.peerAddress),
+    record.storeVersion ?? NO_VERSION,
   ];
   return Buffer.from(JSON.stringify(tuple));
 }
@@ -111,6 +115,7 @@
       isCutOff: tuple[12] === 1,
       peerAddress: toPeerAddress(callerAddress, tuple[13]),
       heartbeatMilliseconds: tuple[5],
+      storeVersion: tuple[14],
       engineUse: tuple[6] ?? undefined,
       usageSettledThrough: tuple[7] ?? NO_WINDOW,
       isRunningSteps: tuple[8] === 1,
--- a/source/installation/node_register.ts
+++ b/source/installation/node_register.ts
@@ -1,8 +1,20 @@
 import type { EventLog } from "../observability/event_log.ts";
 import type { DurableTable, RowChange } from "../platform/durable_table.ts";
 import type { Clock } from "../utilities/clock.ts";
+import {
+  HeartbeatAge,
+  isAddressable,
+  isOlderHeartbeat,
+} from "../decisions/heartbeat_age.ts";
+import {
+  type Fleet,
+  HEARTBEATS_PER_SECOND,
+  toHeartbeatInterval,
+  toInterval,
+} from "./heartbeat_pace.ts";
 import type { NodeDescription, NodeRecord } from "./node_record.ts";
 import { readNodeRecord, writeNodeRecord } from "./node_record_row.ts";
+import { NodeStartLog } from "./node_start_log.ts";
 import {
   filterHighCapacity,
   MINIMUM_HIGH_CAPACITY_NODES,
@@ -10,26 +22,10 @@
 } from "./select_high_capacity_nodes.ts";
 
 const TABLE = "nodes";
-/**
- * Minimum interval between two heartbeats. A node counts as lost after about three intervals
- * without a heartbeat; until then its steps make no progress.
- */
-const MINIMUM_HEARTBEAT_MILLISECONDS = 300;
-/**
- * Maximum number of heartbeats of all nodes together; limited because each node reads all of them.
- */
-const HEARTBEATS_PER_SECOND = 120;
-/**
- * Share of the heartbeats that the high-capacity nodes send when there are low-capacity nodes;
- * it is the larger share because high-capacity nodes run the steps.
- */
-const HIGH_CAPACITY_HEARTBEAT_SHARE = 0.7;
 /** Maximum interval between two heartbeats of a node that runs steps, as these stop with the node. */
 const STEP_OWNER_HEARTBEAT_MILLISECONDS = 150;
 /** Maximum number of reads that all high-capacity nodes make to detect the loss of such a node. */
 const WATCHING_READS_PER_SECOND = 400;
-/** Maximum number of processes that one log line names. */
-const MAXIMUM_LOGGED_STARTS = 8;
 /** Number of heartbeat intervals after which a node without a heartbeat counts as lost. */
 const LOSS_HEARTBEATS = 3.4;
 /**
@@ -60,14 +56,6 @@
   readonly stopping: AbortSignal;
 }
 
-interface Fleet {
-  /** Number of nodes. */
-  readonly size: number;
-  /** Number of nodes with high capacity. */
-  readonly highCapacity: number;
-  readonly isOwnCapacityHigh: boolean;
-}
-
 interface KnownNode {
   readonly record: NodeRecord;
   readonly version: number;
@@ -76,6 +64,10 @@
    * later, could read the store again after a failure.
    */
   changedAt: number;
+  /** Monotonic time, in milliseconds, after which the heartbeat was sent. */
+  readonly sentAfter: number;
+  /** Whether the node counted as lost at a read since its row changed. */
+  isLost: boolean;
 }
 
 /**
@@ -86,19 +78,24 @@
  * existing rows are not read at the start.
  *
  * A node counts as lost when its row did not change for several intervals in which this node
- * could read the store, or when a newer process has its name.
+ * could read the store, or when a newer process has its name. It stays lost until its row changes.
+ *
+ * Heartbeats may be written and read late, so they name the version of the store that their sender
+ * had last read; callers are told only of nodes whose last heartbeat was sent recently.
  */
 export class NodeRegister {
   readonly #options: NodeRegisterOptions;
   /** Nodes by name, also lost ones until they are removed. */
   readonly #knownNodes = new Map<string, KnownNode>();
+  readonly #heartbeatAge = new HeartbeatAge();
   readonly #watchers: (() => void)[] = [];
-  /** Identity of each node's last process that was logged. */
-  readonly #loggedStarts = new Map<string, string>();
+  readonly #startLog: NodeStartLog;
   #others: ReadonlyArray<NodeRecord> = [];
   #fleet: Fleet = { size: 1, highCapacity: 1, isOwnCapacityHigh: true };
   /** Version of the table up to which heartbeats were read. */
   #version: number | undefined;
+  /** Newest version of the store that this node knows; 0 before the first. */
+  #newestVersion = 0;
   #isReadFailing = false;
   #isLoaded = false;
   /** Monotonic time, in milliseconds, of the last read; nodes count as lost only at a read. */
@@ -109,6 +106,7 @@
   /** @param options - The store and this node's record. */
   constructor(options: NodeRegisterOptions) {
     this.#options = options;
+    this.#startLog = new NodeStartLog(options.log);
   }
 
   /** Whether the register was followed long enough to know all running nodes. */
@@ -126,6 +124,20 @@
     return this.#others;
   }
 
+  /**
+   * Returns the nodes that callers may be told of, this one included.
+   * @param isStoreUnreachable - Whether this node can't reach the store; the nodes that it knew last are
+   *   returned then.
+   */
+  listAddressable(isStoreUnreachable: boolean): ReadonlyArray<NodeRecord> {
+    const now = this.#options.clock.monotonic();
+    const others = this.#others.filter(({ node, heartbeatMilliseconds }) => {
+      const sentAfter = this.#knownNodes.get(node)?.sentAfter ?? -Infinity;
+      return isAddressable(now - sentAfter, heartbeatMilliseconds);
+    });
+    return [this.#self(), ...isStoreUnreachable ? this.#others : others];
+  }
+
   /**
    * Whether this node gets neither callers nor steps, because there are enough nodes with a higher
    * capacity.
@@ -173,7 +185,7 @@
     const { table } = this.#options;
     const record = this.#self();
     const value = writeNodeRecord(record);
-    await table.commit({
+    const outcome = await table.commit({
       conditions: [],
       puts: [{
         table: TABLE,
@@ -182,6 +194,9 @@
         value,
       }],
     });
+    if (outcome.kind === "ok" && outcome.value.kind === "committed") {
+      this.#updateNewestVersion(outcome.value.version);
+    }
   }
 
   #self(): NodeRecord {
@@ -189,9 +204,14 @@
     return {
       ...this.#options.self(),
       heartbeatMilliseconds,
+      storeVersion: this.#newestVersion,
     };
   }
 
+  #updateNewestVersion(version: number): void {
+    this.#newestVersion = Math.max(this.#newestVersion, version);
+  }
+
   /**
    * Interval between two reads; nodes that send heartbeats often also read often, and high-capacity
    * nodes, which take over steps, as often as nodes with steps send heartbeats.
@@ -278,7 +298,10 @@
     this.#isReadFailing = false;
     this.#readAt = now;
     for (const change of changes) this.#apply(change, now);
-    this.#logNewProcesses(changes);
+    this.#recordVersion(now);
+    this.#startLog.update(
+      changes.flatMap(({ key }) => this.#knownNodes.get(key)?.record ?? []),
+    );
     this.#removeLost(now, table);
     this.#others = this.#findOthers(now);
     this.#countFleet();
@@ -292,7 +315,10 @@
     const { table } = this.#options;
     if (this.#version === undefined) {
       const outcome = await table.read(TABLE, { partition: "" });
-      if (outcome.kind === "ok") this.#version = outcome.value.version;
+      if (outcome.kind === "ok") {
+        this.#version = outcome.value.version;
+        this.#recordVersion(this.#options.clock.monotonic());
+      }
       return undefined;
     }
     const outcome = await table.follow(TABLE, {
@@ -308,6 +334,12 @@
     return outcome.value.changes;
   }
 
+  #recordVersion(now: number): void {
+    const version = this.#version ?? 0;
+    this.#heartbeatAge.recordRead(version, now);
+    this.#updateNewestVersion(version);
+  }
+
   #apply(change: RowChange, now: number): void {
     const { key, value, version, isDeleted } = change;
     if (isDeleted) {
@@ -316,47 +348,44 @@
     }
     const record = readNodeRecord(key, value);
     if (record === undefined) return;
-    const known = this.#knownNodes.get(key)?.record;
+    const knownNode = this.#knownNodes.get(key);
+    const known = knownNode?.record;
+    const { storeVersion } = record;
+    if (knownNode !== undefined && isOlderHeartbeat(record, knownNode.record)) {
+      this.#knownNodes.set(key, { ...knownNode, version });
+      return;
+    }
     const wallOffset = record.wallOffset ??
       (known?.nodeStart === record.nodeStart ? known.wallOffset : undefined);
     this.#knownNodes.set(key, {
       record: { ...record, wallOffset },
       version,
       changedAt: now,
+      // Nodes of an earlier program don't name a version.
+      sentAfter: storeVersion === undefined
+        ? now
+        : this.#heartbeatAge.findTimeBefore(storeVersion),
+      isLost: false,
     });
   }
 
   #findOthers(now: number): ReadonlyArray<NodeRecord> {
     const own = this.#options.self().node;
+    for (const node of this.#knownNodes.values()) {
+      const silence = now - node.changedAt;
+      const { heartbeatMilliseconds } = node.record;
+      node.isLost ||= silence >= this.#toLossTimeout(heartbeatMilliseconds);
+    }
     return [...this.#knownNodes.values()]
-      .filter(({ record, changedAt }) =>
-        record.node !== own &&
-        now - changedAt < this.#toLossTimeout(record.heartbeatMilliseconds)
-      )
+      .filter(({ record, isLost }) => record.node !== own && !isLost)
       .map(({ record }) => record);
   }
 
-  // Logs the new processes of one read together, as all nodes may start at the same time.
-  #logNewProcesses(changes: ReadonlyArray<RowChange>): void {
-    const started = changes.flatMap(({ key }) => {
-      const record = this.#knownNodes.get(key)?.record;
-      const isNew = record !== undefined &&
-        this.#loggedStarts.get(key) !== record.nodeStart;
-      if (isNew) this.#loggedStarts.set(key, record.nodeStart);
-      return isNew ? [record.nodeStart] : [];
-    });
-    if (started.length === 0) return;
-    this.#options.log.emit("nodesSeen", {
-      count: started.length,
-      nodeStarts: started.slice(0, MAXIMUM_LOGGED_STARTS).join(" "),
-    });
-  }
-
   #removeLost(now: number, table: DurableTable): void {
     for (const [name, { changedAt, version }] of this.#knownNodes) {
       if (now - changedAt < REMOVAL_MILLISECONDS) continue;
       this.#knownNodes.delete(name);
-      this.#loggedStarts.delete(name);
+      this.#startLog.forget(name);
       const place = { table: TABLE, partition: name, key: name };
       void table.commit({
         conditions: [{ ...place, version }],
@@ -366,22 +395,3 @@
     }
   }
 }
-
-function toHeartbeatInterval(
-  { size, highCapacity, isOwnCapacityHigh }: Fleet,
-): number {
-  const lowCapacity = size - highCapacity;
-  if (lowCapacity === 0) return toInterval(size, HEARTBEATS_PER_SECOND);
-  const share = isOwnCapacityHigh
-    ? HIGH_CAPACITY_HEARTBEAT_SHARE
-    : 1 - HIGH_CAPACITY_HEARTBEAT_SHARE;
-  const count = isOwnCapacityHigh ? highCapacity : lowCapacity;
-  return toInterval(count, share * HEARTBEATS_PER_SECOND);
-}
-
-function toInterval(nodes: number, heartbeatsPerSecond: number): number {
-  return Math.max(
-    MINIMUM_HEARTBEAT_MILLISECONDS,
-    1000 * nodes / heartbeatsPerSecond,
-  );
-}
--- a/source/node/installation_node.ts
+++ b/source/node/installation_node.ts
@@ -81,7 +81,9 @@
   addresses(): AddressList {
     const { register, storeHealth } = this.parts;
     const serving = register.isLoaded
-      ? selectHighCapacityNodes(register.running)
+      ? selectHighCapacityNodes(
+        register.listAddressable(storeHealth.isUnreachable),
+      )
       : [];
     const [own] = register.running;
     const others = serving.filter(({ node }) => node !== own?.node);
--- a/source/node/installation_node_test.ts
+++ b/source/node/installation_node_test.ts
@@ -33,7 +33,7 @@
   running = RUNNING_NODES,
 ): ReadonlyArray<string> {
   const parts = {
-    register: { isLoaded, running },
+    register: { isLoaded, running, listAddressable: () => running },
     storeHealth: { isUnreachable },
   } as unknown as InstallationNodeParts;
   return new InstallationNode(parts).addresses().addresses;
--- a/stand_ins/installation/partitioned_table.ts
+++ b/stand_ins/installation/partitioned_table.ts
@@ -42,6 +42,11 @@
     return await this.#pass(() => this.#table.commit(transaction));
   }
 
+  /** Commits a transaction that the store has got already, whether or not the path is cut now. */
+  protected async commitPastCut(transaction: RowTransaction): Promise<void> {
+    await this.#table.commit(transaction);
+  }
+
   async #pass<Value>(
     call: () => Promise<PlatformOutcome<Value>>,
   ): Promise<PlatformOutcome<Value>> {
