--- a/source/installation/directory_test.ts
+++ b/source/installation/directory_test.ts
@@ -9,6 +9,8 @@
 import { ScrapedMetrics } from "../observability/scraped_metrics.ts";
 import { MeasuredTable } from "../platform/measured_table.ts";
 import { SystemClock } from "../utilities/system_clock.ts";
+import type { NodeDescription } from "./node_record.ts";
+import { writeNodeRecord } from "./node_record_row.ts";
 import { NodeRegister } from "./node_register.ts";
 import { toProcessIdentity } from "./process_identity.ts";
 
@@ -16,6 +18,8 @@
 const NAMED_MILLISECONDS = 7000;
 /** Greatest delay with which the store writes a heartbeat. */
 const LATE_MILLISECONDS = 6000;
+/** Nodes beside those that run, as many as in a large deployment. */
+const OTHER_NODES = 68;
 const DISCOVERY_MILLISECONDS = 1500;
 const SAMPLE_MILLISECONDS = 40;
 /** Time for which responses are read after the end of a node. */
@@ -32,6 +36,25 @@
   readonly kill: () => void;
 }
 
+function describeNode(node: string, start: string): NodeDescription {
+  return {
+    node,
+    nodeStart: toProcessIdentity(node, start),
+    failureDomain: "a",
+    processorShare: 1,
+    callerAddress: node,
+    isServing: true,
+    isRunningSteps: false,
+    engineUse: undefined,
+    leavingServers: [],
+    limits: [],
+    peerAddress: undefined,
+    isCutOff: false,
+    wallOffset: undefined,
+    usageSettledThrough: 0,
+  };
+}
+
 function startNode(
   t: ExecutionContext,
   table: MemoryDurableTable,
@@ -53,22 +76,7 @@
     log: new RecordingEventLog(),
     table: measured,
     stopping: stopping.signal,
-    self: () => ({
-      node: name,
-      nodeStart: toProcessIdentity(name, start),
-      failureDomain: "a",
-      processorShare: 1,
-      callerAddress: name,
-      isServing: true,
-      isRunningSteps: false,
-      engineUse: undefined,
-      leavingServers: [],
-      limits: [],
-      peerAddress: undefined,
-      isCutOff: false,
-      wallOffset: undefined,
-      usageSettledThrough: 0,
-    }),
+    self: () => describeNode(name, start),
   });
   void register.run();
   const node = new InstallationNode({
@@ -95,16 +103,50 @@
   readonly third: TestNode;
 }
 
-async function start(t: ExecutionContext): Promise<Scene> {
+async function start(
+  t: ExecutionContext,
+  otherNodes = 0,
+): Promise<Scene> {
   const table = new MemoryDurableTable();
   const [first, second, third] = ["n1", "n2", "n3"].map((name) =>
     startNode(t, table, name)
   ) as [TestNode, TestNode, TestNode];
   await wait(DISCOVERY_MILLISECONDS);
+  if (otherNodes > 0) {
+    await registerOthers(table, otherNodes);
+    await wait(RENAMED_MILLISECONDS);
+  }
   t.deepEqual(first.list(), ["n1", "n2", "n3"]);
   return { table, first, second, third };
 }
 
+// Nodes without a recent heartbeat count for the pace of all heartbeats for a minute.
+async function registerOthers(
+  table: MemoryDurableTable,
+  count: number,
+): Promise<void> {
+  for (let index = 0; index < count; index += 1) {
+    const node = `other-${index}`;
+    const value = writeNodeRecord({
+      ...describeNode(node, "1"),
+      isServing: false,
+      heartbeatMilliseconds: 300,
+    });
+    await table.commit({
+      conditions: [],
+      puts: [{ table: "nodes", partition: node, key: node, value }],
+    });
+  }
+}
+
+// Ends a node just after it sent a heartbeat, which is written late.
+async function killAfterHeartbeat({ path, kill }: TestNode): Promise<number> {
+  const before = path.lateCommits;
+  while (path.lateCommits === before) await wait(5);
+  kill();
+  return performance.now();
+}
+
 interface Watched {
   /** Times since the end of the node at which responses named it too late. */
   readonly late: ReadonlyArray<number>;
@@ -145,6 +187,8 @@
 
 const CASES: ReadonlyArray<{
   readonly title: string;
+  /** Number of nodes that don't serve callers and make all heartbeats less frequent; 0 if absent. */
+  readonly otherNodes?: number;
   /** Causes the fault, beginning with the end of the third node; returns the time of that end. */
   readonly cause: (scene: Scene) => Promise<number> | number;
   /** Least share of the responses that must name the other running node. */
@@ -152,22 +196,20 @@
 }> = [
   {
     title: "whose last heartbeat is written 6 s late",
-    cause: ({ third }) => {
+    otherNodes: OTHER_NODES,
+    cause: async ({ third }) => {
       third.path.lateMilliseconds = LATE_MILLISECONDS;
-      return wait(400).then(() => {
-        third.kill();
-        return performance.now();
-      });
+      return await killAfterHeartbeat(third);
     },
     leastNamedShare: 0.95,
   },
   {
     title: "all of whose last heartbeats are written 6 s late",
+    otherNodes: OTHER_NODES,
     cause: async ({ third }) => {
       third.path.lateMilliseconds = LATE_MILLISECONDS;
       await wait(3000);
-      third.kill();
-      return performance.now();
+      return await killAfterHeartbeat(third);
     },
     leastNamedShare: 0.95,
   },
@@ -235,9 +277,9 @@
   },
 ];
 
-for (const { title, cause, leastNamedShare } of CASES) {
+for (const { title, cause, otherNodes, leastNamedShare } of CASES) {
   test(`no response names a node ${title} for more than 7 s`, async (t) => {
-    const scene = await start(t);
+    const scene = await start(t, otherNodes);
     const { first, second, third } = scene;
     const endedAt = await cause(scene);
     const { late, namedShare } = await watch([first, second], {
@@ -263,6 +305,8 @@
     const endedAt = performance.now();
     await wait(1000);
     const nodes = ["n1", "n2"].map((name) => startNode(t, table, name, "2"));
+    await wait(DISCOVERY_MILLISECONDS);
+    await registerOthers(table, OTHER_NODES);
     const { late, namedShare } = await watch(nodes, { ended: "n3", endedAt });
     t.deepEqual(late, []);
     t.true(namedShare >= 0.7, `${namedShare}`);
--- a/stand_ins/installation/late_table.ts
+++ b/stand_ins/installation/late_table.ts
@@ -12,12 +12,15 @@
 export class LateTable extends PartitionedTable {
   /** Time after which commits take effect, whose callers get no answer; 0 for at once. */
   lateMilliseconds = 0;
+  /** Number of commits that were made late. */
+  lateCommits = 0;
 
   /** Commits a transaction, now or late. */
   override async commit(
     transaction: RowTransaction,
   ): Promise<PlatformOutcome<CommitResult>> {
     if (this.lateMilliseconds === 0) return await super.commit(transaction);
+    this.lateCommits += 1;
     setTimeout(
       () => void this.commitPastCut(transaction),
       this.lateMilliseconds,
