--- a/source/calls/call_forwarder.ts
+++ b/source/calls/call_forwarder.ts
@@ -1,5 +1,9 @@
 import { type AttemptResult, toAttemptResult } from "./attempt_result.ts";
 import { type AttemptRun, AttemptSet } from "./attempt_set.ts";
+import {
+  type AllowedRegions,
+  mayProcess,
+} from "../decisions/allowed_regions.ts";
 import type { HedgeTiming } from "../decisions/hedge_timing.ts";
 import type { RetryBudget } from "../decisions/retry_budget.ts";
 import type { CallGate } from "./call_gate.ts";
@@ -16,6 +20,7 @@
 import type { ForwardedCall } from "./forwarded_call.ts";
 import {
   describeFailure,
+  NO_ALLOWED_REGION,
   toAnsweredOutcome,
   toEvacuatedOutcome,
   toHeldOutcome,
@@ -102,6 +107,7 @@
       ...options,
       service: this.#service,
       origin: call.origin,
+      findAllowedRegions: () => this.#allowedRegions,
     });
     this.#guarded = call.mayCrashServers
       ? options.crashGuard.watch(call.request, this.#service)
@@ -115,6 +121,7 @@
   async run(): Promise<CallOutcome> {
     const { gate, retryBudget } = this.#options;
     const { priority, isDeferrable, signal, route } = this.#call;
+    if (this.#allowedRegions?.isEmpty === true) return NO_ALLOWED_REGION;
     const hold = this.#guarded?.findHold();
     if (hold !== undefined) return toHeldOutcome(hold);
     if (this.#isEvacuated) return this.#refuseEvacuated();
@@ -124,6 +131,7 @@
       isDeferrable,
       deadline: this.#deadline,
       signal,
+      allowedRegions: this.#allowedRegions,
     });
     if (passed.kind === "cancelled") return { kind: "abandoned" };
     if (passed.kind === "rejected") {
@@ -180,15 +188,21 @@
   }
 
   get #isEvacuated(): boolean {
-    return this.#options.servers.isServiceEvacuated(this.#service);
+    const { servers } = this.#options;
+    return servers.isServiceEvacuated(this.#service, this.#allowedRegions);
   }
 
   #refuseEvacuated(): CallOutcome {
     return toEvacuatedOutcome(this.#options.random.next());
   }
 
+  get #allowedRegions(): AllowedRegions | undefined {
+    return this.#call.findAllowedRegions?.();
+  }
+
   get #isRelayNeeded(): boolean {
-    return this.#call.relay !== undefined && this.#options.callRelay.isNeeded;
+    return this.#call.relay !== undefined &&
+      this.#options.callRelay.isNeededFor(this.#allowedRegions);
   }
 
   // Starts a second attempt while the first one runs. If no server has answered this node meanwhile,
@@ -204,7 +218,9 @@
   // start, and Infinity when no server of the service can get the call now.
   #startAttempt(): number {
     const { callRelay } = this.#options;
-    const peer = this.#isRelayNeeded ? callRelay.choosePeer() : undefined;
+    const peer = this.#isRelayNeeded
+      ? callRelay.choosePeer(this.#allowedRegions)
+      : undefined;
     if (peer !== undefined) return this.#startRelay(peer);
     const server = this.#candidates.take();
     if (server === undefined) {
@@ -386,7 +402,9 @@
       {
         signal,
         silenceMilliseconds: Math.max(1, remaining),
-        mayStart: () => servers.isServing(server.identifier),
+        mayStart: () =>
+          servers.isServing(server.identifier) &&
+          mayProcess(this.#allowedRegions, server),
       },
     );
     if (answer.kind === "answered" && answer.signature !== undefined) {
--- a/source/calls/call_gate.ts
+++ b/source/calls/call_gate.ts
@@ -1,9 +1,13 @@
+import {
+  type AllowedRegions,
+  mayProcess,
+} from "../decisions/allowed_regions.ts";
 import {
   type CallDecision,
   type CallDemand,
-  countBefore,
   decideCall,
   findNextCall,
+  listBefore,
   type WaitingCall,
 } from "../decisions/call_admission.ts";
 import type { BackendServerEntry } from "../installation/backend_server_entry.ts";
@@ -33,6 +37,8 @@
   readonly deadline: number;
   /** Aborted when the caller disconnects. */
   readonly signal: AbortSignal;
+  /** Regions in which the call may be processed; any if absent. */
+  readonly allowedRegions?: AllowedRegions | undefined;
 }
 
 /** Whether a call may be sent. */
@@ -59,10 +65,11 @@
 
   /** Waits until a call may be sent, is rejected or is cancelled. */
   async pass(call: GatedCall): Promise<GateOutcome> {
-    const waiting = countBefore(
+    const before = listBefore(
       { ...call, arrivedAt: this.#options.clock.monotonic() },
       this.#waiting.get(call.service) ?? [],
     );
+    const waiting = this.#countCompeting(call, before);
     const decision = this.#decide(call, { waiting, sent: 0, queued: 1 });
     if (decision.kind === "send") return { kind: "open" };
     if (decision.kind === "reject") return { ...decision, kind: "rejected" };
@@ -114,22 +121,63 @@
   #sendWaiting(service: string): void {
     const waiting = this.#waiting.get(service);
     if (waiting === undefined) return;
-    for (let sent = 0;;) {
-      const next = findNextCall([...waiting]);
+    const sent: Waiter[] = [];
+    /** Calls for whose regions another call has no server, so that they have none either. */
+    const blocked = new Set<string | undefined>();
+    for (;;) {
+      const next = findNextCall(
+        [...waiting].filter(({ call }) =>
+          !blocked.has(call.allowedRegions?.key)
+        ),
+      );
       if (next === undefined) return;
-      const decision = this.#decide(next.call, {
+      const { call } = next;
+      const decision = this.#decide(call, {
         waiting: 0,
-        sent,
-        queued: waiting.size,
+        sent: this.#countCompeting(call, sent),
+        queued: this.#countCompeting(call, waiting),
       });
-      if (decision.kind === "wait") return;
-      if (decision.kind === "send") {
-        sent += 1;
+      if (decision.kind === "wait") blocked.add(call.allowedRegions?.key);
+      else if (decision.kind === "send") {
+        sent.push(next);
         next.resolve({ kind: "open" });
       } else next.resolve({ ...decision, kind: "rejected" });
     }
   }
 
+  // Counts the calls that compete for the servers which a call may use: those that may use all of
+  // them, by the share of their servers' slots that the call may use. Calls that may use only some of
+  // them wait for these and leave the others free.
+  #countCompeting(call: GatedCall, others: Iterable<Waiter>): number {
+    const own = call.allowedRegions;
+    let count = 0;
+    for (const { call: { allowedRegions: other } } of others) {
+      if (other?.key === own?.key) count += 1;
+      else if (other === undefined || own?.isWithin(other) === true) {
+        count += this.#countSlots(call.service, own) /
+          Math.max(1, this.#countSlots(call.service, other));
+      }
+    }
+    return count;
+  }
+
+  #countSlots(service: string, allowed: AllowedRegions | undefined): number {
+    return this.#listServers(service, allowed).reduce(
+      (total, { slots }) => total + slots,
+      0,
+    );
+  }
+
+  #listServers(
+    service: string,
+    allowed: AllowedRegions | undefined,
+  ): ReadonlyArray<BackendServerEntry> {
+    const all = this.#options.servers.ofService(service);
+    return allowed === undefined
+      ? all
+      : all.filter((server) => mayProcess(allowed, server));
+  }
+
   // Engines have queues of their own that order requests by priority.
   #hasEngines(service: string): boolean {
     return this.#options.servers.ofService(service).some((server) =>
@@ -138,7 +186,7 @@
   }
 
   #decide(
-    { service, isDeferrable, deadline }: GatedCall,
+    { service, isDeferrable, deadline, allowedRegions }: GatedCall,
     { waiting, sent, queued }: {
       /** Number of calls that wait before the call. */
       readonly waiting: number;
@@ -148,8 +196,8 @@
       readonly queued: number;
     },
   ): CallDecision {
-    const { clock, random, servers, serverStatistics } = this.#options;
-    const all = servers.ofService(service);
+    const { clock, random, serverStatistics } = this.#options;
+    const all = this.#listServers(service, allowedRegions);
     const available = serverStatistics.filterAvailable(all);
     const withRoom = available.filter((server) =>
       serverStatistics.hasRoom(server)
--- a/source/calls/call_outcome.ts
+++ b/source/calls/call_outcome.ts
@@ -18,6 +18,8 @@
   | "malformed"
   /** No backend server of the service accepted the request. */
   | "noServer"
+  /** The lists of the route and of the organisation have no region in common. */
+  | "noAllowedRegion"
   /** The service's servers are too busy to serve the request by its deadline. */
   | "overloaded"
   /** Servers ended while they ran the same request, so it is held for some time. */
--- a/source/calls/call_relay.ts
+++ b/source/calls/call_relay.ts
@@ -1,5 +1,9 @@
 import type { ExchangeFailure } from "../backends/http_exchange.ts";
 import type { ServerAnswer } from "../backends/server_client.ts";
+import {
+  type AllowedRegions,
+  selectBodyReceivers,
+} from "../decisions/allowed_regions.ts";
 import { choosePeer } from "../decisions/peer_choice.ts";
 import type { NodeRecord } from "../installation/node_record.ts";
 import { selectHighCapacityNodes } from "../installation/select_high_capacity_nodes.ts";
@@ -27,7 +31,12 @@
   readonly client: PeerClient;
   readonly paths: ServerPaths;
   readonly failureDomain: string;
-  /** Whether a failure domain is in this node's region, which calls must not leave. */
+  /** This node's region, which is assumed to be that of its callers. */
+  readonly region: string;
+  /**
+   * Whether a failure domain is in this node's region, which only calls with a list of allowed regions
+   * may leave.
+   */
   readonly isInRegion: (failureDomain: string) => boolean;
   /** Returns the other running nodes. */
   readonly listOthers: () => ReadonlyArray<NodeRecord>;
@@ -49,9 +58,13 @@
     return this.#options.paths.isCutOff && this.#peers.length > 0;
   }
 
-  /** Whether calls go through other nodes, as this node is cut off and one of them may answer. */
-  get isNeeded(): boolean {
-    return this.#options.paths.isCutOff && this.#available.length > 0;
+  /**
+   * Whether a call goes through another node, as this node is cut off and one of them may answer.
+   * @param allowed - Regions that the call may use; undefined for any.
+   */
+  isNeededFor(allowed?: AllowedRegions): boolean {
+    return this.#options.paths.isCutOff &&
+      this.#listAvailable(allowed).length > 0;
   }
 
   /** Checks, after an attempt has failed or hangs, whether this node reaches the servers. */
@@ -64,10 +77,16 @@
     return !this.#options.paths.hasHeardSince(time);
   }
 
-  /** Chooses the node that forwards a call; undefined if there is none. */
-  choosePeer(): Peer | undefined {
+  /**
+   * Chooses the node that forwards a call; undefined if there is none.
+   * @param allowed - Regions that the call may use; undefined for any.
+   */
+  choosePeer(allowed?: AllowedRegions): Peer | undefined {
     const { random, failureDomain } = this.#options;
-    const chosen = choosePeer(this.#available, { failureDomain, random });
+    const chosen = choosePeer(this.#listAvailable(allowed), {
+      failureDomain,
+      random,
+    });
     if (chosen?.peerAddress === undefined) return undefined;
     return { node: chosen.node, address: chosen.peerAddress };
   }
@@ -93,20 +112,43 @@
   }
 
   // The peers without those that did not answer recently.
-  get #available(): ReadonlyArray<NodeRecord> {
+  #listAvailable(
+    allowed: AllowedRegions | undefined,
+  ): ReadonlyArray<NodeRecord> {
     const now = this.#options.clock.monotonic();
     for (const [node, until] of this.#avoidedUntil) {
       if (until <= now) this.#avoidedUntil.delete(node);
     }
-    return this.#peers.filter(({ node }) => !this.#avoidedUntil.has(node));
+    const isAvailable = ({ node }: NodeRecord): boolean =>
+      !this.#avoidedUntil.has(node);
+    return allowed === undefined
+      ? this.#peers.filter(isAvailable)
+      : this.#selectReceivers(allowed, this.#reachable.filter(isAvailable));
+  }
+
+  // Calls with a list stay in this node's region if the list allows it and a node is left there.
+  #selectReceivers(
+    allowed: AllowedRegions,
+    nodes: ReadonlyArray<NodeRecord>,
+  ): ReadonlyArray<NodeRecord> {
+    const { isInRegion, region: callerRegion } = this.#options;
+    const receivers = selectBodyReceivers(nodes, { allowed, callerRegion });
+    const near = receivers.filter(({ failureDomain }) =>
+      isInRegion(failureDomain)
+    );
+    return selectHighCapacityNodes(near.length > 0 ? near : receivers);
+  }
+
+  get #reachable(): ReadonlyArray<NodeRecord> {
+    return this.#options.listOthers().filter(({ isCutOff, peerAddress }) =>
+      !isCutOff && peerAddress !== undefined
+    );
   }
 
   get #peers(): ReadonlyArray<NodeRecord> {
-    const { listOthers, isInRegion } = this.#options;
-    const usable = listOthers().filter(
-      ({ isCutOff, peerAddress, failureDomain }) =>
-        !isCutOff && peerAddress !== undefined && isInRegion(failureDomain),
+    const { isInRegion } = this.#options;
+    return selectHighCapacityNodes(
+      this.#reachable.filter(({ failureDomain }) => isInRegion(failureDomain)),
     );
-    return selectHighCapacityNodes(usable);
   }
 }
--- a/source/calls/call_relay_test.ts
+++ b/source/calls/call_relay_test.ts
@@ -39,12 +39,12 @@
       },
     );
     await relay.check();
-    t.true(relay.isNeeded);
+    t.true(relay.isNeededFor());
     const peer = relay.choosePeer();
     if (peer === undefined) return t.fail();
     await relay.send(peer, REQUEST, new AbortController().signal);
     t.deepEqual(relay.choosePeer(), isAvoided ? undefined : peer);
-    t.is(relay.isNeeded, !isAvoided);
+    t.is(relay.isNeededFor(), !isAvoided);
     t.true(relay.isNodeReplaceable, "steps and duties still move");
   });
 }
@@ -58,7 +58,7 @@
     },
   );
   await relay.check();
-  t.false(relay.isNeeded);
+  t.false(relay.isNeededFor());
   t.false(relay.isNodeReplaceable);
   t.is(relay.choosePeer(), undefined);
 });
--- a/source/calls/call_service.ts
+++ b/source/calls/call_service.ts
@@ -6,6 +6,7 @@
   findRoute,
   type ServiceRoute,
 } from "../installation/configuration.ts";
+import type { RegionRules } from "../installation/region_rules.ts";
 import type { ServerView } from "../installation/server_view.ts";
 import type { OperatorView } from "../installation/operator_view.ts";
 import type { Metrics } from "../observability/metrics.ts";
@@ -14,6 +15,10 @@
 import type { CallOutcome } from "./call_outcome.ts";
 import type { StreamOrigins } from "./stream_origins.ts";
 import type { ServerStarts } from "../installation/server_starts.ts";
+import {
+  type AllowedRegions,
+  mayProcess,
+} from "../decisions/allowed_regions.ts";
 import {
   decideStreamContinuation,
   type StreamContinuation,
@@ -79,6 +84,7 @@
   readonly operator: OperatorView;
   readonly forwarder: CallForwarder;
   readonly servers: ServerView;
+  readonly regionRules: Pick<RegionRules, "find">;
   readonly streamOrigins: StreamOrigins;
   readonly serverStarts: Pick<ServerStarts, "mayHaveChanged">;
   readonly intake: StepIntake;
@@ -221,16 +227,26 @@
     };
   }
 
+  #findAllowedRegions(
+    { host, target }: IncomingCall,
+    { organisation }: CallTarget,
+  ): AllowedRegions | undefined {
+    const path = target.split("?")[0] ?? "";
+    return this.#options.regionRules.find({ host, path, organisation });
+  }
+
   async #decideContinuation(
     call: IncomingCall,
-    { route, organisation }: CallTarget,
+    target: CallTarget,
   ): Promise<StreamContinuation> {
+    const { route, organisation } = target;
     const { servers, streamOrigins, serverStarts } = this.#options;
     const finding = await streamOrigins.find({
       identifier: call.resumedRequest,
       organisation,
     });
     const origin = finding.kind === "found" ? finding.origin : undefined;
+    const allowed = this.#findAllowedRegions(call, target);
     return decideStreamContinuation(finding, {
       isOriginDoubtful: origin?.server !== undefined &&
         await serverStarts.mayHaveChanged(
@@ -240,7 +256,9 @@
       services: route.services.map(({ service }) => service),
       serving: (service) =>
         new Set(
-          servers.ofService(service).map((server) => server.softwareVersion),
+          servers.ofService(service)
+            .filter((server) => mayProcess(allowed, server))
+            .map((server) => server.softwareVersion),
         ),
       seen: (service) =>
         servers.softwareVersionsSeen(service, STREAM_LIFETIME_MILLISECONDS),
@@ -249,13 +267,14 @@
 
   async #forwardTo(
     call: IncomingCall,
-    { route, organisation }: CallTarget,
+    target: CallTarget,
     stream: {
       readonly origin?: StreamOrigin;
       readonly onStreaming?: (server: BackendServerEntry) => void;
     },
   ): Promise<CallOutcome> {
     const { forwarder, usage, clock, operator } = this.#options;
+    const { route, organisation } = target;
     const entry = organisation === undefined
       ? undefined
       : usage.open(organisation, clock.wall());
@@ -292,6 +311,7 @@
           (call.budgetMilliseconds ?? route.timeoutMilliseconds),
         signal: call.signal,
         onAnswered: () => entry?.count(),
+        findAllowedRegions: () => this.#findAllowedRegions(call, target),
         ...stream,
       });
     } finally {
--- a/source/calls/forwarded_call.ts
+++ b/source/calls/forwarded_call.ts
@@ -1,4 +1,5 @@
 import type { ServerRequest } from "../backends/server_client.ts";
+import type { AllowedRegions } from "../decisions/allowed_regions.ts";
 import type { StreamOrigin } from "../decisions/stream_continuation.ts";
 import type { BackendServerEntry } from "../installation/backend_server_entry.ts";
 import type { ServiceRoute } from "../installation/configuration.ts";
@@ -29,4 +30,9 @@
   readonly onStreaming?: (server: BackendServerEntry) => void;
   /** The only service and software version that may answer; any of the route if absent. */
   readonly origin?: StreamOrigin;
+  /**
+   * Returns the regions in which the call may be processed now, undefined for any; asked before each
+   * attempt, as the lists may change. Any region if absent.
+   */
+  readonly findAllowedRegions?: () => AllowedRegions | undefined;
 }
--- a/source/calls/forwarding_outcomes.ts
+++ b/source/calls/forwarding_outcomes.ts
@@ -5,6 +5,15 @@
 
 /** Time that servers which refused a call are assumed to need for what they run. */
 const REFUSED_BACKLOG_MILLISECONDS = 150;
+/** Delay after which a caller may return whose request no region may process. */
+const NO_REGION_RETRY_MILLISECONDS = 1000;
+
+/** Outcome of a request whose lists of allowed regions have no region in common. */
+export const NO_ALLOWED_REGION: CallOutcome = {
+  kind: "refused",
+  refusal: "noAllowedRegion",
+  retryAfterMilliseconds: NO_REGION_RETRY_MILLISECONDS,
+};
 
 /** Returns the outcome of a call that is held because calls with its content crash servers. */
 export function toHeldOutcome(retryAfterMilliseconds: number): CallOutcome {
--- a/source/calls/server_candidates.ts
+++ b/source/calls/server_candidates.ts
@@ -1,3 +1,7 @@
+import {
+  type AllowedRegions,
+  mayProcess,
+} from "../decisions/allowed_regions.ts";
 import type { StreamOrigin } from "../decisions/stream_continuation.ts";
 import type { BackendServerEntry } from "../installation/backend_server_entry.ts";
 import type { ServerView } from "../installation/server_view.ts";
@@ -13,6 +17,8 @@
   readonly service: string;
   /** The only service and software version that may answer; any if absent. */
   readonly origin: StreamOrigin | undefined;
+  /** Returns the regions in which the call may be processed now; undefined for any. */
+  readonly findAllowedRegions: () => AllowedRegions | undefined;
 }
 
 /** The servers that may answer one call, and those to which it was sent. */
@@ -29,7 +35,11 @@
   /** Servers of the service that may answer the call. */
   get all(): ReadonlyArray<BackendServerEntry> {
     const { servers, service, origin } = this.#options;
-    const all = servers.ofService(service);
+    const allowed = this.#options.findAllowedRegions();
+    const ofService = servers.ofService(service);
+    const all = allowed === undefined
+      ? ofService
+      : ofService.filter((server) => mayProcess(allowed, server));
     return origin === undefined
       ? all
       : all.filter(({ softwareVersion }) =>
--- a/source/decisions/call_admission.ts
+++ b/source/decisions/call_admission.ts
@@ -107,16 +107,21 @@
   readonly arrivedAt: number;
 }
 
-/** Returns the number of waiting calls that go before a call. */
-export function countBefore(
+/**
+ * Returns the waiting calls that go before a call.
+ * @param call - The call.
+ * @param waiting - The waiting calls.
+ * @example
+ * ```ts
+ * const before = listBefore(call, waiting);
+ * ```
+ */
+export function listBefore<Call extends WaitingCall>(
   call: WaitingCall,
-  waiting: Iterable<WaitingCall>,
-): number {
-  let count = 0;
-  for (const other of waiting) {
-    if (toOrder(other) <= toOrder(call)) count += 1;
-  }
-  return count;
+  waiting: Iterable<Call>,
+): ReadonlyArray<Call> {
+  const order = toOrder(call);
+  return [...waiting].filter((other) => toOrder(other) <= order);
 }
 
 /**
--- a/source/decisions/call_admission_test.ts
+++ b/source/decisions/call_admission_test.ts
@@ -7,9 +7,9 @@
 } from "../../stand_ins/decisions/call_model.ts";
 import { createRandomSource } from "../utilities/random_source.ts";
 import {
-  countBefore,
   decideCall,
   findNextCall,
+  listBefore,
   toRetryAfter,
 } from "./call_admission.ts";
 
@@ -31,10 +31,10 @@
           servers,
           slots,
           running,
-          waiting: countBefore(
+          waiting: listBefore(
             { ...toWaitingCall(call), arrivedAt: now },
             waiting.map(toWaitingCall),
-          ),
+          ).length,
           meanMilliseconds: WORK_MILLISECONDS,
           rateWaitMilliseconds: 0,
         },
--- a/source/decisions/sample_queue.ts
+++ b/source/decisions/sample_queue.ts
@@ -75,6 +75,11 @@
     return this.#size;
   }
 
+  /** The waiting samples. */
+  get samples(): ReadonlyArray<Sample> {
+    return [...this.#groups.values()].flatMap(({ members }) => [...members]);
+  }
+
   /** The requirements of the waiting samples, each once. */
   get requirements(): ReadonlyArray<Requirements> {
     return [...this.#lanes.values()].flatMap(({ timely, deferred }) => {
--- a/source/durable_steps/engine_availability.ts
+++ b/source/durable_steps/engine_availability.ts
@@ -1,3 +1,4 @@
+import { mayProcess } from "../decisions/allowed_regions.ts";
 import type { BackendServerEntry } from "../installation/backend_server_entry.ts";
 import type { ServerLimits } from "../installation/server_limits.ts";
 import type { ServerView } from "../installation/server_view.ts";
@@ -58,12 +59,12 @@
     );
   }
 
-  /** Returns the engines whose weights and software a sample may use, free or not. */
+  /** Returns the engines whose weights, software and region a sample may use, free or not. */
   findUsable(
     requirements: EngineRequirements,
   ): ReadonlyArray<BackendServerEntry> {
     return this.#ofService(requirements).filter((engine) =>
-      this.#hasUsableVersions(engine, requirements)
+      this.#isUsable(engine, requirements)
     );
   }
 
@@ -131,15 +132,16 @@
       : state.running < engine.slots &&
         occupied < engine.slots + MAXIMUM_EXCESS_REQUESTS &&
         state.isAccepting(clock.monotonic());
-    return hasSlot && this.#hasUsableVersions(engine, requirements);
+    return hasSlot && this.#isUsable(engine, requirements);
   }
 
-  #hasUsableVersions(
+  #isUsable(
     engine: BackendServerEntry,
     requirements: EngineRequirements,
   ): boolean {
     const { model, minimumVersion, exactVersion, softwareVersion } =
       requirements;
+    if (!mayProcess(requirements.allowedRegions, engine)) return false;
     if (
       softwareVersion !== undefined &&
       engine.softwareVersion !== softwareVersion
--- a/source/durable_steps/engine_pool.ts
+++ b/source/durable_steps/engine_pool.ts
@@ -126,8 +126,8 @@
   }
 
   /**
-   * Waits for a free slot on an engine. The caller must return the slot with the returned function.
-   * @returns The engine; undefined when the signal was aborted first.
+   * Waits for a free slot on an engine. The caller must return the slot with `release`.
+   * @returns The engine; undefined when the signal was aborted or the waits were restarted first.
    */
   acquire(
     request: EngineRequest,
@@ -157,6 +157,17 @@
     });
   }
 
+  /**
+   * Ends all waits without an engine, so that their samples ask again with the requirements that are
+   * in force.
+   */
+  restartWaits(): void {
+    for (const waiter of this.#queue.samples) {
+      this.#queue.remove(waiter);
+      waiter.resolve(undefined);
+    }
+  }
+
   /**
    * Records that an engine started to answer a request or that the request failed before an answer.
    */
@@ -469,5 +480,6 @@
     minimumVersion,
     exactVersion ?? "",
     softwareVersion ?? "",
+    requirements.allowedRegions?.key ?? "",
   ].join("/");
 }
--- a/source/durable_steps/engine_request.ts
+++ b/source/durable_steps/engine_request.ts
@@ -1,3 +1,4 @@
+import type { AllowedRegions } from "../decisions/allowed_regions.ts";
 import type { SampleUrgency } from "../decisions/sample_queue.ts";
 
 /** The requirements of a sample for an engine. */
@@ -10,6 +11,8 @@
   readonly exactVersion: number | undefined;
   /** The only software version that may be used; undefined for a text that has no event yet. */
   readonly softwareVersion: string | undefined;
+  /** Regions in which the sample may be processed; any if absent. */
+  readonly allowedRegions?: AllowedRegions | undefined;
 }
 
 /** A sample that needs an engine. */
--- a/source/durable_steps/sample_generation.ts
+++ b/source/durable_steps/sample_generation.ts
@@ -1,3 +1,7 @@
+import {
+  type AllowedRegions,
+  mayProcess,
+} from "../decisions/allowed_regions.ts";
 import type { TextLengthEstimate } from "../decisions/text_length.ts";
 import type { ServerAnswer, ServerClient } from "../backends/server_client.ts";
 import type { ExchangeFailure } from "../backends/http_exchange.ts";
@@ -62,6 +66,11 @@
   readonly isLong: boolean;
   /** Returns the active route; undefined when the configuration has none for the sample. */
   readonly route: () => ServiceRoute | undefined;
+  /**
+   * Returns the regions in which the sample may be processed now, undefined for any; any region if
+   * absent.
+   */
+  readonly findAllowedRegions?: () => AllowedRegions | undefined;
   /** Returns the remaining lifetime of the sample in milliseconds. */
   readonly remainingMilliseconds: () => number;
   readonly signal: AbortSignal;
@@ -236,6 +245,7 @@
       minimumVersion,
       exactVersion: route.isSingleVersion ? text.versions[0] : undefined,
       softwareVersion: text.softwareVersion,
+      allowedRegions: this.#options.findAllowedRegions?.(),
     };
   }
 
@@ -269,7 +279,9 @@
       }, {
         signal: controller.signal,
         silenceMilliseconds: IDLE_TIMEOUT_MILLISECONDS,
-        mayStart: () => servers.isServing(identifier),
+        mayStart: () =>
+          servers.isServing(identifier) &&
+          mayProcess(this.#options.findAllowedRegions?.(), engine),
       });
       pool.recordResponse(identifier);
       if (answer.kind === "answered") pool.recordHeard(identifier);
--- a/source/durable_steps/sample_scoring.ts
+++ b/source/durable_steps/sample_scoring.ts
@@ -22,18 +22,20 @@
  * Sends the scoring request of a sample until it gets a signed response with a 2xx status, has
  * failed, or is cancelled.
  * @param tools - The forwarder, the configuration and the clock.
- * @param options - The request, the parser of signatures and the signal that cancels scoring.
+ * @param options - The request, the organisation of the sample, the parser of signatures and the signal
+ * that cancels scoring.
  */
 export async function scoreSample(
   tools: StepTools,
   options: {
     readonly scoring: ScoringRequest;
+    readonly organisation: string;
     readonly readSignature: ReadSignature;
     readonly signal: AbortSignal;
   },
 ): Promise<ScoringOutcome> {
   const { clock } = tools;
-  const { scoring, signal, readSignature } = options;
+  const { scoring, signal, readSignature, organisation } = options;
   let failures = 0;
   while (!signal.aborted) {
     const route = findScoringRoute(tools, scoring);
@@ -57,6 +59,12 @@
         onAnswered: (status) => {
           if (status === SERVER_ERROR_STATUS) failures += 1;
         },
+        findAllowedRegions: () =>
+          tools.regionRules.find({
+            host: scoring.host,
+            path: toPath(scoring),
+            organisation,
+          }),
       });
       if (outcome.kind === "answered") {
         const score = readSignature(outcome.headers);
@@ -76,9 +84,13 @@
 
 function findScoringRoute(
   tools: StepTools,
-  { host, path }: ScoringRequest,
+  scoring: ScoringRequest,
 ): ServiceRoute | undefined {
   const configuration = tools.configuration();
   if (configuration === undefined) return undefined;
-  return findRoute(configuration, host, path.split("?")[0] ?? "");
+  return findRoute(configuration, scoring.host, toPath(scoring));
+}
+
+function toPath({ path }: ScoringRequest): string {
+  return path.split("?")[0] ?? "";
 }
--- a/source/durable_steps/step_admission_control.ts
+++ b/source/durable_steps/step_admission_control.ts
@@ -1,3 +1,7 @@
+import {
+  type AllowedRegions,
+  mayProcess,
+} from "../decisions/allowed_regions.ts";
 import { toEvacuationRetry } from "../decisions/evacuation.ts";
 import { decideStep, type StepDecision } from "../decisions/step_admission.ts";
 import type { ServiceRoute } from "../installation/configuration.ts";
@@ -16,20 +20,31 @@
     this.#tools = tools;
   }
 
-  /** Decides whether a step is accepted. */
-  decide(submission: StepSubmission, route: ServiceRoute): StepDecision {
-    const { clock, servers, pool, textLengths } = this.#tools;
+  /**
+   * Decides whether a step is accepted.
+   * @param submission - The step.
+   * @param route - Its route.
+   * @param allowed - Regions in which its samples may be processed; any if absent.
+   */
+  decide(
+    submission: StepSubmission,
+    route: ServiceRoute,
+    allowed?: AllowedRegions,
+  ): StepDecision {
+    const { clock, random, servers, pool, textLengths } = this.#tools;
     const now = clock.wall();
     const service = route.services[0]?.service ?? "";
-    const engines = servers.ofService(service);
-    const isEvacuated = servers.isServiceEvacuated(service);
+    const isEvacuated = servers.isServiceEvacuated(service, allowed);
     const decision = decideStep({
       now,
-      open: this.#listOpenSteps(now - route.sampleLifetimeMilliseconds),
+      open: this.#listOpenSteps(now - route.sampleLifetimeMilliseconds, {
+        service,
+        allowed,
+      }),
       samples: submission.samples.length,
-      slots: engines.reduce((sum, { slots }) => sum + slots, 0),
+      slots: this.#countSlots(service, [allowed]),
       evacuationRetryMilliseconds: isEvacuated
-        ? toEvacuationRetry(this.#tools.random.next())
+        ? toEvacuationRetry(random.next())
         : undefined,
       sampleMilliseconds: pool.usualEventMilliseconds *
         textLengths.usualEvents,
@@ -43,19 +58,42 @@
     return decision;
   }
 
+  #countSlots(
+    service: string,
+    rules: ReadonlyArray<AllowedRegions | undefined>,
+  ): number {
+    return this.#tools.servers.ofService(service)
+      .filter((engine) => rules.every((each) => mayProcess(each, engine)))
+      .reduce((sum, { slots }) => sum + slots, 0);
+  }
+
   // Steps of other services count too, as the manifest does not name the service; the services of an
-  // installation's steps rarely differ.
+  // installation's steps rarely differ. Of a step that may use other regions, the share of its slots
+  // counts that the new step may use.
   #listOpenSteps(
     since: number,
+    { service, allowed }: {
+      readonly service: string;
+      readonly allowed: AllowedRegions | undefined;
+    },
   ): ReadonlyArray<{ submittedAt: number; samples: number }> {
-    return [...this.#tools.stepRegistry.entries]
+    const { regionRules, stepRegistry } = this.#tools;
+    const shares = new Map<string | undefined, number>([[allowed?.key, 1]]);
+    const toShare = (other: AllowedRegions | undefined): number => {
+      const share = shares.get(other?.key) ??
+        this.#countSlots(service, [allowed, other]) /
+          Math.max(1, this.#countSlots(service, [other]));
+      shares.set(other?.key, share);
+      return share;
+    };
+    return [...stepRegistry.entries]
       .filter((entry) =>
         hasManifest(entry) && !entry.isEnded &&
         entry.manifest.submittedAt > since
       )
       .map(({ manifest }) => ({
         submittedAt: manifest.submittedAt,
-        samples: manifest.total,
+        samples: manifest.total * toShare(regionRules.find(manifest)),
       }));
   }
 }
--- a/source/durable_steps/step_intake.ts
+++ b/source/durable_steps/step_intake.ts
@@ -2,11 +2,18 @@
 import type { StepAdmissionControl } from "./step_admission_control.ts";
 import { randomUUID } from "node:crypto";
 import type { CallOutcome } from "../calls/call_outcome.ts";
+import { NO_ALLOWED_REGION } from "../calls/forwarding_outcomes.ts";
+import type { AllowedRegions } from "../decisions/allowed_regions.ts";
 import type { RowTransaction, StoredRow } from "../platform/durable_table.ts";
-import { hasManifest, toStepRowPlace } from "./step_registry.ts";
+import {
+  hasManifest,
+  type StepEntry,
+  toStepRowPlace,
+} from "./step_registry.ts";
 import { readManifest, type StepManifest } from "./step_manifest.ts";
 import type { ReadSubmission, StepSubmission } from "./step_submission.ts";
 import type { StepTools } from "./step_tools.ts";
+import { writeStepOwner } from "./write_step_owner.ts";
 
 const RETRY_PAUSE_MILLISECONDS = 60;
 /** Time for which writes are retried before the trainer gets a refusal with a retry delay. */
@@ -37,8 +44,16 @@
   readonly readSubmission: ReadSubmission;
   /** Decides whether a new step is accepted. */
   readonly admission: Pick<StepAdmissionControl, "decide">;
-  /** Returns the identity of the process that will run a newly accepted step. */
-  readonly chooseOwner: (submission: StepSubmission) => string;
+  /** Returns the identity of the process that will run a step. */
+  readonly chooseOwner: (
+    submission: StepSubmission,
+    allowed?: AllowedRegions,
+  ) => string;
+  /** Whether a step that is submitted again keeps its owner; it does if absent. */
+  readonly mayKeepOwner?: (
+    entry: StepEntry,
+    allowed: AllowedRegions | undefined,
+  ) => boolean;
 }
 
 /** Accepts steps from trainers. A step is accepted once its manifest is in the store. */
@@ -61,9 +76,20 @@
       return { kind: "refused", refusal: "malformed" };
     }
     const known = tools.stepRegistry.get(step.identifier);
-    if (known !== undefined && hasManifest(known)) return ACCEPTED;
+    if (known !== undefined && hasManifest(known)) {
+      this.#checkOwner(known, submission);
+      return ACCEPTED;
+    }
     if (tools.storeHealth.isHanging) return STORE_UNREACHABLE;
-    const decision = this.#options.admission.decide(submission, step.route);
+    const allowed = tools.regionRules.find(step);
+    if (allowed?.isEmpty === true) {
+      return await this.#reject(step.identifier, NO_ALLOWED_REGION);
+    }
+    const decision = this.#options.admission.decide(
+      submission,
+      step.route,
+      allowed,
+    );
     if (decision.kind === "reject") {
       const { retryAfterMilliseconds } = decision;
       tools.log.emit("durableStepRejected", {
@@ -72,7 +98,11 @@
         samples: submission.samples.length,
         retryAfterMilliseconds,
       });
-      return await this.#reject(step.identifier, retryAfterMilliseconds);
+      return await this.#reject(step.identifier, {
+        kind: "refused",
+        refusal: "overloaded",
+        retryAfterMilliseconds,
+      });
     }
     const upload = `${step.identifier}/${randomUUID().slice(0, 8)}`;
     const rows = tools.submissionStore.toRows(upload, step.body);
@@ -91,7 +121,8 @@
       step: submission.step,
       upload,
       chunks: rows.length,
-      owner: this.#options.chooseOwner(submission),
+      owner: this.#options.chooseOwner(submission, allowed),
+      submittedRegion: tools.regionRules.ownRegion,
     };
     return await this.#commitManifest({ manifest, last, submission });
   }
@@ -119,7 +150,7 @@
   // unknown can't take effect after the refusal. A later submission replaces the row.
   async #reject(
     identifier: string,
-    retryAfterMilliseconds: number,
+    refusal: CallOutcome,
   ): Promise<CallOutcome> {
     const place = toStepRowPlace(identifier, "manifest");
     const outcome = await this.#options.tools.table.commit({
@@ -133,9 +164,21 @@
     }
     const isAccepted = outcome.value.kind === "conflict" &&
       outcome.value.rows.some(({ value }) => readManifest(value) !== undefined);
-    return isAccepted
-      ? ACCEPTED
-      : { kind: "refused", refusal: "overloaded", retryAfterMilliseconds };
+    return isAccepted ? ACCEPTED : refusal;
+  }
+
+  // Gives a step that was submitted again to another node if the lists in force do not allow its
+  // owner. The caller's answer does not depend on it.
+  #checkOwner(entry: StepEntry, submission: StepSubmission): void {
+    const { tools, chooseOwner, mayKeepOwner } = this.#options;
+    const allowed = tools.regionRules.find(entry.manifest);
+    if (entry.isEnded || mayKeepOwner?.(entry, allowed) !== false) return;
+    const { owner: from, manifest: { identifier: step } } = entry;
+    const to = chooseOwner(submission, allowed);
+    if (to === from) return;
+    void writeStepOwner(tools, { entry, owner: to }).then((outcome) =>
+      tools.log.emit("stepOwnerReplaced", { step, from, to, outcome })
+    );
   }
 
   // Retries the same conditional write until its outcome is known or the retry limit has passed.
@@ -177,7 +220,11 @@
             value,
             version: outcome.value.version,
           });
-        } else this.#applyRows(outcome.value.rows);
+        } else {
+          this.#applyRows(outcome.value.rows);
+          const entry = tools.stepRegistry.get(manifest.identifier);
+          if (entry !== undefined) this.#checkOwner(entry, submission);
+        }
         return ACCEPTED;
       }
       isOutcomeUnknown ||= outcome.kind === "unknown";
--- a/source/durable_steps/step_manifest.ts
+++ b/source/durable_steps/step_manifest.ts
@@ -17,6 +17,11 @@
   readonly chunks: number;
   /** Identity of the process that runs the step first. */
   readonly owner: string;
+  /**
+   * Region of the node to which the step was submitted, which is taken for its caller's; absent from
+   * the rows of earlier versions of the program.
+   */
+  readonly submittedRegion?: string;
 }
 
 /** Parses the value of a manifest row; returns undefined when it is malformed. */
--- a/source/durable_steps/step_run.ts
+++ b/source/durable_steps/step_run.ts
@@ -259,6 +259,7 @@
       isSpare: placement.isSpare,
       isLong: placement.isLong,
       route: () => this.#findRoute(),
+      findAllowedRegions: () => tools.regionRules.find(manifest),
       remainingMilliseconds: () => this.#getRemainingMilliseconds(),
       signal,
     });
@@ -271,6 +272,7 @@
         ? undefined
         : await scoreSample(tools, {
           scoring: sample.scoring,
+          organisation: manifest.organisation,
           readSignature,
           signal,
         });
--- a/source/durable_steps/step_supervisor.ts
+++ b/source/durable_steps/step_supervisor.ts
@@ -1,17 +1,17 @@
 import { LRUCache } from "lru-cache";
+import type { AllowedRegions } from "../decisions/allowed_regions.ts";
+import type { NodeRecord } from "../installation/node_record.ts";
 import type { NodeRegister } from "../installation/node_register.ts";
 import { readNodeName } from "../installation/process_identity.ts";
 import { selectHighCapacityNodes } from "../installation/select_high_capacity_nodes.ts";
 import type { Rendezvous } from "../membership/rendezvous.ts";
 import type { ReadSignature } from "./sample_scoring.ts";
 import type { SampleText } from "./sample_text.ts";
-import {
-  hasManifest,
-  type StepEntry,
-  toStepRowPlace,
-} from "./step_registry.ts";
+import { selectOwnerCandidates } from "./step_owner_choice.ts";
+import { hasManifest, type StepEntry } from "./step_registry.ts";
 import { StepRun } from "./step_run.ts";
 import type { StepTools } from "./step_tools.ts";
+import { writeStepOwner } from "./write_step_owner.ts";
 
 const CHECK_INTERVAL_MILLISECONDS = 250;
 /** The same while no step is open; a new step is checked when its row is read. */
@@ -29,6 +29,9 @@
  */
 const MAXIMUM_TAKEOVER_AGE_MILLISECONDS = 120_000;
 
+/** Maximum number of steps of which it is remembered that a line was logged. */
+const MAXIMUM_LOGGED_STEPS = 1000;
+
 /** Dependencies of a step supervisor. */
 export interface StepSupervisorOptions {
   readonly tools: StepTools;
@@ -65,6 +68,10 @@
   readonly #texts = new LRUCache<string, SampleText>({
     max: MAXIMUM_CACHED_TEXTS,
   });
+  /** Identifiers of the steps without an owner that were logged, as no running node may own them. */
+  readonly #loggedUnownable = new LRUCache<string, true>({
+    max: MAXIMUM_LOGGED_STEPS,
+  });
   #isTakeOverStopped = false;
 
   /** @param options - The steps, the nodes and the other dependencies. */
@@ -101,19 +108,45 @@
 
   /** Saves the texts of the steps that run on this node and transfers the steps to other nodes. */
   async handOver(): Promise<void> {
-    const { nodeStart } = this.#options;
-    const successors = selectHighCapacityNodes(this.#options.register.running)
-      .filter((node) => node.nodeStart !== nodeStart);
+    const { tools } = this.#options;
     const runs = [...this.#runs];
     await Promise.all(runs.map(async ([identifier, run], index) => {
+      const entry = tools.stepRegistry.get(identifier);
+      if (entry === undefined) return;
+      const successors = this.#listSuccessors(entry);
       const successor = successors[index % successors.length];
-      const entry = this.#options.tools.stepRegistry.get(identifier);
-      if (successor === undefined || entry === undefined) return;
+      if (successor === undefined) return;
       await run.saveTexts();
-      await this.#setOwner(entry, successor.nodeStart);
+      await writeStepOwner(tools, { entry, owner: successor.nodeStart });
     }));
   }
 
+  #listSuccessors(entry: StepEntry): ReadonlyArray<NodeRecord> {
+    const { register, nodeStart } = this.#options;
+    const isOther = (node: NodeRecord): boolean => node.nodeStart !== nodeStart;
+    const allowed = this.#findAllowedRegions(entry);
+    if (allowed === undefined) {
+      return selectHighCapacityNodes(register.running).filter(isOther);
+    }
+    return selectOwnerCandidates(register.running.filter(isOther), {
+      allowed,
+      callerRegion: entry.manifest.submittedRegion,
+    });
+  }
+
+  #findAllowedRegions({ manifest }: StepEntry): AllowedRegions | undefined {
+    return this.#options.tools.regionRules.find(manifest);
+  }
+
+  // Whether this node is in a region that may own a step.
+  #mayOwn(entry: StepEntry): boolean {
+    const { ownFailureDomain } = this.#options.tools.regionRules;
+    return this.#findAllowedRegions(entry)?.mayReceiveBody(
+      ownFailureDomain,
+      entry.manifest.submittedRegion,
+    ) ?? true;
+  }
+
   get #mustYield(): boolean {
     return this.#options.mustYield?.() ?? false;
   }
@@ -169,17 +202,22 @@
     if (this.#isTakeOverStopped || this.#mustYield) return;
     if (this.#pendingTakeOvers.has(identifier)) return;
     if (this.#isExpired(entry)) return;
-    if (this.#isOwnerOnThisNode(entry)) return void this.#takeOver(entry);
-    if (!register.isCurrent) return;
+    const mayOwn = this.#mayOwn(entry);
+    // This node has received the body before, so it need not wait for the configuration.
+    if (mayOwn && this.#isOwnerOnThisNode(entry)) {
+      return void this.#takeOver(entry);
+    }
+    if (!register.isCurrent || tools.configuration() === undefined) return;
     if (register.isRunning(entry.owner)) {
       this.#orphanedSince.delete(identifier);
       return;
     }
+    if (!mayOwn) return this.#logUnownable(entry);
     const now = tools.clock.monotonic();
     const since = this.#orphanedSince.get(identifier) ?? now;
     this.#orphanedSince.set(identifier, since);
     const mayAnyNodeTakeOver = now - since > EXCLUSIVE_TAKEOVER_MILLISECONDS;
-    if (mayAnyNodeTakeOver || this.#isThisNodeChosenFor(identifier)) {
+    if (mayAnyNodeTakeOver || this.#isThisNodeChosenFor(entry)) {
       void this.#takeOver(entry);
     }
   }
@@ -196,21 +234,54 @@
   }
 
   // Whether rendezvous hashing selects this node for a step; also true when no node serves.
-  #isThisNodeChosenFor(step: string): boolean {
-    const { register, nodeStart } = this.#options;
-    const candidates = selectHighCapacityNodes(register.running);
-    const [chosen] = this.#options.rendezvous.choose(step, candidates, {
+  #isThisNodeChosenFor(entry: StepEntry): boolean {
+    return this.#isThisNodeChosenAmong(
+      entry,
+      selectOwnerCandidates(this.#options.register.running, {
+        allowed: this.#findAllowedRegions(entry),
+        callerRegion: entry.manifest.submittedRegion,
+      }),
+    );
+  }
+
+  #isThisNodeChosenAmong(
+    { manifest }: StepEntry,
+    candidates: ReadonlyArray<NodeRecord>,
+  ): boolean {
+    const { rendezvous, nodeStart } = this.#options;
+    const [chosen] = rendezvous.choose(manifest.identifier, candidates, {
       count: 1,
       name: (node) => node.nodeStart,
     });
     return chosen === undefined || chosen.nodeStart === nodeStart;
   }
 
+  // Logs, on one of the nodes, that no running node may take over a step.
+  #logUnownable(entry: StepEntry): void {
+    const { register, tools } = this.#options;
+    const { identifier, submittedRegion } = entry.manifest;
+    if (this.#loggedUnownable.has(identifier)) return;
+    const allowed = this.#findAllowedRegions(entry);
+    const callerRegion = submittedRegion;
+    const isOwnable = selectOwnerCandidates(register.running, {
+      allowed,
+      callerRegion,
+    }).length > 0;
+    const all = selectHighCapacityNodes(register.running);
+    if (isOwnable || !this.#isThisNodeChosenAmong(entry, all)) return;
+    this.#loggedUnownable.set(identifier, true);
+    tools.log.emit("takeoverNotAllowed", {
+      step: identifier,
+      regions: [...allowed?.names ?? []].join(" "),
+      submittedRegion: submittedRegion ?? "",
+    });
+  }
+
   async #takeOver(entry: StepEntry): Promise<void> {
     const { tools, nodeStart } = this.#options;
     const { identifier } = entry.manifest;
     this.#pendingTakeOvers.add(identifier);
-    const outcome = await this.#setOwner(entry, nodeStart);
+    const outcome = await writeStepOwner(tools, { entry, owner: nodeStart });
     this.#pendingTakeOvers.delete(identifier);
     tools.log.emit("durableStepTakenOver", {
       step: identifier,
@@ -218,20 +289,4 @@
       outcome,
     });
   }
-
-  async #setOwner(entry: StepEntry, owner: string): Promise<string> {
-    const { tools } = this.#options;
-    const place = toStepRowPlace(entry.manifest.identifier, "owner");
-    const value = Buffer.from(owner);
-    const outcome = await tools.table.commit({
-      conditions: [{ ...place, version: entry.ownerVersion }],
-      puts: [{ ...place, value }],
-    });
-    if (outcome.kind !== "ok") return outcome.kind;
-    if (outcome.value.kind === "committed") {
-      const { version } = outcome.value;
-      tools.stepRegistry.applyWrittenRow({ ...place, value, version });
-    }
-    return outcome.value.kind;
-  }
 }
--- a/source/durable_steps/step_tools.ts
+++ b/source/durable_steps/step_tools.ts
@@ -2,6 +2,7 @@
 import type { ServerClient } from "../backends/server_client.ts";
 import type { CallForwarder } from "../calls/call_forwarder.ts";
 import type { Configuration } from "../installation/configuration.ts";
+import type { RegionRules } from "../installation/region_rules.ts";
 import type { ServerStarts } from "../installation/server_starts.ts";
 import type { ServerView } from "../installation/server_view.ts";
 import type { EventLog } from "../observability/event_log.ts";
@@ -31,6 +32,8 @@
   readonly client: Pick<ServerClient, "open" | "readEvents">;
   readonly serverStarts: Pick<ServerStarts, "mayHaveChanged">;
   readonly forwarder: CallForwarder;
+  /** The allowed regions of routes and organisations. */
+  readonly regionRules: RegionRules;
   /** Tells whether this node reaches the store; requests do not wait for a store that hangs. */
   readonly storeHealth: Pick<StoreHealth, "isUnreachable" | "isHanging">;
   /** Returns the active configuration; undefined until the first one was read. */
--- a/source/durable_steps/text_continuation.ts
+++ b/source/durable_steps/text_continuation.ts
@@ -1,3 +1,4 @@
+import { mayProcess } from "../decisions/allowed_regions.ts";
 import { toContinuationPatience } from "../decisions/text_continuation.ts";
 import type { BackendServerEntry } from "../installation/backend_server_entry.ts";
 import type { ServerStarts } from "../installation/server_starts.ts";
@@ -107,9 +108,13 @@
     return await serverStarts.mayHaveChanged(text.begunBy, softwareVersion);
   }
 
-  #getPatience({ service, softwareVersion }: EngineRequirements): number {
+  #getPatience(
+    { service, softwareVersion, allowedRegions }: EngineRequirements,
+  ): number {
     const { pool, servers, text } = this.#options;
-    const engines = servers.ofService(service);
+    const engines = servers.ofService(service).filter((engine) =>
+      mayProcess(allowedRegions, engine)
+    );
     return toContinuationPatience({
       events: text.parts.length,
       eventMilliseconds: pool.usualEventMilliseconds,
--- a/source/installation/server_view.ts
+++ b/source/installation/server_view.ts
@@ -1,4 +1,8 @@
 import { LRUCache } from "lru-cache";
+import {
+  type AllowedRegions,
+  mayProcess,
+} from "../decisions/allowed_regions.ts";
 import { isServiceEvacuated } from "../decisions/evacuation.ts";
 import type { EventLog } from "../observability/event_log.ts";
 import type {
@@ -159,10 +163,16 @@
     return this.#evacuatedDomains.has(failureDomain);
   }
 
-  /** Whether evacuations are the reason that no server of a service takes new requests. */
-  isServiceEvacuated(service: string): boolean {
+  /**
+   * Whether evacuations are the reason that no server of a service takes new requests.
+   * @param service - The service.
+   * @param allowed - Regions in which the servers must be; any if absent.
+   */
+  isServiceEvacuated(service: string, allowed?: AllowedRegions): boolean {
     if (this.#evacuatedDomains.size === 0) return false;
-    const servers = this.#registeredOfService(service).map((server) => ({
+    const servers = this.#registeredOfService(service).filter((server) =>
+      mayProcess(allowed, server)
+    ).map((server) => ({
       failureDomain: server.failureDomain,
       takesRequests: this.#isAvailable(server),
     }));
--- a/source/node/create_installation_node.ts
+++ b/source/node/create_installation_node.ts
@@ -16,7 +16,6 @@
 import { UsageMeter } from "../duties/usage_meter.ts";
 import { UsageWindowReporter } from "../duties/usage_window_reporter.ts";
 import { WeightLoadScheduler } from "../duties/weight_load_scheduler.ts";
-import { chooseStepOwner } from "../decisions/step_owner.ts";
 import { EngineUseExchange } from "../durable_steps/engine_use_exchange.ts";
 import { EnginePool } from "../durable_steps/engine_pool.ts";
 import { ProgressStore } from "../durable_steps/progress_store.ts";
@@ -28,6 +27,7 @@
 import { StepReader } from "../durable_steps/step_reader.ts";
 import { StepRetention } from "../durable_steps/step_retention.ts";
 import type { StepTools } from "../durable_steps/step_tools.ts";
+import { StepOwnerChoice } from "../durable_steps/step_owner_choice.ts";
 import { SubmissionStore } from "../durable_steps/submission_store.ts";
 import type { InstallationSettings } from "../installation/installation_settings.ts";
 import { findSettledWindow } from "../installation/find_settled_window.ts";
@@ -35,14 +35,13 @@
 import { NodeRegister } from "../installation/node_register.ts";
 import { OperatorView } from "../installation/operator_view.ts";
 import { ContinuationClient } from "../installation/continuation_client.ts";
+import { RegionRules } from "../installation/region_rules.ts";
 import { ServerCheck } from "../installation/server_check.ts";
 import { ServerLimits } from "../installation/server_limits.ts";
 import { ServerPaths } from "../installation/server_paths.ts";
 import { ServerStarts } from "../installation/server_starts.ts";
 import { ServerView } from "../installation/server_view.ts";
-import { listOwnedSteps } from "../durable_steps/list_owned_steps.ts";
 import { SharedClock } from "../installation/shared_clock.ts";
-import { selectHighCapacityNodes } from "../installation/select_high_capacity_nodes.ts";
 import { createRendezvous } from "../membership/rendezvous.ts";
 import type { Metrics } from "../observability/metrics.ts";
 import type { EventLog } from "../observability/event_log.ts";
@@ -105,6 +104,11 @@
     pace,
     keyWithdrawalMilliseconds: bounds.keyWithdrawalMilliseconds,
   });
+  const regionRules = new RegionRules({
+    log,
+    settings,
+    configuration: () => operator.configuration,
+  });
   const servers = new ServerView({
     ...common,
     tableName: adapters.serverTable,
@@ -161,6 +165,9 @@
       operator.configuration?.services.get(service)?.engineMemoryTokens ?? 0,
     onQuiet: () => void serverPaths.check(),
   });
+  operator.watch(() => {
+    if (regionRules.takeChange()) pool.restartWaits();
+  });
   const engineUseExchange = new EngineUseExchange(clock, { pool, statistics });
   const sharedClock = new SharedClock({
     clock,
@@ -225,10 +232,8 @@
     client: adapters.peers,
     paths: serverPaths,
     failureDomain,
-    isInRegion: (domain) => {
-      const { regions, region } = settings;
-      return (regions.get(domain) ?? region) === region;
-    },
+    region: settings.region,
+    isInRegion: (domain) => regionRules.isInOwnRegion(domain),
     listOthers: () => register.others,
   });
   const crashRecords = new CrashRecords({
@@ -279,8 +284,16 @@
       callRelay,
     }),
     storeHealth: table.health,
+    regionRules,
     configuration: () => operator.configuration,
   };
+  const ownerChoice = new StepOwnerChoice({
+    ...tools,
+    register,
+    rendezvous,
+    nodeStart,
+    region: settings.region,
+  });
   const steps = new StepSupervisor({
     tools,
     register,
@@ -300,6 +313,7 @@
     operator,
     forwarder: tools.forwarder,
     servers,
+    regionRules,
     serverStarts,
     streamOrigins,
     usage,
@@ -308,17 +322,9 @@
       tools,
       readSubmission: adapters.readSubmission,
       admission: new StepAdmissionControl(tools),
-      chooseOwner: (submission) =>
-        chooseStepOwner({
-          model: submission.model,
-          samples: submission.samples.length,
-          candidates: rendezvous.choose(
-            submission.model,
-            selectHighCapacityNodes(register.running),
-            { count: Infinity, name: ({ node }) => node },
-          ),
-          steps: listOwnedSteps(stepRegistry.entries, sharedClock.wall()),
-        })?.nodeStart ?? nodeStart,
+      chooseOwner: (submission, allowed) =>
+        ownerChoice.choose(submission, allowed),
+      mayKeepOwner: (entry, allowed) => ownerChoice.mayKeep(entry, allowed),
     }),
   });
   const duties: BackgroundPart[] = [];
@@ -345,6 +351,7 @@
   }
   const node = new InstallationNode({
     operator,
+    regionRules,
     servers,
     register,
     storeHealth: table.health,
@@ -355,6 +362,7 @@
       setInstallationGauges({
         metrics,
         operator,
+        regionRules,
         servers,
         register,
         steps,
--- a/source/node/installation_gauges.ts
+++ b/source/node/installation_gauges.ts
@@ -3,6 +3,7 @@
 import type { EnginePool } from "../durable_steps/engine_pool.ts";
 import type { StepSupervisor } from "../durable_steps/step_supervisor.ts";
 import type { NodeRegister } from "../installation/node_register.ts";
+import type { RegionRules } from "../installation/region_rules.ts";
 import type { ServerLimits } from "../installation/server_limits.ts";
 import type { OperatorView } from "../installation/operator_view.ts";
 import type { ServerPaths } from "../installation/server_paths.ts";
@@ -13,6 +14,7 @@
 export interface InstallationGaugesOptions {
   readonly metrics: Metrics;
   readonly operator: OperatorView;
+  readonly regionRules: Pick<RegionRules, "listCount">;
   readonly servers: ServerView;
   readonly register: NodeRegister;
   readonly steps: StepSupervisor;
@@ -29,12 +31,13 @@
 ): void {
   const { metrics, operator, servers, register, steps, pool, limits, lease } =
     options;
-  const { crashRecords, serverPaths } = options;
+  const { crashRecords, serverPaths, regionRules } = options;
   const age = operator.ageMilliseconds() ?? -1;
   metrics.gauge("operator_view_age_milliseconds", age, {});
   metrics.gauge("key_view_fresh", Number(operator.isKeyViewFresh()), {});
   const version = operator.configuration?.version ?? -1;
   metrics.gauge("configuration_version", version, {});
+  metrics.gauge("allowed_region_lists", regionRules.listCount, {});
   metrics.gauge("servers_known", servers.servers.size, {});
   const evacuatedDomains = servers.evacuatedDomains.size;
   metrics.gauge("failure_domains_evacuated", evacuatedDomains, {});
--- a/source/node/installation_node.ts
+++ b/source/node/installation_node.ts
@@ -3,6 +3,10 @@
 import type { StepSupervisor } from "../durable_steps/step_supervisor.ts";
 import type { StepReader } from "../durable_steps/step_reader.ts";
 import type { NodeRegister } from "../installation/node_register.ts";
+import type {
+  AddressLookup,
+  RegionRules,
+} from "../installation/region_rules.ts";
 import type { OperatorView } from "../installation/operator_view.ts";
 import { selectHighCapacityNodes } from "../installation/select_high_capacity_nodes.ts";
 import type { StoreHealth } from "../platform/store_health.ts";
@@ -18,6 +22,7 @@
   readonly operator: OperatorView;
   readonly servers: ServerView;
   readonly register: NodeRegister;
+  readonly regionRules: Pick<RegionRules, "selectNamed">;
   readonly storeHealth: Pick<StoreHealth, "isUnreachable">;
   readonly calls: CallService;
   readonly steps: StepSupervisor;
@@ -75,16 +80,18 @@
 
   /**
    * Lists the nodes that callers should connect to, some of each failure domain.
+   * @param lookup - The caller and the host that it wants to call, on whose lists of allowed regions
+   * the nodes depend; any node if absent.
    * @returns The addresses; empty until all running nodes are known. While the store is unreachable
    * from this node, this node is omitted if it knows others, since they may reach the store.
    */
-  addresses(): AddressList {
-    const { register, storeHealth } = this.parts;
-    const serving = register.isLoaded
-      ? selectHighCapacityNodes(
-        register.listAddressable(storeHealth.isUnreachable),
-      )
-      : [];
+  addresses(lookup?: AddressLookup): AddressList {
+    const { register, storeHealth, regionRules } = this.parts;
+    const addressable = register.listAddressable(storeHealth.isUnreachable);
+    const named = lookup === undefined
+      ? addressable
+      : regionRules.selectNamed(addressable, lookup);
+    const serving = register.isLoaded ? selectHighCapacityNodes(named) : [];
     const [own] = register.running;
     const others = serving.filter(({ node }) => node !== own?.node);
     const reachable = storeHealth.isUnreachable && others.length > 0
--- a/source/observability/events/installation_events.ts
+++ b/source/observability/events/installation_events.ts
@@ -204,6 +204,35 @@
     action: "",
     fields: ["server", "startedAt", "reported"],
   }),
+  allowedRegionsInForce: defineEvent(9225, {
+    level: "info",
+    message:
+      "The lists of allowed regions have changed; routes and organisations are the numbers of those that have one",
+    action: "",
+    fields: ["version", "routes", "organisations"],
+  }),
+  failureDomainWithoutRegion: defineEvent(9226, {
+    level: "warn",
+    message:
+      "The settings name no region for a failure domain, so that its servers and nodes get no requests that are restricted to regions",
+    action: "Add the failure domain to the settings of all nodes",
+    fields: ["failureDomain"],
+  }),
+  stepOwnerReplaced: defineEvent(9227, {
+    level: "info",
+    message:
+      "A step was submitted again while its owner was in a region that the lists in force do not allow; another node owns it now",
+    action: "",
+    fields: ["step", "from", "to", "outcome"],
+  }),
+  takeoverNotAllowed: defineEvent(9228, {
+    level: "warn",
+    message:
+      "A step has lost its owner and no running node is in a region that may take it over",
+    action:
+      "Start a node in an allowed region, or in the region where the step was submitted",
+    fields: ["step", "regions", "submittedRegion"],
+  }),
   callEnded: defineEvent(9202, {
     level: "info",
     message: "A call ended without a server's answer",
--- a/stand_ins/installation/create_call_relay.ts
+++ b/stand_ins/installation/create_call_relay.ts
@@ -57,6 +57,7 @@
       stopping: AbortSignal.abort(),
     }),
     failureDomain: "a",
+    region: "r",
     isInRegion: () => true,
     listOthers: () => others.map(createNodeRecord),
   });
--- a/stand_ins/installation/create_step_tools.ts
+++ b/stand_ins/installation/create_step_tools.ts
@@ -9,6 +9,7 @@
 import { StepRegistry } from "../../source/durable_steps/step_registry.ts";
 import type { StepTools } from "../../source/durable_steps/step_tools.ts";
 import { SubmissionStore } from "../../source/durable_steps/submission_store.ts";
+import { RegionRules } from "../../source/installation/region_rules.ts";
 import { ServerLimits } from "../../source/installation/server_limits.ts";
 import { ServerView } from "../../source/installation/server_view.ts";
 import { RecordingEventLog } from "../../source/observability/event_log.ts";
@@ -80,6 +81,11 @@
       serverStatistics,
     }),
     storeHealth: { isUnreachable: isStoreSilent, isHanging: isStoreSilent },
+    regionRules: new RegionRules({
+      log,
+      settings: { failureDomain: "a", region: "r", regions: new Map() },
+      configuration: () => undefined,
+    }),
     configuration: () => undefined,
   };
 }
