--- a/stand_ins/installation/in_process_nodes.ts
+++ b/stand_ins/installation/in_process_nodes.ts
@@ -31,14 +31,27 @@
   readonly stop: () => Promise<void>;
 }
 
-/** Starts a node in this process and waits until it is ready. */
+/** Where a node runs. */
+export interface InProcessPlace {
+  readonly failureDomain: string;
+  /** Region by failure domain. */
+  readonly regions: Readonly<Record<string, string>>;
+}
+
+/**
+ * Starts a node in this process and waits until it is ready.
+ * @param table - The store.
+ * @param name - Name of the node.
+ * @param place - Where it runs; the failure domain "a" and the region "r" if absent.
+ */
 export async function startInProcessNode(
   table: DurableTable,
   name: string,
+  place: InProcessPlace = { failureDomain: "a", regions: {} },
 ): Promise<InProcessNode> {
   for (;;) {
     try {
-      return await tryStartNode(table, name);
+      return await tryStartNode(table, name, place);
     } catch (error) {
       // Another process may bind a port after it was chosen and before the node binds it.
       if (!String(error).includes("EADDRINUSE")) throw error;
@@ -49,13 +62,15 @@
 async function tryStartNode(
   table: DurableTable,
   name: string,
+  { failureDomain, regions }: InProcessPlace,
 ): Promise<InProcessNode> {
   const [front, peer] = await Promise.all([findFreePort(), findFreePort()]);
   const caller = `127.0.0.1:${front}`;
   const read = readSettingsFile(JSON.stringify({
     "node_name": name,
-    zone: "a",
-    region: "r",
+    zone: failureDomain,
+    region: regions[failureDomain] ?? "r",
+    zones: regions,
     ip: "127.0.0.1",
     "internal_ports": [peer, peer],
     listen: { front: caller },
