--- a/source/calls/call_gate_test.ts
+++ b/source/calls/call_gate_test.ts
@@ -1,6 +1,7 @@
 import test from "ava";
 import { createServerEntry } from "../../stand_ins/installation/create_server_entry.ts";
 import { MemoryDurableTable } from "../../stand_ins/installation/memory_durable_table.ts";
+import { AllowedRegions } from "../decisions/allowed_regions.ts";
 import { ServerLimits } from "../installation/server_limits.ts";
 import { ServerView } from "../installation/server_view.ts";
 import { RecordingEventLog } from "../observability/event_log.ts";
@@ -19,8 +20,11 @@
   pass(name: string, more?: Partial<GatedCall>): Promise<void>;
 }
 
-// A service with one server of four slots and room for two calls beyond them.
-async function createFixture(isEngine = false): Promise<Fixture> {
+// A service whose servers have four slots each and room for two calls beyond them.
+async function createFixture(
+  isEngine = false,
+  names: ReadonlyArray<string> = ["p1"],
+): Promise<Fixture> {
   const clock = new ManualClock();
   const random = createRandomSource(1);
   const table = new MemoryDurableTable();
@@ -32,6 +36,7 @@
     tableName: "servers",
     readRow: (key) =>
       createServerEntry(key, {
+        failureDomain: key,
         weightVersions: isEngine ? new Map([["m", 1]]) : new Map(),
       }),
     drainMilliseconds: 2000,
@@ -39,12 +44,12 @@
   });
   await table.commit({
     conditions: [],
-    puts: [{
+    puts: names.map((key) => ({
       table: "servers",
       partition: "",
-      key: "p1",
+      key,
       value: Buffer.alloc(0),
-    }],
+    })),
   });
   void servers.run();
   await clock.advance(1);
@@ -86,7 +91,7 @@
       outcomes.set(name, outcome);
       if (outcome.kind === "open") {
         passed.push(name);
-        statistics.recordStart("p1");
+        if (names.length === 1) statistics.recordStart("p1");
       }
     },
   };
@@ -140,3 +145,59 @@
   await clock.advance(0);
   t.deepEqual(passed, ["one"]);
 });
+
+function allow(...names: ReadonlyArray<string>): AllowedRegions {
+  return new AllowedRegions(new Set(names), (failureDomain) => failureDomain);
+}
+
+// Guards against calls that wait for a full region and hold others back.
+test("calls that wait for a full region do not hold back calls that may use another one", async (t) => {
+  const { clock, gate, statistics, passed, outcomes, pass } =
+    await createFixture(false, ["p1", "p2"]);
+  statistics.setRunningElsewhere(new Map([["p1", 6]]));
+  for (const name of ["one", "two", "three"]) {
+    void pass(`restricted ${name}`, { allowedRegions: allow("p1") });
+  }
+  await clock.advance(1);
+  void pass("free");
+  void pass("elsewhere", { allowedRegions: allow("p2") });
+  await clock.advance(30);
+  t.deepEqual(passed, ["free", "elsewhere"]);
+  statistics.setRunningElsewhere(new Map());
+  gate.recordEnd("s");
+  await clock.advance(1);
+  t.is(passed.length, 5);
+  t.true([...outcomes.values()].every(({ kind }) => kind === "open"));
+});
+
+test("a call is rejected by the load of the servers that it may use", async (t) => {
+  const { clock, statistics, outcomes, pass } = await createFixture(
+    false,
+    ["p1", "p2"],
+  );
+  statistics.setRunningElsewhere(new Map([["p1", 200]]));
+  void pass("near", { allowedRegions: allow("p1") });
+  void pass("far", { allowedRegions: allow("p2") });
+  await clock.advance(0);
+  t.is(outcomes.get("near")?.kind, "rejected");
+  t.is(outcomes.get("far")?.kind, "open");
+});
+
+test("of the calls that may go anywhere, a restricted call waits behind its share only", async (t) => {
+  const { clock, statistics, outcomes, pass } = await createFixture(
+    false,
+    ["p1", "p2", "p3", "p4"],
+  );
+  const full = ["p1", "p2", "p3", "p4"].map((name) => [name, 6] as const);
+  statistics.setRunningElsewhere(new Map(full));
+  for (let index = 0; index < 40; index += 1) void pass(`any ${index}`);
+  await clock.advance(0);
+  // Behind 10 calls of 50 ms with 4 slots, the call takes 50 * 11 / 4 ms and its own 50.
+  const deadline = clock.monotonic() + 200;
+  void pass("restricted", { allowedRegions: allow("p1"), deadline });
+  const late = clock.monotonic() + 150;
+  void pass("late", { allowedRegions: allow("p1"), deadline: late });
+  await clock.advance(0);
+  t.is(outcomes.get("restricted"), undefined, "it waits");
+  t.is(outcomes.get("late")?.kind, "rejected");
+});
--- a/source/durable_steps/engine_pool_test.ts
+++ b/source/durable_steps/engine_pool_test.ts
@@ -1,6 +1,7 @@
 import test from "ava";
 import { createServerEntry } from "../../stand_ins/installation/create_server_entry.ts";
 import { MemoryDurableTable } from "../../stand_ins/installation/memory_durable_table.ts";
+import { AllowedRegions } from "../decisions/allowed_regions.ts";
 import type { SampleUrgency } from "../decisions/sample_queue.ts";
 import { ServerLimits } from "../installation/server_limits.ts";
 import { ServerView } from "../installation/server_view.ts";
@@ -25,11 +26,12 @@
   readonly urgency?: Partial<SampleUrgency>;
   readonly prompt?: string;
   readonly signal?: AbortSignal;
+  readonly allowedRegions?: AllowedRegions;
 }
 
 function createRequest(
   name: string,
-  { urgency = {}, prompt = "" }: RequestOptions,
+  { urgency = {}, prompt = "", allowedRegions }: RequestOptions,
 ): EngineRequest {
   return {
     requirements: {
@@ -38,6 +40,7 @@
       minimumVersion: 1,
       exactVersion: undefined,
       softwareVersion: undefined,
+      allowedRegions,
     },
     urgency: {
       dueAt: 7500,
@@ -66,7 +69,8 @@
     table,
     log: new RecordingEventLog(),
     tableName: "servers",
-    readRow: (key) => createServerEntry(key, { slots: SLOTS }),
+    readRow: (key) =>
+      createServerEntry(key, { slots: SLOTS, failureDomain: key }),
     drainMilliseconds: 200,
     stopping: stopping.signal,
   });
@@ -203,3 +207,56 @@
   t.true(stalled.length > 0);
   t.true(stalled.every((engine) => engine === "e1"));
 });
+
+function allow(...names: ReadonlyArray<string>): AllowedRegions {
+  return new AllowedRegions(new Set(names), (failureDomain) => failureDomain);
+}
+
+test("samples get engines of their allowed regions only, and do not hold others back", async (t) => {
+  const { clock, pool, ask, started } = await createFixture("e1", "e2");
+  const allowedRegions = allow("e1");
+  for (const name of ["r1", "r2", "r3"]) void ask(name, { allowedRegions });
+  await clock.advance(1);
+  void ask("free");
+  await clock.advance(1);
+  t.deepEqual(started, ["r1 e1", "r2 e1", "free e2"]);
+  t.is(pool.waiting, 1);
+  pool.release("e2", createRequest("", {}));
+  await clock.advance(1);
+  t.is(pool.waiting, 1, "a slot elsewhere is of no use");
+  pool.release("e1", createRequest("", {}));
+  await clock.advance(1);
+  t.deepEqual(started.at(-1), "r3 e1");
+});
+
+// Guards against a sample that waits for good for engines of the earlier lists.
+test("restarted waits end without an engine", async (t) => {
+  const { clock, pool } = await createFixture("e1");
+  const request = createRequest("r", { allowedRegions: allow("e9") });
+  const engines = [1, 2].map(() =>
+    pool.acquire(request, new AbortController().signal)
+  );
+  await clock.advance(1);
+  t.is(pool.waiting, 2);
+  pool.restartWaits();
+  t.deepEqual(await Promise.all(engines), [undefined, undefined]);
+  t.is(pool.waiting, 0);
+});
+
+test("only engines of allowed regions count as available and faster", async (t) => {
+  const { clock, pool } = await createFixture("e1", "e2", "e3");
+  for (
+    const [name, milliseconds] of [["e1", 200], ["e2", 20], ["e3", 30]] as const
+  ) {
+    for (let index = 0; index < 8; index += 1) {
+      pool.recordEvent(name, milliseconds);
+    }
+  }
+  await clock.advance(1000);
+  const toRequirements = (allowedRegions: AllowedRegions | undefined) =>
+    createRequest("r", allowedRegions && { allowedRegions } || {}).requirements;
+  t.true(pool.hasFasterAvailable("e1", toRequirements(undefined)));
+  t.false(pool.hasFasterAvailable("e1", toRequirements(allow("e1"))));
+  t.true(pool.hasAvailable(toRequirements(allow("e3"))));
+  t.false(pool.hasAvailable(toRequirements(allow("e9"))));
+});
--- a/source/durable_steps/step_intake_test.ts
+++ b/source/durable_steps/step_intake_test.ts
@@ -8,6 +8,9 @@
 import type { StepDecision } from "../decisions/step_admission.ts";
 import type { ServiceRoute } from "../installation/configuration.ts";
 import { StepIntake } from "./step_intake.ts";
+import { AllowedRegions } from "../decisions/allowed_regions.ts";
+import { RegionRules } from "../installation/region_rules.ts";
+import type { StepTools } from "./step_tools.ts";
 import type { StepSubmission } from "./step_submission.ts";
 
 const SUBMISSION: StepSubmission = {
@@ -21,9 +24,10 @@
 function createIntake(
   table: MemoryDurableTable,
   decision: StepDecision = { kind: "accept" },
+  tools: StepTools = createStepTools(table),
 ): StepIntake {
   return new StepIntake({
-    tools: createStepTools(table),
+    tools,
     readSubmission: (body) => body.length === 0 ? undefined : SUBMISSION,
     admission: { decide: () => decision },
     chooseOwner: () => "owner",
@@ -160,3 +164,29 @@
   const outcome = await accept(createIntake(table, REJECTION));
   t.is(outcome.kind === "answered" ? outcome.status : 0, 202);
 });
+
+test("a step that no region may process is refused, and an earlier write of it has no effect", async (t) => {
+  const table = new MemoryDurableTable();
+  const tools = createStepTools(table);
+  const none = new AllowedRegions(new Set(), () => undefined);
+  const regionRules = Object.assign(
+    new RegionRules({
+      log: tools.log,
+      settings: { failureDomain: "a", region: "r", regions: new Map() },
+      configuration: () => undefined,
+    }),
+    { find: () => none },
+  );
+  const restricted = { ...tools, regionRules };
+  const intake = createIntake(table, { kind: "accept" }, restricted);
+  const outcome = await accept(intake);
+  t.is(outcome.kind === "refused" ? outcome.refusal : "", "noAllowedRegion");
+  t.is(await readManifestRow(table), "rejected");
+});
+
+test("the manifest names the region in which the step was submitted", async (t) => {
+  const table = new MemoryDurableTable();
+  await accept(createIntake(table));
+  const manifest = JSON.parse(await readManifestRow(table));
+  t.is(manifest.submittedRegion, "r");
+});
--- a/stand_ins/installation/create_call_relay.ts
+++ b/stand_ins/installation/create_call_relay.ts
@@ -12,6 +12,8 @@
 /** The other nodes of a node that reaches no server. */
 export interface CutOffNode {
   readonly others: ReadonlyArray<string>;
+  /** Failure domain of each of them; "a", that of the node, if absent. */
+  readonly findDomain?: (node: string) => string;
   /** Sends a call to another node. */
   readonly open: PeerClient["open"];
 }
@@ -38,7 +40,7 @@
     ? []
     : ["e1", "e2"].map((name) => createServerEntry(name));
   for (const { identifier } of servers) client.endedServers.add(identifier);
-  const { others, open } = cutOff ?? ALONE;
+  const { others, open, findDomain = () => "a" } = cutOff ?? ALONE;
   return new CallRelay({
     clock,
     log,
@@ -57,17 +59,18 @@
       stopping: AbortSignal.abort(),
     }),
     failureDomain: "a",
-    region: "r",
-    isInRegion: () => true,
-    listOthers: () => others.map(createNodeRecord),
+    region: "a",
+    isInRegion: (failureDomain) => failureDomain === "a",
+    listOthers: () =>
+      others.map((node) => createNodeRecord(node, findDomain(node))),
   });
 }
 
-function createNodeRecord(node: string): NodeRecord {
+function createNodeRecord(node: string, failureDomain: string): NodeRecord {
   return {
     node,
     nodeStart: node,
-    failureDomain: "a",
+    failureDomain,
     processorShare: 1,
     callerAddress: `${node}:1`,
     peerAddress: `${node}:2`,
