Count calls let through together by the servers that they share

Cause: in one pass of the call gate, calls that were let through do not run yet. A call without a list did not count those with one, though they take its servers too. The share of slots was computed for each waiting call.

Ruled out: the same count for calls that wait and calls that were let through; the former must not hold back calls that may use other regions.

Change: calls let through count by the share of their servers that a call may use; waiting calls only if they may use all of its servers. Shares are computed once for each set of regions.

--- a/source/calls/call_gate.ts
+++ b/source/calls/call_gate.ts
@@ -122,7 +122,7 @@
     const waiting = this.#waiting.get(service);
     if (waiting === undefined) return;
     const sent: Waiter[] = [];
-    /** Calls for whose regions another call has no server, so that they have none either. */
+    // Keys of allowed regions whose servers can take no call now.
     const blocked = new Set<string | undefined>();
     for (;;) {
       const next = findNextCall(
@@ -134,7 +134,7 @@
       const { call } = next;
       const decision = this.#decide(call, {
         waiting: 0,
-        sent: this.#countCompeting(call, sent),
+        sent: this.#countShares(call, sent),
         queued: this.#countCompeting(call, waiting),
       });
       if (decision.kind === "wait") blocked.add(call.allowedRegions?.key);
@@ -145,27 +145,41 @@
     }
   }
 
-  // Counts the calls that compete for the servers which a call may use: those that may use all of
-  // them, by the share of their servers' slots that the call may use. Calls that may use only some of
-  // them wait for these and leave the others free.
-  #countCompeting(call: GatedCall, others: Iterable<Waiter>): number {
+  // Counts the waiting calls that compete for the servers which a call may use: those that may use
+  // all of them. Calls that may use only some of them wait for these and leave the others free.
+  #countCompeting(call: GatedCall, waiting: Iterable<Waiter>): number {
     const own = call.allowedRegions;
+    const competing = [...waiting].filter(({ call: { allowedRegions } }) =>
+      allowedRegions === undefined || allowedRegions.key === own?.key ||
+      own?.isWithin(allowedRegions) === true
+    );
+    return this.#countShares(call, competing);
+  }
+
+  // Counts other calls, each by the share of its servers' slots that a call may use.
+  #countShares(
+    { service, allowedRegions: own }: GatedCall,
+    others: ReadonlyArray<Waiter>,
+  ): number {
+    const shares = new Map<string | undefined, number>([[own?.key, 1]]);
     let count = 0;
     for (const { call: { allowedRegions: other } } of others) {
-      if (other?.key === own?.key) count += 1;
-      else if (other === undefined || own?.isWithin(other) === true) {
-        count += this.#countSlots(call.service, own) /
-          Math.max(1, this.#countSlots(call.service, other));
-      }
+      const share = shares.get(other?.key) ??
+        this.#countSlots(service, [own, other]) /
+          Math.max(1, this.#countSlots(service, [other]));
+      shares.set(other?.key, share);
+      count += share;
     }
     return count;
   }
 
-  #countSlots(service: string, allowed: AllowedRegions | undefined): number {
-    return this.#listServers(service, allowed).reduce(
-      (total, { slots }) => total + slots,
-      0,
-    );
+  #countSlots(
+    service: string,
+    rules: ReadonlyArray<AllowedRegions | undefined>,
+  ): number {
+    return this.#options.servers.ofService(service)
+      .filter((server) => rules.every((each) => mayProcess(each, server)))
+      .reduce((total, { slots }) => total + slots, 0);
   }
 
   #listServers(
--- a/source/calls/call_gate_test.ts
+++ b/source/calls/call_gate_test.ts
@@ -201,3 +201,23 @@
   t.is(outcomes.get("restricted"), undefined, "it waits");
   t.is(outcomes.get("late")?.kind, "rejected");
 });
+
+// Guards against a burst: calls that are let through at the same moment do not run yet.
+test("calls let through together count for the calls that share their servers", async (t) => {
+  const { clock, gate, statistics, passed, pass } = await createFixture(
+    false,
+    ["p1", "p2"],
+  );
+  statistics.setRunningElsewhere(new Map([["p1", 6], ["p2", 6]]));
+  for (let index = 0; index < 9; index += 1) {
+    void pass(`near ${index}`, { priority: 0, allowedRegions: allow("p1") });
+  }
+  for (let index = 0; index < 9; index += 1) void pass(`any ${index}`);
+  await clock.advance(1);
+  t.deepEqual(passed, []);
+  statistics.setRunningElsewhere(new Map([["p2", 6]]));
+  gate.recordEnd("s");
+  await clock.advance(1);
+  t.is(passed.filter((name) => name.startsWith("near")).length, 6);
+  t.is(passed.filter((name) => name.startsWith("any")).length, 0);
+});
