--- a/source/durable_steps/step_admission_control_test.ts
+++ b/source/durable_steps/step_admission_control_test.ts
@@ -49,7 +49,7 @@
   }));
   return new StepAdmissionControl({
     ...tools,
-    servers: { ofService: () => engines },
+    servers: { ofService: () => engines, isServiceEvacuated: () => false },
     pool: { usualEventMilliseconds: 10 },
     textLengths: { usualEvents: 10 },
     stepRegistry: { entries },
--- a/source/installation/evacuation_test.ts
+++ b/source/installation/evacuation_test.ts
@@ -7,6 +7,10 @@
   RecordingEventLog,
 } from "../observability/event_log.ts";
 import { SystemClock } from "../utilities/system_clock.ts";
+import {
+  type AllowedRegions,
+  decideAllowedRegions,
+} from "../decisions/allowed_regions.ts";
 import { OperatorView } from "./operator_view.ts";
 import { ServerView } from "./server_view.ts";
 
@@ -145,6 +149,19 @@
   t.false(view.isServiceEvacuated("s"));
 });
 
+test("the only allowed region of a request is evacuated while servers of others take requests", async (t) => {
+  const fixture = await start(t, ["a1", "b1", "evacuate/a"]);
+  const allow = (region: string): AllowedRegions | undefined =>
+    decideAllowedRegions({
+      lists: [new Set([region])],
+      regionOf: (failureDomain) => failureDomain,
+    });
+  const { view } = fixture;
+  t.true(view.isServiceEvacuated("s", allow("a")));
+  t.false(view.isServiceEvacuated("s", allow("b")));
+  t.false(view.isServiceEvacuated("s"));
+});
+
 test("a view that starts during an evacuation leaves its servers out from the first read on", async (t) => {
   const fixture = await start(t, ["a1", "b1", "evacuate/a"]);
   t.is(names(fixture), "b1");
