Keep servers in warm-up to their rate by all nodes together

Cause: a server that has just started accepts few requests a second and crashes well above that rate, and nothing kept the nodes together below it.

Ruled out: the share of a named limit, which holds over 4 s and only after 3 s; with 71 nodes, requests saved up at each node alone exceed one second's maximum.

The demand is in the heartbeats all the time. WarmUpLimits keeps this node within its share, ServerLimits applies the lower of both limits, and ServerWarmUps finds the warm-ups from entries, health checks and ends of evacuations.

--- a/source/backends/server_client.ts
+++ b/source/backends/server_client.ts
@@ -119,6 +119,15 @@
   requestsPerSecond: number | undefined,
 ) => void;
 
+/**
+ * Called with a server whose response to a health check names the remaining time of its warm-up, in
+ * milliseconds; 0 when the server is warm.
+ */
+export type WarmUpListener = (
+  server: BackendServerEntry,
+  milliseconds: number,
+) => void;
+
 /** Client of backend servers; each call is sent to the given server and to no other. */
 export interface ServerClient {
   /**
@@ -128,6 +137,11 @@
   watchLeaving(onLeaving: LeavingListener): void;
   /** Registers a function that is called for each answer of a server, before it is returned. */
   watchLimits(onAnswer: LimitListener): void;
+  /**
+   * Registers a function that is called for each response to a health check that names the remaining
+   * time of a warm-up.
+   */
+  watchWarmUps(onWarmUp: WarmUpListener): void;
   /** Sends a request and reads the answer's head; `notRun` only if the server did not run it. */
   open(
     server: BackendServerEntry,
--- a/source/duties/weight_load_scheduler.ts
+++ b/source/duties/weight_load_scheduler.ts
@@ -135,6 +135,14 @@
     }
   }
 
+  // Returns the time until an engine in warm-up accepts one more request, and asks for a share of them.
+  #getWarmUpWait({ identifier }: BackendServerEntry): number {
+    const { limits } = this.#options;
+    const wait = limits.getWarmUpWait(identifier);
+    if (wait > 0) limits.recordNeed([identifier], 1);
+    return wait;
+  }
+
   #toLoadable(engine: BackendServerEntry, model: string): LoadableEngine {
     const { pool, clock } = this.#options;
     const state = this.#getState(engine);
@@ -180,12 +188,14 @@
       readonly isSingleVersion: boolean;
     },
   ): Promise<void> {
+    if (this.#getWarmUpWait(engine) > 0) return;
     const state = this.#getState(engine);
     state.isCallInFlight = true;
     try {
       state.acceptedOrders ??= await this.#readAcceptedOrders(engine, target);
       if (state.acceptedOrders === undefined) return;
       if (!this.#isOutdated(engine, target)) return;
+      if (this.#getWarmUpWait(engine) > 0) return;
       await this.#sendOrder(engine, { target, isSingleVersion, state });
     } finally {
       state.isCallInFlight = false;
--- a/source/installation/limit_news.ts
+++ b/source/installation/limit_news.ts
@@ -1,5 +1,6 @@
-import type { NodeRecord } from "./node_record.ts";
+import type { HeartbeatRead, NodeRecord } from "./node_record.ts";
 import type { LimitNews } from "./server_limits.ts";
+import type { DemandNews } from "./warm_up_limits.ts";
 
 /** The running nodes, as the register knows them. */
 export interface RunningNodes {
@@ -27,3 +28,29 @@
     ),
   };
 }
+
+/** The running nodes, and this node's last heartbeat that was read back. */
+export interface HeardNodes extends RunningNodes {
+  readonly ownHeartbeat: HeartbeatRead | undefined;
+}
+
+/** Extracts what the limits of servers in warm-up need from the records of the running nodes. */
+export function toDemandNews(
+  { running, others, ownHeartbeat }: HeardNodes,
+): DemandNews {
+  return {
+    own: ownHeartbeat === undefined ? undefined : {
+      demands: ownHeartbeat.record.demands ?? new Map(),
+      heartbeatMilliseconds: ownHeartbeat.record.heartbeatMilliseconds,
+      readAt: ownHeartbeat.sentAt,
+    },
+    others: new Map(
+      others.map(({ node, demands }) => [node, demands ?? new Map()]),
+    ),
+    nodes: running.filter(({ isServing }) => isServing).map(({ node }) => node),
+    heartbeatMilliseconds: Math.max(
+      0,
+      ...running.map(({ heartbeatMilliseconds }) => heartbeatMilliseconds),
+    ),
+  };
+}
--- a/source/installation/node_record.ts
+++ b/source/installation/node_record.ts
@@ -1,3 +1,4 @@
+import type { ServiceDemands } from "./demand_claims.ts";
 import type { LimitRecord } from "./server_limits.ts";
 import type { ServerStart } from "./backend_server_entry.ts";
 
@@ -30,6 +31,8 @@
   readonly leavingServers: ReadonlyArray<ServerStart>;
   /** Limits that servers named to the node, and its use of them. */
   readonly limits: ReadonlyArray<LimitRecord>;
+  /** Demand for the servers of services with a warm-up; none if absent. */
+  readonly demands?: ServiceDemands;
   /**
    * Difference between the node's wall clock and the time of the store, in milliseconds; undefined
    * in the heartbeats that do not publish it.
@@ -50,6 +53,13 @@
   readonly storeVersion?: number | undefined;
 }
 
+/** A heartbeat that was read from the store. */
+export interface HeartbeatRead {
+  readonly record: NodeRecord;
+  /** Monotonic time, in milliseconds, at which the read was sent. */
+  readonly sentAt: number;
+}
+
 /** One node's use of engines, which it publishes to the other nodes. */
 export interface EngineUseRecord {
   /** Number of running samples by engine. */
--- a/source/installation/node_record_row.ts
+++ b/source/installation/node_record_row.ts
@@ -35,6 +35,8 @@
   isCutOff?: number,
   peerPort?: number,
   storeVersion?: number,
+  /** Services with a warm-up that the node uses, and whether its demand is high. */
+  demands?: ReadonlyArray<readonly [service: string, isHigh: number]>,
 ];
 
 /** Serialises a node's record. */
@@ -76,7 +78,12 @@
     readPort(record.peerAddress),
     record.storeVersion ?? NO_VERSION,
   ];
-  return Buffer.from(JSON.stringify(tuple));
+  const demands = [...record.demands ?? []].map(([service, demand]) =>
+    [service, Number(demand === "high")] as const
+  );
+  return Buffer.from(
+    JSON.stringify(demands.length === 0 ? tuple : [...tuple, demands]),
+  );
 }
 
 // Nodes serve callers and other nodes at the same host.
@@ -132,6 +139,12 @@
           demand,
         }),
       ),
+      demands: new Map(
+        (tuple[15] ?? []).map(([service, isHigh]) => [
+          service,
+          isHigh === 1 ? "high" : "low",
+        ]),
+      ),
     };
   } catch {
     // A row that this program did not write describes no node.
--- a/source/installation/node_register.ts
+++ b/source/installation/node_register.ts
@@ -12,7 +12,11 @@
   toHeartbeatInterval,
   toInterval,
 } from "./heartbeat_pace.ts";
-import type { NodeDescription, NodeRecord } from "./node_record.ts";
+import type {
+  HeartbeatRead,
+  NodeDescription,
+  NodeRecord,
+} from "./node_record.ts";
 import { readNodeRecord, writeNodeRecord } from "./node_record_row.ts";
 import { NodeStartLog } from "./node_start_log.ts";
 import {
@@ -98,6 +102,8 @@
   #newestVersion = 0;
   #isReadFailing = false;
   #isLoaded = false;
+  #ownHeartbeat: HeartbeatRead | undefined;
+  #sentAt = 0;
   /** Monotonic time, in milliseconds, of the last read; nodes count as lost only at a read. */
   #readAt = 0;
   /** Moving average of the duration of a call to the store, in milliseconds. */
@@ -124,6 +130,11 @@
     return this.#others;
   }
 
+  /** This process's last heartbeat that was read back; undefined before the first. */
+  get ownHeartbeat(): HeartbeatRead | undefined {
+    return this.#ownHeartbeat;
+  }
+
   /**
    * Returns the nodes that callers may be told of, this one included.
    * @param isStoreUnreachable - Whether this node can't reach the store; the nodes that it knew last are
@@ -182,10 +193,9 @@
 
   /** Sends a heartbeat by writing this node's record. */
   async sendHeartbeat(): Promise<void> {
-    const { table } = this.#options;
     const record = this.#self();
     const value = writeNodeRecord(record);
-    const outcome = await table.commit({
+    const outcome = await this.#options.table.commit({
       conditions: [],
       puts: [{
         table: TABLE,
@@ -282,7 +292,7 @@
 
   async #read(): Promise<boolean> {
     const { clock, table } = this.#options;
-    const sentAt = clock.monotonic();
+    const sentAt = this.#sentAt = clock.monotonic();
     const changes = await this.#follow();
     const now = clock.monotonic();
     if (changes === undefined) {
@@ -355,6 +365,9 @@
       this.#knownNodes.set(key, { ...knownNode, version });
       return;
     }
+    if (record.nodeStart === this.#options.self().nodeStart) {
+      this.#ownHeartbeat = { record, sentAt: this.#sentAt };
+    }
     const wallOffset = record.wallOffset ??
       (known?.nodeStart === record.nodeStart ? known.wallOffset : undefined);
     this.#knownNodes.set(key, {
--- a/source/installation/operator_view.ts
+++ b/source/installation/operator_view.ts
@@ -64,6 +64,8 @@
   readonly #versions = new Map<string, number>();
   /** Evacuated failure domains by the key of their row. */
   readonly #evacuations = new Map<string, string>();
+  /** Versions of the store at which evacuations ended, by failure domain. */
+  readonly #evacuationEnds = new Map<string, number>();
   readonly #watchers: (() => void)[] = [];
   #configuration: Configuration | undefined;
 
@@ -80,6 +82,9 @@
       stopping,
       onSnapshot: (rows) => {
         // Evacuations whose rows are gone have ended.
+        for (const domain of this.#evacuations.values()) {
+          this.#evacuationEnds.set(domain, Infinity);
+        }
         this.#evacuations.clear();
         this.#apply(rows.map((row) => ({ ...row, isDeleted: false })));
       },
@@ -106,6 +111,14 @@
     return new Set(this.#evacuations.values());
   }
 
+  /**
+   * Versions of the store at which the rows of ended evacuations were deleted, by failure domain;
+   * Infinity for an evacuation whose end was seen only by its missing row.
+   */
+  get evacuationEnds(): ReadonlyMap<string, number> {
+    return this.#evacuationEnds;
+  }
+
   /**
    * Whether the view is recent enough to reject withdrawn keys within `keyWithdrawalMilliseconds`.
    */
@@ -142,12 +155,19 @@
   #apply(changes: ReadonlyArray<RowChange>): void {
     for (const change of changes) {
       // When another row is deleted, the values that were read from it stay in force.
-      if (change.isDeleted) this.#evacuations.delete(change.key);
+      if (change.isDeleted) this.#endEvacuation(change);
       else this.#applyRow(change);
     }
     for (const onChange of this.#watchers) onChange();
   }
 
+  #endEvacuation({ key, version }: RowChange): void {
+    const domain = this.#evacuations.get(key);
+    if (domain === undefined) return;
+    this.#evacuations.delete(key);
+    this.#evacuationEnds.set(domain, version);
+  }
+
   #applyRow({ key, value }: RowChange): void {
     const { readRow, log } = this.#options;
     const row = readRow(key, value);
@@ -160,6 +180,7 @@
       this.#adopt(row.configuration);
     } else if (row.kind === "evacuation") {
       this.#evacuations.set(key, row.failureDomain);
+      this.#evacuationEnds.delete(row.failureDomain);
     }
   }
 
--- a/source/installation/server_check.ts
+++ b/source/installation/server_check.ts
@@ -14,6 +14,8 @@
   readonly findHealthPath: (service: string) => string | undefined;
   /** Whether a server must get no request of any kind. */
   readonly isEvacuated: (server: BackendServerEntry) => boolean;
+  /** Called with each server that is checked, before the check. */
+  readonly onCheck?: (identifier: string) => void;
 }
 
 /** Checks over new connections whether servers run. */
@@ -32,9 +34,10 @@
   async run(
     server: BackendServerEntry,
   ): Promise<ServerProcessState | undefined> {
-    const { client, findHealthPath, isEvacuated } = this.#options;
+    const { client, findHealthPath, isEvacuated, onCheck } = this.#options;
     const path = findHealthPath(server.service);
     if (path === undefined || isEvacuated(server)) return undefined;
+    onCheck?.(server.identifier);
     const state = await client.checkProcess(server, {
       path,
       milliseconds: CHECK_MILLISECONDS,
--- a/source/installation/server_limits.ts
+++ b/source/installation/server_limits.ts
@@ -3,6 +3,7 @@
 import type { Clock } from "../utilities/clock.ts";
 import type { BackendServerEntry } from "./backend_server_entry.ts";
 import { LimitedServer, type OtherUse } from "./limited_server.ts";
+import type { WarmUpLimits } from "./warm_up_limits.ts";
 
 /** Minimum interval between two log lines about the use of one server's limit. */
 const USE_LOG_INTERVAL_MILLISECONDS = 1000;
@@ -42,11 +43,14 @@
   readonly node: string;
   readonly clock: Clock;
   readonly log: EventLog;
+  /** Limits of servers in warm-up; none if absent. */
+  readonly warmUps?: WarmUpLimits;
 }
 
 /**
- * Keeps this node's requests to servers that named a limit within its share. The limit holds for all
- * nodes together, which tell each other of it and of their demand in their heartbeats.
+ * Keeps this node's requests to servers that named a limit, or are in warm-up, within its share. A
+ * limit holds for all nodes together, which tell each other of it and of their demand in their
+ * heartbeats. For a server in warm-up that named a limit, the lower one applies.
  */
 export class ServerLimits {
   readonly #options: ServerLimitsOptions;
@@ -66,8 +70,13 @@
     this.#options = options;
   }
 
-  /** Number of servers with a limit. */
+  /** Number of servers that named a limit, plus the number of those in warm-up. */
   get size(): number {
+    return this.#limited.size + (this.#options.warmUps?.size ?? 0);
+  }
+
+  /** Number of servers that named a limit. */
+  get limitedServers(): number {
     return this.#limited.size;
   }
 
@@ -76,6 +85,11 @@
     this.#watchers.push(onMoreRoom);
   }
 
+  /** Tells the watchers that requests may be sent that had to wait before. */
+  notify(): void {
+    for (const onMoreRoom of this.#watchers) onMoreRoom();
+  }
+
   /**
    * Records the limit that an answer of a server to this node names.
    * @param server - The server that answered.
@@ -99,7 +113,15 @@
   /** Returns the time, in milliseconds, until a request may be sent to a server; 0 when it may now. */
   getWait(identifier: string): number {
     const limited = this.#limited.get(identifier);
-    return limited?.getWait(this.#options.clock.monotonic()) ?? 0;
+    return Math.max(
+      limited?.getWait(this.#options.clock.monotonic()) ?? 0,
+      this.getWarmUpWait(identifier),
+    );
+  }
+
+  /** Returns the same time as far as the warm-up of the server is the reason for it. */
+  getWarmUpWait(identifier: string): number {
+    return this.#options.warmUps?.getWait(identifier) ?? 0;
   }
 
   /**
@@ -110,16 +132,26 @@
    */
   estimateWait(identifiers: ReadonlyArray<string>, earlier: number): number {
     const now = this.#options.clock.monotonic();
-    const limited = identifiers.map((each) => this.#limited.get(each));
-    if (limited.length === 0) return 0;
+    const { warmUps } = this.#options;
+    if (identifiers.length === 0) return 0;
     let shortest = Infinity;
     let requestsPerSecond = 0;
-    for (const server of limited) {
-      if (server === undefined) return 0;
-      shortest = Math.min(shortest, server.getWait(now));
-      requestsPerSecond += server.getShare(now);
+    let latest = Infinity;
+    for (const identifier of identifiers) {
+      const limited = this.#limited.get(identifier);
+      if (limited === undefined && warmUps?.has(identifier) !== true) return 0;
+      shortest = Math.min(shortest, this.getWait(identifier));
+      requestsPerSecond += Math.min(
+        limited?.getShare(now) ?? Infinity,
+        warmUps?.getShare(identifier) ?? Infinity,
+      );
+      if (limited === undefined) {
+        latest = Math.min(latest, warmUps?.getTimeLeft(identifier) ?? 0);
+      }
     }
-    return shortest + Math.ceil(1000 * earlier / requestsPerSecond);
+    if (earlier === 0) return shortest;
+    const wait = shortest + Math.ceil(1000 * earlier / requestsPerSecond);
+    return Math.min(wait, Math.max(shortest, Math.ceil(latest)));
   }
 
   /**
@@ -131,11 +163,13 @@
     const now = this.#options.clock.monotonic();
     for (const identifier of identifiers) {
       this.#limited.get(identifier)?.recordNeed(requests, now);
+      this.#options.warmUps?.recordNeed(identifier, requests);
     }
   }
 
   /** Records a request of any kind that this node sends to a server. */
   recordRequest(identifier: string): void {
+    this.#options.warmUps?.recordRequest(identifier);
     const limited = this.#limited.get(identifier);
     if (limited === undefined) return;
     const { clock, log } = this.#options;
@@ -190,7 +224,7 @@
         limited.update(other, now, noticeMilliseconds);
       }
     }
-    if (this.#limited.size > 0) this.#notify();
+    if (this.#limited.size > 0) this.notify();
   }
 
   /** Removes the limits of servers that left the server table. */
@@ -221,7 +255,7 @@
   #lift(identifier: string): void {
     if (!this.#limited.delete(identifier)) return;
     this.#options.log.emit("serverLimitLifted", { server: identifier });
-    this.#notify();
+    this.notify();
   }
 
   #toOtherUse(identifier: string): OtherUse {
@@ -236,10 +270,6 @@
     const rank = (position + toOffset(identifier)) % nodes.length;
     return { demands, nodes: nodes.length, rank };
   }
-
-  #notify(): void {
-    for (const onMoreRoom of this.#watchers) onMoreRoom();
-  }
 }
 
 function groupByServer(
--- a/source/installation/server_starts.ts
+++ b/source/installation/server_starts.ts
@@ -18,6 +18,11 @@
   readonly limits: Pick<ServerLimits, "recordRequest">;
   readonly paths: Pick<ServerPaths, "isCutOff">;
   readonly servers: Pick<ServerView, "servers" | "isEvacuated">;
+  /**
+   * Waits until a server in warm-up accepts one more request, at most for some time.
+   * @returns Whether it accepts one.
+   */
+  readonly waitForWarmUp?: (identifier: string) => Promise<boolean>;
 }
 
 /**
@@ -38,10 +43,13 @@
    *   no start; the last is logged, unless this node reaches no server.
    */
   async isReplaced(server: BackendServerEntry): Promise<boolean> {
-    const { log, client, limits, paths, servers } = this.#options;
+    const { log, client, limits, paths, servers, waitForWarmUp } =
+      this.#options;
     const { identifier, startedAt } = server;
     if (startedAt === 0 || paths.isCutOff) return false;
     if (servers.isEvacuated(server)) return false;
+    // A report counts for the rate of a server in warm-up. Without one, the server may be another.
+    if (await waitForWarmUp?.(identifier) === false) return true;
     limits.recordRequest(identifier);
     const report = await client.readReport(server, {
       signal: AbortSignal.timeout(REPORT_MILLISECONDS),
--- a/source/installation/server_view.ts
+++ b/source/installation/server_view.ts
@@ -81,6 +81,8 @@
   /** Identifiers of servers without an entry that are retained while they may still renew it. */
   readonly #retained = new Set<string>();
   #servers = new Map<string, BackendServerEntry>();
+  /** Versions of the store at which the known entries were written, by identifier. */
+  readonly #rowVersions = new Map<string, number>();
   #byService: ReadonlyMap<string, ReadonlyArray<BackendServerEntry>> =
     new Map();
   readonly #evacuationLog: EvacuationLog;
@@ -186,6 +188,11 @@
     );
   }
 
+  /** Returns the version of the store at which a server's entry was written; 0 without an entry. */
+  getRowVersion(identifier: string): number {
+    return this.#rowVersions.get(identifier) ?? 0;
+  }
+
   /** Returns the servers of a service that take new requests. */
   ofService(service: string): ReadonlyArray<BackendServerEntry> {
     return this.#byService.get(service) ?? [];
@@ -333,7 +340,8 @@
     this.#regroupAndNotify();
   }
 
-  #put({ key, value }: StoredRow): void {
+  #put({ key, value, version }: StoredRow): void {
+    this.#rowVersions.set(key, version);
     const entry = this.#options.readRow(key, value);
     this.#retained.delete(key);
     if (entry !== undefined) {
@@ -345,6 +353,9 @@
   }
 
   #regroupAndNotify(): void {
+    for (const identifier of this.#rowVersions.keys()) {
+      if (!this.#servers.has(identifier)) this.#rowVersions.delete(identifier);
+    }
     const available = [...this.#servers.values()].filter((server) =>
       this.#takesRequests(server)
     );
--- a/source/node/apply_server_news.ts
+++ b/source/node/apply_server_news.ts
@@ -1,9 +1,10 @@
 import type { ServerClient } from "../backends/server_client.ts";
 import type { EngineUseExchange } from "../durable_steps/engine_use_exchange.ts";
-import { toLimitNews } from "../installation/limit_news.ts";
+import { toDemandNews, toLimitNews } from "../installation/limit_news.ts";
 import type { NodeRegister } from "../installation/node_register.ts";
 import type { ServerLimits } from "../installation/server_limits.ts";
 import type { ServerView } from "../installation/server_view.ts";
+import type { WarmUpLimits } from "../installation/warm_up_limits.ts";
 
 /** The sources of news about servers and the parts that use it. */
 export interface ServerNewsOptions {
@@ -12,12 +13,15 @@
   readonly servers: ServerView;
   readonly engineUseExchange: EngineUseExchange;
   readonly limits: ServerLimits;
+  readonly warmUpLimits: WarmUpLimits;
 }
 
 /** Applies what answers and other nodes say of servers that leave, of engines' use and of limits. */
 export function applyServerNews(
-  { client, register, servers, engineUseExchange, limits }: ServerNewsOptions,
+  options: ServerNewsOptions,
 ): void {
+  const { client, register, servers, engineUseExchange, limits } = options;
+  const { warmUpLimits } = options;
   client.watchLeaving((server) =>
     servers.markLeaving(server, { learnedFrom: "answer" })
   );
@@ -34,4 +38,5 @@
     )
   );
   register.watch(() => limits.apply(toLimitNews(register)));
+  register.watch(() => warmUpLimits.apply(toDemandNews(register)));
 }
--- a/source/node/create_installation_node.ts
+++ b/source/node/create_installation_node.ts
@@ -12,9 +12,7 @@
 import { LeaseElector } from "../control/lease_elector.ts";
 import { DutyLease } from "../duties/duty_lease.ts";
 import { LeaseTable } from "../duties/lease_table.ts";
-import { ServerReplacer } from "../duties/server_replacer.ts";
 import { UsageMeter } from "../duties/usage_meter.ts";
-import { UsageWindowReporter } from "../duties/usage_window_reporter.ts";
 import { WeightLoadScheduler } from "../duties/weight_load_scheduler.ts";
 import { EngineUseExchange } from "../durable_steps/engine_use_exchange.ts";
 import { EnginePool } from "../durable_steps/engine_pool.ts";
@@ -30,7 +28,6 @@
 import { StepOwnerChoice } from "../durable_steps/step_owner_choice.ts";
 import { SubmissionStore } from "../durable_steps/submission_store.ts";
 import type { InstallationSettings } from "../installation/installation_settings.ts";
-import { findSettledWindow } from "../installation/find_settled_window.ts";
 import { isWallOffsetPublished } from "../installation/is_wall_offset_published.ts";
 import { NodeRegister } from "../installation/node_register.ts";
 import { OperatorView } from "../installation/operator_view.ts";
@@ -49,9 +46,11 @@
 import type { Clock } from "../utilities/clock.ts";
 import { createRandomSource } from "../utilities/random_source.ts";
 import { applyServerNews } from "./apply_server_news.ts";
+import { createDuties } from "./create_duties.ts";
+import { createWarmUps } from "./create_warm_ups.ts";
 import { setInstallationGauges } from "./installation_gauges.ts";
 import type { InstallationAdapters } from "./installation_adapters.ts";
-import { type BackgroundPart, InstallationNode } from "./installation_node.ts";
+import { InstallationNode } from "./installation_node.ts";
 
 /**
  * Length of the duty lease, short enough that another node takes it over about 2 s after its holder
@@ -118,10 +117,18 @@
   });
   // First among the watchers, so that nothing uses a configuration without its evacuations.
   operator.watch(() => servers.setEvacuatedDomains(operator.evacuatedDomains));
+  const warmUps = createWarmUps({
+    ...options,
+    servers,
+    operator,
+    client,
+    onMoreRoom: () => limits.notify(),
+  });
   const limits = new ServerLimits({
     node: settings.node,
     clock,
     log,
+    warmUps: warmUps.limits,
   });
   client.watchLimits((server, requestsPerSecond) =>
     limits.recordAnswer(server, requestsPerSecond)
@@ -143,6 +150,7 @@
     client,
     findHealthPath,
     isEvacuated: (server) => servers.isEvacuated(server),
+    onCheck: (identifier) => warmUps.limits.recordRequest(identifier),
   });
   const serverPaths = new ServerPaths({
     clock,
@@ -150,8 +158,10 @@
     random,
     check: serverCheck,
     listServers: () =>
-      [...servers.servers.values()].filter(({ identifier, service }) =>
-        servers.isServing(identifier) && findHealthPath(service) !== undefined
+      warmUps.preferWarm(
+        [...servers.servers.values()].filter(({ identifier, service }) =>
+          servers.isServing(identifier) && findHealthPath(service) !== undefined
+        ),
       ),
     stopping,
   });
@@ -198,13 +208,21 @@
       isServing: created.node?.isReady ?? false,
       leavingServers: servers.leavingByAnswer,
       limits: limits.toRecords(),
+      demands: warmUps.limits.toDemands(),
       wallOffset: isWallOffsetPublished(clock)
         ? sharedClock.ownOffset
         : undefined,
       usageSettledThrough: usage.settledThrough,
     }),
   });
-  applyServerNews({ client, register, servers, engineUseExchange, limits });
+  applyServerNews({
+    client,
+    register,
+    servers,
+    engineUseExchange,
+    limits,
+    warmUpLimits: warmUps.limits,
+  });
   const stepRegistry = new StepRegistry({ ...common, pace });
   const leaseElector = new LeaseElector({
     name: DUTY_LEASE,
@@ -256,6 +274,7 @@
     limits,
     paths: serverPaths,
     servers,
+    waitForWarmUp: warmUps.waitForRoom,
   });
   const continuationClient = new ContinuationClient({ client, serverStarts });
   const tools: StepTools = {
@@ -327,28 +346,13 @@
       mayKeepOwner: (entry, allowed) => ownerChoice.mayKeep(entry, allowed),
     }),
   });
-  const duties: BackgroundPart[] = [];
-  if (adapters.duties !== undefined) {
-    const duty = { ...stored, duties: adapters.duties, lease };
-    if (settings.reportsUsage) {
-      duties.push(
-        new UsageWindowReporter({
-          ...duty,
-          settledThrough: () =>
-            findSettledWindow(
-              register,
-              bounds.usageWindowMilliseconds + bounds.keyWithdrawalMilliseconds,
-            ),
-          windowMilliseconds: bounds.usageWindowMilliseconds,
-          reportDeadlineMilliseconds: bounds.usageReportDeadlineMilliseconds,
-          startedAt: sharedClock.wall(),
-        }),
-      );
-    }
-    if (settings.ordersServers) {
-      duties.push(new ServerReplacer({ ...duty, operator, servers }));
-    }
-  }
+  const duties = createDuties(options, {
+    common: stored,
+    lease,
+    operator,
+    servers,
+    register,
+  });
   const node = new InstallationNode({
     operator,
     regionRules,
@@ -368,6 +372,7 @@
         steps,
         pool,
         limits,
+        warmUpLimits: warmUps.limits,
         crashRecords,
         serverPaths,
         lease,
--- a/source/node/installation_gauges.ts
+++ b/source/node/installation_gauges.ts
@@ -8,6 +8,7 @@
 import type { OperatorView } from "../installation/operator_view.ts";
 import type { ServerPaths } from "../installation/server_paths.ts";
 import type { ServerView } from "../installation/server_view.ts";
+import type { WarmUpLimits } from "../installation/warm_up_limits.ts";
 import type { Metrics } from "../observability/metrics.ts";
 
 /** Sources of the gauges. */
@@ -20,6 +21,7 @@
   readonly steps: StepSupervisor;
   readonly pool: EnginePool;
   readonly limits: ServerLimits;
+  readonly warmUpLimits: WarmUpLimits;
   readonly crashRecords: Pick<CrashRecords, "size">;
   readonly serverPaths: Pick<ServerPaths, "isCutOff">;
   readonly lease: DutyLease;
@@ -31,7 +33,7 @@
 ): void {
   const { metrics, operator, servers, register, steps, pool, limits, lease } =
     options;
-  const { crashRecords, serverPaths, regionRules } = options;
+  const { crashRecords, serverPaths, regionRules, warmUpLimits } = options;
   const age = operator.ageMilliseconds() ?? -1;
   metrics.gauge("operator_view_age_milliseconds", age, {});
   metrics.gauge("key_view_fresh", Number(operator.isKeyViewFresh()), {});
@@ -42,7 +44,10 @@
   const evacuatedDomains = servers.evacuatedDomains.size;
   metrics.gauge("failure_domains_evacuated", evacuatedDomains, {});
   metrics.gauge("servers_evacuated", servers.evacuatedServers, {});
-  metrics.gauge("servers_limited", limits.size, {});
+  metrics.gauge("servers_limited", limits.limitedServers, {});
+  metrics.gauge("servers_in_warm_up", warmUpLimits.warmingServers, {});
+  metrics.gauge("requests_waiting_for_warm_up", warmUpLimits.waiting, {});
+  metrics.gauge("requests_after_warm_up_wait", warmUpLimits.waited, {});
   metrics.gauge("contents_with_crashes", crashRecords.size, {});
   const isCutOff = Number(serverPaths.isCutOff);
   metrics.gauge("cut_off_from_servers", isCutOff, {});
--- a/source/observability/events/installation_events.ts
+++ b/source/observability/events/installation_events.ts
@@ -233,6 +233,20 @@
       "Start a node in an allowed region, or in the region where the step was submitted",
     fields: ["step", "regions", "submittedRegion"],
   }),
+  serverWarmUpStarted: defineEvent(9219, {
+    level: "info",
+    message:
+      "A server is in warm-up, in which all nodes together keep its requests to the rate of its service",
+    action: "",
+    fields: ["server", "service", "cause", "milliseconds"],
+  }),
+  serverWarmUpEnded: defineEvent(9220, {
+    level: "info",
+    message:
+      "The warm-up of a server has ended; sent is the number of requests that this node sent to it meanwhile",
+    action: "",
+    fields: ["server", "service", "sent"],
+  }),
   callEnded: defineEvent(9202, {
     level: "info",
     message: "A call ended without a server's answer",
--- a/stand_ins/installation/scripted_server_client.ts
+++ b/stand_ins/installation/scripted_server_client.ts
@@ -60,6 +60,9 @@
   /** Registers nothing, since no scripted server names a limit. */
   watchLimits(): void {}
 
+  /** Registers nothing, since no scripted server is in warm-up. */
+  watchWarmUps(): void {}
+
   /** Returns the scripted response after its delay. */
   async open(
     server: BackendServerEntry,
