Test servers in warm-up on the real programs; refuse calls with an accurate time

Calls that are refused as all servers are in warm-up are told the time until one accepts them, spread upwards by a fifth; before, half of that time could be named.

Measured: npx ava build/platform/servers_in_warm_up_test.js.

--- a/source/calls/call_forwarder.ts
+++ b/source/calls/call_forwarder.ts
@@ -316,10 +316,13 @@
       if (this.#isEvacuated) return this.#refuseEvacuated();
       const { serverStatistics, random } = this.#options;
       const { all } = this.#candidates;
-      return toUnrunOutcome(
-        serverStatistics.waitForRoom(all, { requests: 1, earlier: 0 }),
-        random.next(),
-      );
+      return toUnrunOutcome({
+        roomWaitMilliseconds: serverStatistics.waitForRoom(all, {
+          requests: 1,
+          earlier: 0,
+        }),
+        warmUpWaitMilliseconds: serverStatistics.getWarmUpWait(all),
+      }, random.next());
     }
     const reason = this.#attempts.running > 0 ? "timedOut" : "serverFailed";
     return { kind: "unknown", reason };
--- a/source/calls/call_gate.ts
+++ b/source/calls/call_gate.ts
@@ -235,6 +235,7 @@
           sum(({ identifier }) => serverStatistics.occupied(identifier)),
         waiting,
         meanMilliseconds: serverStatistics.meanMilliseconds(usable),
+        warmUpWaitMilliseconds: serverStatistics.getWarmUpWait(available),
         rateWaitMilliseconds: serverStatistics.waitForRoom(available, {
           requests: waiting + queued,
           earlier: waiting + sent,
--- a/source/calls/forwarding_outcomes.ts
+++ b/source/calls/forwarding_outcomes.ts
@@ -1,4 +1,7 @@
-import { toRetryAfter } from "../decisions/call_admission.ts";
+import {
+  toRetryAfter,
+  toWarmUpRetryAfter,
+} from "../decisions/call_admission.ts";
 import { toEvacuationRetry } from "../decisions/evacuation.ts";
 import type { AttemptResult } from "./attempt_result.ts";
 import type { CallOutcome } from "./call_outcome.ts";
@@ -28,17 +31,29 @@
   return toNoServerOutcome(toEvacuationRetry(draw));
 }
 
+/** Times, in milliseconds, for which the servers of a refused call accept no further call. */
+export interface RefusalWaits {
+  /** Time until the servers have room by their limits. */
+  readonly roomWaitMilliseconds: number;
+  /** The part of it for which the warm-ups of all the servers are the reason; 0 if they are not. */
+  readonly warmUpWaitMilliseconds: number;
+}
+
 /**
  * Returns the outcome of a call that no server ran.
- * @param backlogMilliseconds - Time until the servers have room by their limits.
+ * @param waits - For how long the servers accept no further call.
  * @param draw - Random number from 0 up to but not including 1.
  */
 export function toUnrunOutcome(
-  backlogMilliseconds: number,
+  { roomWaitMilliseconds, warmUpWaitMilliseconds }: RefusalWaits,
   draw: number,
 ): CallOutcome {
-  const backlog = Math.max(REFUSED_BACKLOG_MILLISECONDS, backlogMilliseconds);
-  return toNoServerOutcome(toRetryAfter(backlog, draw));
+  const backlog = Math.max(REFUSED_BACKLOG_MILLISECONDS, roomWaitMilliseconds);
+  return toNoServerOutcome(
+    warmUpWaitMilliseconds > 0
+      ? toWarmUpRetryAfter(backlog, draw)
+      : toRetryAfter(backlog, draw),
+  );
 }
 
 function toNoServerOutcome(retryAfterMilliseconds: number): CallOutcome {
--- a/source/calls/server_call_statistics.ts
+++ b/source/calls/server_call_statistics.ts
@@ -116,6 +116,14 @@
     return limits.estimateWait(identifiers, earlier);
   }
 
+  /** Returns the part of that time for which the warm-ups of all the servers are the reason. */
+  getWarmUpWait(servers: ReadonlyArray<BackendServerEntry>): number {
+    const { limits } = this.#options;
+    return servers.length === 0 ? 0 : Math.min(
+      ...servers.map(({ identifier }) => limits.getWarmUpWait(identifier)),
+    );
+  }
+
   /** Returns the mean of the servers' response times, in milliseconds; 0 without servers. */
   meanMilliseconds(servers: ReadonlyArray<BackendServerEntry>): number {
     const durations = servers.map(({ identifier }) =>
--- a/source/decisions/call_admission.ts
+++ b/source/decisions/call_admission.ts
@@ -4,6 +4,8 @@
 const QUEUED_CALLS_PER_SERVER = 2;
 /** Least delay after which a refused caller may return, in milliseconds. */
 const MINIMUM_RETRY_AFTER_MILLISECONDS = 50;
+/** Part of the wait for servers in warm-up over which the returns of refused callers are spread. */
+const WARM_UP_SPREAD = 0.2;
 /** Time of waiting that raises a call by one rank, so that no call starves. */
 const AGEING_MILLISECONDS = 4000;
 
@@ -21,6 +23,11 @@
   readonly meanMilliseconds: number;
   /** Time until the servers accept the call at the request rates that they allow, in milliseconds. */
   readonly rateWaitMilliseconds: number;
+  /**
+   * The part of that time for which all servers are in warm-up and accept nothing more from this node;
+   * 0 if absent.
+   */
+  readonly warmUpWaitMilliseconds?: number;
 }
 
 /** A call that asks for a server. */
@@ -76,9 +83,12 @@
   if (backlogMilliseconds + meanMilliseconds <= demand.remainingMilliseconds) {
     return { kind: "wait" };
   }
+  const { warmUpWaitMilliseconds = 0 } = load;
   return {
     kind: "reject",
-    retryAfterMilliseconds: toRetryAfter(backlogMilliseconds, draw),
+    retryAfterMilliseconds: warmUpWaitMilliseconds > 0
+      ? toWarmUpRetryAfter(backlogMilliseconds, draw)
+      : toRetryAfter(backlogMilliseconds, draw),
   };
 }
 
@@ -98,6 +108,22 @@
   );
 }
 
+/**
+ * Returns the delay after which a caller may return that was refused as all servers are in warm-up.
+ * None is served earlier, so the callers return after that time, spread over a part of it.
+ * @param waitMilliseconds - Time until a server accepts the call.
+ * @param draw - Random number from 0 up to but not including 1.
+ */
+export function toWarmUpRetryAfter(
+  waitMilliseconds: number,
+  draw: number,
+): number {
+  return Math.ceil(
+    Math.max(MINIMUM_RETRY_AFTER_MILLISECONDS, waitMilliseconds) *
+      (1 + WARM_UP_SPREAD * draw),
+  );
+}
+
 /** A call that waits for a server. */
 export interface WaitingCall {
   /** Rank of the call's organisation or else of its route; 0 goes first. */
--- a/source/node/create_duties.ts
+++ b/source/node/create_duties.ts
@@ -1,6 +1,7 @@
 import type { DutyLease } from "../duties/duty_lease.ts";
 import { ServerReplacer } from "../duties/server_replacer.ts";
 import { UsageWindowReporter } from "../duties/usage_window_reporter.ts";
+import type { InstallationSettings } from "../installation/installation_settings.ts";
 import { findSettledWindow } from "../installation/find_settled_window.ts";
 import type { NodeRegister } from "../installation/node_register.ts";
 import type { OperatorView } from "../installation/operator_view.ts";
@@ -8,7 +9,7 @@
 import type { EventLog } from "../observability/event_log.ts";
 import type { DurableTable } from "../platform/durable_table.ts";
 import type { Clock } from "../utilities/clock.ts";
-import type { InstallationNodeOptions } from "./create_installation_node.ts";
+import type { InstallationAdapters } from "./installation_adapters.ts";
 import type { BackgroundPart } from "./installation_node.ts";
 
 /** What the duties of an installation need of the other parts of a node. */
@@ -33,10 +34,10 @@
  * ```
  */
 export function createDuties(
-  { settings, adapters }: Pick<
-    InstallationNodeOptions,
-    "settings" | "adapters"
-  >,
+  { settings, adapters }: {
+    readonly settings: InstallationSettings;
+    readonly adapters: InstallationAdapters;
+  },
   { common, lease, operator, servers, register }: DutyParts,
 ): ReadonlyArray<BackgroundPart> {
   const { bounds } = settings;
--- a/stand_ins/installation/request_limit.ts
+++ b/stand_ins/installation/request_limit.ts
@@ -53,11 +53,11 @@
     return false;
   }
 
-  /** Returns the largest number of requests in 4 s that start at `from` or later. */
-  findBusiestWindow(from: number): number {
+  /** Returns the largest number of requests in a window that starts at `from` or later; 4 s if absent. */
+  findBusiestWindow(from: number, milliseconds = WINDOW_MILLISECONDS): number {
     const late = this.arrivals.filter((time) => time >= from);
     const counts = late.map((start) =>
-      late.filter((time) => time >= start && time < start + WINDOW_MILLISECONDS)
+      late.filter((time) => time >= start && time < start + milliseconds)
         .length
     );
     return Math.max(0, ...counts);
--- a/stand_ins/installation/test_installation.ts
+++ b/stand_ins/installation/test_installation.ts
@@ -4,6 +4,7 @@
 import { join } from "node:path";
 import { fileURLToPath } from "node:url";
 import { findFreePort } from "./find_free_port.ts";
+import type { RowLocation } from "../../source/platform/durable_table.ts";
 import { MemoryDurableTable } from "./memory_durable_table.ts";
 import { type PlainServer, startPlainServer } from "./plain_server.ts";
 import { RequestLimit } from "./request_limit.ts";
@@ -56,6 +57,15 @@
   ) => Promise<InstallationNode>;
   /** Writes a new configuration with other lists of allowed regions. */
   readonly allowRegions: (lists: RegionLists) => Promise<void>;
+  /** Writes the rows of servers with some other fields at the same moment. */
+  readonly putServers: (
+    identifiers: ReadonlyArray<string>,
+    fields: Readonly<Record<string, unknown>>,
+  ) => Promise<void>;
+  /** Deletes the rows of servers. */
+  readonly deleteServers: (
+    identifiers: ReadonlyArray<string>,
+  ) => Promise<void>;
   readonly declareVersion: (version: number) => Promise<void>;
   readonly close: () => void;
 }
@@ -89,6 +99,8 @@
   readonly layout?: RegionLayout;
   /** Lists of allowed regions; none if absent. */
   readonly lists?: RegionLists;
+  /** Warm-up of all servers after a start, in seconds, and their rate in it; none if absent. */
+  readonly warmUp?: { readonly seconds: number; readonly perSecond: number };
 }
 
 const ONE_DOMAIN: RegionLayout = {
@@ -129,6 +141,17 @@
     if (request.url === "/usage") usageReports.push(body.toString());
     response.writeHead(200).end();
   });
+  const rows = new Map<string, object>();
+  const toPut = (
+    tableName: string,
+    key: string,
+    value: unknown,
+  ): RowLocation & { readonly value: Buffer } => ({
+    table: tableName,
+    partition: "",
+    key,
+    value: Buffer.from(JSON.stringify(value)),
+  });
   const putRow = async (
     tableName: string,
     key: string,
@@ -136,19 +159,17 @@
   ): Promise<void> => {
     await table.commit({
       conditions: [],
-      puts: [{
-        table: tableName,
-        partition: "",
-        key,
-        value: Buffer.from(JSON.stringify(value)),
-      }],
+      puts: [toPut(tableName, key, value)],
     });
   };
+  const putServer = async (key: string, row: object): Promise<void> => {
+    rows.set(key, row);
+    await putRow("servers", key, row);
+  };
   let version = 1;
   await putRow("op", "config", createConfiguration(options, version));
   for (const [index, { options, address }] of engines.entries()) {
-    await putRow(
-      "servers",
+    await putServer(
       options.identifier,
       createServerRow("engines", address, {
         slots: 4,
@@ -159,11 +180,7 @@
   }
   for (const { identifier, address, failureDomain } of plainServers) {
     const place = { slots: 6, softwareVersion: "v1", failureDomain };
-    await putRow(
-      "servers",
-      identifier,
-      createServerRow("plain", address, place),
-    );
+    await putServer(identifier, createServerRow("plain", address, place));
   }
   const servers: StartedServer[] = [store, duties, ...plainServers, ...engines];
   const nodes: ChildProcess[] = [];
@@ -192,6 +209,20 @@
       const changed = createConfiguration({ ...options, lists }, version);
       return putRow("op", "config", changed);
     },
+    putServers: async (identifiers, fields) => {
+      const puts = identifiers.map((each) =>
+        toPut("servers", each, { ...rows.get(each), ...fields })
+      );
+      await table.commit({ conditions: [], puts });
+    },
+    deleteServers: async (identifiers) => {
+      const deletes = identifiers.map((key) => ({
+        table: "servers",
+        partition: "",
+        key,
+      }));
+      await table.commit({ conditions: [], puts: [], deletes });
+    },
     declareVersion: (version) =>
       putRow("op", "version/model-a", { model: "model-a", version }),
     close: () => {
@@ -209,7 +240,7 @@
     readonly softwareVersion: string;
     readonly failureDomain: string;
   },
-): unknown {
+): object {
   return {
     service,
     address,
@@ -229,6 +260,10 @@
   version: number,
 ): unknown {
   const { routes = {}, organisation } = options.lists ?? {};
+  const warmUp = options.warmUp === undefined ? {} : {
+    "cold_start_s": options.warmUp.seconds,
+    "cold_per_s": options.warmUp.perSecond,
+  };
   const route = {
     host: HOST,
     "timeout_ms": 3000,
@@ -285,9 +320,10 @@
         name: "engines",
         "health_path": "/health",
         "max_conns": 50,
+        ...warmUp,
         engine: { slots: 4, models: [{ name: "model-a" }] },
       },
-      { name: "plain", "health_path": "/health", "max_conns": 50 },
+      { name: "plain", "health_path": "/health", "max_conns": 50, ...warmUp },
     ],
     limits: {
       "max_header_bytes": 16_384,
@@ -349,7 +385,13 @@
       region: regions[failureDomain] ?? "r",
       zones: regions,
       listen,
-      bounds: { "report_window_s": 1, "usage_late_s": 2, "grace_s": 8 },
+      bounds: {
+        "report_window_s": 1,
+        "usage_late_s": 2,
+        "grace_s": 8,
+        "cold_overage": 1.5,
+        "cold_slack": 5,
+      },
       platform: { address: store.address, "row_bytes": 65_536 },
       cloud: { address: duties.address, duties: ["usage_report"] },
     }),
