--- a/source/calls/call_gate_test.ts
+++ b/source/calls/call_gate_test.ts
@@ -4,12 +4,16 @@
 import { AllowedRegions } from "../decisions/allowed_regions.ts";
 import { ServerLimits } from "../installation/server_limits.ts";
 import { ServerView } from "../installation/server_view.ts";
+import { WarmUpLimits } from "../installation/warm_up_limits.ts";
 import { RecordingEventLog } from "../observability/event_log.ts";
 import { ManualClock } from "../utilities/manual_clock.ts";
 import { createRandomSource } from "../utilities/random_source.ts";
 import { CallGate, type GatedCall, type GateOutcome } from "./call_gate.ts";
 import { ServerCallStatistics } from "./server_call_statistics.ts";
 
+/** Time until the other nodes would know of a node's demand. */
+const KNOWN_MILLISECONDS = 2000;
+
 interface Fixture {
   readonly clock: ManualClock;
   readonly gate: CallGate;
@@ -24,6 +28,7 @@
 async function createFixture(
   isEngine = false,
   names: ReadonlyArray<string> = ["p1"],
+  warmUps?: (clock: ManualClock) => WarmUpLimits,
 ): Promise<Fixture> {
   const clock = new ManualClock();
   const random = createRandomSource(1);
@@ -62,6 +67,7 @@
       node: "n1",
       clock,
       log: new RecordingEventLog(),
+      ...(warmUps === undefined ? {} : { warmUps: warmUps(clock) }),
     }),
     isConnected: () => false,
   });
@@ -221,3 +227,92 @@
   t.is(passed.filter((name) => name.startsWith("near")).length, 6);
   t.is(passed.filter((name) => name.startsWith("any")).length, 0);
 });
+
+// A node that is alone, with the only server of the service in warm-up for 3 s once it knows so.
+function startWarmUp(clock: ManualClock, perSecond: number): WarmUpLimits {
+  const limits = new WarmUpLimits({
+    node: "n1",
+    clock,
+    bounds: { warmUpOverageFactor: 1.5, warmUpSlackRequests: 5 },
+    findService: () => "s",
+    onMoreRoom: () => {},
+  });
+  const apply = (): void => {
+    limits.apply({
+      own: {
+        demands: limits.toDemands(),
+        heartbeatMilliseconds: 300,
+        readAt: clock.monotonic(),
+      },
+      others: new Map(),
+      nodes: ["n1"],
+      heartbeatMilliseconds: 300,
+    });
+  };
+  limits.recordRequest("p1");
+  void readHeartbeats(clock, apply);
+  void clock.sleep(KNOWN_MILLISECONDS).then(() =>
+    limits.set("p1", {
+      service: "s",
+      requestsPerSecond: perSecond,
+      endsAt: clock.monotonic() + 3000,
+    })
+  );
+  return limits;
+}
+
+async function readHeartbeats(
+  clock: ManualClock,
+  apply: () => void,
+): Promise<void> {
+  for (let count = 0; count < 30; count += 1) {
+    apply();
+    await clock.sleep(300);
+  }
+}
+
+// Guards against callers that wait for a server in warm-up until they time out, or return too early.
+test("with all servers in warm-up, calls wait for their turn or are refused at once with an accurate time", async (t) => {
+  const { clock, passed, outcomes, pass } = await createFixture(
+    false,
+    ["p1"],
+    (manual) => startWarmUp(manual, 1),
+  );
+  await clock.advance(KNOWN_MILLISECONDS);
+  for (let index = 0; index < 12; index += 1) void pass(`c${index}`);
+  await clock.advance(1);
+  const refused = [...outcomes].flatMap(([name, outcome]) =>
+    outcome.kind === "rejected" ? [{ name, ...outcome }] : []
+  );
+  t.true(refused.length >= 8, `${refused.length} were refused at once`);
+  for (const { name, retryAfterMilliseconds } of refused) {
+    // Not before the calls ahead have passed at 1 a second, and at most until the warm-up has ended.
+    t.true(retryAfterMilliseconds >= 500, `${name}: ${retryAfterMilliseconds}`);
+    t.true(
+      retryAfterMilliseconds <= 1.2 * 4000,
+      `${name}: ${retryAfterMilliseconds}`,
+    );
+  }
+  await clock.advance(1500);
+  t.true(passed.length >= 1, "a call has passed");
+  t.is(passed.length + refused.length, 12, "no call waits beyond its turn");
+});
+
+// Guards against limits on services without warm-up.
+test("without a warm-up, limits of warm-ups change nothing", async (t) => {
+  const { clock, passed, pass } = await createFixture(
+    false,
+    ["p1"],
+    (manual) =>
+      new WarmUpLimits({
+        node: "n1",
+        clock: manual,
+        bounds: { warmUpOverageFactor: 1.5, warmUpSlackRequests: 5 },
+        findService: () => undefined,
+        onMoreRoom: () => t.fail(),
+      }),
+  );
+  for (let index = 0; index < 6; index += 1) void pass(`c${index}`);
+  await clock.advance(1);
+  t.is(passed.length, 6);
+});
--- /dev/null
+++ b/source/installation/node_record_row_test.ts
@@ -0,0 +1,34 @@
+import test from "ava";
+import type { NodeRecord } from "./node_record.ts";
+import { readNodeRecord, writeNodeRecord } from "./node_record_row.ts";
+
+const RECORD: NodeRecord = {
+  node: "n1",
+  nodeStart: "n1/1",
+  failureDomain: "a",
+  processorShare: 1,
+  callerAddress: "h:1",
+  peerAddress: undefined,
+  isCutOff: false,
+  isServing: true,
+  isRunningSteps: false,
+  engineUse: undefined,
+  leavingServers: [],
+  limits: [],
+  wallOffset: undefined,
+  usageSettledThrough: -1,
+  heartbeatMilliseconds: 300,
+};
+
+test("a node's demand for services with a warm-up is read as it was written", (t) => {
+  const demands = new Map([["s", "high"], ["p", "low"]] as const);
+  const row = writeNodeRecord({ ...RECORD, demands });
+  t.deepEqual(readNodeRecord("n1", row)?.demands, demands);
+});
+
+// Guards against nodes of two versions that don't understand each other during an upgrade.
+test("rows of nodes without the demand are readable, and a node without demand writes such rows", (t) => {
+  const row = writeNodeRecord(RECORD);
+  t.is(JSON.parse(row.toString()).length, 14);
+  t.deepEqual(readNodeRecord("n1", row)?.demands, new Map());
+});
--- a/source/installation/server_limits_test.ts
+++ b/source/installation/server_limits_test.ts
@@ -3,6 +3,7 @@
 import { RecordingEventLog } from "../observability/event_log.ts";
 import { ManualClock } from "../utilities/manual_clock.ts";
 import { ServerLimits } from "./server_limits.ts";
+import { WarmUpLimits } from "./warm_up_limits.ts";
 
 test("a limit is logged when it is named, is used and is lifted", async (t) => {
   const clock = new ManualClock();
@@ -115,3 +116,49 @@
   limits.recordAnswer(createServerEntry("e1"), 2);
   t.true(limits.getWait("e1") > 0);
 });
+
+// Guards against a server that is in need and in warm-up and gets what only one of both allows.
+test("the lower one of a named limit and a warm-up holds", (t) => {
+  for (const [named, perSecond] of [[1, 13], [13, 1]] as const) {
+    const clock = new ManualClock();
+    const warmUps = new WarmUpLimits({
+      node: "n1",
+      clock,
+      bounds: { warmUpOverageFactor: 1.5, warmUpSlackRequests: 5 },
+      findService: () => "s",
+      onMoreRoom: () => {},
+    });
+    const log = new RecordingEventLog();
+    const limits = new ServerLimits({ node: "n1", clock, log, warmUps });
+    warmUps.set("e1", {
+      service: "s",
+      requestsPerSecond: perSecond,
+      endsAt: 3000,
+    });
+    limits.recordAnswer(createServerEntry("e1"), named);
+    limits.recordRequest("e1");
+    t.true(limits.getWait("e1") >= 900, `${limits.getWait("e1")} ms`);
+    t.is(limits.size, 2);
+    t.is(limits.limitedServers, 1);
+  }
+});
+
+test("a service without warm-up publishes no demand and limits nothing", (t) => {
+  const clock = new ManualClock();
+  const warmUps = new WarmUpLimits({
+    node: "n1",
+    clock,
+    bounds: { warmUpOverageFactor: 1.5, warmUpSlackRequests: 5 },
+    findService: () => undefined,
+    onMoreRoom: () => t.fail(),
+  });
+  const log = new RecordingEventLog();
+  const limits = new ServerLimits({ node: "n1", clock, log, warmUps });
+  for (let count = 0; count < 100; count += 1) limits.recordRequest("e1");
+  limits.recordNeed(["e1"], 5);
+  t.is(limits.getWait("e1"), 0);
+  t.is(limits.estimateWait(["e1"], 9), 0);
+  t.is(limits.size, 0);
+  t.deepEqual([...warmUps.toDemands()], []);
+  t.deepEqual(limits.toRecords(), []);
+});
--- a/source/node/create_warm_ups.ts
+++ b/source/node/create_warm_ups.ts
@@ -9,7 +9,7 @@
 import type { Clock } from "../utilities/clock.ts";
 
 /** Maximum time for which the report of a server in warm-up is held back. */
-const MAXIMUM_REPORT_WAIT_MILLISECONDS = 500;
+const MAXIMUM_REPORT_WAIT_MILLISECONDS = 1500;
 
 /** The sources of warm-ups. */
 export interface WarmUpSources {
