Send no sample to an engine while it loads the sample's model

Cause: an ordered version counted as loaded at once, so that a loading engine got as many requests as it had slots, and then one after each backoff of 60 to 250 ms.

Ruled out: a longer backoff alone. It helps only after the first refusals, and it delays samples when no other engine is free.

Change: an engine with an ordered load gets no sample of that model before the expected end of the load, then one request at a time until one runs. The expected duration is learned from the loads seen, by the share of the service's engines that load at once, and starts at 0.9 s. Engines that finish their runs first (routes with a single version per text) are expected to load from the end of these runs on. The assumption ends after 4 s, or when a run is accepted, so a lost order leaves no engine unused. While a sample waits and no other engine is free, the first probe comes at 80 % of the expected duration. An engine that refused a request is left alone for 0.5 s while another one is free. Heartbeats name the age of an ordered load as a further element of its tuple, which nodes of the earlier version ignore.

--- a/source/durable_steps/engine_availability.ts
+++ b/source/durable_steps/engine_availability.ts
@@ -3,6 +3,7 @@
 import type { ServerLimits } from "../installation/server_limits.ts";
 import type { ServerView } from "../installation/server_view.ts";
 import type { Clock } from "../utilities/clock.ts";
+import type { EngineLoads } from "./engine_loads.ts";
 import type { EngineRequirements } from "./engine_request.ts";
 import type { EngineState } from "./engine_state.ts";
 
@@ -19,6 +20,8 @@
   readonly limits: ServerLimits;
   /** States of the engines that this node has used, by identifier. */
   readonly states: ReadonlyMap<string, EngineState>;
+  /** Loads of weights that nodes ordered. */
+  readonly loads: EngineLoads;
 }
 
 /** Tells which engines can run a sample, as far as a node knows. */
@@ -50,6 +53,30 @@
     );
   }
 
+  /**
+   * Returns the engines that a waiting sample may be sent to now. If there is no other, these are
+   * engines that refused a request or were ordered to load weights a while ago.
+   */
+  findCandidates(
+    requirements: EngineRequirements,
+  ): ReadonlyArray<BackendServerEntry> {
+    const available = this.findAvailable(requirements);
+    if (available.length > 0) return available;
+    return this.#ofService(requirements).filter((engine) =>
+      this.#isFree(engine, requirements, true) && this.#hasRoom(engine)
+    );
+  }
+
+  /** Whether a waiting sample may be sent to an engine now. */
+  isCandidate(
+    engine: BackendServerEntry,
+    requirements: EngineRequirements,
+  ): boolean {
+    if (this.isAvailable(engine, requirements)) return true;
+    return this.#isFree(engine, requirements, true) && this.#hasRoom(engine) &&
+      this.findAvailable(requirements).length === 0;
+  }
+
   /** Returns the engines that have a free slot for a sample, whether their limit allows it or not. */
   findFree(
     requirements: EngineRequirements,
@@ -68,13 +95,25 @@
     );
   }
 
+  /**
+   * Returns the time at which the first of the engines that load the model of a sample may get it,
+   * in monotonic milliseconds; Infinity when none loads it.
+   */
+  findLoadEnd(requirements: EngineRequirements): number {
+    const { loads } = this.#options;
+    const ends = this.findUsable(requirements).map(({ identifier }) => {
+      const decision = loads.decide(identifier, requirements.model, true);
+      return decision.kind === "wait" ? decision.until : Infinity;
+    });
+    return Math.min(Infinity, ...ends);
+  }
+
   /** Whether an engine can run a sample now. */
   isAvailable(
     engine: BackendServerEntry,
     requirements: EngineRequirements,
   ): boolean {
-    return this.#isFree(engine, requirements) &&
-      this.#options.limits.getWait(engine.identifier) === 0;
+    return this.#isFree(engine, requirements) && this.#hasRoom(engine);
   }
 
   /**
@@ -118,11 +157,16 @@
     return this.#options.servers.ofService(service);
   }
 
+  #hasRoom({ identifier }: BackendServerEntry): boolean {
+    return this.#options.limits.getWait(identifier) === 0;
+  }
+
   #isFree(
     engine: BackendServerEntry,
     requirements: EngineRequirements,
+    isScarce = false,
   ): boolean {
-    const { servers, states, clock } = this.#options;
+    const { servers, states, clock, loads } = this.#options;
     if (engine.service !== requirements.service) return false;
     if (!servers.isServing(engine.identifier)) return false;
     const occupied = this.countOccupiedSlots(engine);
@@ -131,8 +175,12 @@
       ? occupied < engine.slots
       : state.running < engine.slots &&
         occupied < engine.slots + MAXIMUM_EXCESS_REQUESTS &&
-        state.isAccepting(clock.monotonic());
-    return hasSlot && this.#isUsable(engine, requirements);
+        state.isAccepting(clock.monotonic(), isScarce);
+    if (!hasSlot || !this.#isUsable(engine, requirements)) {
+      return false;
+    }
+    const { model } = requirements;
+    return loads.decide(engine.identifier, model, isScarce).kind !== "wait";
   }
 
   #isUsable(
@@ -148,9 +196,10 @@
     ) return false;
     const known = this.getVersion(engine, model);
     if (known === undefined) return false;
-    const now = this.#options.clock.monotonic();
-    const expected = this.#options.states.get(engine.identifier)
-      ?.getExpectedVersion(model, now) ?? 0;
+    const expected = this.#options.loads.getExpectedVersion(
+      engine.identifier,
+      model,
+    );
     const version = Math.max(known, expected);
     return version >= minimumVersion &&
       (exactVersion === undefined || version === exactVersion);
--- a/source/durable_steps/engine_pool.ts
+++ b/source/durable_steps/engine_pool.ts
@@ -9,6 +9,7 @@
 import type { ServerView } from "../installation/server_view.ts";
 import type { Clock } from "../utilities/clock.ts";
 import { EngineAvailability } from "./engine_availability.ts";
+import { EngineLoads, type ExpectedLoad } from "./engine_loads.ts";
 import type { EngineRequest, EngineRequirements } from "./engine_request.ts";
 import { EngineStallWatch, type WatchedRun } from "./engine_stall_watch.ts";
 import { EngineState } from "./engine_state.ts";
@@ -45,6 +46,10 @@
   readonly #queue = new SampleQueue<EngineRequirements, EngineWaiter>();
   readonly #prompts = new PromptMemory();
   readonly #availability: EngineAvailability;
+  readonly #loads: EngineLoads;
+  readonly #finishesRunsBeforeLoads: (service: string) => boolean;
+  /** Monotonic time, in milliseconds, at which engines are assigned as a load is expected to end. */
+  #loadEndAt = 0;
   #isAssignmentScheduled = false;
   /** Monotonic time, in milliseconds, from which the deferred groups are selected again. */
   #nextPlanAt = 0;
@@ -68,6 +73,8 @@
       readonly limits: ServerLimits;
       readonly isConnected: (engine: BackendServerEntry) => boolean;
       readonly findMemoryTokens: (service: string) => number;
+      /** Whether the engines of a service finish their runs before they load weights. */
+      readonly finishesRunsBeforeLoads?: (service: string) => boolean;
       /** Called while runs wait and no engine is heard. */
       readonly onQuiet?: () => void;
     },
@@ -76,12 +83,20 @@
     this.#clock = clock;
     this.#servers = servers;
     this.#limits = limits;
+    this.#loads = new EngineLoads({
+      clock,
+      getKnownVersion: (identifier, model) =>
+        this.#getKnownVersion(identifier, model),
+    });
     this.#availability = new EngineAvailability({
       clock,
       servers,
       limits,
       states: this.#states,
+      loads: this.#loads,
     });
+    this.#finishesRunsBeforeLoads = engines.finishesRunsBeforeLoads ??
+      (() => false);
     this.#isConnected = engines.isConnected;
     this.#findMemoryTokens = engines.findMemoryTokens;
     this.#stallWatch = new EngineStallWatch({
@@ -189,9 +204,14 @@
     return this.#stallWatch.add(run);
   }
 
-  /** Records that an engine runs a request, and resets the engine's number of refusals. */
-  recordStart(identifier: string): void {
-    if (this.#getState(identifier).recordStart()) this.#assignEngines();
+  /**
+   * Records that an engine runs a request of a model, and resets the engine's number of refusals.
+   */
+  recordStart(identifier: string, model: string): void {
+    const wasOpen = this.#loads.decide(identifier, model).kind === "open";
+    this.#loads.recordRun(identifier, model);
+    const hadRefused = this.#getState(identifier).recordStart();
+    if (hadRefused || !wasOpen) this.#assignEngines();
   }
 
   /** Frees a slot of an engine that `acquire` assigned for a request. */
@@ -200,10 +220,20 @@
     state.running -= 1;
     state.tokens -= request.expectedTokens;
     this.#expectedEnds.delete(request);
+    this.#loads.recordEnd(identifier, request);
     const engine = this.#servers.servers.get(identifier);
     if (engine !== undefined) this.#fill(engine);
   }
 
+  /**
+   * Records that an engine refused a request without running it. Unless a load of the model is the
+   * likely cause, a backoff starts.
+   */
+  recordBusy(identifier: string, model: string): void {
+    if (this.#loads.recordRefusal(identifier, model)) return;
+    this.recordRefusal(identifier);
+  }
+
   /**
    * Records that an engine refused a request, failed it with status 500 or used a weight version
    * that is not allowed, and starts a backoff unless one is in progress.
@@ -240,33 +270,30 @@
   /** Records the weight version of a model that an engine reported. */
   recordVersion(identifier: string, model: string, version: number): void {
     const isNewer = this.#getState(identifier).recordVersion(model, version);
+    this.#loads.recordVersion(identifier, model, version);
+    if (!isNewer) return;
     // An engine discards the prompts it has read when it loads weights.
-    if (isNewer) this.#prompts.forget(identifier);
+    this.#prompts.forget(identifier);
+    this.#scheduleAssignment();
   }
 
-  /**
-   * Assumes for a limited time that an engine has loaded an ordered version.
-   * @param load - The engine, the model and the ordered version.
-   * @param milliseconds - Time for which the assumption holds.
-   */
-  expectVersion(
-    load: {
-      readonly engine: string;
-      readonly model: string;
-      readonly version: number;
-    },
-    milliseconds: number,
-  ): void {
-    const { engine, model, version } = load;
-    const since = this.#clock.monotonic();
-    const until = since + milliseconds;
-    this.#getState(engine).expectVersion({ model, version, since, until });
-    this.#scheduleAssignment();
+  /** Assumes for a limited time that an engine loads an ordered version. */
+  expectLoad(load: ExpectedLoad): void {
+    const { servers } = this.#servers;
+    const service = servers.get(load.engine)?.service ?? "";
+    const engines = this.#servers.ofService(service).length;
+    const isNew = this.#loads.expect(load, {
+      shareOfService: 1 / Math.max(1, engines),
+      isFinishingRuns: this.#finishesRunsBeforeLoads(service),
+      runningElsewhere: this.#countModelRunsElsewhere(load.engine),
+    });
+    if (isNew) this.#scheduleAssignment();
   }
 
   /** Sets the number of samples that other nodes run on each engine. */
   setRunningElsewhere(runningElsewhere: ReadonlyMap<string, number>): void {
     this.#availability.setRunningElsewhere(runningElsewhere);
+    this.#loads.setRunningElsewhere(runningElsewhere);
     this.#assignEngines();
   }
 
@@ -306,14 +333,29 @@
     });
   }
 
+  #getKnownVersion(identifier: string, model: string): number {
+    const engine = this.#servers.servers.get(identifier);
+    const version = engine === undefined
+      ? undefined
+      : this.#availability.getVersion(engine, model);
+    return version ?? this.#states.get(identifier)?.getReportedVersion(model) ??
+      0;
+  }
+
+  // The records of other nodes do not tell the model of their runs.
+  #countModelRunsElsewhere(identifier: string): number {
+    const models = this.#servers.servers.get(identifier)?.weightVersions.size;
+    if (models !== 1) return 0;
+    return this.#availability.runningElsewhere.get(identifier) ?? 0;
+  }
+
   #listRunning(): ReadonlyArray<RunningEngine> {
-    const now = this.#clock.monotonic();
     return [...this.#states]
       .filter(([, state]) => state.running > 0)
       .map(([identifier, state]) => ({
         identifier,
         quietSince: state.quietSince,
-        isLoading: state.isLoading(now),
+        isLoading: this.#loads.isLoading(identifier),
       }));
   }
 
@@ -336,9 +378,9 @@
     this.#planGroups();
     while (this.#queue.size > 0) {
       const next = this.#queue.take((requirements) =>
-        this.#availability.findAvailable(requirements).length > 0
+        this.#availability.findCandidates(requirements).length > 0
       );
-      if (next === undefined) return this.#waitForRoom();
+      if (next === undefined) return this.#planNextAssignment();
       const engine = this.#chooseEngine(next.request);
       if (engine !== undefined) this.#start(next, engine);
     }
@@ -350,13 +392,32 @@
     this.#planGroups();
     for (;;) {
       const next = this.#queue.take((requirements) =>
-        this.#availability.isAvailable(engine, requirements)
+        this.#availability.isCandidate(engine, requirements)
       );
-      if (next === undefined) return this.#waitForRoom();
+      if (next === undefined) return this.#planNextAssignment();
       this.#start(next, engine);
     }
   }
 
+  #planNextAssignment(): void {
+    this.#waitForLoads();
+    this.#waitForRoom();
+  }
+
+  // Waits until a load that keeps one of the waiting samples from an engine is expected to end.
+  #waitForLoads(): void {
+    if (!this.#loads.isAnyAssumed) return;
+    const ends = this.#queue.requirements.map((requirements) =>
+      this.#availability.findLoadEnd(requirements)
+    );
+    const end = Math.min(Infinity, ...ends);
+    const now = this.#clock.monotonic();
+    if (end === Infinity) return;
+    if (this.#loadEndAt > now && this.#loadEndAt <= end) return;
+    this.#loadEndAt = end;
+    this.#assignAfter(end - now);
+  }
+
   // Waits until the limit of an engine that is free otherwise allows one of the waiting samples.
   #waitForRoom(): void {
     if (this.#limits.size === 0) return;
@@ -384,6 +445,7 @@
       waiter.request,
       this.#clock.monotonic() + waiter.urgency.expectedMilliseconds,
     );
+    this.#loads.recordRequest(engine.identifier, waiter.request);
     this.#prompts.record(engine.identifier, waiter.request.prompt);
     waiter.resolve(engine);
   }
@@ -422,7 +484,7 @@
     const memoryTokens = this.#findMemoryTokens(requirements.service);
     const toMemoryShare = (tokens: number): number =>
       memoryTokens > 0 ? tokens / memoryTokens : 0;
-    const candidates = this.#availability.findAvailable(requirements).map(
+    const candidates = this.#availability.findCandidates(requirements).map(
       (engine): Candidate => ({
         engine,
         identifier: engine.identifier,
@@ -456,6 +518,7 @@
       const isUnregistered = !this.#servers.servers.has(identifier);
       if (isUnregistered && state.running === 0) {
         this.#states.delete(identifier);
+        this.#loads.forget(identifier);
         this.#prompts.forget(identifier);
       }
     }
--- a/source/durable_steps/engine_state.ts
+++ b/source/durable_steps/engine_state.ts
@@ -4,24 +4,18 @@
  */
 const REFUSAL_BACKOFF_MILLISECONDS = 60;
 const MAXIMUM_REFUSAL_BACKOFF_MILLISECONDS = 250;
+/**
+ * Time after a refusal in which an engine gets no request while another one is free. By then, the
+ * heartbeats tell whether the engine is full or loads weights.
+ */
+const AVOIDED_MILLISECONDS = 500;
 const FAILURE_BACKOFF_MILLISECONDS = 500;
 const MAXIMUM_FAILURE_BACKOFF_MILLISECONDS = 4000;
-/** Maximum time for which an ordered load may be in progress. */
-const LOAD_MILLISECONDS = 1600;
 /** Weight of a new measurement in the moving average of an engine's time per event. */
 const EVENT_TIME_WEIGHT = 0.15;
 /** Time after an engine's last event for which its measured time per event is used. */
 const EVENT_TIME_VALIDITY_MILLISECONDS = 4000;
 
-interface ExpectedVersion {
-  readonly model: string;
-  readonly version: number;
-  /** Monotonic time, in milliseconds, at which this node learned of the order. */
-  readonly since: number;
-  /** Monotonic time, in milliseconds, at which the assumption ends. */
-  readonly until: number;
-}
-
 /** What a node knows of one engine from its own requests; times are monotonic, in milliseconds. */
 export class EngineState {
   /** Number of this node's samples that run on the engine. */
@@ -35,23 +29,26 @@
   #failures = 0;
   #refusals = 0;
   #backoffUntil = 0;
+  #avoidedUntil = 0;
   #eventMilliseconds: number | undefined;
   #eventTimeMeasuredAt = 0;
   /**
    * Weight versions by model that the engine reported, often newer than those in its stored entry.
    */
   readonly #versions = new Map<string, number>();
-  /** Version that a node ordered and that is assumed to be loaded. */
-  #expectedVersion: ExpectedVersion | undefined;
 
   /**
    * Whether the engine accepts another request as far as this node's own requests tell. After a
    * refusal or failure, only one request at a time probes whether the engine accepts more.
+   * @param now - Monotonic time, in milliseconds.
+   * @param isScarce - Whether a sample waits and no other engine is free.
    */
-  isAccepting(now: number): boolean {
+  isAccepting(now: number, isScarce: boolean): boolean {
     const isInDoubt = this.#refusals > 0 || this.#failures > 0;
     const isProbed = isInDoubt && this.unanswered > 0;
-    return !isProbed && this.#backoffUntil <= now;
+    const isAvoided = !isScarce && this.#refusals > 0 &&
+      this.#avoidedUntil > now;
+    return !isProbed && !isAvoided && this.#backoffUntil <= now;
   }
 
   /** Returns the average time per event; undefined without a recent measurement. */
@@ -78,6 +75,7 @@
     );
     this.#refusals += 1;
     this.#backoffUntil = now + pause;
+    this.#avoidedUntil = now + AVOIDED_MILLISECONDS;
     return pause;
   }
 
@@ -118,33 +116,8 @@
     return known !== undefined;
   }
 
-  /** Assumes until a time that the engine has loaded an ordered version. */
-  expectVersion(expected: ExpectedVersion): void {
-    const { model, version } = expected;
-    const current = this.#expectedVersion;
-    if (current?.model === model && current.version >= version) return;
-    this.#expectedVersion = expected;
-  }
-
-  /** Whether a load that a node ordered may be in progress. */
-  isLoading(now: number): boolean {
-    const expected = this.#expectedVersion;
-    if (expected === undefined) return false;
-    const reported = this.getReportedVersion(expected.model) ?? 0;
-    return reported < expected.version &&
-      now - expected.since < LOAD_MILLISECONDS;
-  }
-
   /** Returns the newest version of a model that the engine reported; undefined without a report. */
   getReportedVersion(model: string): number | undefined {
     return this.#versions.get(model);
   }
-
-  /** Returns the version of a model that the engine is assumed to load; 0 without an assumption. */
-  getExpectedVersion(model: string, now: number): number {
-    const expected = this.#expectedVersion;
-    return expected?.model === model && expected.until > now
-      ? expected.version
-      : 0;
-  }
 }
--- a/source/durable_steps/engine_use_exchange.ts
+++ b/source/durable_steps/engine_use_exchange.ts
@@ -1,11 +1,9 @@
 import type { ServerCallStatistics } from "../calls/server_call_statistics.ts";
+import { LOAD_ASSUMPTION_MILLISECONDS } from "../decisions/weight_load_wait.ts";
 import type { EngineUseRecord } from "../installation/node_record.ts";
 import type { Clock } from "../utilities/clock.ts";
 import type { EnginePool } from "./engine_pool.ts";
 
-/** Time for which nodes assume that an ordered load succeeded; a load takes about 1 s. */
-const LOAD_ASSUMPTION_MILLISECONDS = 4000;
-
 /** A weight load that this node ordered. */
 export interface OrderedLoad {
   readonly engine: string;
@@ -45,7 +43,7 @@
   /** Records a load that this node ordered, and lets the engine pool assume that it succeeded. */
   recordLoad(load: Omit<OrderedLoad, "acceptedAt">): void {
     this.#loads.push({ ...load, acceptedAt: this.#clock.monotonic() });
-    this.#pool.expectVersion(load, LOAD_ASSUMPTION_MILLISECONDS);
+    this.#pool.expectLoad({ ...load, ageMilliseconds: 0 });
   }
 
   /**
@@ -64,8 +62,8 @@
     if (this.#loads.length === 0 && Object.keys(running).length === 0) {
       return undefined;
     }
-    const loads = this.#loads.map(({ engine, model, version }) =>
-      [engine, model, version] as const
+    const loads = this.#loads.map(({ engine, model, version, acceptedAt }) =>
+      [engine, model, version, Math.round(now - acceptedAt)] as const
     );
     return { running, loads };
   }
@@ -80,9 +78,8 @@
           (runningElsewhere.get(engine) ?? 0) + count,
         );
       }
-      for (const [engine, model, version] of loads) {
-        const load = { engine, model, version };
-        this.#pool.expectVersion(load, LOAD_ASSUMPTION_MILLISECONDS);
+      for (const [engine, model, version, ageMilliseconds] of loads) {
+        this.#pool.expectLoad({ engine, model, version, ageMilliseconds });
       }
     }
     this.#pool.setRunningElsewhere(runningElsewhere);
--- a/source/durable_steps/sample_generation.ts
+++ b/source/durable_steps/sample_generation.ts
@@ -303,7 +303,7 @@
     if (failure.cause === "refused") {
       this.#refusals += 1;
       this.#options.pool.recordHeard(identifier);
-      this.#options.pool.recordRefusal(identifier);
+      this.#options.pool.recordBusy(identifier, this.#options.model);
     }
     return "retry";
   }
@@ -329,7 +329,7 @@
       this.#options.pool.recordRefusal(identifier);
       return "retry";
     }
-    this.#options.pool.recordStart(identifier);
+    this.#options.pool.recordStart(identifier, this.#options.model);
     this.#setActivity("reading");
     try {
       return await this.#readEvents(engine, route, answer);
--- a/source/duties/weight_load_scheduler.ts
+++ b/source/duties/weight_load_scheduler.ts
@@ -3,6 +3,7 @@
 import type { EnginePool } from "../durable_steps/engine_pool.ts";
 import type { BackendServerEntry } from "../installation/backend_server_entry.ts";
 import type { Configuration, Service } from "../installation/configuration.ts";
+import { needsSingleVersion } from "../installation/needs_single_version.ts";
 import type { OperatorView } from "../installation/operator_view.ts";
 import type { ServerLimits } from "../installation/server_limits.ts";
 import type { ServerView } from "../installation/server_view.ts";
@@ -297,13 +298,3 @@
     return state;
   }
 }
-
-function needsSingleVersion(
-  configuration: Configuration,
-  service: string,
-): boolean {
-  return configuration.routes.some((route) =>
-    route.isSingleVersion &&
-    route.services.some((share) => share.service === service)
-  );
-}
--- a/source/installation/node_record.ts
+++ b/source/installation/node_record.ts
@@ -64,6 +64,16 @@
 export interface EngineUseRecord {
   /** Number of running samples by engine. */
   readonly running: Readonly<Record<string, number>>;
-  /** Engine, model and version of each weight load that the node ordered recently. */
-  readonly loads: ReadonlyArray<readonly [string, string, number]>;
+  /**
+   * Engine, model and version of each weight load that the node ordered recently, and the age of the
+   * order in milliseconds; nodes of an earlier version publish no age.
+   */
+  readonly loads: ReadonlyArray<
+    readonly [
+      engine: string,
+      model: string,
+      version: number,
+      ageMilliseconds?: number,
+    ]
+  >;
 }
--- a/source/node/create_installation_node.ts
+++ b/source/node/create_installation_node.ts
@@ -29,6 +29,7 @@
 import { SubmissionStore } from "../durable_steps/submission_store.ts";
 import type { InstallationSettings } from "../installation/installation_settings.ts";
 import { isWallOffsetPublished } from "../installation/is_wall_offset_published.ts";
+import { needsSingleVersion } from "../installation/needs_single_version.ts";
 import { NodeRegister } from "../installation/node_register.ts";
 import { OperatorView } from "../installation/operator_view.ts";
 import { ContinuationClient } from "../installation/continuation_client.ts";
@@ -173,6 +174,11 @@
     isConnected: (engine) => client.isConnected(engine),
     findMemoryTokens: (service) =>
       operator.configuration?.services.get(service)?.engineMemoryTokens ?? 0,
+    finishesRunsBeforeLoads: (service) => {
+      const { configuration } = operator;
+      return configuration !== undefined &&
+        needsSingleVersion(configuration, service);
+    },
     onQuiet: () => void serverPaths.check(),
   });
   operator.watch(() => {
