Move a text only if it ends earlier elsewhere, and remember engines' speeds

Cause: a text left its engine whenever another one was faster by a factor of 2, however little of the text was left. Three things added to it. A load of weights interrupts the runs of an engine for about 1 s, which counted as the time for an event. All texts of an engine saw the same free slot at once. And a measurement was forgotten after 4 s, so that new texts went to slow engines as to usual ones.

A move must save 60 % of the remaining time, which no unevenness of up to 2.4 does, or 25 % where the engine became 2.5 times slower than it usually is. A text moves at most twice, and a node moves one text each 50 ms. engine_speed.ts keeps an engine's usual speed with a weight that halves each minute without events, limits one measurement to 5 times the average, and times in which weights were loaded are not measured.

--- a/source/decisions/engine_choice.ts
+++ b/source/decisions/engine_choice.ts
@@ -4,12 +4,12 @@
  */
 const SLOWDOWN_PER_RUN = 0.0015;
 /** Prompt tokens that an engine reads in a millisecond. */
-const PROMPT_TOKENS_PER_MILLISECOND = 330;
+export const PROMPT_TOKENS_PER_MILLISECOND = 330;
 /**
  * Cost of a new connection in milliseconds: the handshake, and a slot of the engine that it may hold
  * for a moment. Engines accept a limited number of connections from all nodes together.
  */
-const CONNECTION_MILLISECONDS = 8;
+export const CONNECTION_MILLISECONDS = 8;
 /** Cost of an engine whose memory is full, in milliseconds; other engines cost their share of it. */
 const MEMORY_MILLISECONDS = 40;
 /** Share of an engine's memory from which on running samples may be preempted as they grow. */
@@ -27,7 +27,7 @@
   readonly identifier: string;
   /** Number of runs of all nodes, as far as this node knows. */
   readonly running: number;
-  /** Measured time for one event in milliseconds; undefined without a recent measurement. */
+  /** Expected time for one event in milliseconds; undefined if it was never measured. */
   readonly eventMilliseconds: number | undefined;
   /** Whether the engine has probably kept the shared part of the sample's prompt. */
   readonly hasPrompt: boolean;
--- a/source/durable_steps/engine_loads.ts
+++ b/source/durable_steps/engine_loads.ts
@@ -51,8 +51,8 @@
   runsElsewhere: number;
   /** Time at which a request ran that was sent after the expected end. */
   ranAt: number | undefined;
-  /** Whether the engine has reported the ordered version. */
-  isConfirmed: boolean;
+  /** Time at which the engine reported the ordered version. */
+  confirmedAt: number | undefined;
 }
 
 /** Dependencies of the record of loads. */
@@ -110,7 +110,7 @@
       runsBefore,
       runsElsewhere: engine.isFinishingRuns ? engine.runningElsewhere : 0,
       ranAt: undefined,
-      isConfirmed: false,
+      confirmedAt: undefined,
     };
     this.#loadsOf(load.engine).set(load.model, state);
     this.#lastOrderedAt = Math.max(this.#lastOrderedAt, orderedAt);
@@ -152,6 +152,14 @@
     );
   }
 
+  /** Whether a load may have interrupted the runs of an engine since a time. */
+  mayHaveInterrupted(engine: string, since: number): boolean {
+    return [...this.#loads.get(engine)?.values() ?? []].some((load) => {
+      const latestEnd = load.orderedAt + INTERRUPTION_MILLISECONDS;
+      return since <= Math.min(load.confirmedAt ?? latestEnd, latestEnd);
+    });
+  }
+
   /** Returns the version of a model that an engine is assumed to load; 0 without an assumption. */
   getExpectedVersion(engine: string, model: string): number {
     const load = this.#loads.get(engine)?.get(model);
@@ -217,10 +225,10 @@
   /** Records that an engine reported a version for the first time. */
   recordVersion(engine: string, model: string, version: number): void {
     const load = this.#loads.get(engine)?.get(model);
-    if (load === undefined || load.isConfirmed) return;
+    if (load === undefined || load.confirmedAt !== undefined) return;
     if (version < load.version) return;
-    load.isConfirmed = true;
-    const endedAt = load.ranAt ?? this.#options.clock.monotonic();
+    load.confirmedAt = this.#options.clock.monotonic();
+    const endedAt = load.ranAt ?? load.confirmedAt;
     const seen = endedAt - load.startsAt;
     const isFirstProbe = load.probe !== undefined && load.refusals === 0;
     this.#durations.record({
@@ -252,7 +260,8 @@
 
   #isComplete(engine: string, model: string): boolean {
     const load = this.#loads.get(engine)?.get(model);
-    return load === undefined || load.isConfirmed || load.ranAt !== undefined ||
+    return load === undefined || load.confirmedAt !== undefined ||
+      load.ranAt !== undefined ||
       this.#options.getKnownVersion(engine, model) >= load.version;
   }
 
--- a/source/durable_steps/engine_pool.ts
+++ b/source/durable_steps/engine_pool.ts
@@ -1,7 +1,3 @@
-import {
-  chooseEngine,
-  type EngineCandidate,
-} from "../decisions/engine_choice.ts";
 import { type QueuedSample, SampleQueue } from "../decisions/sample_queue.ts";
 import type { RunningEngine } from "../decisions/stalled_engines.ts";
 import type { BackendServerEntry } from "../installation/backend_server_entry.ts";
@@ -9,18 +5,12 @@
 import type { ServerView } from "../installation/server_view.ts";
 import type { Clock } from "../utilities/clock.ts";
 import { EngineAvailability } from "./engine_availability.ts";
+import { EnginePlacement, type RunningText } from "./engine_placement.ts";
 import { EngineLoads, type ExpectedLoad } from "./engine_loads.ts";
 import type { EngineRequest, EngineRequirements } from "./engine_request.ts";
 import { EngineStallWatch, type WatchedRun } from "./engine_stall_watch.ts";
 import { EngineState } from "./engine_state.ts";
-import { PromptMemory } from "./prompt_memory.ts";
-
-/** An engine is slow if its time per event exceeds this multiple of an available engine's time. */
-const SLOW_FACTOR = 2;
-/** Time per event that is assumed while no engine has a recent measurement. */
-const INITIAL_EVENT_MILLISECONDS = 40;
-/** Time for which the average time per event of all engines is used before it is computed again. */
-const USUAL_EVENT_TIME_VALIDITY_MILLISECONDS = 500;
+
 /** Minimum interval between two selections of the groups that are deferred. */
 const PLAN_INTERVAL_MILLISECONDS = 250;
 /** Expected remaining run time of a sample that another node runs. */
@@ -31,20 +21,14 @@
   readonly resolve: (engine: BackendServerEntry | undefined) => void;
 }
 
-interface Candidate extends EngineCandidate {
-  readonly engine: BackendServerEntry;
-}
-
 /** Assigns engine slots to samples. */
 export class EnginePool {
   readonly #clock: Clock;
   readonly #servers: ServerView;
   readonly #limits: ServerLimits;
-  readonly #isConnected: (engine: BackendServerEntry) => boolean;
-  readonly #findMemoryTokens: (service: string) => number;
   readonly #states = new Map<string, EngineState>();
   readonly #queue = new SampleQueue<EngineRequirements, EngineWaiter>();
-  readonly #prompts = new PromptMemory();
+  readonly #placement: EnginePlacement;
   readonly #availability: EngineAvailability;
   readonly #loads: EngineLoads;
   readonly #finishesRunsBeforeLoads: (service: string) => boolean;
@@ -58,8 +42,6 @@
   readonly #stallWatch: EngineStallWatch;
   /** Monotonic time, in milliseconds, at which engines are assigned as a limit allows a sample. */
   #roomAt = 0;
-  #usualEventMilliseconds = INITIAL_EVENT_MILLISECONDS;
-  #usualEventTimeComputedAt = -Infinity;
 
   /**
    * @param clock - Measures backoffs and event times.
@@ -97,8 +79,13 @@
     });
     this.#finishesRunsBeforeLoads = engines.finishesRunsBeforeLoads ??
       (() => false);
-    this.#isConnected = engines.isConnected;
-    this.#findMemoryTokens = engines.findMemoryTokens;
+    this.#placement = new EnginePlacement({
+      clock,
+      availability: this.#availability,
+      states: this.#states,
+      isConnected: engines.isConnected,
+      findMemoryTokens: engines.findMemoryTokens,
+    });
     this.#stallWatch = new EngineStallWatch({
       clock,
       listRunning: () => this.#listRunning(),
@@ -126,18 +113,7 @@
 
   /** Usual time for one event at the engines with a recent measurement, in milliseconds. */
   get usualEventMilliseconds(): number {
-    const now = this.#clock.monotonic();
-    const age = now - this.#usualEventTimeComputedAt;
-    if (age < USUAL_EVENT_TIME_VALIDITY_MILLISECONDS) {
-      return this.#usualEventMilliseconds;
-    }
-    this.#usualEventTimeComputedAt = now;
-    const measured = [...this.#states.values()]
-      .flatMap((state) => state.getEventMilliseconds(now) ?? [])
-      .sort((left, right) => left - right);
-    this.#usualEventMilliseconds = measured[measured.length >> 1] ??
-      this.#usualEventMilliseconds;
-    return this.#usualEventMilliseconds;
+    return this.#placement.usualEventMilliseconds;
   }
 
   /**
@@ -242,7 +218,7 @@
     const pause = this.#getState(identifier).recordRefusal(
       this.#clock.monotonic(),
     );
-    this.#prompts.forget(identifier);
+    this.#placement.forgetPrompts(identifier);
     if (pause !== undefined) this.#assignAfter(pause);
   }
 
@@ -250,7 +226,7 @@
    * Records that an engine failed, and starts a backoff that doubles with each consecutive failure.
    */
   recordFailure(identifier: string): void {
-    this.#prompts.forget(identifier);
+    this.#placement.forgetPrompts(identifier);
     const now = this.#clock.monotonic();
     const pause = this.#getState(identifier).recordFailure(now);
     if (pause !== undefined) this.#assignAfter(pause);
@@ -258,13 +234,16 @@
 
   /**
    * Records the time that an engine took for an event, and resets its numbers of failures and
-   * refusals.
+   * refusals. A time that a load of weights may have interrupted is not measured.
    * @param identifier - The engine.
    * @param milliseconds - Time since the previous event of the same response.
    */
   recordEvent(identifier: string, milliseconds: number): void {
     const now = this.#clock.monotonic();
-    this.#getState(identifier).recordEvent(milliseconds, now);
+    const state = this.#getState(identifier);
+    state.recordEvent();
+    if (this.#loads.mayHaveInterrupted(identifier, now - milliseconds)) return;
+    state.speed.record(milliseconds, now);
   }
 
   /** Records the weight version of a model that an engine reported. */
@@ -273,7 +252,7 @@
     this.#loads.recordVersion(identifier, model, version);
     if (!isNewer) return;
     // An engine discards the prompts it has read when it loads weights.
-    this.#prompts.forget(identifier);
+    this.#placement.forgetPrompts(identifier);
     this.#scheduleAssignment();
   }
 
@@ -318,19 +297,9 @@
     return this.#availability.findAvailable(requirements).length > 0;
   }
 
-  /** Whether an engine is much slower than an available one that could continue the sample. */
-  hasFasterAvailable(
-    identifier: string,
-    requirements: EngineRequirements,
-  ): boolean {
-    const eventMilliseconds = this.#getEventMilliseconds(identifier);
-    if (eventMilliseconds === undefined) return false;
-    if (eventMilliseconds <= this.usualEventMilliseconds) return false;
-    return this.#availability.findAvailable(requirements).some((engine) => {
-      if (engine.identifier === identifier) return false;
-      const other = this.#getEventMilliseconds(engine.identifier);
-      return other !== undefined && eventMilliseconds > SLOW_FACTOR * other;
-    });
+  /** Decides whether a text leaves its engine for a faster one; the caller must move it then. */
+  shouldMove(text: RunningText): boolean {
+    return this.#placement.shouldMove(text);
   }
 
   #getKnownVersion(identifier: string, model: string): number {
@@ -359,11 +328,6 @@
       }));
   }
 
-  #getEventMilliseconds(identifier: string): number | undefined {
-    const now = this.#clock.monotonic();
-    return this.#states.get(identifier)?.getEventMilliseconds(now);
-  }
-
   // Collects the samples that are added in one tick, since the most urgent one may come last.
   #scheduleAssignment(): void {
     if (this.#isAssignmentScheduled) return;
@@ -381,7 +345,7 @@
         this.#availability.findCandidates(requirements).length > 0
       );
       if (next === undefined) return this.#planNextAssignment();
-      const engine = this.#chooseEngine(next.request);
+      const engine = this.#placement.choose(next.request);
       if (engine !== undefined) this.#start(next, engine);
     }
   }
@@ -446,7 +410,7 @@
       this.#clock.monotonic() + waiter.urgency.expectedMilliseconds,
     );
     this.#loads.recordRequest(engine.identifier, waiter.request);
-    this.#prompts.record(engine.identifier, waiter.request.prompt);
+    this.#placement.recordPrompt(engine.identifier, waiter.request.prompt);
     waiter.resolve(engine);
   }
 
@@ -479,36 +443,6 @@
     return [...new Set(engines)].reduce((sum, { slots }) => sum + slots, 0);
   }
 
-  #chooseEngine(request: EngineRequest): BackendServerEntry | undefined {
-    const { requirements, prompt } = request;
-    const memoryTokens = this.#findMemoryTokens(requirements.service);
-    const toMemoryShare = (tokens: number): number =>
-      memoryTokens > 0 ? tokens / memoryTokens : 0;
-    const candidates = this.#availability.findCandidates(requirements).map(
-      (engine): Candidate => ({
-        engine,
-        identifier: engine.identifier,
-        running: this.#availability.countOccupiedSlots(engine),
-        eventMilliseconds: this.#getEventMilliseconds(engine.identifier),
-        memoryShare: toMemoryShare(
-          this.#availability.countTokens(engine, request.expectedTokens),
-        ),
-        isConnected: this.#isConnected(engine),
-        hasPrompt: this.#prompts.has(engine.identifier, prompt),
-        versionLead:
-          (this.#availability.getVersion(engine, requirements.model) ?? 0) -
-          requirements.minimumVersion,
-      }),
-    );
-    return chooseEngine(candidates, {
-      expectedEvents: request.expectedEvents,
-      promptTokens: request.promptTokens,
-      memoryShare: toMemoryShare(request.expectedTokens),
-      usualEventMilliseconds: this.usualEventMilliseconds,
-      avoidedEngine: request.avoidedEngine,
-    })?.engine;
-  }
-
   #assignAfter(milliseconds: number): void {
     void this.#clock.sleep(milliseconds + 1).then(() => this.#assignEngines());
   }
@@ -519,7 +453,7 @@
       if (isUnregistered && state.running === 0) {
         this.#states.delete(identifier);
         this.#loads.forget(identifier);
-        this.#prompts.forget(identifier);
+        this.#placement.forgetPrompts(identifier);
       }
     }
   }
--- a/source/durable_steps/engine_pool_test.ts
+++ b/source/durable_steps/engine_pool_test.ts
@@ -255,8 +255,54 @@
   await clock.advance(1000);
   const toRequirements = (allowedRegions: AllowedRegions | undefined) =>
     createRequest("r", allowedRegions && { allowedRegions } || {}).requirements;
-  t.true(pool.hasFasterAvailable("e1", toRequirements(undefined)));
-  t.false(pool.hasFasterAvailable("e1", toRequirements(allow("e1"))));
+  const toText = (requirements: EngineRequest["requirements"]) => ({
+    engine: "e1",
+    requirements,
+    remainingEvents: 60,
+    tokens: 1000,
+    moves: 0,
+  });
+  t.false(pool.shouldMove(toText(toRequirements(allow("e1")))));
+  t.true(pool.shouldMove(toText(toRequirements(allow("e3")))));
   t.true(pool.hasAvailable(toRequirements(allow("e3"))));
   t.false(pool.hasAvailable(toRequirements(allow("e9"))));
 });
+
+// Guards against moves after each load, whose interruption counted as the time for an event.
+test("the interruption by a load of weights does not make an engine slow", async (t) => {
+  const { clock, pool, ask } = await createFixture("e1", "e2", "e3");
+  void ask("one");
+  await clock.advance(1);
+  for (let event = 0; event < 50; event += 1) {
+    await clock.advance(40);
+    for (const engine of ["e1", "e2", "e3"]) pool.recordEvent(engine, 40);
+  }
+  pool.expectLoad({
+    engine: "e1",
+    model: "m",
+    version: 2,
+    ageMilliseconds: 0,
+  });
+  await clock.advance(900);
+  pool.recordVersion("e1", "m", 2);
+  for (let run = 0; run < 6; run += 1) pool.recordEvent("e1", 900);
+  const text = {
+    engine: "e1",
+    requirements: createRequest("", {}).requirements,
+    remainingEvents: 30,
+    tokens: 1000,
+    moves: 0,
+  };
+  t.false(pool.shouldMove(text));
+  for (let event = 0; event < 20; event += 1) {
+    await clock.advance(200);
+    pool.recordEvent("e1", 200);
+    pool.recordEvent("e2", 40);
+    pool.recordEvent("e3", 40);
+  }
+  t.true(pool.shouldMove(text));
+  t.false(pool.shouldMove(text), "one free slot is enough for one text");
+  await clock.advance(50);
+  t.true(pool.shouldMove(text));
+  t.false(pool.shouldMove({ ...text, moves: 2 }));
+});
--- a/source/durable_steps/engine_state.ts
+++ b/source/durable_steps/engine_state.ts
@@ -1,3 +1,5 @@
+import { EngineSpeed } from "../decisions/engine_speed.ts";
+
 /**
  * Backoff after the first refusal of an engine, for example because it is full or loading weights.
  * A load takes about 1 s.
@@ -11,10 +13,6 @@
 const AVOIDED_MILLISECONDS = 500;
 const FAILURE_BACKOFF_MILLISECONDS = 500;
 const MAXIMUM_FAILURE_BACKOFF_MILLISECONDS = 4000;
-/** Weight of a new measurement in the moving average of an engine's time per event. */
-const EVENT_TIME_WEIGHT = 0.15;
-/** Time after an engine's last event for which its measured time per event is used. */
-const EVENT_TIME_VALIDITY_MILLISECONDS = 4000;
 
 /** What a node knows of one engine from its own requests; times are monotonic, in milliseconds. */
 export class EngineState {
@@ -30,8 +28,8 @@
   #refusals = 0;
   #backoffUntil = 0;
   #avoidedUntil = 0;
-  #eventMilliseconds: number | undefined;
-  #eventTimeMeasuredAt = 0;
+  /** Time that the engine takes for an event. */
+  readonly speed = new EngineSpeed();
   /**
    * Weight versions by model that the engine reported, often newer than those in its stored entry.
    */
@@ -51,13 +49,6 @@
     return !isProbed && !isAvoided && this.#backoffUntil <= now;
   }
 
-  /** Returns the average time per event; undefined without a recent measurement. */
-  getEventMilliseconds(now: number): number | undefined {
-    return now - this.#eventTimeMeasuredAt < EVENT_TIME_VALIDITY_MILLISECONDS
-      ? this.#eventMilliseconds
-      : undefined;
-  }
-
   /** Records that the engine runs a request. Returns whether it had refused one before. */
   recordStart(): boolean {
     const hadRefused = this.#refusals > 0;
@@ -95,14 +86,10 @@
     return pause;
   }
 
-  /** Records the time since the previous event of the same response. */
-  recordEvent(milliseconds: number, now: number): void {
+  /** Records that the engine sent an event, which ends its failures and refusals. */
+  recordEvent(): void {
     this.#failures = 0;
     this.#refusals = 0;
-    const average = this.#eventMilliseconds ?? milliseconds;
-    this.#eventMilliseconds = average +
-      EVENT_TIME_WEIGHT * (milliseconds - average);
-    this.#eventTimeMeasuredAt = now;
   }
 
   /**
--- a/source/durable_steps/sample_generation.ts
+++ b/source/durable_steps/sample_generation.ts
@@ -30,6 +30,8 @@
 const CONTINUATION_CHECK_MILLISECONDS = 100;
 /** Number of events between two checks for a faster engine. */
 const EVENTS_BETWEEN_SPEED_CHECKS = 4;
+/** Least share of a text's events that are left, as estimates of its length are often exceeded. */
+const EXCEEDED_SHARE = 0.5;
 
 /** The result of generating a text. */
 export type GenerationOutcome =
@@ -406,10 +408,28 @@
     engine: BackendServerEntry,
     route: ServiceRoute,
   ): boolean {
-    return this.#options.pool.hasFasterAvailable(
-      engine.identifier,
-      this.#getRequirements(route),
+    const { sample, text, textLengths, pool } = this.#options;
+    const { expectedTokens, maximumTokens } = sample;
+    const length = { expectedTokens, maximumTokens };
+    const madeEvents = text.parts.length;
+    const remainingEvents = Math.max(
+      textLengths.expectEvents({ ...length, madeEvents }),
+      EXCEEDED_SHARE * madeEvents,
     );
+    const totalEvents = textLengths.expectEvents({ ...length, madeEvents: 0 });
+    const textTokens = textLengths.expectTokens({ ...length, madeEvents: 0 });
+    const promptTokens = sample.promptParts.reduce(
+      (sum, { tokens }) => sum + tokens,
+      0,
+    );
+    return pool.shouldMove({
+      engine: engine.identifier,
+      requirements: this.#getRequirements(route),
+      remainingEvents,
+      tokens: promptTokens +
+        textTokens * Math.min(1, madeEvents / totalEvents),
+      moves: this.#moves,
+    });
   }
 
   #isUsable(version: number | undefined, route: ServiceRoute): boolean {
