Divide the free slots of engines between the nodes that use them

Cause: each node chose engines from heartbeats that are some hundred milliseconds old, by the same costs and in the same order. All nodes saw the same free slots and took the same ones, so engines were overloaded in turn.

Ruled out: random ties alone, which leave the fast engines to all nodes; a cost for slots of others, which the differences in speed outweigh; shares of the slots that are free now, since a slot that a node frees stays unused until the others know; shares for all nodes, used or not, which left groups of 16 samples to borrow nearly all slots; and a pause between two sends to engines outside the share, with which samples waited longer than before.

Change: slot_share.ts divides what is free of an engine between the nodes that use its service, in an order that differs between engines. A node may also use again what the others believe it to use, so shares add up to the slots. Slots of others are lent while the requests expected of them fit in as well. Ties and borrowed slots are spread differently at each node. A node that is alone at a service chooses as before. Plain servers: a cost factor for slots of others and for full servers. Nothing is added to heartbeats.

--- a/source/calls/server_call_statistics.ts
+++ b/source/calls/server_call_statistics.ts
@@ -1,5 +1,6 @@
 import type { BackendServerEntry } from "../installation/backend_server_entry.ts";
 import type { ServerLimits } from "../installation/server_limits.ts";
+import type { SlotSharing } from "../installation/slot_sharing.ts";
 import type { Clock } from "../utilities/clock.ts";
 import type { RandomSource } from "../utilities/random_source.ts";
 
@@ -19,6 +20,13 @@
  * briefly uses capacity of the server.
  */
 const NEW_CONNECTION_FACTOR = 1.4;
+/**
+ * Cost factor of a free slot that belongs to another node's share, which the other node may use at
+ * the same moment.
+ */
+const BORROWED_FACTOR = 1.5;
+/** Cost factor of a server whose slots are all in use, so that it queues the request. */
+const FULL_FACTOR = 3;
 
 interface ServerState {
   running: number;
@@ -36,6 +44,8 @@
   /** Failure domain of this node. */
   readonly failureDomain: string;
   readonly limits: ServerLimits;
+  /** Divides the free slots between the nodes; without it, all belong to this one. */
+  readonly sharing?: SlotSharing;
   /** Whether an idle connection to the server is open. */
   readonly isConnected: (server: BackendServerEntry) => boolean;
 }
@@ -232,7 +242,17 @@
     const randomFactor = 1 + 0.2 * random.next();
     const connectionFactor = isConnected(server) ? 1 : NEW_CONNECTION_FACTOR;
     return durationMilliseconds * loadFactor * domainFactor * connectionFactor *
-      randomFactor;
+      this.#slotFactor(server) * randomFactor;
+  }
+
+  #slotFactor(server: BackendServerEntry): number {
+    const { sharing } = this.#options;
+    const { identifier, service, slots } = server;
+    if (sharing === undefined || sharing.countNodes(service) === 1) return 1;
+    const running = this.running(identifier);
+    const elsewhere = this.#runningElsewhere.get(identifier) ?? 0;
+    if (sharing.isWithinShare(server, { running, elsewhere })) return 1;
+    return running + elsewhere < slots ? BORROWED_FACTOR : FULL_FACTOR;
   }
 
   #state(identifier: string): ServerState {
--- a/source/decisions/engine_choice.ts
+++ b/source/decisions/engine_choice.ts
@@ -16,6 +16,13 @@
 const SAFE_MEMORY_SHARE = 0.85;
 /** Cost of a preempted sample in milliseconds: it waits for memory and is read in again. */
 const PREEMPTION_MILLISECONDS = 1500;
+/** Cost in milliseconds by which nodes choose differently among engines that are alike. */
+const TIE_MILLISECONDS = 4;
+/**
+ * Factor of these costs for slots that other nodes may choose at the same moment. Spreading the nodes
+ * over the engines is worth a slower run then.
+ */
+const SPREAD_FACTOR = 400;
 /** Cost in milliseconds that is added to an engine at which the sample has just failed. */
 const AVOIDANCE_MILLISECONDS = 1e6;
 /** Reduction of the cost, in milliseconds, for each version by which an engine's weights are newer. */
@@ -37,6 +44,10 @@
   readonly isConnected: boolean;
   /** Number of versions by which the engine's weights are newer than the oldest allowed ones. */
   readonly versionLead: number;
+  /**
+   * Number that differs between nodes for the same engine, usually from 0 up to but not including 1.
+   */
+  readonly tieBreak?: number;
 }
 
 /** The sample that needs an engine. */
@@ -81,11 +92,29 @@
   return best;
 }
 
+/**
+ * Returns a candidate for a choice that other nodes may make alike at the same moment.
+ * @param candidate - The engine.
+ * @example
+ * ```ts
+ * const engine = chooseEngine(lent.map(spread), sample);
+ * ```
+ */
+export function spread<Candidate extends EngineCandidate>(
+  candidate: Candidate,
+): Candidate {
+  return {
+    ...candidate,
+    tieBreak: SPREAD_FACTOR * (candidate.tieBreak ?? 0),
+  };
+}
+
 function estimateCost(
   candidate: EngineCandidate,
   sample: PlacedSample,
 ): number {
   const { running, hasPrompt, isConnected, versionLead } = candidate;
+  const { tieBreak = 0 } = candidate;
   const eventMilliseconds = candidate.eventMilliseconds ??
     sample.usualEventMilliseconds;
   const runMilliseconds = sample.expectedEvents * eventMilliseconds;
@@ -101,6 +130,7 @@
   const isAvoided = candidate.identifier === sample.avoidedEngine;
   return runMilliseconds * (1 + slowdown) + readMilliseconds * (1 + running) +
     connectionMilliseconds + memoryMilliseconds +
+    TIE_MILLISECONDS * tieBreak +
     (isAvoided ? AVOIDANCE_MILLISECONDS : 0) -
     MILLISECONDS_PER_VERSION * Math.min(MAXIMUM_VERSION_LEAD, versionLead);
 }
--- a/source/durable_steps/engine_availability.ts
+++ b/source/durable_steps/engine_availability.ts
@@ -1,7 +1,17 @@
 import { mayProcess } from "../decisions/allowed_regions.ts";
+import {
+  BLOCKED_MILLISECONDS,
+  isLent,
+  QUEUED_REQUESTS,
+  VIEW_AGE_MILLISECONDS,
+} from "../decisions/slot_share.ts";
 import type { BackendServerEntry } from "../installation/backend_server_entry.ts";
 import type { ServerLimits } from "../installation/server_limits.ts";
 import type { ServerView } from "../installation/server_view.ts";
+import type {
+  ServerRequests,
+  SlotSharing,
+} from "../installation/slot_sharing.ts";
 import type { Clock } from "../utilities/clock.ts";
 import type { EngineLoads } from "./engine_loads.ts";
 import type { EngineRequirements } from "./engine_request.ts";
@@ -22,12 +32,25 @@
   readonly states: ReadonlyMap<string, EngineState>;
   /** Loads of weights that nodes ordered. */
   readonly loads: EngineLoads;
+  /** Divides the free slots between the nodes; without it, all belong to this one. */
+  readonly sharing: SlotSharing | undefined;
+  /** Returns the usual time of a run, in milliseconds. */
+  readonly usualRunMilliseconds: () => number;
+}
+
+/** An engine that a waiting sample may be sent to. */
+export interface CandidateEngine {
+  readonly engine: BackendServerEntry;
+  /** Whether other nodes may choose its slot at the same moment. */
+  readonly isShared: boolean;
 }
 
 /** Tells which engines can run a sample, as far as a node knows. */
 export class EngineAvailability {
   readonly #options: EngineAvailabilityOptions;
   #runningElsewhere: ReadonlyMap<string, number> = new Map();
+  /** Time since which samples have found no slot of this node's share, by service and model. */
+  readonly #blockedSince = new Map<string, number>();
 
   /** @param options - The registered engines, their limits and this node's use of them. */
   constructor(options: EngineAvailabilityOptions) {
@@ -54,17 +77,23 @@
   }
 
   /**
-   * Returns the engines that a waiting sample may be sent to now. If there is no other, these are
-   * engines that refused a request or were ordered to load weights a while ago.
+   * Returns the engines that a waiting sample may be sent to now: those with a slot of this node's
+   * share, else those whose slots are lent, else those of whose queue this node has a share. When a
+   * sample has found none for a while, these are all that may have a slot.
    */
   findCandidates(
     requirements: EngineRequirements,
-  ): ReadonlyArray<BackendServerEntry> {
+  ): ReadonlyArray<CandidateEngine> {
+    const { sharing } = this.#options;
+    const isShared = sharing !== undefined &&
+      sharing.countNodes(requirements.service) > 1;
     const available = this.findAvailable(requirements);
-    if (available.length > 0) return available;
-    return this.#ofService(requirements).filter((engine) =>
-      this.#isFree(engine, requirements, true) && this.#hasRoom(engine)
-    );
+    if (!isShared) {
+      return available.length > 0
+        ? available.map(toUnshared)
+        : this.#findDoubtful(requirements).map(toUnshared);
+    }
+    return this.#findShared(available, { requirements, sharing });
   }
 
   /** Whether a waiting sample may be sent to an engine now. */
@@ -72,9 +101,101 @@
     engine: BackendServerEntry,
     requirements: EngineRequirements,
   ): boolean {
-    if (this.isAvailable(engine, requirements)) return true;
+    const { sharing } = this.#options;
+    if (this.isAvailable(engine, requirements)) {
+      const isOwn = sharing === undefined ||
+        sharing.isWithinShare(engine, this.#countRequests(engine));
+      if (isOwn) return true;
+    }
     return this.#isFree(engine, requirements, true) && this.#hasRoom(engine) &&
-      this.findAvailable(requirements).length === 0;
+      this.findCandidates(requirements).some((candidate) =>
+        candidate.engine === engine
+      );
+  }
+
+  /** Whether samples wait for a slot of this node's share. */
+  get isWaitingForShare(): boolean {
+    return this.#blockedSince.size > 0;
+  }
+
+  // Whether samples have found no slot of this node's share for a while.
+  #isBlocked({ service, model }: EngineRequirements): boolean {
+    const since = this.#blockedSince.get(`${service}/${model}`);
+    return since !== undefined &&
+      this.#options.clock.monotonic() - since >= BLOCKED_MILLISECONDS;
+  }
+
+  #findShared(
+    available: ReadonlyArray<BackendServerEntry>,
+    { requirements, sharing }: {
+      readonly requirements: EngineRequirements;
+      readonly sharing: SlotSharing;
+    },
+  ): ReadonlyArray<CandidateEngine> {
+    const { service, model } = requirements;
+    const key = `${service}/${model}`;
+    const isOwn = (engine: BackendServerEntry, queue: number): boolean =>
+      sharing.isWithinShare(
+        { ...engine, slots: engine.slots + queue },
+        this.#countRequests(engine),
+      );
+    const own = available.filter((engine) => isOwn(engine, 0));
+    const requestsPerSlot = own.length > 0
+      ? 0
+      : this.#countRequestsPerSlot(requirements);
+    const lent = own.length > 0
+      ? []
+      : available.filter((engine) =>
+        isLent(engine.slots - this.countOccupiedSlots(engine), requestsPerSlot)
+      );
+    const queued = own.length > 0 || lent.length > 0
+      ? []
+      : this.#findDoubtful(requirements).filter((engine) =>
+        isOwn(engine, QUEUED_REQUESTS)
+      );
+    if (own.length > 0 || lent.length > 0 || queued.length > 0) {
+      this.#blockedSince.delete(key);
+      return [
+        ...own.map(toUnshared),
+        ...lent.map(toShared),
+        ...queued.map(toUnshared),
+      ];
+    }
+    const now = this.#options.clock.monotonic();
+    if (!this.#blockedSince.has(key)) this.#blockedSince.set(key, now);
+    if (!this.#isBlocked(requirements)) return [];
+    return (available.length > 0 ? available : this.#findDoubtful(requirements))
+      .map(toShared);
+  }
+
+  // Returns the engines that may have a slot, though they have refused requests, loaded weights or
+  // seem to be full.
+  #findDoubtful(
+    requirements: EngineRequirements,
+  ): ReadonlyArray<BackendServerEntry> {
+    return this.#ofService(requirements).filter((engine) =>
+      this.#isFree(engine, requirements, true) && this.#hasRoom(engine)
+    );
+  }
+
+  // Returns the number of requests that other nodes are expected to send for each free slot before
+  // they know of a request that is sent now.
+  #countRequestsPerSlot(requirements: EngineRequirements): number {
+    let free = 0;
+    let elsewhere = 0;
+    for (const engine of this.#ofService(requirements)) {
+      free += Math.max(0, engine.slots - this.countOccupiedSlots(engine));
+      elsewhere += this.#runningElsewhere.get(engine.identifier) ?? 0;
+    }
+    return elsewhere * VIEW_AGE_MILLISECONDS /
+      this.#options.usualRunMilliseconds() / Math.max(1, free);
+  }
+
+  #countRequests({ identifier }: BackendServerEntry): ServerRequests {
+    return {
+      running: this.#options.states.get(identifier)?.running ?? 0,
+      elsewhere: this.#runningElsewhere.get(identifier) ?? 0,
+    };
   }
 
   /** Returns the engines that have a free slot for a sample, whether their limit allows it or not. */
@@ -205,3 +326,11 @@
       (exactVersion === undefined || version === exactVersion);
   }
 }
+
+function toUnshared(engine: BackendServerEntry): CandidateEngine {
+  return { engine, isShared: false };
+}
+
+function toShared(engine: BackendServerEntry): CandidateEngine {
+  return { engine, isShared: true };
+}
--- a/source/durable_steps/engine_placement.ts
+++ b/source/durable_steps/engine_placement.ts
@@ -1,9 +1,11 @@
 import {
   chooseEngine,
   type EngineCandidate,
+  spread,
 } from "../decisions/engine_choice.ts";
 import { shouldMove } from "../decisions/engine_move.ts";
 import type { BackendServerEntry } from "../installation/backend_server_entry.ts";
+import type { SlotSharing } from "../installation/slot_sharing.ts";
 import type { Clock } from "../utilities/clock.ts";
 import type { EngineAvailability } from "./engine_availability.ts";
 import type { EngineRequest, EngineRequirements } from "./engine_request.ts";
@@ -33,6 +35,8 @@
   readonly availability: EngineAvailability;
   /** States of the engines that this node has used, by identifier. */
   readonly states: ReadonlyMap<string, EngineState>;
+  /** Divides the free slots between the nodes; without it, all belong to this one. */
+  readonly sharing: SlotSharing | undefined;
   /** Whether an idle connection to an engine is open. */
   readonly isConnected: (engine: BackendServerEntry) => boolean;
   /** Returns the tokens that an engine of a service has memory for; 0 when it is not known. */
@@ -86,7 +90,10 @@
   choose(request: EngineRequest): BackendServerEntry | undefined {
     const { availability } = this.#options;
     const candidates = availability.findCandidates(request.requirements).map(
-      (engine) => this.#toCandidate(engine, request),
+      ({ engine, isShared }) => {
+        const candidate = this.#toCandidate(engine, request);
+        return isShared ? spread(candidate) : candidate;
+      },
     );
     return chooseEngine(candidates, {
       expectedEvents: request.expectedEvents,
@@ -153,11 +160,19 @@
       ),
       isConnected: isConnected(engine),
       hasPrompt: this.#prompts.has(identifier, request.prompt),
+      tieBreak: this.#breakTie(engine),
       versionLead: (availability.getVersion(engine, model) ?? 0) -
         minimumVersion,
     };
   }
 
+  #breakTie({ identifier, service }: BackendServerEntry): number {
+    const { sharing } = this.#options;
+    return sharing === undefined || sharing.countNodes(service) === 1
+      ? 0
+      : sharing.breakTie(identifier);
+  }
+
   #toMemoryShare({ requirements }: EngineRequest, tokens: number): number {
     const memory = this.#options.findMemoryTokens(requirements.service);
     return memory > 0 ? tokens / memory : 0;
--- a/source/durable_steps/engine_pool.ts
+++ b/source/durable_steps/engine_pool.ts
@@ -1,7 +1,9 @@
+import { BLOCKED_MILLISECONDS } from "../decisions/slot_share.ts";
 import { type QueuedSample, SampleQueue } from "../decisions/sample_queue.ts";
 import type { RunningEngine } from "../decisions/stalled_engines.ts";
 import type { BackendServerEntry } from "../installation/backend_server_entry.ts";
 import type { ServerLimits } from "../installation/server_limits.ts";
+import type { SlotSharing } from "../installation/slot_sharing.ts";
 import type { ServerView } from "../installation/server_view.ts";
 import type { Clock } from "../utilities/clock.ts";
 import { EngineAvailability } from "./engine_availability.ts";
@@ -13,6 +15,10 @@
 
 /** Minimum interval between two selections of the groups that are deferred. */
 const PLAN_INTERVAL_MILLISECONDS = 250;
+/** Time of a run that is assumed before the first one. */
+const INITIAL_RUN_MILLISECONDS = 1000;
+/** Weight of a new run in the moving average of the expected time of runs. */
+const RUN_WEIGHT = 0.05;
 /** Expected remaining run time of a sample that another node runs. */
 const RUN_ELSEWHERE_MILLISECONDS = 500;
 
@@ -28,9 +34,12 @@
   readonly #limits: ServerLimits;
   readonly #states = new Map<string, EngineState>();
   readonly #queue = new SampleQueue<EngineRequirements, EngineWaiter>();
+  /** Monotonic time, in milliseconds, at which samples that found no share are assigned. */
+  #shareWaitEndsAt = 0;
   readonly #placement: EnginePlacement;
   readonly #availability: EngineAvailability;
   readonly #loads: EngineLoads;
+  #usualRunMilliseconds = INITIAL_RUN_MILLISECONDS;
   readonly #finishesRunsBeforeLoads: (service: string) => boolean;
   /** Monotonic time, in milliseconds, at which engines are assigned as a load is expected to end. */
   #loadEndAt = 0;
@@ -53,6 +62,8 @@
     engines: {
       readonly servers: ServerView;
       readonly limits: ServerLimits;
+      /** Divides the free slots between the nodes; without it, all belong to this one. */
+      readonly sharing?: SlotSharing;
       readonly isConnected: (engine: BackendServerEntry) => boolean;
       readonly findMemoryTokens: (service: string) => number;
       /** Whether the engines of a service finish their runs before they load weights. */
@@ -76,6 +87,8 @@
       limits,
       states: this.#states,
       loads: this.#loads,
+      sharing: engines.sharing,
+      usualRunMilliseconds: () => this.#usualRunMilliseconds,
     });
     this.#finishesRunsBeforeLoads = engines.finishesRunsBeforeLoads ??
       (() => false);
@@ -83,6 +96,7 @@
       clock,
       availability: this.#availability,
       states: this.#states,
+      sharing: engines.sharing,
       isConnected: engines.isConnected,
       findMemoryTokens: engines.findMemoryTokens,
     });
@@ -365,9 +379,19 @@
 
   #planNextAssignment(): void {
     this.#waitForLoads();
+    this.#waitForShare();
     this.#waitForRoom();
   }
 
+  // Waits until samples may be sent to engines that belong to no share of this node.
+  #waitForShare(): void {
+    if (!this.#availability.isWaitingForShare || this.#queue.size === 0) return;
+    const now = this.#clock.monotonic();
+    if (this.#shareWaitEndsAt > now) return;
+    this.#shareWaitEndsAt = now + BLOCKED_MILLISECONDS;
+    this.#assignAfter(BLOCKED_MILLISECONDS);
+  }
+
   // Waits until a load that keeps one of the waiting samples from an engine is expected to end.
   #waitForLoads(): void {
     if (!this.#loads.isAnyAssumed) return;
@@ -405,6 +429,8 @@
     state.tokens += waiter.request.expectedTokens;
     state.unanswered += 1;
     this.#limits.recordRequest(engine.identifier);
+    this.#usualRunMilliseconds += RUN_WEIGHT *
+      (waiter.urgency.expectedMilliseconds - this.#usualRunMilliseconds);
     this.#expectedEnds.set(
       waiter.request,
       this.#clock.monotonic() + waiter.urgency.expectedMilliseconds,
--- a/source/durable_steps/engine_use_exchange.ts
+++ b/source/durable_steps/engine_use_exchange.ts
@@ -1,6 +1,7 @@
 import type { ServerCallStatistics } from "../calls/server_call_statistics.ts";
 import { LOAD_ASSUMPTION_MILLISECONDS } from "../decisions/weight_load_wait.ts";
 import type { EngineUseRecord } from "../installation/node_record.ts";
+import type { NodeUse, SlotSharing } from "../installation/slot_sharing.ts";
 import type { Clock } from "../utilities/clock.ts";
 import type { EnginePool } from "./engine_pool.ts";
 
@@ -22,6 +23,7 @@
   readonly #clock: Clock;
   readonly #pool: EnginePool;
   readonly #statistics: ServerCallStatistics;
+  readonly #sharing: SlotSharing | undefined;
   #loads: OrderedLoad[] = [];
 
   /**
@@ -33,11 +35,13 @@
     users: {
       readonly pool: EnginePool;
       readonly statistics: ServerCallStatistics;
+      readonly sharing?: SlotSharing;
     },
   ) {
     this.#clock = clock;
     this.#pool = users.pool;
     this.#statistics = users.statistics;
+    this.#sharing = users.sharing;
   }
 
   /** Records a load that this node ordered, and lets the engine pool assume that it succeeded. */
@@ -59,6 +63,7 @@
       ...this.#pool.runningByEngine(),
       ...this.#statistics.runningByServer(),
     };
+    this.#sharing?.recordPublished(running);
     if (this.#loads.length === 0 && Object.keys(running).length === 0) {
       return undefined;
     }
@@ -69,7 +74,9 @@
   }
 
   /** Applies the latest records of all other nodes to the engine pool. */
-  apply(records: ReadonlyArray<EngineUseRecord>): void {
+  apply(uses: ReadonlyArray<NodeUse>): void {
+    this.#sharing?.apply(uses);
+    const records = uses.flatMap(({ engineUse }) => engineUse ?? []);
     const runningElsewhere = new Map<string, number>();
     for (const { running, loads } of records) {
       for (const [engine, count] of Object.entries(running)) {
--- a/source/durable_steps/engine_use_exchange_test.ts
+++ b/source/durable_steps/engine_use_exchange_test.ts
@@ -1,11 +1,14 @@
 import test from "ava";
 import { createServerEntry } from "../../stand_ins/installation/create_server_entry.ts";
 import { ServerCallStatistics } from "../calls/server_call_statistics.ts";
+import { createRendezvous } from "../membership/rendezvous.ts";
 import { createRandomSource } from "../utilities/random_source.ts";
 import { ServerLimits } from "../installation/server_limits.ts";
 import { ServerView } from "../installation/server_view.ts";
 import { MemoryDurableTable } from "../../stand_ins/installation/memory_durable_table.ts";
 import { RecordingEventLog } from "../observability/event_log.ts";
+import type { EngineUseRecord } from "../installation/node_record.ts";
+import { type NodeUse, SlotSharing } from "../installation/slot_sharing.ts";
 import { SystemClock } from "../utilities/system_clock.ts";
 import { EngineUseExchange } from "./engine_use_exchange.ts";
 import { EnginePool } from "./engine_pool.ts";
@@ -35,12 +38,21 @@
   avoidedEngine: undefined,
 };
 
+function toUses(
+  ...records: ReadonlyArray<EngineUseRecord>
+): ReadonlyArray<NodeUse> {
+  return records.map((engineUse, index) => ({
+    node: `n${index + 2}`,
+    engineUse,
+  }));
+}
+
 interface Users {
   readonly pool: EnginePool;
   readonly statistics: ServerCallStatistics;
 }
 
-async function createUsers(): Promise<Users> {
+async function createUsers(sharing?: SlotSharing): Promise<Users> {
   const table = new MemoryDurableTable();
   const stopping = new AbortController();
   const clock = new SystemClock();
@@ -60,6 +72,7 @@
       clock,
       log: new RecordingEventLog(),
     }),
+    ...(sharing === undefined ? {} : { sharing }),
     isConnected: () => true,
     findMemoryTokens: () => 0,
   });
@@ -120,7 +133,7 @@
   const users = await createUsers();
   const { pool } = users;
   const board = new EngineUseExchange(new SystemClock(), users);
-  board.apply([{ running: { e1: SLOTS }, loads: [] }]);
+  board.apply(toUses({ running: { e1: SLOTS }, loads: [] }));
   t.is(await acquire(pool), "e2");
   t.is(await acquire(pool), "e2");
   t.deepEqual(board.toRecord(), { running: { e2: 2 }, loads: [] });
@@ -131,7 +144,7 @@
   const { pool } = users;
   const board = new EngineUseExchange(new SystemClock(), users);
   t.is(await acquire(pool, { minimumVersion: 2 }), undefined);
-  board.apply([{ running: {}, loads: [["e2", "m", 2, 300]] }]);
+  board.apply(toUses({ running: {}, loads: [["e2", "m", 2, 300]] }));
   t.is(await acquire(pool, { minimumVersion: 2 }), undefined);
   await new SystemClock().sleep(600);
   t.is(await acquire(pool, { minimumVersion: 2 }), "e2");
@@ -142,7 +155,7 @@
   const users = await createUsers();
   const { pool } = users;
   const board = new EngineUseExchange(new SystemClock(), users);
-  board.apply([{ running: {}, loads: [["e1", "m", 2, 0]] }]);
+  board.apply(toUses({ running: {}, loads: [["e1", "m", 2, 0]] }));
   for (let slot = 0; slot < SLOTS; slot += 1) {
     t.is(await acquire(pool), "e2");
   }
@@ -153,10 +166,10 @@
   const users = await createUsers();
   const { pool } = users;
   const board = new EngineUseExchange(new SystemClock(), users);
-  board.apply([{
+  board.apply(toUses({
     running: { e2: SLOTS },
     loads: [["e1", "other", 2, 0]],
-  }]);
+  }));
   t.is(await acquire(pool), "e1");
 });
 
@@ -176,9 +189,9 @@
   const users = await createUsers();
   const { pool } = users;
   const only = { minimumVersion: 2 };
-  new EngineUseExchange(new SystemClock(), users).apply([
+  new EngineUseExchange(new SystemClock(), users).apply(toUses(
     { running: {}, loads: [["e1", "m", 2, 1000]] },
-  ]);
+  ));
   const refused = toRequest(only);
   t.is(await acquireFor(pool, refused), "e1");
   pool.recordResponse("e1");
@@ -204,11 +217,41 @@
   const users = await createUsers();
   const exchange = new EngineUseExchange(new SystemClock(), users);
   users.statistics.recordStart("p1");
-  exchange.apply([
+  exchange.apply(toUses(
     { running: { p1: 2 }, loads: [] },
     { running: { p1: 1, p2: 1 }, loads: [] },
-  ]);
+  ));
   t.is(users.statistics.occupied("p1"), 4);
   t.is(users.statistics.occupied("p2"), 1);
   t.deepEqual(exchange.toRecord(), { running: { p1: 1 }, loads: [] });
 });
+
+test("a node that shares engines with others leaves them their slots, but waits for no share while engines are free", async (t) => {
+  const clock = new SystemClock();
+  const findService = (): string => "s";
+  const rendezvous = await createRendezvous();
+  const started: number[] = [];
+  for (const node of ["n1", "n2"]) {
+    const sharing = new SlotSharing({ node, clock, rendezvous, findService });
+    const users = { ...await createUsers(sharing), sharing };
+    const exchange = new EngineUseExchange(clock, users);
+    const other = node === "n1" ? "n2" : "n1";
+    exchange.apply([
+      { node: other, engineUse: { running: { e9: 1 }, loads: [] } },
+    ]);
+    let own = 0;
+    for (const engine of ["e1", "e2"]) {
+      const slots = { identifier: engine, service: "s", slots: SLOTS };
+      let running = 0;
+      while (sharing.isWithinShare(slots, { running, elsewhere: 0 })) {
+        running += 1;
+      }
+      own += running;
+    }
+    started.push(own);
+    for (let slot = 0; slot < 2 * SLOTS; slot += 1) {
+      t.not(await acquire(users.pool), undefined);
+    }
+  }
+  t.is(started.reduce((sum, each) => sum + each, 0), 2 * SLOTS);
+});
--- a/source/node/apply_server_news.ts
+++ b/source/node/apply_server_news.ts
@@ -32,11 +32,7 @@
       }
     }
   });
-  register.watch(() =>
-    engineUseExchange.apply(
-      register.others.flatMap(({ engineUse }) => engineUse ?? []),
-    )
-  );
+  register.watch(() => engineUseExchange.apply(register.others));
   register.watch(() => limits.apply(toLimitNews(register)));
   register.watch(() => warmUpLimits.apply(toDemandNews(register)));
 }
--- a/source/node/create_installation_node.ts
+++ b/source/node/create_installation_node.ts
@@ -30,6 +30,7 @@
 import type { InstallationSettings } from "../installation/installation_settings.ts";
 import { isWallOffsetPublished } from "../installation/is_wall_offset_published.ts";
 import { needsSingleVersion } from "../installation/needs_single_version.ts";
+import { SlotSharing } from "../installation/slot_sharing.ts";
 import { NodeRegister } from "../installation/node_register.ts";
 import { OperatorView } from "../installation/operator_view.ts";
 import { ContinuationClient } from "../installation/continuation_client.ts";
@@ -138,11 +139,18 @@
     limits.removeUnregistered((identifier) => servers.servers.has(identifier))
   );
   const created: { node?: InstallationNode } = {};
+  const sharing = new SlotSharing({
+    node: settings.node,
+    clock,
+    rendezvous,
+    findService: (server) => servers.servers.get(server)?.service,
+  });
   const statistics = new ServerCallStatistics({
     clock,
     random,
     failureDomain,
     limits,
+    sharing,
     isConnected: (server) => client.isConnected(server),
   });
   const findHealthPath = (service: string): string | undefined =>
@@ -171,6 +179,7 @@
   const pool = new EnginePool(clock, {
     servers,
     limits,
+    sharing,
     isConnected: (engine) => client.isConnected(engine),
     findMemoryTokens: (service) =>
       operator.configuration?.services.get(service)?.engineMemoryTokens ?? 0,
@@ -184,7 +193,11 @@
   operator.watch(() => {
     if (regionRules.takeChange()) pool.restartWaits();
   });
-  const engineUseExchange = new EngineUseExchange(clock, { pool, statistics });
+  const engineUseExchange = new EngineUseExchange(clock, {
+    pool,
+    statistics,
+    sharing,
+  });
   const sharedClock = new SharedClock({
     clock,
     otherOffsets: () =>
