Spread calls to servers whose slots belong to other nodes' shares

Cause: with a cost factor alone, all nodes that found no slot of their share still chose the same server as the cheapest one.

Change: the random cost factor ranges from 1 to 3 instead of 1 to 1.2 for slots outside the share, and these cost 2 instead of 1.5 times as much (6 instead of 3 times when the server is full). Slots of the share are compared as before, so that calls stay in their failure domain.

Calls much shorter than a heartbeat remain overloaded in turn, as the view says nothing about them.

--- a/source/calls/server_call_statistics.ts
+++ b/source/calls/server_call_statistics.ts
@@ -20,13 +20,17 @@
  * briefly uses capacity of the server.
  */
 const NEW_CONNECTION_FACTOR = 1.4;
+/** Range of the random cost factor, which keeps nodes from choosing the same server first. */
+const SPREAD = 0.2;
+/** The same range for slots that other nodes may choose at the same moment. */
+const SHARED_SPREAD = 2;
 /**
  * Cost factor of a free slot that belongs to another node's share, which the other node may use at
  * the same moment.
  */
-const BORROWED_FACTOR = 1.5;
+const BORROWED_FACTOR = 2;
 /** Cost factor of a server whose slots are all in use, so that it queues the request. */
-const FULL_FACTOR = 3;
+const FULL_FACTOR = 6;
 
 interface ServerState {
   running: number;
@@ -237,18 +241,23 @@
     const domainFactor = server.failureDomain === failureDomain
       ? 1
       : CROSS_DOMAIN_FACTOR;
-    // Nodes don't share these records; the random factor keeps them from choosing the same server
-    // first.
-    const randomFactor = 1 + 0.2 * random.next();
+    const slotFactor = this.#slotFactor(server);
+    const spread = slotFactor > 1 ? SHARED_SPREAD : SPREAD;
+    const randomFactor = 1 + spread * random.next();
     const connectionFactor = isConnected(server) ? 1 : NEW_CONNECTION_FACTOR;
     return durationMilliseconds * loadFactor * domainFactor * connectionFactor *
-      this.#slotFactor(server) * randomFactor;
+      slotFactor * randomFactor;
+  }
+
+  #isShared({ service }: BackendServerEntry): boolean {
+    const { sharing } = this.#options;
+    return sharing !== undefined && sharing.countNodes(service) > 1;
   }
 
   #slotFactor(server: BackendServerEntry): number {
     const { sharing } = this.#options;
-    const { identifier, service, slots } = server;
-    if (sharing === undefined || sharing.countNodes(service) === 1) return 1;
+    const { identifier, slots } = server;
+    if (sharing === undefined || !this.#isShared(server)) return 1;
     const running = this.running(identifier);
     const elsewhere = this.#runningElsewhere.get(identifier) ?? 0;
     if (sharing.isWithinShare(server, { running, elsewhere })) return 1;
