Keep the samples of a prompt at few engines, the same for all nodes

Cause: the reading of a shared prompt costs little beside the difference in speed between engines, so a group of 16 samples went to the fastest free slots of many engines, and a later group with the same prompt, or one of another node, to others.

Change: for engines that have not read a sample's prompt, the choice adds a cost that grows with the load of the engines. It is lower for the engines that rank high for this prompt by rendezvous hashing, as long as they have room for further samples. Nodes thus agree on a prompt's engines without a message. The costs are never a reason to wait.

Ruled out: a constant cost.

--- a/source/decisions/engine_choice.ts
+++ b/source/decisions/engine_choice.ts
@@ -16,6 +16,23 @@
 const SAFE_MEMORY_SHARE = 0.85;
 /** Cost of a preempted sample in milliseconds: it waits for memory and is read in again. */
 const PREEMPTION_MILLISECONDS = 1500;
+/**
+ * Cost in milliseconds of an engine that has not read the prompt, beside the reading itself: the
+ * prompt takes memory that the engine lacks for others.
+ */
+const PROMPT_MILLISECONDS = 300;
+/**
+ * The same cost for each run beside the sample, as a share of the slots. Reading a prompt delays these
+ * runs, and the fuller the engines are, the more of them a group is spread over.
+ */
+const PROMPT_MILLISECONDS_PER_LOAD = 4500;
+/** Share of this cost that the engines preferred for the prompt do not have. */
+const PROMPT_ORDER_SHARE = 0.7;
+/**
+ * Share of its slots below which an engine is preferred for a prompt that it has not read, so that it
+ * has room for further samples of the group.
+ */
+const LOAD_BOUND_SHARE = 0.9;
 /** Cost in milliseconds by which nodes choose differently among engines that are alike. */
 const TIE_MILLISECONDS = 4;
 /**
@@ -44,6 +61,10 @@
   readonly isConnected: boolean;
   /** Number of versions by which the engine's weights are newer than the oldest allowed ones. */
   readonly versionLead: number;
+  /** Number of slots; absent if prompts are not to be kept together. */
+  readonly slots?: number;
+  /** Number from 0 up to but not including 1 by which all nodes order the engines of a prompt. */
+  readonly promptScore?: number;
   /**
    * Number that differs between nodes for the same engine, usually from 0 up to but not including 1.
    */
@@ -85,8 +106,10 @@
 ): Candidate | undefined {
   let best: Candidate | undefined;
   let lowest = Infinity;
+  const loadShare = toLoadShare(candidates);
   for (const candidate of candidates) {
-    const cost = estimateCost(candidate, sample);
+    const cost = estimateCost(candidate, sample) +
+      estimatePromptCost(candidate, { sample, loadShare });
     if (cost < lowest) [best, lowest] = [candidate, cost];
   }
   return best;
@@ -109,6 +132,31 @@
   };
 }
 
+// Returns the share of the slots that are in use at the engines.
+function toLoadShare(candidates: ReadonlyArray<EngineCandidate>): number {
+  const slots = candidates.reduce((sum, { slots = 0 }) => sum + slots, 0);
+  const running = candidates.reduce((sum, each) => sum + each.running, 0);
+  return slots === 0 ? 0 : Math.min(1, running / slots);
+}
+
+// Keeps the samples of a prompt at the engines that every node prefers for it, below a bound on their
+// load.
+function estimatePromptCost(
+  candidate: EngineCandidate,
+  { sample, loadShare }: {
+    readonly sample: PlacedSample;
+    readonly loadShare: number;
+  },
+): number {
+  const { promptScore, running, slots, hasPrompt } = candidate;
+  if (promptScore === undefined || slots === undefined || hasPrompt) return 0;
+  if (sample.promptTokens === 0) return 0;
+  const cost = PROMPT_MILLISECONDS + PROMPT_MILLISECONDS_PER_LOAD * loadShare;
+  return running < LOAD_BOUND_SHARE * slots - 1
+    ? cost * (1 - PROMPT_ORDER_SHARE * promptScore)
+    : cost;
+}
+
 function estimateCost(
   candidate: EngineCandidate,
   sample: PlacedSample,
--- a/source/decisions/engine_choice_test.ts
+++ b/source/decisions/engine_choice_test.ts
@@ -1,4 +1,9 @@
 import test from "ava";
+import {
+  type PromptFigures,
+  PromptModel,
+} from "../../stand_ins/decisions/prompt_model.ts";
+import { createRendezvous } from "../membership/rendezvous.ts";
 import {
   chooseEngine,
   type EngineCandidate,
@@ -173,3 +178,52 @@
   t.true(before >= 1, String(before));
   t.true(after <= 0.85, String(after));
 });
+
+test("a prompt goes to the engines that every node prefers for it, unless they are full", (t) => {
+  const preferred = createCandidate("preferred", {
+    slots: 6,
+    promptScore: 0.9,
+    running: 2,
+  });
+  const other = createCandidate("other", { slots: 6, promptScore: 0.1 });
+  t.is(chooseEngine([other, preferred], SAMPLE)?.identifier, "preferred");
+  t.is(
+    chooseEngine([other, { ...preferred, running: 5 }], SAMPLE)?.identifier,
+    "other",
+  );
+  t.is(
+    chooseEngine([{ ...other, hasPrompt: true }, preferred], SAMPLE)
+      ?.identifier,
+    "other",
+  );
+  const withoutPrompt = { ...SAMPLE, promptTokens: 0 };
+  t.is(
+    chooseEngine([other, preferred], withoutPrompt)?.identifier,
+    "other",
+  );
+});
+
+// Guards against groups that are spread over so many engines that most samples have their shared
+// prompt read again.
+test("the samples of a prompt meet engines that have read it, also those of other nodes", async (t) => {
+  const rendezvous = await createRendezvous();
+  const results: Record<
+    string,
+    { readonly before: PromptFigures; readonly now: PromptFigures }
+  > = {};
+  for (const nodes of [1, 4]) {
+    for (const load of [0.3, 0.6, 0.85]) {
+      const options = { seed: 3, nodes, load, prompts: 60 };
+      results[`${nodes} nodes, load ${load}`] = {
+        before: new PromptModel(options).run(),
+        now: new PromptModel(options, rendezvous).run(),
+      };
+    }
+  }
+  t.snapshot(results);
+  for (const [title, { before, now }] of Object.entries(results)) {
+    t.true(now.readAgainShare < before.readAgainShare, title);
+    if (title.endsWith("0.85")) continue;
+    t.true(now.readAgainShare < 0.25, `${title}: ${now.readAgainShare}`);
+  }
+});
--- a/source/durable_steps/engine_placement.ts
+++ b/source/durable_steps/engine_placement.ts
@@ -6,6 +6,7 @@
 import { shouldMove } from "../decisions/engine_move.ts";
 import type { BackendServerEntry } from "../installation/backend_server_entry.ts";
 import type { SlotSharing } from "../installation/slot_sharing.ts";
+import type { Rendezvous } from "../membership/rendezvous.ts";
 import type { Clock } from "../utilities/clock.ts";
 import type { EngineAvailability } from "./engine_availability.ts";
 import type { EngineRequest, EngineRequirements } from "./engine_request.ts";
@@ -37,6 +38,8 @@
   readonly states: ReadonlyMap<string, EngineState>;
   /** Divides the free slots between the nodes; without it, all belong to this one. */
   readonly sharing: SlotSharing | undefined;
+  /** Orders the engines of a prompt; without it, prompts stay where this node sent them. */
+  readonly rendezvous: Rendezvous | undefined;
   /** Whether an idle connection to an engine is open. */
   readonly isConnected: (engine: BackendServerEntry) => boolean;
   /** Returns the tokens that an engine of a service has memory for; 0 when it is not known. */
@@ -160,12 +163,25 @@
       ),
       isConnected: isConnected(engine),
       hasPrompt: this.#prompts.has(identifier, request.prompt),
+      ...this.#toPromptOrder(engine, request),
       tieBreak: this.#breakTie(engine),
       versionLead: (availability.getVersion(engine, model) ?? 0) -
         minimumVersion,
     };
   }
 
+  #toPromptOrder(
+    { identifier, slots }: BackendServerEntry,
+    { prompt }: EngineRequest,
+  ): Pick<Candidate, "slots" | "promptScore"> {
+    const { rendezvous } = this.#options;
+    if (rendezvous === undefined || prompt === "") return {};
+    return {
+      slots,
+      promptScore: rendezvous.score(prompt, identifier) / 2 ** 32,
+    };
+  }
+
   #breakTie({ identifier, service }: BackendServerEntry): number {
     const { sharing } = this.#options;
     return sharing === undefined || sharing.countNodes(service) === 1
--- a/source/durable_steps/engine_pool.ts
+++ b/source/durable_steps/engine_pool.ts
@@ -5,6 +5,7 @@
 import type { ServerLimits } from "../installation/server_limits.ts";
 import type { SlotSharing } from "../installation/slot_sharing.ts";
 import type { ServerView } from "../installation/server_view.ts";
+import type { Rendezvous } from "../membership/rendezvous.ts";
 import type { Clock } from "../utilities/clock.ts";
 import { EngineAvailability } from "./engine_availability.ts";
 import { EnginePlacement, type RunningText } from "./engine_placement.ts";
@@ -64,6 +65,8 @@
       readonly limits: ServerLimits;
       /** Divides the free slots between the nodes; without it, all belong to this one. */
       readonly sharing?: SlotSharing;
+      /** Orders the engines of a prompt; without it, prompts stay where this node sent them. */
+      readonly rendezvous?: Rendezvous;
       readonly isConnected: (engine: BackendServerEntry) => boolean;
       readonly findMemoryTokens: (service: string) => number;
       /** Whether the engines of a service finish their runs before they load weights. */
@@ -97,6 +100,7 @@
       availability: this.#availability,
       states: this.#states,
       sharing: engines.sharing,
+      rendezvous: engines.rendezvous,
       isConnected: engines.isConnected,
       findMemoryTokens: engines.findMemoryTokens,
     });
--- a/source/node/create_installation_node.ts
+++ b/source/node/create_installation_node.ts
@@ -180,6 +180,7 @@
     servers,
     limits,
     sharing,
+    rendezvous,
     isConnected: (engine) => client.isConnected(engine),
     findMemoryTokens: (service) =>
       operator.configuration?.services.get(service)?.engineMemoryTokens ?? 0,
