Report refusals by cause, moves, seen loads and the spread of load

Change: counters engine_requests, engine_refusals (cause loading, full or other, as far as the node knows) and text_moves, histogram weight_load_milliseconds, gauge engine_load_spread. Events 9320 and 9321 when a node sees that an ordered load is over or has not happened, 9322 when a text leaves an engine.

Found on the way: the end of a load that was seen late, because no sample was sent in between, counted as its duration, so the next loads were expected to be longer. A probe that runs at once now counts at most as the expected duration, a probe after a refusal at most 250 ms more than that refusal, and an end that the engine's entry told before is not measured.

--- a/source/durable_steps/engine_availability.ts
+++ b/source/durable_steps/engine_availability.ts
@@ -248,6 +248,20 @@
     return Math.max(stored, state?.getReportedVersion(model) ?? 0);
   }
 
+  /**
+   * Returns the difference between the fullest and the emptiest engine that can run samples, as a
+   * share of their slots; 0 without engines.
+   */
+  get loadSpread(): number {
+    const { servers } = this.#options;
+    const loads = [...servers.servers.values()]
+      .filter(({ identifier, weightVersions, slots }) =>
+        weightVersions.size > 0 && slots > 0 && servers.isServing(identifier)
+      )
+      .map((engine) => this.countOccupiedSlots(engine) / engine.slots);
+    return loads.length === 0 ? 0 : Math.max(...loads) - Math.min(...loads);
+  }
+
   /** Returns the number of slots occupied by all nodes. */
   countOccupiedSlots({ identifier }: BackendServerEntry): number {
     const running = this.#options.states.get(identifier)?.running ?? 0;
--- a/source/durable_steps/engine_loads.ts
+++ b/source/durable_steps/engine_loads.ts
@@ -5,6 +5,7 @@
   WeightLoadDurations,
 } from "../decisions/weight_load_wait.ts";
 import type { Clock } from "../utilities/clock.ts";
+import type { EngineUseReport, SeenLoad } from "./engine_use_report.ts";
 import type { EngineRequest } from "./engine_request.ts";
 
 /** Maximum time for which an ordered load interrupts the runs of an engine. */
@@ -17,6 +18,9 @@
  */
 const EARLIER_PROBE_FACTOR = 0.9;
 
+/** Longest time from a refused probe until the next one while samples wait. */
+const PROBE_DELAY_MILLISECONDS = 250;
+
 /** A load that a node ordered. */
 export interface ExpectedLoad {
   readonly engine: string;
@@ -51,6 +55,8 @@
   runsElsewhere: number;
   /** Time at which a request ran that was sent after the expected end. */
   ranAt: number | undefined;
+  /** Whether it was reported that the load did not happen by its expected end. */
+  isReportedMissing: boolean;
   /** Time at which the engine reported the ordered version. */
   confirmedAt: number | undefined;
 }
@@ -60,6 +66,7 @@
   readonly clock: Pick<Clock, "monotonic">;
   /** Returns the newest version of a model that an engine is known to have; 0 if none is known. */
   readonly getKnownVersion: (engine: string, model: string) => number;
+  readonly report?: EngineUseReport | undefined;
 }
 
 /** Records the loads that nodes ordered, and decides when the engines get samples again. */
@@ -110,6 +117,7 @@
       runsBefore,
       runsElsewhere: engine.isFinishingRuns ? engine.runningElsewhere : 0,
       ranAt: undefined,
+      isReportedMissing: false,
       confirmedAt: undefined,
     };
     this.#loadsOf(load.engine).set(load.model, state);
@@ -222,21 +230,41 @@
     return true;
   }
 
-  /** Records that an engine reported a version for the first time. */
+  /** Records that an engine reported a version. */
   recordVersion(engine: string, model: string, version: number): void {
     const load = this.#loads.get(engine)?.get(model);
     if (load === undefined || load.confirmedAt !== undefined) return;
-    if (version < load.version) return;
+    if (version < load.version) {
+      return this.#reportMissing(load, { engine, model });
+    }
+    const isKnown = this.#options.getKnownVersion(engine, model) >=
+      load.version;
     load.confirmedAt = this.#options.clock.monotonic();
+    // The end was seen by the engine itself some time ago.
+    if (isKnown) return;
     const endedAt = load.ranAt ?? load.confirmedAt;
-    const seen = endedAt - load.startsAt;
-    const isFirstProbe = load.probe !== undefined && load.refusals === 0;
+    this.#options.report?.recordLoad(
+      toSeenLoad(load, { engine, model, endedAt }),
+    );
     this.#durations.record({
       loadingShare: load.loadingShare,
-      milliseconds: isFirstProbe ? seen * EARLIER_PROBE_FACTOR : seen,
+      milliseconds: this.#measure(load, endedAt),
     });
   }
 
+  // Returns the duration of a load as far as it was seen. A probe tells only that the load was over by
+  // then, and it comes late when no sample waited.
+  #measure(load: LoadState, endedAt: number): number {
+    const { startsAt, loadingShare, ranAt, refusals, refusedAt } = load;
+    const seen = endedAt - startsAt;
+    if (ranAt === undefined) return seen;
+    if (refusals > 0) {
+      return Math.min(seen, refusedAt - startsAt + PROBE_DELAY_MILLISECONDS);
+    }
+    const expected = this.#durations.expect(loadingShare);
+    return Math.min(seen, expected) * EARLIER_PROBE_FACTOR;
+  }
+
   /** Applies the number of other nodes' runs to the loads that wait for the end of such runs. */
   setRunningElsewhere(runningElsewhere: ReadonlyMap<string, number>): void {
     const now = this.#options.clock.monotonic();
@@ -258,6 +286,19 @@
     this.#loads.delete(engine);
   }
 
+  // A version that is older than the ordered one tells of a load only if its request was sent after
+  // the expected end.
+  #reportMissing(
+    load: LoadState,
+    { engine, model }: { readonly engine: string; readonly model: string },
+  ): void {
+    if (load.ranAt === undefined || load.isReportedMissing) return;
+    load.isReportedMissing = true;
+    this.#options.report?.recordMissingLoad(
+      toSeenLoad(load, { engine, model, endedAt: load.ranAt }),
+    );
+  }
+
   #isComplete(engine: string, model: string): boolean {
     const load = this.#loads.get(engine)?.get(model);
     return load === undefined || load.confirmedAt !== undefined ||
@@ -289,3 +330,16 @@
     }
   }
 }
+
+function toSeenLoad(
+  { version, startsAt, refusals }: LoadState,
+  { engine, model, endedAt }: {
+    readonly engine: string;
+    readonly model: string;
+    readonly endedAt: number;
+  },
+): SeenLoad {
+  // Runs of the old version may outlast the load that they were expected to delay.
+  const milliseconds = Math.max(0, endedAt - startsAt);
+  return { engine, model, version, milliseconds, refusals };
+}
--- a/source/durable_steps/engine_loads_test.ts
+++ b/source/durable_steps/engine_loads_test.ts
@@ -1,6 +1,9 @@
 import test from "ava";
+import { RecordingEventLog } from "../observability/event_log.ts";
+import { NO_METRICS } from "../observability/metrics.ts";
 import { ManualClock } from "../utilities/manual_clock.ts";
 import { EngineLoads, type LoadingEngine } from "./engine_loads.ts";
+import { EngineUseReport } from "./engine_use_report.ts";
 import type { EngineRequest } from "./engine_request.ts";
 
 const LOAD = { engine: "e1", model: "m", version: 2, ageMilliseconds: 0 };
@@ -38,14 +41,28 @@
   readonly clock: ManualClock;
   readonly loads: EngineLoads;
   readonly known: Map<string, number>;
+  readonly log: RecordingEventLog;
+  /** Names of the metrics that were recorded. */
+  readonly counted: string[];
 } {
   const clock = new ManualClock();
   const known = new Map<string, number>();
+  const log = new RecordingEventLog();
+  const counted: string[] = [];
   const loads = new EngineLoads({
     clock,
     getKnownVersion: (engine) => known.get(engine) ?? 1,
+    report: new EngineUseReport({
+      log,
+      metrics: {
+        ...NO_METRICS,
+        histogram: (name) => {
+          counted.push(name);
+        },
+      },
+    }),
   });
-  return { clock, loads, known };
+  return { clock, loads, known, log, counted };
 }
 
 test("a load keeps samples of its model away, and those of no other model", async (t) => {
@@ -148,3 +165,48 @@
   t.is(loads.decide("e1", "m").kind, "open");
   t.is(loads.getExpectedVersion("e1", "m"), 0);
 });
+
+// Guards against durations that grow with the time in which nothing was sent to the engine.
+test("a load whose end is seen late does not make the next loads longer", async (t) => {
+  const { clock, loads, known } = createLoads();
+  for (let load = 0; load < 20; load += 1) {
+    const engine = `e${load}`;
+    loads.expect({ ...LOAD, engine }, ENGINE);
+    await clock.advance(3500);
+    if (load % 2 === 0) known.set(engine, 2);
+    else loads.recordRequest(engine, createRequest());
+    loads.recordRun(engine, "m");
+    loads.recordVersion(engine, "m", 2);
+  }
+  loads.expect({ ...LOAD, engine: "last" }, ENGINE);
+  await clock.advance(900);
+  t.is(loads.decide("last", "m").kind, "probe");
+});
+
+test("the end of a load is reported, and an order that shows no effect", async (t) => {
+  const { clock, loads, log, counted } = createLoads();
+  loads.expect(LOAD, ENGINE);
+  loads.expect({ ...LOAD, engine: "e2" }, ENGINE);
+  await clock.advance(950);
+  loads.recordVersion("e1", "m", 2);
+  loads.recordRequest("e2", createRequest());
+  loads.recordRun("e2", "m");
+  loads.recordVersion("e2", "m", 1);
+  loads.recordVersion("e2", "m", 1);
+  t.deepEqual(log.events.map(({ name, fields }) => [name, fields]), [
+    ["weightLoadSeen", {
+      server: "e1",
+      model: "m",
+      version: 2,
+      milliseconds: 950,
+      refusals: 0,
+    }],
+    ["weightLoadMissing", {
+      server: "e2",
+      model: "m",
+      version: 2,
+      milliseconds: 950,
+    }],
+  ]);
+  t.deepEqual(counted, ["weight_load_milliseconds"]);
+});
--- a/source/durable_steps/engine_placement.ts
+++ b/source/durable_steps/engine_placement.ts
@@ -10,6 +10,7 @@
 import type { Clock } from "../utilities/clock.ts";
 import type { EngineAvailability } from "./engine_availability.ts";
 import type { EngineRequest, EngineRequirements } from "./engine_request.ts";
+import type { EngineUseReport } from "./engine_use_report.ts";
 import type { EngineState } from "./engine_state.ts";
 import { PromptMemory } from "./prompt_memory.ts";
 
@@ -40,6 +41,7 @@
   readonly sharing: SlotSharing | undefined;
   /** Orders the engines of a prompt; without it, prompts stay where this node sent them. */
   readonly rendezvous: Rendezvous | undefined;
+  readonly report: EngineUseReport | undefined;
   /** Whether an idle connection to an engine is open. */
   readonly isConnected: (engine: BackendServerEntry) => boolean;
   /** Returns the tokens that an engine of a service has memory for; 0 when it is not known. */
@@ -132,8 +134,14 @@
       usualMilliseconds: speed?.usual,
       sinceLastMove: now - this.#movedAt,
     }, candidates);
-    if (isMoved) this.#movedAt = now;
-    return isMoved;
+    if (!isMoved) return false;
+    this.#movedAt = now;
+    this.#options.report?.recordMove({
+      engine: text.engine,
+      remainingEvents: text.remainingEvents,
+      eventMilliseconds: recentMilliseconds,
+    });
+    return true;
   }
 
   // Returns the expected time per event of an engine; undefined if it was never measured.
--- a/source/durable_steps/engine_pool.ts
+++ b/source/durable_steps/engine_pool.ts
@@ -13,6 +13,7 @@
 import type { EngineRequest, EngineRequirements } from "./engine_request.ts";
 import { EngineStallWatch, type WatchedRun } from "./engine_stall_watch.ts";
 import { EngineState } from "./engine_state.ts";
+import type { EngineUseReport } from "./engine_use_report.ts";
 
 /** Minimum interval between two selections of the groups that are deferred. */
 const PLAN_INTERVAL_MILLISECONDS = 250;
@@ -40,6 +41,7 @@
   readonly #placement: EnginePlacement;
   readonly #availability: EngineAvailability;
   readonly #loads: EngineLoads;
+  readonly #report: EngineUseReport | undefined;
   #usualRunMilliseconds = INITIAL_RUN_MILLISECONDS;
   readonly #finishesRunsBeforeLoads: (service: string) => boolean;
   /** Monotonic time, in milliseconds, at which engines are assigned as a load is expected to end. */
@@ -67,6 +69,7 @@
       readonly sharing?: SlotSharing;
       /** Orders the engines of a prompt; without it, prompts stay where this node sent them. */
       readonly rendezvous?: Rendezvous;
+      readonly report?: EngineUseReport;
       readonly isConnected: (engine: BackendServerEntry) => boolean;
       readonly findMemoryTokens: (service: string) => number;
       /** Whether the engines of a service finish their runs before they load weights. */
@@ -79,8 +82,10 @@
     this.#clock = clock;
     this.#servers = servers;
     this.#limits = limits;
+    this.#report = engines.report;
     this.#loads = new EngineLoads({
       clock,
+      report: engines.report,
       getKnownVersion: (identifier, model) =>
         this.#getKnownVersion(identifier, model),
     });
@@ -101,6 +106,7 @@
       states: this.#states,
       sharing: engines.sharing,
       rendezvous: engines.rendezvous,
+      report: engines.report,
       isConnected: engines.isConnected,
       findMemoryTokens: engines.findMemoryTokens,
     });
@@ -124,6 +130,14 @@
     return this.#queue.size;
   }
 
+  /**
+   * Difference between the fullest and the emptiest engine, as a share of their slots and as far as
+   * this node knows.
+   */
+  get loadSpread(): number {
+    return this.#availability.loadSpread;
+  }
+
   /** Returns the number of this node's samples that run on an engine. */
   running(identifier: string): number {
     return this.#states.get(identifier)?.running ?? 0;
@@ -224,7 +238,15 @@
    * likely cause, a backoff starts.
    */
   recordBusy(identifier: string, model: string): void {
-    if (this.#loads.recordRefusal(identifier, model)) return;
+    if (this.#loads.recordRefusal(identifier, model)) {
+      this.#report?.recordRefusal("loading");
+      return;
+    }
+    const engine = this.#servers.servers.get(identifier);
+    // The refused request is one of those that count.
+    const isFull = engine !== undefined &&
+      this.#availability.countOccupiedSlots(engine) > engine.slots;
+    this.#report?.recordRefusal(isFull ? "full" : "other");
     this.recordRefusal(identifier);
   }
 
@@ -266,8 +288,8 @@
 
   /** Records the weight version of a model that an engine reported. */
   recordVersion(identifier: string, model: string, version: number): void {
-    const isNewer = this.#getState(identifier).recordVersion(model, version);
     this.#loads.recordVersion(identifier, model, version);
+    const isNewer = this.#getState(identifier).recordVersion(model, version);
     if (!isNewer) return;
     // An engine discards the prompts it has read when it loads weights.
     this.#placement.forgetPrompts(identifier);
@@ -432,6 +454,7 @@
     state.running += 1;
     state.tokens += waiter.request.expectedTokens;
     state.unanswered += 1;
+    this.#report?.recordRequest();
     this.#limits.recordRequest(engine.identifier);
     this.#usualRunMilliseconds += RUN_WEIGHT *
       (waiter.urgency.expectedMilliseconds - this.#usualRunMilliseconds);
--- a/source/durable_steps/engine_pool_test.ts
+++ b/source/durable_steps/engine_pool_test.ts
@@ -6,7 +6,9 @@
 import { ServerLimits } from "../installation/server_limits.ts";
 import { ServerView } from "../installation/server_view.ts";
 import { RecordingEventLog } from "../observability/event_log.ts";
+import { NO_METRICS } from "../observability/metrics.ts";
 import { ManualClock } from "../utilities/manual_clock.ts";
+import { EngineUseReport } from "./engine_use_report.ts";
 import { EnginePool } from "./engine_pool.ts";
 import type { EngineRequest } from "./engine_request.ts";
 
@@ -20,6 +22,8 @@
   ask(name: string, more?: RequestOptions): Promise<void>;
   /** The samples that got an engine and the engine's identifier, in order. */
   readonly started: string[];
+  /** Metrics that were counted, with their tags. */
+  readonly counted: string[];
 }
 
 interface RequestOptions {
@@ -86,6 +90,7 @@
   void view.run();
   await clock.advance(1);
   stopping.abort();
+  const counted: string[] = [];
   const pool = new EnginePool(clock, {
     servers: view,
     limits: new ServerLimits({
@@ -95,6 +100,15 @@
     }),
     isConnected: () => true,
     findMemoryTokens: () => 0,
+    report: new EngineUseReport({
+      log: new RecordingEventLog(),
+      metrics: {
+        ...NO_METRICS,
+        count: (name, tags) => {
+          counted.push([name, ...Object.values(tags)].join(" "));
+        },
+      },
+    }),
   });
   const started: string[] = [];
   return {
@@ -102,6 +116,7 @@
     pool,
     view,
     started,
+    counted,
     ask: async (name, more = {}) => {
       const signal = more.signal ?? new AbortController().signal;
       const engine = await pool.acquire(createRequest(name, more), signal);
@@ -306,3 +321,23 @@
   t.true(pool.shouldMove(text));
   t.false(pool.shouldMove({ ...text, moves: 2 }));
 });
+
+test("refusals are counted by their likely cause, and the spread of the load is known", async (t) => {
+  const { clock, pool, ask, counted } = await createFixture("e1", "e2");
+  void ask("one");
+  await clock.advance(1);
+  t.is(pool.loadSpread, 1 / SLOTS);
+  pool.recordBusy("e1", "m");
+  pool.setRunningElsewhere(new Map([["e1", SLOTS]]));
+  pool.recordBusy("e1", "m");
+  pool.expectLoad({ engine: "e2", model: "m", version: 2 });
+  pool.recordBusy("e2", "m");
+  pool.recordBusy("e2", "other");
+  t.deepEqual(counted, [
+    "engine_requests",
+    "engine_refusals other",
+    "engine_refusals full",
+    "engine_refusals loading",
+    "engine_refusals other",
+  ]);
+});
--- a/source/node/create_installation_node.ts
+++ b/source/node/create_installation_node.ts
@@ -15,6 +15,7 @@
 import { UsageMeter } from "../duties/usage_meter.ts";
 import { WeightLoadScheduler } from "../duties/weight_load_scheduler.ts";
 import { EngineUseExchange } from "../durable_steps/engine_use_exchange.ts";
+import { EngineUseReport } from "../durable_steps/engine_use_report.ts";
 import { EnginePool } from "../durable_steps/engine_pool.ts";
 import { ProgressStore } from "../durable_steps/progress_store.ts";
 import { ResultList } from "../durable_steps/result_list.ts";
@@ -181,6 +182,7 @@
     limits,
     sharing,
     rendezvous,
+    report: new EngineUseReport({ metrics, log }),
     isConnected: (engine) => client.isConnected(engine),
     findMemoryTokens: (service) =>
       operator.configuration?.services.get(service)?.engineMemoryTokens ?? 0,
--- a/source/node/installation_gauges.ts
+++ b/source/node/installation_gauges.ts
@@ -54,5 +54,6 @@
   metrics.gauge("nodes_running", register.running.length, {});
   metrics.gauge("steps_running", steps.running, {});
   metrics.gauge("samples_waiting", pool.waiting, {});
+  metrics.gauge("engine_load_spread", pool.loadSpread, {});
   metrics.gauge("duty_held", lease.getHeldDuty() === undefined ? 0 : 1, {});
 }
--- a/source/observability/events/installation_events.ts
+++ b/source/observability/events/installation_events.ts
@@ -362,6 +362,28 @@
     action: "",
     fields: ["window", "outcome", "organisations"],
   }),
+  weightLoadSeen: defineEvent(9320, {
+    level: "info",
+    message:
+      "An engine has loaded an ordered weight version as this node's requests show; its samples are placed as usual again",
+    action: "",
+    fields: ["server", "model", "version", "milliseconds", "refusals"],
+  }),
+  weightLoadMissing: defineEvent(9321, {
+    level: "info",
+    message:
+      "An engine ran a request with an older weight version after the expected end of an ordered load; it is used with this version",
+    action:
+      "If it repeats for one engine, check whether it applies the orders that it accepts",
+    fields: ["server", "model", "version", "milliseconds"],
+  }),
+  textMoved: defineEvent(9322, {
+    level: "info",
+    message:
+      "A text leaves its engine, which became slow, to be continued at a faster one",
+    action: "If it repeats for one engine, check the engine",
+    fields: ["server", "remainingEvents", "eventMilliseconds"],
+  }),
   weightOrderSent: defineEvent(9402, {
     level: "info",
     message: "An engine was ordered to load a weight version",
--- a/stand_ins/decisions/weight_load_model.ts
+++ b/stand_ins/decisions/weight_load_model.ts
@@ -259,8 +259,8 @@
   }
 
   #reportVersion(engine: Engine): void {
-    this.#known.set(engine.name, engine.version);
     this.#loads.recordVersion(engine.name, MODEL, engine.version);
+    this.#known.set(engine.name, engine.version);
   }
 
   #plan(at: number, run: () => void): void {
