--- a/source/installation/warm_up_limits_test.ts
+++ b/source/installation/warm_up_limits_test.ts
@@ -5,6 +5,8 @@
   WARM_UP_PATTERNS,
   type WarmUpScenario,
 } from "../../stand_ins/installation/warm_up_model.ts";
+import { ManualClock } from "../utilities/manual_clock.ts";
+import { WarmUpLimits } from "./warm_up_limits.ts";
 
 const USUAL: WarmUpScenario = {
   pattern: "samples wait at all nodes",
@@ -21,6 +23,7 @@
   outageAt: 0,
   joining: 0,
   failing: 0,
+  changesAtOnce: false,
   seed: 1,
 };
 
@@ -39,6 +42,7 @@
   outageAt: fc.constantFrom(3000, 6000, 7000, 8500),
   joining: fc.constantFrom(0, 0, 0.2, 0.7),
   failing: fc.constantFrom(0, 0, 0.2, 0.7),
+  changesAtOnce: fc.boolean(),
   seed: fc.integer({ min: 1, max: 1_000_000 }),
 });
 
@@ -58,13 +62,68 @@
       if (busiest > maximum) throw new Error(`${busiest} of ${maximum}`);
     }),
     {
-      numRuns: Number(process.env["WARM_UP_RUNS"] ?? 60),
+      numRuns: Number(process.env["WARM_UP_RUNS"] ?? 100),
       seed: Number(process.env["WARM_UP_SEED"] ?? 41),
     },
   );
   t.pass();
 });
 
+// Guards against nodes that all believe to be alone as they have not heard of each other.
+test("nodes that all start as a server returns do not exceed its maximum", async (t) => {
+  const { busiest } = await playWarmUp({
+    ...USUAL,
+    nodes: 100,
+    joining: 1,
+    changesAtOnce: true,
+    heartbeatMilliseconds: 600,
+  });
+  t.log(`${busiest} requests in the busiest second`);
+  t.true(busiest <= 24.5, `${busiest} requests in 1 s`);
+});
+
+// Guards against a share that is used while other nodes with an older view use it, too.
+test("a node uses a share only once all nodes in contact know its demand, and not without contact", async (t) => {
+  const clock = new ManualClock();
+  const limits = new WarmUpLimits({
+    node: "n1",
+    clock,
+    bounds: { warmUpOverageFactor: 1.5, warmUpSlackRequests: 5 },
+    findService: () => "s",
+    onMoreRoom: () => {},
+  });
+  const apply = (readAt: number): void =>
+    limits.apply({
+      own: {
+        demands: limits.toDemands(),
+        heartbeatMilliseconds: 300,
+        readAt,
+      },
+      others: new Map(),
+      nodes: ["n1"],
+      heartbeatMilliseconds: 300,
+    });
+  limits.recordRequest("e1");
+  limits.set("e1", { service: "s", requestsPerSecond: 13, endsAt: 60_000 });
+  for (let now = 0; now < 1050; now += 150) {
+    apply(clock.monotonic());
+    t.is(limits.getShare("e1"), 0, `${now} ms after the first heartbeat`);
+    await clock.advance(150);
+  }
+  await clock.advance(150);
+  apply(clock.monotonic());
+  t.true(limits.getShare("e1") > 10, "the demand is known");
+  await clock.advance(1100);
+  t.true(limits.getShare("e1") < 1, "no heartbeat was read back for 1.1 s");
+  apply(clock.monotonic());
+  t.true(limits.getShare("e1") < 1, "the others may have forgotten the node");
+  for (let count = 0; count < 8; count += 1) {
+    await clock.advance(150);
+    apply(clock.monotonic());
+  }
+  t.true(limits.getShare("e1") > 10, "the demand is known again");
+});
+
 for (const pattern of Object.keys(WARM_UP_PATTERNS)) {
   for (const nodes of [1, 9, 71, 100]) {
     test(`rate 13, ${pattern}, ${nodes} nodes: at most 24 in any second`, async (t) => {
--- a/stand_ins/installation/warm_up_model.ts
+++ b/stand_ins/installation/warm_up_model.ts
@@ -61,6 +61,8 @@
   readonly joining: number;
   /** Part of the nodes that fail then. */
   readonly failing: number;
+  /** Whether these nodes start or fail at the moment at which the servers return. */
+  readonly changesAtOnce: boolean;
   readonly seed: number;
 }
 
@@ -162,7 +164,8 @@
   },
 ): ModelNode {
   const { heartbeatMilliseconds: longest } = scenario;
-  const changeAt = RETURNED_AT - 2000 + 4000 * random.next();
+  const changeDelay = 4000 * random.next() - 2000;
+  const changeAt = RETURNED_AT + (scenario.changesAtOnce ? 0 : changeDelay);
   const draw = random.next();
   const isJoining = draw < scenario.joining;
   const isFailing = !isJoining && random.next() < scenario.failing;
