Compute the order of nodes at a server in warm-up once

Cause: each question about a server hashed the names of all nodes. Change: the hashes are kept with the server, the other nodes with a demand are listed once for each read, and the expected share is kept until the next read.

--- a/source/installation/warm_up_limits.ts
+++ b/source/installation/warm_up_limits.ts
@@ -92,6 +92,11 @@
   readonly #others = new Map<string, OtherNode>();
   /** This node's demand by service that all nodes in contact know. */
   readonly #known = new Map<string, DemandLevel | undefined>();
+  /** The other nodes with a demand, by service. */
+  readonly #claimants = new Map<
+    string,
+    { readonly node: string; readonly demand: DemandLevel }[]
+  >();
   #news: DemandNews | undefined;
   /** Monotonic time, in milliseconds, at which a heartbeat of this node was first read back. */
   #heardSince: number | undefined;
@@ -139,13 +144,13 @@
       known.requestsPerSecond !== warmUp.requestsPerSecond ||
       known.endsAt <= now
     ) {
-      const server = new WarmingServer(warmUp, now);
+      const server = new WarmingServer({ identifier, ...warmUp }, now);
       this.#servers.set(identifier, server);
-      const { maximumSaved } = this.#computeShare(identifier, server, now);
+      const { maximumSaved } = this.#computeShare(server, now);
       const isKnown = this.#known.get(server.service) !== undefined;
       server.begin(isKnown ? INITIAL_PART * maximumSaved : maximumSaved);
     } else {
-      this.#refill(identifier, known);
+      this.#refill(known);
       known.endsAt = warmUp.endsAt;
     }
   }
@@ -165,14 +170,14 @@
     const server = this.#find(identifier);
     if (server === undefined) return 0;
     const now = this.#options.clock.monotonic();
-    const wait = server.getWait(this.#refill(identifier, server));
+    const wait = server.getWait(this.#refill(server));
     if (wait === 0) return 0;
     const recovery = this.#computeRecovery(server, now);
     return Math.ceil(Math.min(
       wait,
       Math.max(0, server.endsAt - now) +
         Math.min(RECOVERY_MILLISECONDS, server.getWait(recovery)),
-      this.#estimateNotice(identifier, server),
+      this.#estimateNotice(server),
     ));
   }
 
@@ -196,7 +201,7 @@
   getShare(identifier: string): number {
     const server = this.#find(identifier);
     if (server === undefined) return Infinity;
-    return this.#refill(identifier, server).requestsPerSecond;
+    return this.#refill(server).requestsPerSecond;
   }
 
   /** Records that requests wait for a server. */
@@ -204,7 +209,7 @@
     const server = this.#find(identifier);
     if (server === undefined) return;
     const now = this.#options.clock.monotonic();
-    this.#refill(identifier, server);
+    this.#refill(server);
     server.recordNeed(requests, now);
     this.#claims.recordNeed(server.service, now);
   }
@@ -217,7 +222,7 @@
     this.#claims.recordRequest(service, now);
     const server = this.#find(identifier);
     if (server === undefined) return;
-    this.#refill(identifier, server);
+    this.#refill(server);
     if (server.recordRequest(now)) this.#waited += 1;
   }
 
@@ -229,8 +234,8 @@
   /** Applies the demand of all nodes after a read of their heartbeats. */
   apply(news: DemandNews): void {
     const now = this.#options.clock.monotonic();
-    for (const [identifier, server] of this.#servers) {
-      this.#refill(identifier, server);
+    for (const server of this.#servers.values()) {
+      this.#refill(server);
     }
     if (this.#hasLostContact(news)) this.#claims.restart();
     this.#news = news;
@@ -240,6 +245,7 @@
     for (const [node, { seenAt }] of this.#others) {
       if (now - seenAt > LOST_MILLISECONDS) this.#others.delete(node);
     }
+    this.#listClaimants();
     if (news.own !== undefined) this.#claims.confirm(news.own.demands, now);
     const since = now - this.#noticeMilliseconds;
     if (news.own !== undefined) this.#heardSince ??= now;
@@ -266,18 +272,14 @@
     return undefined;
   }
 
-  #refill(identifier: string, server: WarmingServer): RequestShare {
+  #refill(server: WarmingServer): RequestShare {
     const now = this.#options.clock.monotonic();
-    const share = this.#computeShare(identifier, server, now);
+    const share = this.#computeShare(server, now);
     server.refill(share, now);
     return share;
   }
 
-  #computeShare(
-    identifier: string,
-    server: WarmingServer,
-    now: number,
-  ): RequestShare {
+  #computeShare(server: WarmingServer, now: number): RequestShare {
     if (now >= server.endsAt) return this.#computeRecovery(server, now);
     const demand = this.#claims.limit(
       server.service,
@@ -289,30 +291,32 @@
       used !== undefined && used.news === this.#news &&
       used.isInContact === isInContact && used.demand === demand
     ) return used.share;
-    const share = this.#share(identifier, server, { demand, isInContact });
+    const share = this.#share(server, { demand, isInContact });
     server.used = { news: this.#news, isInContact, demand, share };
     return share;
   }
 
   #share(
-    identifier: string,
-    { service, requestsPerSecond }: WarmingServer,
+    server: WarmingServer,
     { demand, isInContact }: {
       readonly demand: DemandLevel | undefined;
       readonly isInContact: boolean;
     },
   ): RequestShare {
     const { node, bounds } = this.#options;
+    const { requestsPerSecond } = server;
     return shareWarmUp({
       requestsPerSecond,
       maximumRequests: requestsPerSecond * bounds.warmUpOverageFactor +
         bounds.warmUpSlackRequests,
       own: demand === undefined
         ? undefined
-        : { order: toOrder(identifier, node), demand },
-      others: this.#listOthers(identifier, service),
+        : { order: server.getOrder(node), demand },
+      others: this.#listOthers(server),
       isInContact,
-      rank: this.#findRank(identifier),
+      rank: demand === undefined || !isInContact
+        ? this.#findRank(server)
+        : Infinity,
     });
   }
 
@@ -320,12 +324,9 @@
     { service, requestsPerSecond, endsAt }: WarmingServer,
     now: number,
   ): RequestShare {
-    const others = [...this.#others.values()].filter(({ demands }) =>
-      demands.has(service)
-    );
     return shareRecovery({
       requestsPerSecond,
-      nodes: others.length + 1,
+      nodes: (this.#claimants.get(service)?.length ?? 0) + 1,
       elapsedPart: Math.min(
         MAXIMUM_ELAPSED_PART,
         Math.max(0, now - endsAt) / RECOVERY_MILLISECONDS,
@@ -333,13 +334,22 @@
     });
   }
 
-  #listOthers(identifier: string, service: string): ReadonlyArray<Claimant> {
-    return [...this.#others].flatMap(([node, { demands }]) => {
-      const demand = demands.get(service);
-      return demand === undefined
-        ? []
-        : [{ order: toOrder(identifier, node), demand }];
-    });
+  #listOthers(server: WarmingServer): ReadonlyArray<Claimant> {
+    return (this.#claimants.get(server.service) ?? []).map((
+      { node, demand },
+    ) => ({ order: server.getOrder(node), demand }));
+  }
+
+  // Lists the other nodes with a demand by service, once for all servers.
+  #listClaimants(): void {
+    this.#claimants.clear();
+    for (const [node, { demands }] of this.#others) {
+      for (const [service, demand] of demands) {
+        const claimants = this.#claimants.get(service) ?? [];
+        this.#claimants.set(service, claimants);
+        claimants.push({ node, demand });
+      }
+    }
   }
 
   // Whether the other nodes' demand was read recently, and this node's heartbeats reach the store.
@@ -349,13 +359,13 @@
     return now - own.readAt < toContactTimeout(own.heartbeatMilliseconds);
   }
 
-  #findRank(identifier: string): number {
+  #findRank(server: WarmingServer): number {
     const { node } = this.#options;
     const nodes = this.#news?.nodes ?? [];
     // A node that has just started does not know all others, nor do they know it.
     if (!this.#isEstablished || !nodes.includes(node)) return Infinity;
-    const own = toOrder(identifier, node);
-    return nodes.filter((each) => toOrder(identifier, each) < own).length;
+    const own = server.getOrder(node);
+    return nodes.filter((each) => server.getOrder(each) < own).length;
   }
 
   get #noticeMilliseconds(): number {
@@ -365,16 +375,18 @@
   }
 
   // Returns the expected time until this node gets a share as it has requests that wait.
-  #estimateNotice(identifier: string, server: WarmingServer): number {
+  #estimateNotice(server: WarmingServer): number {
     const now = this.#options.clock.monotonic();
     const { service } = server;
     if (!this.#isInContact(now) || now >= server.endsAt) return Infinity;
     const known = this.#known.get(service);
     if (known === "high") return Infinity;
-    const share = this.#share(identifier, server, {
-      demand: known === undefined ? "low" : "high",
-      isInContact: true,
-    });
+    const demand = known === undefined ? "low" : "high";
+    const share =
+      server.expected !== undefined && server.expected.news === this.#news
+        ? server.expected.share
+        : this.#share(server, { demand, isInContact: true });
+    server.expected = { news: this.#news, share };
     if (share.requestsPerSecond === 0) return Infinity;
     const heartbeats = 2 * (this.#news?.own?.heartbeatMilliseconds ?? 0);
     const until = this.#claims.getRiseDelay(service, { known, now }) +
@@ -386,15 +398,3 @@
 function toContactTimeout(heartbeatMilliseconds: number): number {
   return CONTACT_HEARTBEATS * heartbeatMilliseconds + READ_MILLISECONDS;
 }
-
-// Returns a hash, so that other nodes go first at each server and a node that joins or leaves does
-// not change the order of the rest.
-function toOrder(identifier: string, node: string): number {
-  let hash = 0x811c9dc5;
-  for (const character of `${identifier}/${node}`) {
-    hash = Math.imul(hash ^ (character.codePointAt(0) ?? 0), 0x01000193);
-  }
-  hash = Math.imul(hash ^ hash >>> 16, 0x85ebca6b);
-  hash = Math.imul(hash ^ hash >>> 13, 0xc2b2ae35);
-  return (hash ^ hash >>> 16) >>> 0;
-}
--- a/source/installation/warming_server.ts
+++ b/source/installation/warming_server.ts
@@ -11,6 +11,7 @@
 
 /** This node's use of a server in warm-up; times are monotonic milliseconds. */
 export class WarmingServer {
+  readonly identifier: string;
   readonly service: string;
   readonly requestsPerSecond: number;
   /** End of the warm-up; the rate rises in steps for some time after it. */
@@ -23,6 +24,12 @@
     readonly demand: DemandLevel | undefined;
     readonly share: RequestShare;
   } | undefined;
+  /** The share that the node is expected to get when the others know of its present need. */
+  expected:
+    | { readonly news: unknown; readonly share: RequestShare }
+    | undefined;
+  /** Places of nodes for this server. */
+  readonly #orders = new Map<string, number>();
   /** Number of requests that may be sent now; negative after requests that could not wait. */
   #saved = 0;
   #refilledAt: number;
@@ -36,18 +43,33 @@
    */
   constructor(
     warmUp: {
+      readonly identifier: string;
       readonly service: string;
       readonly requestsPerSecond: number;
       readonly endsAt: number;
     },
     now: number,
   ) {
+    this.identifier = warmUp.identifier;
     this.service = warmUp.service;
     this.requestsPerSecond = warmUp.requestsPerSecond;
     this.endsAt = warmUp.endsAt;
     this.#refilledAt = now;
   }
 
+  /**
+   * Returns the place of a node for this server. It is a hash, so that other nodes go first at each
+   * server and a node that joins or leaves does not change the order of the rest.
+   */
+  getOrder(node: string): number {
+    let order = this.#orders.get(node);
+    if (order === undefined) {
+      order = toHash(`${this.identifier}/${node}`);
+      this.#orders.set(node, order);
+    }
+    return order;
+  }
+
   /** Number of requests that this node sent during the warm-up. */
   get sent(): number {
     return this.#sent;
@@ -105,3 +127,13 @@
     return now - this.#neededAt < NEED_MILLISECONDS;
   }
 }
+
+function toHash(text: string): number {
+  let hash = 0x811c9dc5;
+  for (const character of text) {
+    hash = Math.imul(hash ^ (character.codePointAt(0) ?? 0), 0x01000193);
+  }
+  hash = Math.imul(hash ^ hash >>> 16, 0x85ebca6b);
+  hash = Math.imul(hash ^ hash >>> 13, 0xc2b2ae35);
+  return (hash ^ hash >>> 16) >>> 0;
+}
