Keep a node running after malformed rows and unexpected errors

Cause: a row that this program did not write could throw in the loop that follows its table, the loop's rejection reached main, and the process ended with status 70 and cut off all its calls.

Ruled out: responses of servers and of the store that are no HTTP, hostile requests, and a settings file that changes while the node runs end no process; their tests are kept.

Change: rows of nodes, steps, texts, results, streams, crashes, targets and usage are checked when they are read. Background parts that fail are started again with a pause (event 9230). An error that nothing handled is logged (9231), and the process goes on unless 20 of them occur within a minute; a failure to start still ends it.

--- a/source/calls/crash_record_row.ts
+++ b/source/calls/crash_record_row.ts
@@ -22,6 +22,14 @@
     const [crashes, trials, triedAt] = JSON.parse(
       value.toString(),
     ) as RecordTuple;
+    const areCrashes = crashes.every(([server, startedAt, at]) =>
+      typeof server === "string" && typeof startedAt === "number" &&
+      typeof at === "number"
+    );
+    if (!areCrashes) return undefined;
+    if (typeof trials !== "number" || typeof triedAt !== "number") {
+      return undefined;
+    }
     return {
       crashes: crashes.map(([server, startedAt, at]) => ({
         server,
--- a/source/calls/crash_records.ts
+++ b/source/calls/crash_records.ts
@@ -22,6 +22,7 @@
   TableFollower,
 } from "../platform/table_follower.ts";
 import type { Clock } from "../utilities/clock.ts";
+import { keepAllRunning } from "../utilities/keep_running.ts";
 import { readCrashRecord, writeCrashRecord } from "./crash_record_row.ts";
 
 const TABLE = "crashes";
@@ -178,7 +179,10 @@
 
   /** Follows the records until the node stops; deletes old ones while it holds the duty lease. */
   async run(): Promise<void> {
-    await Promise.all([this.#follower.run(), this.#clean()]);
+    await keepAllRunning({
+      followCrashRecords: () => this.#follower.run(),
+      cleanCrashRecords: () => this.#clean(),
+    }, this.#options);
   }
 
   // Returns the record of a content with the changes that this node has not saved yet.
--- a/source/calls/stream_origins.ts
+++ b/source/calls/stream_origins.ts
@@ -134,7 +134,10 @@
     if (outcome.kind !== "ok") return { kind: "unreadable" };
     const [row] = outcome.value.rows;
     if (row === undefined) return { kind: "absent" };
-    return { kind: "found", origin: readRecord(row.value) };
+    const origin = readRecord(row.value);
+    return origin === undefined
+      ? { kind: "absent" }
+      : { kind: "found", origin };
   }
 }
 
@@ -146,16 +149,28 @@
     : [service, softwareVersion, server.identifier, server.startedAt];
 }
 
-function readRecord(value: Buffer): StreamOrigin {
-  const [service, softwareVersion, identifier, startedAt] = JSON.parse(
-    value.toString(),
-  ) as OriginRecord;
+// Returns undefined for a row that this program did not write.
+function readRecord(value: Buffer): StreamOrigin | undefined {
+  const record = parseRecord(value);
+  if (record === undefined) return undefined;
+  const [service, softwareVersion, identifier, startedAt] = record;
   const server = identifier === undefined || startedAt === undefined
     ? undefined
     : { identifier, startedAt };
   return { service, softwareVersion, server };
 }
 
+function parseRecord(value: Buffer): OriginRecord | undefined {
+  try {
+    const json = JSON.parse(value.toString()) as OriginRecord;
+    const isRecord = Array.isArray(json) && typeof json[0] === "string" &&
+      typeof json[1] === "string";
+    return isRecord ? json : undefined;
+  } catch {
+    return undefined;
+  }
+}
+
 // Callers choose identifiers, so the digest bounds the length of the key.
 function toName({ identifier, organisation }: StreamRequest): string {
   return createHash("sha256")
--- a/source/durable_steps/engine_stall_watch.ts
+++ b/source/durable_steps/engine_stall_watch.ts
@@ -66,11 +66,15 @@
   async #check(): Promise<void> {
     if (this.#isChecking) return;
     this.#isChecking = true;
-    while (this.#runs.size > 0) {
-      await this.#options.clock.sleep(CHECK_MILLISECONDS);
-      this.#reportStalls();
+    try {
+      while (this.#runs.size > 0) {
+        await this.#options.clock.sleep(CHECK_MILLISECONDS);
+        this.#reportStalls();
+      }
+    } finally {
+      // After an unexpected error, the next run starts the checks again.
+      this.#isChecking = false;
     }
-    this.#isChecking = false;
   }
 
   #reportStalls(): void {
--- a/source/durable_steps/progress_store.ts
+++ b/source/durable_steps/progress_store.ts
@@ -86,7 +86,8 @@
       });
       if (outcome.kind !== "ok") return texts;
       for (const { key, value } of outcome.value.rows) {
-        texts.set(key, JSON.parse(value.toString()) as SampleText);
+        const text = readText(value);
+        if (text !== undefined) texts.set(key, text);
       }
       const last = outcome.value.rows.at(-1);
       if (!outcome.value.hasMore || last === undefined) return texts;
@@ -94,3 +95,14 @@
     }
   }
 }
+
+// Returns undefined for a row that this program did not write; its sample begins anew.
+function readText(value: Buffer): SampleText | undefined {
+  try {
+    const json = JSON.parse(value.toString()) as SampleText | null;
+    const isText = Array.isArray(json?.parts) && Array.isArray(json?.versions);
+    return isText ? json ?? undefined : undefined;
+  } catch {
+    return undefined;
+  }
+}
--- a/source/durable_steps/result_list.ts
+++ b/source/durable_steps/result_list.ts
@@ -158,5 +158,11 @@
   const [first, ...rest] = pieces;
   if (first === undefined || first[0] !== pieces.length) return undefined;
   const bytes = Buffer.concat([first.subarray(1), ...rest]);
-  return JSON.parse(bytes.toString()) as SampleResult;
+  try {
+    const json = JSON.parse(bytes.toString()) as SampleResult | null;
+    return typeof json?.identifier === "string" ? json : undefined;
+  } catch {
+    // Rows that this program did not write hold no result.
+    return undefined;
+  }
 }
--- a/source/durable_steps/step_manifest.ts
+++ b/source/durable_steps/step_manifest.ts
@@ -27,12 +27,27 @@
 /** Parses the value of a manifest row; returns undefined when it is malformed. */
 export function readManifest(value: Buffer): StepManifest | undefined {
   try {
-    return JSON.parse(value.toString()) as StepManifest;
+    const json = JSON.parse(value.toString()) as Partial<StepManifest> | null;
+    return isManifest(json) ? json : undefined;
   } catch {
     return undefined;
   }
 }
 
+function isManifest(json: Partial<StepManifest> | null): json is StepManifest {
+  if (json === null || typeof json !== "object") return false;
+  const { identifier, organisation, total } = json;
+  const { host, path, model, upload, owner } = json;
+  const texts = [host, path, model, upload, owner];
+  const numbers = [json.submittedAt, json.step, json.chunks];
+  return typeof identifier === "string" && typeof organisation === "string" &&
+    typeof total === "number" &&
+    texts.every((text) => text === undefined || typeof text === "string") &&
+    numbers.every((number) =>
+      number === undefined || typeof number === "number"
+    );
+}
+
 /** Partition of the manifest, owner, end and submission rows; no other component writes to it. */
 export const STEP_PARTITION = "steps";
 
--- a/source/durable_steps/step_supervisor.ts
+++ b/source/durable_steps/step_supervisor.ts
@@ -1,6 +1,7 @@
 import { LRUCache } from "lru-cache";
 import type { AllowedRegions } from "../decisions/allowed_regions.ts";
 import type { NodeRecord } from "../installation/node_record.ts";
+import { describeFault } from "../utilities/keep_running.ts";
 import type { NodeRegister } from "../installation/node_register.ts";
 import { readNodeName } from "../installation/process_identity.ts";
 import { selectHighCapacityNodes } from "../installation/select_high_capacity_nodes.ts";
@@ -184,7 +185,13 @@
       texts,
     });
     this.#runs.set(identifier, run);
-    void run.run().finally(() => {
+    void run.run().catch((error) => {
+      tools.log.emit("backgroundTaskFailed", {
+        task: `step ${identifier}`,
+        detail: describeFault(error),
+      });
+      run.stop();
+    }).finally(() => {
       if (this.#runs.get(identifier) !== run) return;
       this.#runs.delete(identifier);
       this.#endedStepIdentifiers.add(identifier);
--- a/source/duties/server_replacer.ts
+++ b/source/duties/server_replacer.ts
@@ -4,6 +4,7 @@
 import type { ServerView } from "../installation/server_view.ts";
 import type { EventLog } from "../observability/event_log.ts";
 import type { DurableTable } from "../platform/durable_table.ts";
+import { asObject } from "../platform/platform_answer.ts";
 import type { Clock } from "../utilities/clock.ts";
 import type { DutyClient } from "./duty_client.ts";
 import type { DutyLease } from "./duty_lease.ts";
@@ -98,9 +99,8 @@
     });
     if (outcome.kind !== "ok") return undefined;
     const [row] = outcome.value.kind === "conflict" ? outcome.value.rows : [];
-    const stored = row === undefined
-      ? targets
-      : JSON.parse(row.value.toString()) as Targets;
+    const stored = row === undefined ? targets : readTargets(row.value);
+    if (stored === undefined) return undefined;
     this.#targets.set(name, stored);
     return stored;
   }
@@ -173,3 +173,12 @@
   }
   return counts;
 }
+
+// Returns undefined for a row that this program did not write; the service then gets no orders.
+function readTargets(value: Buffer): Targets | undefined {
+  try {
+    return asObject(JSON.parse(value.toString())) as Targets | undefined;
+  } catch {
+    return undefined;
+  }
+}
--- a/source/duties/usage_window_reporter.ts
+++ b/source/duties/usage_window_reporter.ts
@@ -1,5 +1,6 @@
 import type { EventLog } from "../observability/event_log.ts";
 import type { DurableTable, StoredRow } from "../platform/durable_table.ts";
+import { asObject } from "../platform/platform_answer.ts";
 import type { Clock } from "../utilities/clock.ts";
 import type { DutyClient } from "./duty_client.ts";
 import type { DutyLease } from "./duty_lease.ts";
@@ -203,6 +204,14 @@
   return Object.fromEntries(sums);
 }
 
+// A row that this program did not write counts nothing.
 function readCounts({ value }: StoredRow): UsageCounts {
-  return JSON.parse(value.toString()) as UsageCounts;
+  try {
+    const counts = asObject(JSON.parse(value.toString())) ?? {};
+    return Object.fromEntries(
+      Object.entries(counts).filter(([, count]) => typeof count === "number"),
+    ) as UsageCounts;
+  } catch {
+    return {};
+  }
 }
--- a/source/installation/node_record_row.ts
+++ b/source/installation/node_record_row.ts
@@ -111,6 +111,7 @@
 ): NodeRecord | undefined {
   try {
     const tuple = JSON.parse(value.toString()) as RecordTuple;
+    if (!isRecordTuple(tuple)) return undefined;
     const [start, failureDomain, processorShare, callerAddress] = tuple;
     return {
       node,
@@ -151,3 +152,57 @@
     return undefined;
   }
 }
+
+// Whether a row has the types that this program writes, as what nodes publish is used without
+// further checks.
+function isRecordTuple(tuple: RecordTuple): boolean {
+  const [start, failureDomain, share, address, , heartbeat] = tuple;
+  const [window, , wallOffset] = tuple.slice(7);
+  const [leaving, limits, , port] = tuple.slice(10);
+  return [start, failureDomain, address].every(isText) &&
+    [share, heartbeat].every(isNumber) &&
+    isEngineUse(tuple[6] ?? undefined) &&
+    [window, wallOffset, port].every(isOptionalNumber) &&
+    areRows(
+      leaving,
+      ([identifier, startedAt]) => isText(identifier) && isNumber(startedAt),
+    ) &&
+    areRows(
+      limits,
+      ([identifier, startedAt, limit, demand]) =>
+        isText(identifier) && [startedAt, limit].every(isNumber) &&
+        isOptionalNumber(demand),
+    );
+}
+
+function isEngineUse(use: EngineUseRecord | undefined): boolean {
+  if (use === undefined) return true;
+  return Object.values(use.running).every(isNumber) &&
+    Array.isArray(use.loads) &&
+    areRows(
+      use.loads,
+      ([engine, model, version]) =>
+        isText(engine) && isText(model) && isNumber(version),
+    );
+}
+
+function areRows(
+  rows: unknown,
+  isRow: (row: ReadonlyArray<unknown>) => boolean,
+): boolean {
+  if (rows === undefined || rows === null) return true;
+  return Array.isArray(rows) &&
+    rows.every((row) => Array.isArray(row) && isRow(row));
+}
+
+function isText(value: unknown): boolean {
+  return typeof value === "string";
+}
+
+function isNumber(value: unknown): boolean {
+  return typeof value === "number";
+}
+
+function isOptionalNumber(value: unknown): boolean {
+  return value === undefined || value === null || isNumber(value);
+}
--- a/source/installation/node_register.ts
+++ b/source/installation/node_register.ts
@@ -17,6 +17,7 @@
   NodeDescription,
   NodeRecord,
 } from "./node_record.ts";
+import { keepAllRunning } from "../utilities/keep_running.ts";
 import { readNodeRecord, writeNodeRecord } from "./node_record_row.ts";
 import { NodeStartLog } from "./node_start_log.ts";
 import {
@@ -188,7 +189,10 @@
 
   /** Sends and reads heartbeats until the node stops. */
   async run(): Promise<void> {
-    await Promise.all([this.#sendHeartbeats(), this.#readHeartbeats()]);
+    await keepAllRunning({
+      sendHeartbeats: () => this.#sendHeartbeats(),
+      readHeartbeats: () => this.#readHeartbeats(),
+    }, this.#options);
   }
 
   /** Sends a heartbeat by writing this node's record. */
--- a/source/node/create_installation_node.ts
+++ b/source/node/create_installation_node.ts
@@ -399,6 +399,7 @@
         serverPaths,
         lease,
       }),
+    supervision: { clock, log, stopping },
     background: [
       operator,
       servers,
--- a/source/node/installation_node.ts
+++ b/source/node/installation_node.ts
@@ -10,6 +10,9 @@
 import type { OperatorView } from "../installation/operator_view.ts";
 import { selectHighCapacityNodes } from "../installation/select_high_capacity_nodes.ts";
 import type { StoreHealth } from "../platform/store_health.ts";
+import type { EventLog } from "../observability/event_log.ts";
+import type { Clock } from "../utilities/clock.ts";
+import { keepAllRunning } from "../utilities/keep_running.ts";
 import type { ServerView } from "../installation/server_view.ts";
 
 /** A part that runs in the background until the node stops. */
@@ -31,6 +34,12 @@
   readonly setGauges: () => void;
   /** All parts that run in the background. */
   readonly background: ReadonlyArray<BackgroundPart>;
+  /** What is needed to start background parts again that fail. */
+  readonly supervision: {
+    readonly clock: Clock;
+    readonly log: EventLog;
+    readonly stopping: AbortSignal;
+  };
 }
 
 /** Node addresses for callers and how long callers may cache them. */
@@ -109,9 +118,17 @@
     };
   }
 
-  /** Runs the background parts until the node stops. */
+  /** Runs the background parts until the node stops; a part that fails is started again. */
   async run(): Promise<void> {
-    await Promise.all(this.parts.background.map((part) => part.run()));
+    const { background, supervision } = this.parts;
+    await Promise.all(
+      background.map((part) =>
+        keepAllRunning(
+          { [part.constructor.name]: () => part.run() },
+          supervision,
+        )
+      ),
+    );
   }
 
   /**
--- a/source/observability/events/installation_events.ts
+++ b/source/observability/events/installation_events.ts
@@ -247,6 +247,20 @@
     action: "",
     fields: ["server", "service", "sent"],
   }),
+  backgroundTaskFailed: defineEvent(9230, {
+    level: "error",
+    message:
+      "A background task of the node failed unexpectedly and is started again; calls go on",
+    action: "Report the event with its stack as a bug",
+    fields: ["task", "detail"],
+  }),
+  unexpectedError: defineEvent(9231, {
+    level: "error",
+    message:
+      "An error was not handled where it occurred; the process goes on unless 20 of them occur within a minute",
+    action: "Report the event with its stack as a bug",
+    fields: ["count", "detail"],
+  }),
   callEnded: defineEvent(9202, {
     level: "info",
     message: "A call ended without a server's answer",
--- a/source/platform/platform_answer.ts
+++ b/source/platform/platform_answer.ts
@@ -73,6 +73,16 @@
   return isObject ? json as JsonObject : undefined;
 }
 
+/**
+ * Returns a JSON string, number or boolean as text; undefined for any other value, whose conversion
+ * may throw.
+ */
+export function asText(json: unknown): string | undefined {
+  const isPlain = typeof json === "string" || typeof json === "number" ||
+    typeof json === "boolean";
+  return isPlain ? String(json) : undefined;
+}
+
 /** Converts each entry of an array; returns undefined when one is malformed. */
 export function readArray<Value>(
   json: unknown,
--- a/source/programs/snipepath_installation.ts
+++ b/source/programs/snipepath_installation.ts
@@ -15,6 +15,7 @@
 import { readSubmission } from "../../platform/step_messages.ts";
 import { StoreTable } from "../../platform/store_table.ts";
 import { ConnectionPools } from "../backends/connection_pools.ts";
+import { FaultBudget } from "../decisions/fault_budget.ts";
 import type { InstallationSettings } from "../installation/installation_settings.ts";
 import { toProcessIdentity } from "../installation/process_identity.ts";
 import { createInstallationNode } from "../node/create_installation_node.ts";
@@ -24,6 +25,7 @@
 import { ScrapedMetrics } from "../observability/scraped_metrics.ts";
 import { PlatformConnection } from "../platform/platform_connection.ts";
 import type { Clock } from "../utilities/clock.ts";
+import { describeFault } from "../utilities/keep_running.ts";
 import { SystemClock } from "../utilities/system_clock.ts";
 
 /** A slow store responds within about 300 ms; a connection that is silent for longer than this counts as dead. */
@@ -59,8 +61,22 @@
   const settings = read;
   const clock = new SystemClock();
   const log = createEventLog({ source: settings.node, lowestLevel: "info" });
+  // Without its listeners, a process that failed to start would do nothing.
+  await start({ path, settings, clock, log }).catch((error) =>
+    exitOnFault(log, error)
+  );
+}
+
+async function start(
+  { path, settings, clock, log }: {
+    readonly path: string;
+    readonly settings: InstallationSettings;
+    readonly clock: Clock;
+    readonly log: EventLog;
+  },
+): Promise<void> {
   const metrics = new ScrapedMetrics();
-  exitOnFault(log);
+  surviveFaults({ clock, log });
   const stopping = new AbortController();
   // Each waiting task adds a listener, so the default limit on listeners does not apply.
   setMaxListeners(0, stopping.signal);
@@ -117,16 +133,26 @@
   }
 }
 
-// Logs the cause of an unexpected exit.
-function exitOnFault(log: EventLog): void {
-  const stop = (error: unknown): void => {
-    const detail = error instanceof Error ? error.stack ?? "" : String(error);
-    log.emit("invariantBroken", { detail });
-    process.exitCode = FAULT_EXIT_STATUS;
-    setImmediate(() => process.exit(FAULT_EXIT_STATUS));
+// Logs errors that nothing handled. The process goes on, as its end would cut off all other calls,
+// unless it fails again and again.
+function surviveFaults(
+  { clock, log }: { readonly clock: Clock; readonly log: EventLog },
+): void {
+  const budget = new FaultBudget();
+  const record = (error: unknown): void => {
+    const mayGoOn = budget.record(clock.monotonic());
+    const detail = describeFault(error);
+    log.emit("unexpectedError", { count: budget.count, detail });
+    if (!mayGoOn) exitOnFault(log, error);
   };
-  process.on("uncaughtException", stop);
-  process.on("unhandledRejection", stop);
+  process.on("uncaughtException", record);
+  process.on("unhandledRejection", record);
+}
+
+function exitOnFault(log: EventLog, error: unknown): void {
+  log.emit("invariantBroken", { detail: describeFault(error) });
+  process.exitCode = FAULT_EXIT_STATUS;
+  setImmediate(() => process.exit(FAULT_EXIT_STATUS));
 }
 
 function readSettings(path: string): InstallationSettings | string {
--- a/stand_ins/installation/test_installation.ts
+++ b/stand_ins/installation/test_installation.ts
@@ -8,6 +8,7 @@
 import { MemoryDurableTable } from "./memory_durable_table.ts";
 import { type PlainServer, startPlainServer } from "./plain_server.ts";
 import { RequestLimit } from "./request_limit.ts";
+import type { RawProxy } from "./start_raw_proxy.ts";
 import { type StartedServer, startHttpServer } from "./start_http_server.ts";
 import { startUsersEngine, type UsersEngine } from "./users_engine_server.ts";
 import { startUsersStore } from "./users_store_server.ts";
@@ -33,6 +34,10 @@
   /** HOST:PORT of address lookups. */
   readonly directory: string;
   readonly process: ChildProcess;
+  /** Path of the settings file. */
+  readonly settingsPath: string;
+  /** Returns what the process has logged so far. */
+  readonly readLog: () => string;
 }
 
 /**
@@ -67,6 +72,13 @@
     identifiers: ReadonlyArray<string>,
   ) => Promise<void>;
   readonly declareVersion: (version: number) => Promise<void>;
+  /** Writes a row: bytes as they are, any other value as JSON. */
+  readonly putRow: (
+    table: string,
+    key: string,
+    value: unknown,
+  ) => Promise<void>;
+  readonly deleteRow: (table: string, key: string) => Promise<void>;
   readonly close: () => void;
 }
 
@@ -101,6 +113,12 @@
   readonly lists?: RegionLists;
   /** Warm-up of all servers after a start, in seconds, and their rate in it; none if absent. */
   readonly warmUp?: { readonly seconds: number; readonly perSecond: number };
+  /** Settings of the nodes' bounds that differ from those of other tests. */
+  readonly bounds?: Readonly<Record<string, number>>;
+  /** Fields of all routes that differ from those of other tests. */
+  readonly route?: Readonly<Record<string, unknown>>;
+  /** Proxy through which nodes reach the store; none if absent. */
+  readonly storeProxy?: RawProxy;
 }
 
 const ONE_DOMAIN: RegionLayout = {
@@ -117,6 +135,9 @@
   const table = new MemoryDurableTable();
   const usageReports: string[] = [];
   const store = await startUsersStore(table);
+  if (options.storeProxy !== undefined) {
+    options.storeProxy.target = store.address;
+  }
   const engines = await Promise.all(
     ["e1", "e2", "e3", "e4"].map((identifier, index) =>
       startUsersEngine({
@@ -150,7 +171,7 @@
     table: tableName,
     partition: "",
     key,
-    value: Buffer.from(JSON.stringify(value)),
+    value: Buffer.isBuffer(value) ? value : Buffer.from(JSON.stringify(value)),
   });
   const putRow = async (
     tableName: string,
@@ -189,8 +210,13 @@
     failureDomain: string,
   ): Promise<InstallationNode> => {
     const { regions } = layout;
-    const place = { store, duties, failureDomain, regions };
-    const node = await startNode(name, place);
+    const node = await startNode(name, {
+      storeAddress: options.storeProxy?.address ?? store.address,
+      dutyAddress: duties.address,
+      bounds: options.bounds ?? {},
+      failureDomain,
+      regions,
+    });
     nodes.push(node.process);
     return node;
   };
@@ -225,6 +251,11 @@
     },
     declareVersion: (version) =>
       putRow("op", "version/model-a", { model: "model-a", version }),
+    putRow,
+    deleteRow: async (tableName, key) => {
+      const place = { table: tableName, partition: "", key };
+      await table.commit({ conditions: [], puts: [], deletes: [place] });
+    },
     close: () => {
       for (const node of nodes) node.kill("SIGKILL");
       for (const server of servers) server.close();
@@ -232,15 +263,23 @@
   };
 }
 
-function createServerRow(
+/**
+ * Creates the row with which a server of a service registers.
+ * @example
+ * ```ts
+ * await world.putRow("servers", "p1", createServerRow("plain", address, SERVER));
+ * ```
+ */
+export function createServerRow(
   service: string,
   address: string,
-  { slots, softwareVersion, failureDomain }: {
+  { slots, softwareVersion, failureDomain = "a" }: {
     readonly slots: number;
     readonly softwareVersion: string;
-    readonly failureDomain: string;
+    /** "a" if absent. */
+    readonly failureDomain?: string;
   },
-): object {
+): Readonly<Record<string, unknown>> {
   return {
     service,
     address,
@@ -255,10 +294,15 @@
   };
 }
 
-function createConfiguration(
+/**
+ * Creates the operator's configuration row.
+ * @param options - What differs from the usual installation.
+ * @param version - Version of the configuration.
+ */
+export function createConfiguration(
   options: TestInstallationOptions,
-  version: number,
-): unknown {
+  version = 1,
+): Readonly<Record<string, unknown>> {
   const { routes = {}, organisation } = options.lists ?? {};
   const warmUp = options.warmUp === undefined ? {} : {
     "cold_start_s": options.warmUp.seconds,
@@ -270,6 +314,7 @@
     "target_latency_ms": 200,
     "max_attempts": 3,
     priority: 1,
+    ...options.route,
   };
   return {
     version,
@@ -340,9 +385,10 @@
   };
 }
 
-interface NodePlace {
-  readonly store: StartedServer;
-  readonly duties: StartedServer;
+interface NodeSettings {
+  readonly storeAddress: string;
+  readonly dutyAddress: string;
+  readonly bounds: Readonly<Record<string, number>>;
   readonly failureDomain: string;
   readonly regions: RegionLayout["regions"];
 }
@@ -351,10 +397,10 @@
 // repeated only in that case.
 async function startNode(
   name: string,
-  place: NodePlace,
+  settings: NodeSettings,
 ): Promise<InstallationNode> {
   for (;;) {
-    const started = await tryStartNode(name, place);
+    const started = await tryStartNode(name, settings);
     if ("process" in started) return started;
     if (!started.problem.includes("EADDRINUSE")) {
       throw new Error(`Node ${name} did not become ready: ${started.problem}`);
@@ -364,7 +410,7 @@
 
 async function tryStartNode(
   name: string,
-  { store, duties, failureDomain, regions }: NodePlace,
+  settings: NodeSettings,
 ): Promise<InstallationNode | { readonly problem: string }> {
   const [front, ready, directory] = await Promise.all([
     findFreePort(),
@@ -381,9 +427,9 @@
     path,
     JSON.stringify({
       "node_name": name,
-      zone: failureDomain,
-      region: regions[failureDomain] ?? "r",
-      zones: regions,
+      zone: settings.failureDomain,
+      region: settings.regions[settings.failureDomain] ?? "r",
+      zones: settings.regions,
       listen,
       bounds: {
         "report_window_s": 1,
@@ -391,9 +437,10 @@
         "grace_s": 8,
         "cold_overage": 1.5,
         "cold_slack": 5,
+        ...settings.bounds,
       },
-      platform: { address: store.address, "row_bytes": 65_536 },
-      cloud: { address: duties.address, duties: ["usage_report"] },
+      platform: { address: settings.storeAddress, "row_bytes": 65_536 },
+      cloud: { address: settings.dutyAddress, duties: ["usage_report"] },
     }),
   );
   const childProcess = spawn(process.execPath, [PROGRAM], {
@@ -408,6 +455,8 @@
     ready: listen.ready,
     directory: listen.directory,
     process: childProcess,
+    settingsPath: path,
+    readLog: () => output.join(""),
   };
   const hasStarted = (): boolean => output.join("").includes(STARTED_EVENT);
   if (await isReadyInTime(node, hasStarted)) return node;
