--- a/source/durable_steps/sample_scoring.ts
+++ b/source/durable_steps/sample_scoring.ts
@@ -70,6 +70,10 @@
         const score = readSignature(outcome.headers);
         const isServed = outcome.status >= 200 && outcome.status < 300;
         if (isServed && score !== undefined) return { kind: "scored", score };
+      } else if (outcome.kind === "streaming") {
+        // A response too large to be buffered is no score.
+        outcome.finish();
+        failures += 1;
       } else if (outcome.kind === "refused") {
         pause = outcome.retryAfterMilliseconds ?? pause;
       }
--- a/stand_ins/installation/test_installation.ts
+++ b/stand_ins/installation/test_installation.ts
@@ -350,6 +350,7 @@
         "single_version": options.isSingleVersion === true,
         "result_deadline_ms": 5000,
         "item_ttl_s": 30,
+        ...options.route,
       },
       {
         ...route,
