Tell late second copies of responses from the responses to later requests

Cause: a server or the store may send a second copy of a response while the next request runs on the connection. Calls compare the echoed identifier, but responses to orders and reports name none, refusals may name none, and identifiers are unique for one caller only. So a copy became the acceptance of a weight order, the report of an engine, the refusal of another call (which then was run twice), or the response to another caller with the same identifier. The store's answers name no call: commits were taken for committed, reads returned other rows, and followers went back to older rows.

Ruled out: copies sent before, while and after the next request, with a length and in chunks, for calls and streams whose identifiers differ.

After a refusal that names no request, the connections to its server are replaced.

--- a/source/platform/platform_connection.ts
+++ b/source/platform/platform_connection.ts
@@ -119,6 +119,16 @@
     }
   }
 
+  /**
+   * Replaces the connections after an answer that belongs to another call; calls that run on the old
+   * ones go on.
+   * @param path - Path of the call, for the log.
+   */
+  replaceConnections(path: string): void {
+    this.#options.log?.emit("platformAnswerMismatched", { path });
+    this.#replacePool(this.#pool);
+  }
+
   /**
    * Closes the connections of the current pool; unfinished calls on them end as failures. Calls on
    * a replaced pool go on until they end or time out.
--- a/source/programs/snipepath_installation.ts
+++ b/source/programs/snipepath_installation.ts
@@ -175,11 +175,12 @@
     timeoutMilliseconds: STORE_TIMEOUT_MILLISECONDS,
     echoesIdentifier: false,
   };
-  const store = new PlatformConnection({
-    ...bounds,
-    address: `http://${settings.storeAddress}`,
-  });
-  const table = new StoreTable(store);
+  const table = new StoreTable(() =>
+    new PlatformConnection({
+      ...bounds,
+      address: `http://${settings.storeAddress}`,
+    })
+  );
   return {
     table,
     watchStoreTime: (onTime) => table.watchTime(onTime),
