Read the report of a server once for checks at the same time

Cause: after a takeover, each text that goes on at an engine read the engine's report to check its start, 16 reports for 16 texts. At an engine that names a limit, these requests are counted but not held back.

Change: checks of one start share the read that is running.

Measured: npx ava build/source/installation/server_starts_test.js: 1 of 11 tests failed before ("checks of one server at the same time read its report once", 16 instead of 1), none after.

--- a/source/installation/server_starts.ts
+++ b/source/installation/server_starts.ts
@@ -31,6 +31,11 @@
  */
 export class ServerStarts {
   readonly #options: ServerStartsOptions;
+  /**
+   * Running checks by identifier and start of the server. After a takeover, many texts of one engine
+   * go on at the same time, and one read serves all of them.
+   */
+  readonly #checks = new Map<string, Promise<boolean>>();
 
   /** @param options - The servers and the client that reads their reports. */
   constructor(options: ServerStartsOptions) {
@@ -43,11 +48,23 @@
    *   no start; the last is logged, unless this node reaches no server.
    */
   async isReplaced(server: BackendServerEntry): Promise<boolean> {
-    const { log, client, limits, paths, servers, waitForWarmUp } =
-      this.#options;
+    const { paths, servers } = this.#options;
     const { identifier, startedAt } = server;
     if (startedAt === 0 || paths.isCutOff) return false;
     if (servers.isEvacuated(server)) return false;
+    const name = `${identifier}/${startedAt}`;
+    const running = this.#checks.get(name);
+    if (running !== undefined) return await running;
+    const check = this.#readStart(server).finally(() =>
+      this.#checks.delete(name)
+    );
+    this.#checks.set(name, check);
+    return await check;
+  }
+
+  async #readStart(server: BackendServerEntry): Promise<boolean> {
+    const { log, client, limits, servers, waitForWarmUp } = this.#options;
+    const { identifier, startedAt } = server;
     // A report counts for the rate of a server in warm-up. Without one, the server may be another.
     if (await waitForWarmUp?.(identifier) === false) return true;
     limits.recordRequest(identifier);
