Answer every request that was read before a stopping node ends

Cause: a second SIGTERM ended the process at once and cut off its calls. At the end of the grace time, calls that still ran and requests whose body was still arriving were cut off without a response. A call counted as ended as soon as its response was handed over, before it was sent. A body had no time limit, so a slow one held the node's stop.

Ruled out: requests in the tick of the signal, on idle connections at that moment, on new connections until the end, bodies that become whole during the stop, streams and submissions of steps get their responses.

Change: repeated signals are ignored. Before the exit, a request without its whole body is answered 503 as not run, any other 504 as unknown (event 9232), and what still arrives is refused. Calls count until their response is sent. A body must arrive within the caller's deadline or the route's timeout, else it is refused with status 408.

--- a/source/calls/call_outcome.ts
+++ b/source/calls/call_outcome.ts
@@ -14,6 +14,10 @@
   | "staleKeys"
   /** The request body exceeds the configured limit. */
   | "tooLarge"
+  /** The request's body was not received by the deadline. */
+  | "lateBody"
+  /** The node stops and does not start the request. */
+  | "stopping"
   /** The request can't be parsed. */
   | "malformed"
   /** No backend server of the service accepted the request. */
--- a/source/observability/events/installation_events.ts
+++ b/source/observability/events/installation_events.ts
@@ -261,6 +261,14 @@
     action: "Report the event with its stack as a bug",
     fields: ["count", "detail"],
   }),
+  callsEndedByStop: defineEvent(9232, {
+    level: "warn",
+    message:
+      "The grace period ended before these calls did; they were answered as not run or as unknown",
+    action:
+      "If callers need these calls, raise the grace period above the timeouts of their routes",
+    fields: ["answered"],
+  }),
   callEnded: defineEvent(9202, {
     level: "info",
     message: "A call ended without a server's answer",
--- a/source/programs/snipepath_installation.ts
+++ b/source/programs/snipepath_installation.ts
@@ -42,6 +42,10 @@
 /** Time before the end of a drain at which unfinished steps are handed over. */
 const HAND_OVER_MARGIN_MILLISECONDS = 1800;
 const DRAIN_CHECK_MILLISECONDS = 50;
+/** Time for sending the last responses, less than the margin for the exit. */
+const FLUSH_MILLISECONDS = 500;
+/** Least time for which requests that callers have just sent are read and refused. */
+const MINIMUM_FLUSH_MILLISECONDS = 100;
 const SETTINGS_CHECK_MILLISECONDS = 1000;
 /** Interval at which a node that is not ready logs what it waits for. */
 const READY_REPORT_MILLISECONDS = 2000;
@@ -101,6 +105,7 @@
   const entry = new InstallationEntryServer({ clock, log, node });
   node.parts.operator.watch(() => entry.applyLimits());
   const running = node.run();
+  const stopped = waitForSignal();
   await listen(entry, settings, metrics);
   log.emit("installationNodeStarted", {
     node: settings.node,
@@ -109,8 +114,11 @@
   });
   watchSettings(path, { clock, log });
   void reportWaiting(node, { clock, log });
-  await Promise.race([waitForSignal(), running]);
-  const cut = await drain({ node, entry, settings, clock, log });
+  await Promise.race([stopped, running]);
+  await drain({ node, entry, settings, clock, log });
+  const answered = entry.answerUnfinished();
+  const cut = await flush(entry, clock);
+  if (answered > 0) log.emit("callsEndedByStop", { answered });
   stopping.abort();
   entry.close();
   log.emit("installationNodeStopped", { cut });
@@ -239,13 +247,28 @@
 
 function waitForSignal(): Promise<void> {
   return new Promise((resolve) => {
-    process.once("SIGTERM", () => resolve());
-    process.once("SIGINT", () => resolve());
+    // Not only once: a repeated signal must not cut off the calls of a node that stops.
+    process.on("SIGTERM", () => resolve());
+    process.on("SIGINT", () => resolve());
   });
 }
 
-// Serves until no caller uses a cached address, hands unfinished steps over shortly before the grace
-// period ends, and returns the number of calls that the exit cuts off.
+// Waits until all responses are sent, but for streams, which go on elsewhere, and returns the number
+// of calls that the exit cuts off. Requests that were on their way are refused meanwhile.
+async function flush(
+  entry: InstallationEntryServer,
+  clock: Clock,
+): Promise<number> {
+  const until = clock.monotonic() + FLUSH_MILLISECONDS;
+  await clock.sleep(MINIMUM_FLUSH_MILLISECONDS);
+  while (entry.running > 0 && clock.monotonic() < until) {
+    await clock.sleep(DRAIN_CHECK_MILLISECONDS);
+  }
+  return entry.running;
+}
+
+// Serves until no caller uses a cached address, and hands unfinished steps over shortly before the
+// grace period ends.
 async function drain(
   parts: {
     readonly node: InstallationNode;
@@ -254,7 +277,7 @@
     readonly clock: Clock;
     readonly log: EventLog;
   },
-): Promise<number> {
+): Promise<void> {
   const { node, entry, settings, clock, log } = parts;
   const startedAt = clock.monotonic();
   const { steps } = node.parts;
@@ -270,9 +293,7 @@
   for (;;) {
     const now = clock.monotonic();
     const isIdle = entry.running === 0 && steps.running === 0;
-    if (now >= deadline || (isIdle && now >= cachedAddressesUntil)) {
-      return entry.running;
-    }
+    if (now >= deadline || (isIdle && now >= cachedAddressesUntil)) return;
     if (!isHandedOver && now >= deadline - HAND_OVER_MARGIN_MILLISECONDS) {
       isHandedOver = true;
       void steps.handOver();
