Remember across restarts which servers said that they leave

Cause: what a server said in a response was in the memory of the nodes and in the heartbeats of the node that heard it. After a restart of that node, or of all nodes at once, requests went to the server again as long as its entry said that it serves.

Ruled out: after a restart, servers whose entry was deleted or drains, whose address belongs to another server or service, and keys that were withdrawn while the store was away or before it went back to an older configuration are not used; their tests are kept.

Change: each node publishes all leaving servers that it knows, and reads its own earlier record before any of its parts runs. Its record's format is unchanged.

--- a/source/installation/node_record.ts
+++ b/source/installation/node_record.ts
@@ -27,7 +27,7 @@
    * Samples that the node runs on engines and loads that it ordered; undefined when there are none.
    */
   readonly engineUse: EngineUseRecord | undefined;
-  /** Servers that are about to stop according to answers that the node got. */
+  /** Servers that are about to stop according to answers that some node got. */
   readonly leavingServers: ReadonlyArray<ServerStart>;
   /** Limits that servers named to the node, and its use of them. */
   readonly limits: ReadonlyArray<LimitRecord>;
--- a/source/installation/node_record_row.ts
+++ b/source/installation/node_record_row.ts
@@ -1,6 +1,9 @@
 import type { EngineUseRecord, NodeRecord } from "./node_record.ts";
 import { readStart, toProcessIdentity } from "./process_identity.ts";
 
+/** Table of the nodes' records, each in a partition with its node's name. */
+export const NODE_TABLE = "nodes";
+
 /** Index before that of any usage window; nodes of an earlier version publish none. */
 const NO_WINDOW = -1;
 /** Version before that of any state of the store. */
--- a/source/installation/node_register.ts
+++ b/source/installation/node_register.ts
@@ -18,7 +18,11 @@
   NodeRecord,
 } from "./node_record.ts";
 import { keepAllRunning } from "../utilities/keep_running.ts";
-import { readNodeRecord, writeNodeRecord } from "./node_record_row.ts";
+import {
+  NODE_TABLE,
+  readNodeRecord,
+  writeNodeRecord,
+} from "./node_record_row.ts";
 import { NodeStartLog } from "./node_start_log.ts";
 import {
   filterHighCapacity,
@@ -26,7 +30,6 @@
   type NodeCapacity,
 } from "./select_high_capacity_nodes.ts";
 
-const TABLE = "nodes";
 /** Maximum interval between two heartbeats of a node that runs steps, as these stop with the node. */
 const STEP_OWNER_HEARTBEAT_MILLISECONDS = 150;
 /** Maximum number of reads that all high-capacity nodes make to detect the loss of such a node. */
@@ -202,7 +205,7 @@
     const outcome = await this.#options.table.commit({
       conditions: [],
       puts: [{
-        table: TABLE,
+        table: NODE_TABLE,
         partition: record.node,
         key: record.node,
         value,
@@ -328,14 +331,14 @@
   async #follow(): Promise<ReadonlyArray<RowChange> | undefined> {
     const { table } = this.#options;
     if (this.#version === undefined) {
-      const outcome = await table.read(TABLE, { partition: "" });
+      const outcome = await table.read(NODE_TABLE, { partition: "" });
       if (outcome.kind === "ok") {
         this.#version = outcome.value.version;
         this.#recordVersion(this.#options.clock.monotonic());
       }
       return undefined;
     }
-    const outcome = await table.follow(TABLE, {
+    const outcome = await table.follow(NODE_TABLE, {
       after: this.#version,
       waitMilliseconds: this.#readIntervalMilliseconds,
     });
@@ -403,7 +406,7 @@
       if (now - changedAt < REMOVAL_MILLISECONDS) continue;
       this.#knownNodes.delete(name);
       this.#startLog.forget(name);
-      const place = { table: TABLE, partition: name, key: name };
+      const place = { table: NODE_TABLE, partition: name, key: name };
       void table.commit({
         conditions: [{ ...place, version }],
         puts: [],
--- a/source/installation/server_view.ts
+++ b/source/installation/server_view.ts
@@ -37,7 +37,10 @@
 
 /** How a node learned that a server is about to stop. */
 export interface LeavingNotice {
-  /** "answer" for an answer of the server to this node, else the name of the node that got it. */
+  /**
+   * "answer" for an answer of the server to this node, "earlier process" for what this node knew
+   * before its restart, else the name of the node that told this one.
+   */
   readonly learnedFrom: string;
 }
 
@@ -244,15 +247,15 @@
     this.#regroupAndNotify();
   }
 
-  /** The servers that told this node that they are about to stop and whose entry does not say so. */
-  get leavingByAnswer(): ReadonlyArray<ServerStart> {
-    return [...this.#leaving.values()].filter(
-      ({ identifier, startedAt, learnedFrom }) => {
-        const server = this.#servers.get(identifier);
-        return learnedFrom === "answer" && server?.startedAt === startedAt &&
-          !server.isDraining;
-      },
-    );
+  /**
+   * The servers that are about to stop and whose entry does not say so, whichever node they told. Each
+   * node publishes all of them, so that it still knows them after a restart.
+   */
+  get leavingWithoutEntry(): ReadonlyArray<ServerStart> {
+    return [...this.#leaving.values()].filter(({ identifier, startedAt }) => {
+      const server = this.#servers.get(identifier);
+      return server?.startedAt === startedAt && !server.isDraining;
+    });
   }
 
   #takesRequests(server: BackendServerEntry): boolean {
--- a/source/node/apply_server_news.ts
+++ b/source/node/apply_server_news.ts
@@ -1,3 +1,6 @@
+import type { DurableTable } from "../platform/durable_table.ts";
+import { readEarlierRecord } from "../installation/read_earlier_record.ts";
+import type { Clock } from "../utilities/clock.ts";
 import type { ServerClient } from "../backends/server_client.ts";
 import type { EngineUseExchange } from "../durable_steps/engine_use_exchange.ts";
 import { toDemandNews, toLimitNews } from "../installation/limit_news.ts";
@@ -6,6 +9,9 @@
 import type { ServerView } from "../installation/server_view.ts";
 import type { WarmUpLimits } from "../installation/warm_up_limits.ts";
 
+/** Pause before the store is asked again. */
+const READ_PAUSE_MILLISECONDS = 100;
+
 /** The sources of news about servers and the parts that use it. */
 export interface ServerNewsOptions {
   readonly client: Pick<ServerClient, "watchLeaving">;
@@ -36,3 +42,28 @@
   register.watch(() => limits.apply(toLimitNews(register)));
   register.watch(() => warmUpLimits.apply(toDemandNews(register)));
 }
+
+/**
+ * Restores which servers an earlier process of this node knew to be about to stop; waits until the
+ * store returns it.
+ */
+export async function restoreServerNews(
+  { clock, table, node, servers, stopping }: {
+    readonly clock: Clock;
+    readonly table: Pick<DurableTable, "read">;
+    readonly node: string;
+    readonly servers: Pick<ServerView, "markLeaving">;
+    readonly stopping: AbortSignal;
+  },
+): Promise<void> {
+  while (!stopping.aborted) {
+    const record = await readEarlierRecord(table, node);
+    if (record !== "unreadable") {
+      for (const server of record?.leavingServers ?? []) {
+        servers.markLeaving(server, { learnedFrom: "earlier process" });
+      }
+      return;
+    }
+    await clock.sleep(READ_PAUSE_MILLISECONDS, stopping);
+  }
+}
--- a/source/node/create_installation_node.ts
+++ b/source/node/create_installation_node.ts
@@ -48,7 +48,7 @@
 import { MeasuredTable } from "../platform/measured_table.ts";
 import type { Clock } from "../utilities/clock.ts";
 import { createRandomSource } from "../utilities/random_source.ts";
-import { applyServerNews } from "./apply_server_news.ts";
+import { applyServerNews, restoreServerNews } from "./apply_server_news.ts";
 import { createDuties } from "./create_duties.ts";
 import { createWarmUps } from "./create_warm_ups.ts";
 import { setInstallationGauges } from "./installation_gauges.ts";
@@ -228,7 +228,7 @@
       isRunningSteps: (created.node?.parts.steps.running ?? 0) > 0,
       engineUse: engineUseExchange.toRecord(),
       isServing: created.node?.isReady ?? false,
-      leavingServers: servers.leavingByAnswer,
+      leavingServers: servers.leavingWithoutEntry,
       limits: limits.toRecords(),
       demands: warmUps.limits.toDemands(),
       wallOffset: isWallOffsetPublished(clock)
@@ -400,6 +400,8 @@
         lease,
       }),
     supervision: { clock, log, stopping },
+    restore: () =>
+      restoreServerNews({ ...common, node: settings.node, servers }),
     background: [
       operator,
       servers,
--- a/source/node/installation_node.ts
+++ b/source/node/installation_node.ts
@@ -34,6 +34,8 @@
   readonly setGauges: () => void;
   /** All parts that run in the background. */
   readonly background: ReadonlyArray<BackgroundPart>;
+  /** Restores what an earlier process of this node knew, before anything is served. */
+  readonly restore: () => Promise<void>;
   /** What is needed to start background parts again that fail. */
   readonly supervision: {
     readonly clock: Clock;
@@ -120,7 +122,8 @@
 
   /** Runs the background parts until the node stops; a part that fails is started again. */
   async run(): Promise<void> {
-    const { background, supervision } = this.parts;
+    const { background, supervision, restore } = this.parts;
+    await restore();
     await Promise.all(
       background.map((part) =>
         keepAllRunning(
--- a/stand_ins/installation/test_installation.ts
+++ b/stand_ins/installation/test_installation.ts
@@ -117,6 +117,8 @@
   readonly bounds?: Readonly<Record<string, number>>;
   /** Fields of all routes that differ from those of other tests. */
   readonly route?: Readonly<Record<string, unknown>>;
+  /** Called with each node's process before it is ready. */
+  readonly onSpawned?: (node: InstallationNode) => void;
   /** Proxy through which nodes reach the store; none if absent. */
   readonly storeProxy?: RawProxy;
 }
@@ -214,6 +216,7 @@
       storeAddress: options.storeProxy?.address ?? store.address,
       dutyAddress: duties.address,
       bounds: options.bounds ?? {},
+      onSpawned: options.onSpawned ?? (() => {}),
       failureDomain,
       regions,
     });
@@ -392,6 +395,7 @@
   readonly bounds: Readonly<Record<string, number>>;
   readonly failureDomain: string;
   readonly regions: RegionLayout["regions"];
+  readonly onSpawned: (node: InstallationNode) => void;
 }
 
 // Another process may bind a port after it was chosen and before the node binds it. The start is
@@ -459,6 +463,7 @@
     settingsPath: path,
     readLog: () => output.join(""),
   };
+  settings.onSpawned(node);
   const hasStarted = (): boolean => output.join("").includes(STARTED_EVENT);
   if (await isReadyInTime(node, hasStarted)) return node;
   childProcess.kill("SIGKILL");
--- a/stand_ins/installation/users_engine_server.ts
+++ b/stand_ins/installation/users_engine_server.ts
@@ -4,7 +4,7 @@
 
 /** Options of a stand-in for an engine of the users. */
 export interface UsersEngineOptions {
-  readonly identifier: string;
+  identifier: string;
   /** Version of the engine's software, which each event names. */
   softwareVersion: string;
   /** Start of the process that the engine reports, in milliseconds since the Unix epoch; 1 if absent. */
