Let slow streams go on and end stalled ones

Cause: a request for a text was aborted after 2.5 s without data at each attempt, so texts of engines that send an event every few seconds never got their first event. A caller's stream was ended only by silence, so one that sent comments or parts of an event now and then never ended.

Ruled out: calls and scores end by their deadline whatever the server sends; texts end by their samples' lifetime; bodies of refusals, reports and orders have time limits (endless_answer_test).

Change: the time without data doubles with each attempt that was silent for it, up to 20 s, and grows with the usual time between events. A caller's stream ends after its route's time without a whole event, a large response of another route at its deadline.

--- a/source/calls/call_forwarder.ts
+++ b/source/calls/call_forwarder.ts
@@ -24,6 +24,7 @@
   toAnsweredOutcome,
   toEvacuatedOutcome,
   toHeldOutcome,
+  toStreamLimits,
   toUnrunOutcome,
 } from "./forwarding_outcomes.ts";
 import { ServerCandidates } from "./server_candidates.ts";
@@ -267,7 +268,12 @@
     const { status, headers, body } = answer;
     // The stream outlives this run, so `finish`, not `run`, cancels the attempts.
     const finish = this.#attempts.detach();
-    return { kind: "streaming", status, headers, body, finish };
+    const limits = toStreamLimits(this.#call.route, {
+      startedAt: this.#startedAt,
+      deadline: this.#deadline,
+      now: this.#options.clock.monotonic(),
+    });
+    return { kind: "streaming", status, headers, body, ...limits, finish };
   }
 
   #mayRetry(): boolean {
--- a/source/calls/call_outcome.ts
+++ b/source/calls/call_outcome.ts
@@ -48,6 +48,10 @@
     readonly status: number;
     readonly headers: IncomingHttpHeaders;
     readonly body: AsyncIterable<Buffer>;
+    /** Time without progress after which the response is cut off. */
+    readonly stallMilliseconds: number;
+    /** Time within which the response must end; Infinity for a route of streams. */
+    readonly endsWithinMilliseconds: number;
     /** Cancels all attempts of the call; the receiver must call it when the response has ended. */
     readonly finish: () => void;
   }
--- a/source/calls/forwarding_outcomes.ts
+++ b/source/calls/forwarding_outcomes.ts
@@ -3,6 +3,7 @@
   toWarmUpRetryAfter,
 } from "../decisions/call_admission.ts";
 import { toEvacuationRetry } from "../decisions/evacuation.ts";
+import type { ServiceRoute } from "../installation/configuration.ts";
 import type { AttemptResult } from "./attempt_result.ts";
 import type { CallOutcome } from "./call_outcome.ts";
 
@@ -75,3 +76,23 @@
     ? `status ${result.status}`
     : "request was not run";
 }
+
+/** Returns how long a response that is passed on may take; times are monotonic, in milliseconds. */
+export function toStreamLimits(
+  { kind }: Pick<ServiceRoute, "kind">,
+  { startedAt, deadline, now }: {
+    readonly startedAt: number;
+    readonly deadline: number;
+    readonly now: number;
+  },
+): {
+  readonly stallMilliseconds: number;
+  readonly endsWithinMilliseconds: number;
+} {
+  return {
+    stallMilliseconds: Math.max(1, deadline - startedAt),
+    endsWithinMilliseconds: kind === "streaming"
+      ? Infinity
+      : Math.max(1, deadline - now),
+  };
+}
--- a/source/durable_steps/sample_generation.ts
+++ b/source/durable_steps/sample_generation.ts
@@ -4,7 +4,11 @@
 } from "../decisions/allowed_regions.ts";
 import type { TextLengthEstimate } from "../decisions/text_length.ts";
 import type { ServerAnswer, ServerClient } from "../backends/server_client.ts";
-import type { ExchangeFailure } from "../backends/http_exchange.ts";
+import {
+  type ExchangeFailure,
+  toFailureCause,
+} from "../backends/http_exchange.ts";
+import { toIdleLimit } from "../decisions/idle_limit.ts";
 import type { BackendServerEntry } from "../installation/backend_server_entry.ts";
 import type { ServiceRoute } from "../installation/configuration.ts";
 import type { ServerStarts } from "../installation/server_starts.ts";
@@ -18,11 +22,6 @@
 import type { SampleRequest } from "./step_submission.ts";
 import { ENDED } from "../utilities/ended.ts";
 
-/**
- * Time without data after which a request to an engine is aborted. A weight load interrupts the
- * requests of an engine for about 1 s.
- */
-const IDLE_TIMEOUT_MILLISECONDS = 2500;
 const NO_ROUTE_PAUSE_MILLISECONDS = 200;
 /** Expected time from the end of a text until its result is scored and listed. */
 const SCORING_MILLISECONDS = 300;
@@ -99,6 +98,8 @@
 export class SampleGeneration {
   readonly #options: SampleGenerationOptions;
   #failures = 0;
+  /** Number of attempts that were aborted since the engine sent nothing. */
+  #silences = 0;
   #attempts = 0;
   #refusals = 0;
   #unusableVersions = 0;
@@ -280,7 +281,10 @@
         ...(text.lastEvent === undefined ? {} : { afterEvent: text.lastEvent }),
       }, {
         signal: controller.signal,
-        silenceMilliseconds: IDLE_TIMEOUT_MILLISECONDS,
+        silenceMilliseconds: toIdleLimit(
+          this.#silences,
+          pool.usualEventMilliseconds,
+        ),
         mayStart: () =>
           servers.isServing(identifier) &&
           mayProcess(this.#options.findAllowedRegions?.(), engine),
@@ -299,6 +303,7 @@
   }
 
   #handleFailure(identifier: string, failure: ExchangeFailure): AttemptOutcome {
+    if (failure.cause === "silent") this.#silences += 1;
     if (failure.kind === "unknown" || failure.cause === "connect") {
       return this.#recordInterruption(identifier, failure.reason);
     }
@@ -337,6 +342,7 @@
       return await this.#readEvents(engine, route, answer);
     } catch (error) {
       answer.abandon();
+      if (toFailureCause(error) === "silent") this.#silences += 1;
       return this.#recordInterruption(identifier, String(error));
     }
   }
