--- a/source/installation/demand_claims.ts
+++ b/source/installation/demand_claims.ts
@@ -19,6 +19,25 @@
 /** A node's demand by service, as it publishes it. */
 export type ServiceDemands = ReadonlyMap<string, DemandLevel>;
 
+/** What a node knows of the demand of all nodes after a read of their heartbeats. */
+export interface DemandNews {
+  /**
+   * Demand in this node's own last heartbeat that was read back, its heartbeat interval and the
+   * monotonic time at which that read was sent; undefined before the first.
+   */
+  readonly own: {
+    readonly demands: ServiceDemands;
+    readonly heartbeatMilliseconds: number;
+    readonly readAt: number;
+  } | undefined;
+  /** Demand of the other running nodes by their name. */
+  readonly others: ReadonlyMap<string, ServiceDemands>;
+  /** Names of the nodes that may send requests, this one included. */
+  readonly nodes: ReadonlyArray<string>;
+  /** Longest interval between two heartbeats of any running node. */
+  readonly heartbeatMilliseconds: number;
+}
+
 const LEVELS: Readonly<Record<DemandLevel | "none", number>> = {
   none: 0,
   low: 1,
--- a/source/installation/limit_news.ts
+++ b/source/installation/limit_news.ts
@@ -1,6 +1,6 @@
 import type { HeartbeatRead, NodeRecord } from "./node_record.ts";
 import type { LimitNews } from "./server_limits.ts";
-import type { DemandNews } from "./warm_up_limits.ts";
+import type { DemandNews } from "./demand_claims.ts";
 
 /** The running nodes, as the register knows them. */
 export interface RunningNodes {
--- a/source/installation/warm_up_limits.ts
+++ b/source/installation/warm_up_limits.ts
@@ -6,9 +6,18 @@
   shareWarmUp,
 } from "../decisions/request_share.ts";
 import type { Clock } from "../utilities/clock.ts";
-import { DemandClaims, type ServiceDemands } from "./demand_claims.ts";
+import {
+  DemandClaims,
+  type DemandNews,
+  type ServiceDemands,
+} from "./demand_claims.ts";
 import { RECOVERY_MILLISECONDS, WarmingServer } from "./warming_server.ts";
 
+/**
+ * Time for which a node that is not heard counts for the places of the others, so that these are the
+ * same at all nodes although each one misses the heartbeats of others at other times.
+ */
+const PLACE_MILLISECONDS = 20_000;
 /** Part of a node's heartbeat interval after which it counts as without contact. */
 const CONTACT_HEARTBEATS = 2.2;
 /** Longest interval between two reads of a node that sends heartbeats more often than it reads. */
@@ -34,25 +43,6 @@
 /** Largest part of a recovery that counts as passed, so that its last step holds to its end. */
 const MAXIMUM_ELAPSED_PART = 0.999;
 
-/** What a node knows of the demand of all nodes after a read of their heartbeats. */
-export interface DemandNews {
-  /**
-   * Demand in this node's own last heartbeat that was read back, its heartbeat interval and the
-   * monotonic time at which that read was sent; undefined before the first.
-   */
-  readonly own: {
-    readonly demands: ServiceDemands;
-    readonly heartbeatMilliseconds: number;
-    readonly readAt: number;
-  } | undefined;
-  /** Demand of the other running nodes by their name. */
-  readonly others: ReadonlyMap<string, ServiceDemands>;
-  /** Names of the nodes that may send requests, this one included. */
-  readonly nodes: ReadonlyArray<string>;
-  /** Longest interval between two heartbeats of any running node. */
-  readonly heartbeatMilliseconds: number;
-}
-
 /** The warm-up of a server. */
 export interface ServerWarmUp {
   readonly service: string;
@@ -97,6 +87,8 @@
     string,
     { readonly node: string; readonly demand: DemandLevel }[]
   >();
+  /** Monotonic times, in milliseconds, at which nodes were last known to serve. */
+  readonly #servingAt = new Map<string, number>();
   #news: DemandNews | undefined;
   /** Monotonic time, in milliseconds, at which a heartbeat of this node was first read back. */
   #heardSince: number | undefined;
@@ -246,6 +238,10 @@
       if (now - seenAt > LOST_MILLISECONDS) this.#others.delete(node);
     }
     this.#listClaimants();
+    for (const node of news.nodes) this.#servingAt.set(node, now);
+    for (const [node, servingAt] of this.#servingAt) {
+      if (now - servingAt > PLACE_MILLISECONDS) this.#servingAt.delete(node);
+    }
     if (news.own !== undefined) this.#claims.confirm(news.own.demands, now);
     const since = now - this.#noticeMilliseconds;
     if (news.own !== undefined) this.#heardSince ??= now;
@@ -365,7 +361,9 @@
     // A node that has just started does not know all others, nor do they know it.
     if (!this.#isEstablished || !nodes.includes(node)) return Infinity;
     const own = server.getOrder(node);
-    return nodes.filter((each) => server.getOrder(each) < own).length;
+    return [...this.#servingAt.keys()].filter((each) =>
+      server.getOrder(each) < own
+    ).length;
   }
 
   get #noticeMilliseconds(): number {
--- a/source/installation/warm_up_limits_test.ts
+++ b/source/installation/warm_up_limits_test.ts
@@ -82,6 +82,26 @@
   t.true(busiest <= 24.5, `${busiest} requests in 1 s`);
 });
 
+// Guards against places that differ between nodes which miss each other's late heartbeats.
+test("nodes that hear few of the others before an outage do not exceed the maximum", async (t) => {
+  const { busiest } = await playWarmUp({
+    ...USUAL,
+    pattern: "steps of all nodes at once",
+    nodes: 100,
+    requestsPerSecond: 4,
+    overageFactor: 2,
+    slackRequests: 0,
+    entryMilliseconds: 0,
+    heartbeatMilliseconds: 150,
+    writeMilliseconds: 6000,
+    outage: "all",
+    outageAt: 6000,
+    joining: 0.2,
+    seed: 382_135,
+  });
+  t.true(busiest <= 8, `${busiest} requests in 1 s`);
+});
+
 // Guards against a share that is used while other nodes with an older view use it, too.
 test("a node uses a share only once all nodes in contact know its demand, and not without contact", async (t) => {
   const clock = new ManualClock();
