Limit servers in warm-up before the end of their evacuation is told

Cause: the parts that send requests were told of the end of an evacuation before the warm-ups of its servers were known, so samples that waited could be assigned to them in the same tick without a limit.

Change: the watcher of warm-ups runs first.

--- a/source/node/create_installation_node.ts
+++ b/source/node/create_installation_node.ts
@@ -118,8 +118,6 @@
     isInReserve: () => register.isInReserve,
     drainMilliseconds: bounds.drainMilliseconds,
   });
-  // First among the watchers, so that nothing uses a configuration without its evacuations.
-  operator.watch(() => servers.setEvacuatedDomains(operator.evacuatedDomains));
   const warmUps = createWarmUps({
     ...options,
     servers,
@@ -127,6 +125,9 @@
     client,
     onMoreRoom: () => limits.notify(),
   });
+  // Before the other watchers, so that nothing uses a configuration without its evacuations, and after
+  // the warm-ups, so that servers whose evacuation ends are limited before they get requests.
+  operator.watch(() => servers.setEvacuatedDomains(operator.evacuatedDomains));
   const limits = new ServerLimits({
     node: settings.node,
     clock,
