Count a body without a marked end as complete when its connection is closed

Cause: the published protocol of the servers allows a response without a length that ends with its connection; only one that is reset is not complete. The change that refused all such bodies went too far: whole responses of such servers were lost.

Ruled out: to look at the head of the response, as it does not tell how the connection ended. undici counts such a body as complete when its connection is reset, but not when it fails with another error.

Change: the connector gives the error of a reset connection another code before undici handles it.

--- a/source/backends/connection_pools.ts
+++ b/source/backends/connection_pools.ts
@@ -1,5 +1,5 @@
 import { LRUCache } from "lru-cache";
-import { type Dispatcher, Pool } from "undici";
+import { buildConnector, type Dispatcher, Pool } from "undici";
 import { trackSends } from "./send_tracking_handler.ts";
 
 /** Maximum number of pools in a cache; beyond it, the least recently used pool is closed. */
@@ -16,6 +16,9 @@
   readonly keepAliveMilliseconds: number;
 }
 
+/** Code of the error of a connection that was reset, in place of the system's ECONNRESET. */
+const RESET_CODE = "ERR_CONNECTION_RESET";
+
 const DEFAULT_OPTIONS: ConnectionPoolsOptions = {
   connectMilliseconds: CONNECT_TIMEOUT_MILLISECONDS,
   keepAliveMilliseconds: KEEP_ALIVE_MILLISECONDS,
@@ -94,7 +97,7 @@
   options: ConnectionPoolsOptions & { readonly newConnection: boolean },
 ): PoolEntry {
   const pool = new Pool(`http://${address}`, {
-    connect: { timeout: options.connectMilliseconds },
+    connect: createConnector(options.connectMilliseconds),
     headersTimeout: 0,
     bodyTimeout: 0,
     keepAliveTimeout: options.keepAliveMilliseconds,
@@ -103,3 +106,18 @@
   });
   return { pool, dispatcher: pool.compose(trackSends) };
 }
+
+// undici counts a body without a length or chunks as complete when its connection is reset, but not
+// when it fails with any other error.
+function createConnector(timeout: number): buildConnector.connector {
+  const connect = buildConnector({ timeout });
+  return (options, callback) => {
+    connect(options, (...result) => {
+      const [, socket] = result;
+      socket?.prependListener("error", (error: NodeJS.ErrnoException) => {
+        if (error.code === "ECONNRESET") error.code = RESET_CODE;
+      });
+      callback(...result);
+    });
+  };
+}
--- a/source/backends/http_exchange.ts
+++ b/source/backends/http_exchange.ts
@@ -12,9 +12,6 @@
 } from "./send_tracking_handler.ts";
 import { InactivityTimer } from "./inactivity_timer.ts";
 
-/** Statuses of responses that have no body. */
-const BODILESS_STATUSES: ReadonlySet<number> = new Set([204, 304]);
-
 /** One request to a backend server. */
 export interface ExchangeRequest {
   readonly address: string;
@@ -182,26 +179,18 @@
       kind: "answered",
       status: head.statusCode,
       headers: head.headers,
-      body: this.#readBody(head.body, isEndMarked(this.#request.method, head)),
+      body: this.#readBody(head.body),
       abandon: () => this.#abort("cancelled", "Answer abandoned"),
     };
   }
 
-  // A body without a length or chunks ends with its connection, whether the server has sent all of it
-  // or broke off, so it never counts as complete.
-  async *#readBody(
-    body: Readable,
-    isEndMarked: boolean,
-  ): AsyncGenerator<Buffer> {
+  async *#readBody(body: Readable): AsyncGenerator<Buffer> {
     try {
       for await (const chunk of body) {
         this.#inactivityTimer.pause();
         yield chunk as Buffer;
         this.#inactivityTimer.resume();
       }
-      if (!isEndMarked) {
-        throw new ExchangeError("cut", "Body has no length and no last chunk");
-      }
     } finally {
       this.#release();
     }
@@ -223,18 +212,6 @@
   }
 }
 
-// Whether the head of a response tells where its body ends.
-function isEndMarked(
-  method: string,
-  { statusCode, headers }: Dispatcher.ResponseData,
-): boolean {
-  if (method === "HEAD" || BODILESS_STATUSES.has(statusCode)) return true;
-  const encodings = String(headers["transfer-encoding"] ?? "").toLowerCase();
-  return encodings === ""
-    ? headers["content-length"] !== undefined
-    : encodings.split(",").at(-1)?.trim() === "chunked";
-}
-
 /**
  * Returns why an exchange that had sent its first byte has no complete answer.
  * @param error - Value that was thrown.
