Let nothing go on at a server that does not report its start

Cause: a server whose report could not be read within 250 ms counted as the start that its entry describes, so on a busy machine streams and texts went on at engines that had started again with another software version. A check could also use a report that was asked for up to 250 ms before it began.

Change: a server without a readable report may have been replaced, so nothing goes on there until it reports its start (event 9217). Checks share one report only if it was not asked for when they began. The test that expected such a server to count as not replaced is replaced by its opposite, and a test says which report a check may use.

--- a/source/installation/server_starts.ts
+++ b/source/installation/server_starts.ts
@@ -31,11 +31,13 @@
  */
 export class ServerStarts {
   readonly #options: ServerStartsOptions;
+  /** Checks whose report is being read, by identifier and start of the server. */
+  readonly #running = new Map<string, Promise<boolean>>();
   /**
-   * Running checks by identifier and start of the server. After a takeover, many texts of one engine
-   * go on at the same time, and one read serves all of them.
+   * Checks whose report is not asked for yet. After a takeover, many texts of one engine go on at the
+   * same time, and one read serves all of them.
    */
-  readonly #checks = new Map<string, Promise<boolean>>();
+  readonly #next = new Map<string, Promise<boolean>>();
 
   /** @param options - The servers and the client that reads their reports. */
   constructor(options: ServerStartsOptions) {
@@ -44,24 +46,44 @@
 
   /**
    * Whether a server reports another start than its entry describes.
-   * @returns False if the entry names no start, the server is evacuated and so not asked, or it reports
-   *   no start; the last is logged, unless this node reaches no server.
+   * @returns False if the entry names no start, or the server is evacuated and so not asked. True if
+   *   its report can't be read, as another start of it may run; that is logged, unless this node
+   *   reaches no server.
    */
   async isReplaced(server: BackendServerEntry): Promise<boolean> {
     const { paths, servers } = this.#options;
     const { identifier, startedAt } = server;
     if (startedAt === 0 || paths.isCutOff) return false;
     if (servers.isEvacuated(server)) return false;
-    const name = `${identifier}/${startedAt}`;
-    const running = this.#checks.get(name);
-    if (running !== undefined) return await running;
-    const check = this.#readStart(server).finally(() =>
-      this.#checks.delete(name)
-    );
-    this.#checks.set(name, check);
+    return await this.#joinCheck(server);
+  }
+
+  // Checks share a report that was not yet asked for when they began. An earlier one does not tell
+  // whether the server has started again since.
+  async #joinCheck(server: BackendServerEntry): Promise<boolean> {
+    const name = `${server.identifier}/${server.startedAt}`;
+    const next = this.#next.get(name);
+    if (next !== undefined) return await next;
+    const check = this.#readAfter(name, server);
+    this.#next.set(name, check);
     return await check;
   }
 
+  async #readAfter(
+    name: string,
+    server: BackendServerEntry,
+  ): Promise<boolean> {
+    await this.#running.get(name);
+    this.#next.delete(name);
+    const check = this.#readStart(server);
+    this.#running.set(name, check);
+    try {
+      return await check;
+    } finally {
+      if (this.#running.get(name) === check) this.#running.delete(name);
+    }
+  }
+
   async #readStart(server: BackendServerEntry): Promise<boolean> {
     const { log, client, limits, servers, waitForWarmUp } = this.#options;
     const { identifier, startedAt } = server;
@@ -76,7 +98,7 @@
     const reported = report?.startedAt;
     if (reported === undefined) {
       log.emit("serverStartUnknown", { server: identifier, startedAt });
-      return false;
+      return true;
     }
     if (reported === startedAt) return false;
     log.emit("serverStartReplaced", {
--- a/source/installation/server_starts_test.ts
+++ b/source/installation/server_starts_test.ts
@@ -72,9 +72,11 @@
   }]);
 });
 
-test("a server whose report can't be read counts as not replaced", async (t) => {
+// Guards against a stream that goes on at another software version because a busy server did not
+// report its start in time.
+test("a server whose report can't be read may have been replaced", async (t) => {
   const { starts, log } = createFixture({});
-  t.false(await starts.isReplaced(ENTRY));
+  t.true(await starts.isReplaced(ENTRY));
   t.deepEqual(log.events.map(({ name }) => name), ["serverStartUnknown"]);
 });
 
@@ -108,6 +110,20 @@
   t.is(asked.length, 1);
 });
 
+// Guards against a report that was asked for before the server started again.
+test("a check does not use a report that was asked for before it began", async (t) => {
+  const { starts, asked } = createFixture({ reportedAt: 100 });
+  const first = starts.isReplaced(ENTRY);
+  await Promise.resolve();
+  await Promise.resolve();
+  t.is(asked.length, 1);
+  const later = [starts.isReplaced(ENTRY), starts.isReplaced(ENTRY)];
+  await Promise.all([first, ...later]);
+  t.is(asked.length, 2);
+  await starts.isReplaced(ENTRY);
+  t.is(asked.length, 3);
+});
+
 const CHANGES: ReadonlyArray<{
   readonly title: string;
   readonly entry?: BackendServerEntry;
--- a/source/observability/events/installation_events.ts
+++ b/source/observability/events/installation_events.ts
@@ -193,7 +193,7 @@
   serverStartUnknown: defineEvent(9217, {
     level: "info",
     message:
-      "A server did not report its start; a stream goes on as if its entry described it",
+      "A server did not report its start; no stream or text goes on there until it does",
     action: "",
     fields: ["server", "startedAt"],
   }),
