--- a/source/installation/server_starts.ts
+++ b/source/installation/server_starts.ts
@@ -52,7 +52,7 @@
    */
   async isReplaced(server: BackendServerEntry): Promise<boolean> {
     const { paths, servers } = this.#options;
-    const { identifier, startedAt } = server;
+    const { startedAt } = server;
     if (startedAt === 0 || paths.isCutOff) return false;
     if (servers.isEvacuated(server)) return false;
     return await this.#joinCheck(server);
