Check an installation's configuration before it is sent

Cause: nodes fall back to defaults or ignore a row as a whole, and an operator learned of a misspelt field, a route that nothing matches or a key that two organisations hold only from the requests that were refused.

Exit status 0 without errors, 1 with errors, 2 when a file or the store can't be read. The command only reads, and names keys by a digest.

Ruled out: a finding for timeouts above the callers' idle limit, as nodes apply that limit only between requests; quoting the JSON parser, whose message may contain a key; errors for every unknown field, as only those near a known name are probably misspelt.

--- a/source/command/command_context.ts
+++ b/source/command/command_context.ts
@@ -16,7 +16,8 @@
 const ADDRESSES_VARIABLE = "SNIPEPATH_OPERATOR_NODES";
 const SECRET_VARIABLE = "SNIPEPATH_OPERATOR_SECRET";
 
-const addressType: Type<string, string> = {
+/** Type of a command line option that is an address. */
+export const ADDRESS_TYPE: Type<string, string> = {
   from(text): Promise<string> {
     if (HOST_AND_PORT.test(text)) return Promise.resolve(text);
     return Promise.reject(new Error(`"${text}" is not HOST:PORT`));
@@ -28,7 +29,7 @@
 export const NODE_OPTIONS = {
   nodes: multioption({
     long: "node",
-    type: array(addressType),
+    type: array(ADDRESS_TYPE),
     description:
       `Peer address of a node; may be repeated [env: ${ADDRESSES_VARIABLE}, separated by commas]`,
   }),
--- a/source/command/exit_status.ts
+++ b/source/command/exit_status.ts
@@ -5,6 +5,8 @@
   invalid: 1,
   /** The command line could not be parsed. */
   usage: 2,
+  /** `check-configuration` can't read a file or the store. */
+  unreadable: 2,
   /**
    * No node responded, or the platform did not; for a change, the message says whether it may have
    * been applied.
--- a/source/programs/snipepath.ts
+++ b/source/programs/snipepath.ts
@@ -13,8 +13,11 @@
   string,
   subcommands,
 } from "cmd-ts";
+import { CONFIGURATION_FORMATS } from "../../platform/configuration_formats.ts";
 import { runApply } from "../command/apply_command.ts";
+import { runCheckConfiguration } from "../command/check_configuration_command.ts";
 import {
+  ADDRESS_TYPE,
   chooseAddresses,
   type CommandContext,
   NODE_OPTIONS,
@@ -87,6 +90,43 @@
   },
 });
 
+const checkInstallationConfiguration = command({
+  name: "check-configuration",
+  description:
+    "Check the configuration of an installation before it is sent; only reads",
+  args: {
+    json: NODE_OPTIONS.json,
+    file: positional({
+      type: string,
+      displayName: "FILE",
+      description: "Configuration as JSON",
+    }),
+    inForce: option({
+      long: "in-force",
+      type: optional(string),
+      description: "File with the configuration in force, to compare with",
+    }),
+    store: option({
+      long: "store",
+      type: optional(ADDRESS_TYPE),
+      description: "Store to read the configuration in force from",
+    }),
+    settings: option({
+      long: "settings",
+      type: optional(string),
+      description: "Settings file of a node, for regions and sizes",
+    }),
+  },
+  handler: async ({ json, ...options }) => {
+    process.exitCode = await runCheckConfiguration({
+      ...options,
+      isJson: json,
+      output: PROCESS_OUTPUT,
+      formats: CONFIGURATION_FORMATS,
+    });
+  },
+});
+
 const diff = command({
   name: "diff",
   description: "Show what a declaration would change",
@@ -251,6 +291,7 @@
   version: VERSION,
   cmds: {
     check,
+    "check-configuration": checkInstallationConfiguration,
     diff,
     apply,
     history,
--- a/source/programs/snipepath_installation.ts
+++ b/source/programs/snipepath_installation.ts
@@ -3,7 +3,10 @@
 import { readFileSync, statSync } from "node:fs";
 import { InstallationDutyClient } from "../../platform/duty_client.ts";
 import { InstallationEntryServer } from "../../platform/entry_server.ts";
-import { readOperatorRow } from "../../platform/operator_rows.ts";
+import {
+  OPERATOR_TABLE,
+  readOperatorRow,
+} from "../../platform/operator_rows.ts";
 import { InstallationPeerClient } from "../../platform/peer_client.ts";
 import { readSignature } from "../../platform/server_answer.ts";
 import { InstallationServerClient } from "../../platform/server_client.ts";
@@ -214,7 +217,7 @@
           address: `http://${settings.dutyAddress}`,
         }),
       ),
-    operatorTable: "op",
+    operatorTable: OPERATOR_TABLE,
     serverTable: "servers",
     readOperatorRow,
     readServerRow,
