--- a/source/installation/server_view.ts
+++ b/source/installation/server_view.ts
@@ -1,4 +1,3 @@
-import { LRUCache } from "lru-cache";
 import {
   type AllowedRegions,
   mayProcess,
@@ -17,6 +16,8 @@
   ServerStart,
 } from "./backend_server_entry.ts";
 import { EvacuationLog } from "./evacuation_log.ts";
+import { type LeavingNotice, LeavingServers } from "./leaving_servers.ts";
+import { SoftwareVersionsSeen } from "./software_versions_seen.ts";
 
 /**
  * Pause after each response with changes, as a share of `drainMilliseconds`. Servers write a row at
@@ -30,19 +31,6 @@
  * expired entries within about 2 s.
  */
 const RETENTION_MILLISECONDS = 1900;
-/** Time for which a software version is remembered after its last server has left. */
-const VERSION_MEMORY_MILLISECONDS = 600_000;
-/** Maximum number of leaving servers that are remembered; beyond it, the oldest is forgotten. */
-const MAXIMUM_LEAVING_SERVERS = 2000;
-
-/** How a node learned that a server is about to stop. */
-export interface LeavingNotice {
-  /**
-   * "answer" for an answer of the server to this node, "earlier process" for what this node knew
-   * before its restart, else the name of the node that told this one.
-   */
-  readonly learnedFrom: string;
-}
 
 /** Dependencies of a server view. */
 export interface ServerViewOptions {
@@ -77,10 +65,7 @@
   readonly #watchers: (() => void)[] = [];
   readonly #loggedMalformed = new Set<string>();
   readonly #follower: TableFollower;
-  /** Servers that are about to stop, by their start, and the node that got their answer. */
-  readonly #leaving = new LRUCache<string, ServerStart & LeavingNotice>({
-    max: MAXIMUM_LEAVING_SERVERS,
-  });
+  readonly #leaving: LeavingServers;
   /** Identifiers of servers without an entry that are retained while they may still renew it. */
   readonly #retained = new Set<string>();
   #servers = new Map<string, BackendServerEntry>();
@@ -91,8 +76,7 @@
   readonly #evacuationLog: EvacuationLog;
   #evacuatedDomains: ReadonlySet<string> = new Set();
   #isFailing = false;
-  /** Monotonic times, in milliseconds, at which each software version of a service was last seen. */
-  readonly #versionsSeen = new Map<string, Map<string, number>>();
+  readonly #versionsSeen = new SoftwareVersionsSeen();
   /** Monotonic time, in milliseconds, since which the entries are followed without an outage. */
   #followedSince = Infinity;
   /** Monotonic time, in milliseconds, at which the last outage of the store was detected. */
@@ -104,6 +88,7 @@
   /** @param options - The store and the parser of its rows. */
   constructor(options: ServerViewOptions) {
     this.#options = options;
+    this.#leaving = new LeavingServers(options.log);
     this.#evacuationLog = new EvacuationLog(options.log);
     const { clock, table, tableName, stopping, drainMilliseconds } = options;
     this.#follower = new TableFollower({
@@ -217,12 +202,9 @@
   ): ReadonlySet<string> | undefined {
     const since = this.#options.clock.monotonic() - milliseconds;
     if (this.#isFailing || this.#followedSince > since) return undefined;
-    const seen = [...this.#versionsSeen.get(service) ?? []].filter(
-      ([, seenAt]) => seenAt >= since,
-    );
     const current = this.#registeredOfService(service);
     return new Set([
-      ...seen.map(([version]) => version),
+      ...this.#versionsSeen.listSince(service, since),
       ...current.map(({ softwareVersion }) => softwareVersion),
     ]);
   }
@@ -233,18 +215,8 @@
    * @param server - The server that is about to stop.
    * @param notice - How this node learned it.
    */
-  markLeaving(
-    { identifier, startedAt }: ServerStart,
-    { learnedFrom }: LeavingNotice,
-  ): void {
-    const start = toServerStart({ identifier, startedAt });
-    if (this.#leaving.has(start)) return;
-    this.#leaving.set(start, { identifier, startedAt, learnedFrom });
-    this.#options.log.emit("backendServerLeaving", {
-      server: identifier,
-      learnedFrom,
-    });
-    this.#regroupAndNotify();
+  markLeaving(server: ServerStart, notice: LeavingNotice): void {
+    if (this.#leaving.add(server, notice)) this.#regroupAndNotify();
   }
 
   /**
@@ -252,7 +224,7 @@
    * node publishes all of them, so that it still knows them after a restart.
    */
   get leavingWithoutEntry(): ReadonlyArray<ServerStart> {
-    return [...this.#leaving.values()].filter(({ identifier, startedAt }) => {
+    return this.#leaving.all.filter(({ identifier, startedAt }) => {
       const server = this.#servers.get(identifier);
       return server?.startedAt === startedAt && !server.isDraining;
     });
@@ -263,7 +235,7 @@
   }
 
   #isAvailable(server: BackendServerEntry): boolean {
-    return !server.isDraining && !this.#leaving.has(toServerStart(server));
+    return !server.isDraining && !this.#leaving.has(server);
   }
 
   #registeredOfService(service: string): ReadonlyArray<BackendServerEntry> {
@@ -380,15 +352,7 @@
   // Called before each change, as the servers that it removes were present until then.
   #recordSoftwareVersions(): void {
     const now = this.#options.clock.monotonic();
-    for (const { service, softwareVersion } of this.#servers.values()) {
-      const seen = this.#versionsSeen.get(service) ?? new Map();
-      this.#versionsSeen.set(service, seen.set(softwareVersion, now));
-    }
-    for (const seen of this.#versionsSeen.values()) {
-      for (const [version, seenAt] of seen) {
-        if (now - seenAt > VERSION_MEMORY_MILLISECONDS) seen.delete(version);
-      }
-    }
+    this.#versionsSeen.record(this.#servers.values(), now);
   }
 
   #logMalformed(key: string): void {
@@ -398,10 +362,6 @@
   }
 }
 
-function toServerStart({ identifier, startedAt }: ServerStart): string {
-  return `${identifier}/${startedAt}`;
-}
-
 function groupByService(
   servers: Iterable<BackendServerEntry>,
 ): ReadonlyMap<string, ReadonlyArray<BackendServerEntry>> {
