Split the nodes whose heartbeats were read from the register

Change: known_nodes.ts keeps the nodes whose heartbeats were read, with their silence and loss; the register sends and reads heartbeats and decides on the pace. No change of behaviour; the tests stay as they were.

--- a/source/installation/node_register.ts
+++ b/source/installation/node_register.ts
@@ -1,28 +1,20 @@
 import type { EventLog } from "../observability/event_log.ts";
 import type { DurableTable, RowChange } from "../platform/durable_table.ts";
 import type { Clock } from "../utilities/clock.ts";
-import {
-  HeartbeatAge,
-  isAddressable,
-  isOlderHeartbeat,
-} from "../decisions/heartbeat_age.ts";
 import {
   type Fleet,
   HEARTBEATS_PER_SECOND,
   toHeartbeatInterval,
   toInterval,
 } from "./heartbeat_pace.ts";
+import { KnownNodes } from "./known_nodes.ts";
 import type {
   HeartbeatRead,
   NodeDescription,
   NodeRecord,
 } from "./node_record.ts";
 import { keepAllRunning } from "../utilities/keep_running.ts";
-import {
-  NODE_TABLE,
-  readNodeRecord,
-  writeNodeRecord,
-} from "./node_record_row.ts";
+import { NODE_TABLE, writeNodeRecord } from "./node_record_row.ts";
 import { NodeStartLog } from "./node_start_log.ts";
 import {
   filterHighCapacity,
@@ -48,11 +40,6 @@
  * sent a heartbeat by then.
  */
 const LOADING_INTERVALS = 2;
-/**
- * Time without a heartbeat after which every node that knows the silent node removes it from memory
- * and deletes its row.
- */
-const REMOVAL_MILLISECONDS = 60_000;
 
 /** Dependencies of a node register. */
 export interface NodeRegisterOptions {
@@ -64,20 +51,6 @@
   readonly stopping: AbortSignal;
 }
 
-interface KnownNode {
-  readonly record: NodeRecord;
-  readonly version: number;
-  /**
-   * Monotonic time, in milliseconds, at which this node first read the row's current version or, if
-   * later, could read the store again after a failure.
-   */
-  changedAt: number;
-  /** Monotonic time, in milliseconds, after which the heartbeat was sent. */
-  readonly sentAfter: number;
-  /** Whether the node counted as lost at a read since its row changed. */
-  isLost: boolean;
-}
-
 /**
  * Publishes heartbeats of this node through the store and tracks which other nodes run.
  *
@@ -93,9 +66,7 @@
  */
 export class NodeRegister {
   readonly #options: NodeRegisterOptions;
-  /** Nodes by name, also lost ones until they are removed. */
-  readonly #knownNodes = new Map<string, KnownNode>();
-  readonly #heartbeatAge = new HeartbeatAge();
+  readonly #knownNodes = new KnownNodes();
   readonly #watchers: (() => void)[] = [];
   readonly #startLog: NodeStartLog;
   #others: ReadonlyArray<NodeRecord> = [];
@@ -146,10 +117,9 @@
    */
   listAddressable(isStoreUnreachable: boolean): ReadonlyArray<NodeRecord> {
     const now = this.#options.clock.monotonic();
-    const others = this.#others.filter(({ node, heartbeatMilliseconds }) => {
-      const sentAfter = this.#knownNodes.get(node)?.sentAfter ?? -Infinity;
-      return isAddressable(now - sentAfter, heartbeatMilliseconds);
-    });
+    const others = this.#others.filter((record) =>
+      this.#knownNodes.isAddressable(record, now)
+    );
     return [this.#self(), ...isStoreUnreachable ? this.#others : others];
   }
 
@@ -178,11 +148,8 @@
   /** Returns the records of this node and of all nodes whose last heartbeat is recent enough. */
   heardWithin(milliseconds: number): ReadonlyArray<NodeRecord> {
     const own = this.#self();
-    const heard = [...this.#knownNodes.values()].filter(
-      ({ record, changedAt }) =>
-        record.node !== own.node && this.#readAt - changedAt < milliseconds,
-    );
-    return [own, ...heard.map(({ record }) => record)];
+    const heard = this.#knownNodes.listHeardWithin(milliseconds, this.#readAt);
+    return [own, ...heard.filter(({ node }) => node !== own.node)];
   }
 
   /** Registers a function that is called after each successful read of the register. */
@@ -261,8 +228,9 @@
   // Counted at each read and not when it is needed, since the count goes through all nodes.
   #countFleet(): void {
     const own = this.#options.self();
-    const others = [...this.#knownNodes.values()].map(({ record }) => record)
-      .filter(({ node }) => node !== own.node);
+    const others = this.#knownNodes.records.filter(({ node }) =>
+      node !== own.node
+    );
     const all = [own, ...others];
     const highCapacity = filterHighCapacity<NodeCapacity>(all);
     this.#fleet = {
@@ -309,15 +277,13 @@
     this.#callMilliseconds += CALL_DURATION_SMOOTHING *
       (now - sentAt - this.#callMilliseconds);
     // Other nodes may have been unable to write too, so their silence is measured from now on.
-    if (this.#isReadFailing) {
-      for (const node of this.#knownNodes.values()) node.changedAt = now;
-    }
+    if (this.#isReadFailing) this.#knownNodes.restartSilence(now);
     this.#isReadFailing = false;
     this.#readAt = now;
     for (const change of changes) this.#apply(change, now);
     this.#recordVersion(now);
     this.#startLog.update(
-      changes.flatMap(({ key }) => this.#knownNodes.get(key)?.record ?? []),
+      changes.flatMap(({ key }) => this.#knownNodes.get(key) ?? []),
     );
     this.#removeLost(now, table);
     this.#others = this.#findOthers(now);
@@ -353,60 +319,29 @@
 
   #recordVersion(now: number): void {
     const version = this.#version ?? 0;
-    this.#heartbeatAge.recordRead(version, now);
+    this.#knownNodes.recordRead(version, now);
     this.#updateNewestVersion(version);
   }
 
   #apply(change: RowChange, now: number): void {
-    const { key, value, version, isDeleted } = change;
-    if (isDeleted) {
-      this.#knownNodes.delete(key);
-      return;
-    }
-    const record = readNodeRecord(key, value);
+    const record = this.#knownNodes.apply(change, now);
     if (record === undefined) return;
-    const knownNode = this.#knownNodes.get(key);
-    const known = knownNode?.record;
-    const { storeVersion } = record;
-    if (knownNode !== undefined && isOlderHeartbeat(record, knownNode.record)) {
-      this.#knownNodes.set(key, { ...knownNode, version });
-      return;
-    }
     if (record.nodeStart === this.#options.self().nodeStart) {
       this.#ownHeartbeat = { record, sentAt: this.#sentAt };
     }
-    const wallOffset = record.wallOffset ??
-      (known?.nodeStart === record.nodeStart ? known.wallOffset : undefined);
-    this.#knownNodes.set(key, {
-      record: { ...record, wallOffset },
-      version,
-      changedAt: now,
-      // Nodes of an earlier program don't name a version.
-      sentAfter: storeVersion === undefined
-        ? now
-        : this.#heartbeatAge.findTimeBefore(storeVersion),
-      isLost: false,
-    });
   }
 
   #findOthers(now: number): ReadonlyArray<NodeRecord> {
     const own = this.#options.self().node;
-    for (const node of this.#knownNodes.values()) {
-      const silence = now - node.changedAt;
-      const { heartbeatMilliseconds } = node.record;
-      node.isLost ||= silence >= this.#toLossTimeout(heartbeatMilliseconds);
-    }
-    return [...this.#knownNodes.values()]
-      .filter(({ record, isLost }) => record.node !== own && !isLost)
-      .map(({ record }) => record);
+    return this.#knownNodes
+      .updateLost(now, (milliseconds) => this.#toLossTimeout(milliseconds))
+      .filter(({ node }) => node !== own);
   }
 
   #removeLost(now: number, table: DurableTable): void {
-    for (const [name, { changedAt, version }] of this.#knownNodes) {
-      if (now - changedAt < REMOVAL_MILLISECONDS) continue;
-      this.#knownNodes.delete(name);
-      this.#startLog.forget(name);
-      const place = { table: NODE_TABLE, partition: name, key: name };
+    for (const { node, version } of this.#knownNodes.removeSilent(now)) {
+      this.#startLog.forget(node);
+      const place = { table: NODE_TABLE, partition: node, key: node };
       void table.commit({
         conditions: [{ ...place, version }],
         puts: [],
