Split the sending of attempts from the call forwarder

Change: attempt_sender.ts sends the attempts of one call to servers and through other nodes and records how they end; the forwarder decides when an attempt starts and what the outcome is. No change of behaviour; the tests stay as they were.

--- a/source/calls/call_forwarder.ts
+++ b/source/calls/call_forwarder.ts
@@ -1,14 +1,11 @@
-import { type AttemptResult, toAttemptResult } from "./attempt_result.ts";
+import type { AttemptResult } from "./attempt_result.ts";
+import { AttemptSender } from "./attempt_sender.ts";
 import { type AttemptRun, AttemptSet } from "./attempt_set.ts";
-import {
-  type AllowedRegions,
-  mayProcess,
-} from "../decisions/allowed_regions.ts";
+import type { AllowedRegions } from "../decisions/allowed_regions.ts";
 import type { HedgeTiming } from "../decisions/hedge_timing.ts";
 import type { RetryBudget } from "../decisions/retry_budget.ts";
 import type { CallGate } from "./call_gate.ts";
 import type { ServerAnswer, ServerClient } from "../backends/server_client.ts";
-import type { BackendServerEntry } from "../installation/backend_server_entry.ts";
 import { selectService } from "../installation/configuration.ts";
 import type { ServerView } from "../installation/server_view.ts";
 import type { EventLog } from "../observability/event_log.ts";
@@ -19,7 +16,6 @@
 import type { CrashGuard, GuardedCall } from "./crash_guard.ts";
 import type { ForwardedCall } from "./forwarded_call.ts";
 import {
-  describeFailure,
   NO_ALLOWED_REGION,
   toAnsweredOutcome,
   toEvacuatedOutcome,
@@ -88,6 +84,7 @@
   readonly #guarded: GuardedCall | undefined;
   readonly #candidates: ServerCandidates;
   readonly #attempts: AttemptSet;
+  readonly #sender: AttemptSender;
   /** Number of attempts through other nodes. */
   #relayCount = 0;
   #retryPauseMilliseconds = RETRY_PAUSE_MILLISECONDS;
@@ -117,6 +114,12 @@
       call.deadline - RESPONSE_MARGIN_MILLISECONDS,
       this.#startedAt + call.route.timeoutMilliseconds,
     );
+    this.#sender = new AttemptSender({
+      ...options,
+      call,
+      deadline: this.#deadline,
+      guarded: this.#guarded,
+    });
   }
 
   async run(): Promise<CallOutcome> {
@@ -228,12 +231,12 @@
       this.#attempts.add({ kind: "notRun", isRefused: true });
       return Infinity;
     }
-    return this.#start((signal) => this.#attempt(server, signal));
+    return this.#start((signal) => this.#sender.send(server, signal));
   }
 
   #startRelay(peer: Peer): number {
     this.#relayCount += 1;
-    return this.#start((signal) => this.#relay(peer, signal));
+    return this.#start((signal) => this.#sender.relay(peer, signal));
   }
 
   // Returns the monotonic time, in milliseconds, from which a hedged attempt may start.
@@ -333,93 +336,4 @@
     const reason = this.#attempts.running > 0 ? "timedOut" : "serverFailed";
     return { kind: "unknown", reason };
   }
-
-  async #attempt(
-    server: BackendServerEntry,
-    signal: AbortSignal,
-  ): Promise<AttemptResult> {
-    const { serverStatistics: statistics, clock, log } = this.#options;
-    const { identifier } = server;
-    statistics.recordStart(identifier);
-    const sentAt = clock.monotonic();
-    const result = this.#watchStream(
-      server,
-      await this.#sendRequest(server, signal),
-    );
-    const milliseconds = clock.monotonic() - sentAt;
-    statistics.recordEnd(identifier);
-    if (result.kind === "streaming") this.#call.onStreaming?.(server);
-    const isServed = result.kind === "streaming" ||
-      (result.kind === "complete" && result.status < 500);
-    if (isServed) {
-      statistics.recordSuccess(identifier, milliseconds);
-      this.#options.hedgeTiming.record(this.#call.route.name, milliseconds);
-    } else if (signal.aborted) {
-      statistics.recordMinimumDuration(identifier, milliseconds);
-    } else if (result.kind !== "notRun" || !result.isRefused) {
-      statistics.recordFailure(identifier);
-      const reason = describeFailure(result);
-      const { request } = this.#call;
-      log.emit("attemptFailed", {
-        request: request.identifier,
-        server: identifier,
-        reason,
-      });
-    }
-    await this.#guarded?.recordEnd(server, result);
-    return result;
-  }
-
-  // Sends the call through another node, which counts its use and records where a stream began.
-  async #relay(peer: Peer, signal: AbortSignal): Promise<AttemptResult> {
-    const { callRelay, clock, hedgeTiming } = this.#options;
-    const { request, relay, route } = this.#call;
-    const sentAt = clock.monotonic();
-    const answer = await callRelay.send(peer, {
-      ...request,
-      key: relay?.key,
-      configurationVersion: relay?.configurationVersion ?? 0,
-      budgetMilliseconds: this.#deadline - sentAt,
-    }, signal);
-    const result = await toAttemptResult(answer, route.kind === "streaming");
-    if (result.kind === "complete" && result.status < 500) {
-      hedgeTiming.record(route.name, clock.monotonic() - sentAt);
-    }
-    return result;
-  }
-
-  #watchStream(
-    server: BackendServerEntry,
-    result: AttemptResult,
-  ): AttemptResult {
-    if (result.kind !== "streaming" || this.#guarded === undefined) {
-      return result;
-    }
-    const body = this.#guarded.watchBody(server, result.answer.body);
-    return { ...result, answer: { ...result.answer, body } };
-  }
-
-  async #sendRequest(
-    server: BackendServerEntry,
-    signal: AbortSignal,
-  ): Promise<AttemptResult> {
-    const { client, clock, servers } = this.#options;
-    const remaining = this.#deadline - clock.monotonic();
-    const answer = await client.open(
-      server,
-      { ...this.#call.request, budgetMilliseconds: remaining },
-      {
-        signal,
-        silenceMilliseconds: Math.max(1, remaining),
-        mayStart: () =>
-          servers.isServing(server.identifier) &&
-          mayProcess(this.#allowedRegions, server),
-      },
-    );
-    if (answer.kind === "answered" && answer.signature !== undefined) {
-      this.#call.onAnswered?.(answer.status);
-    }
-    const isStreaming = this.#call.route.kind === "streaming";
-    return await toAttemptResult(answer, isStreaming);
-  }
 }
