Known faults: the bound on requests at full servers with a stale view

The requirement is that no server of 80 nodes that choose from a view that is 500 ms old gets a request beyond its slots and queue while another one has a free slot. The division of free slots keeps it at a load of 0.3 with single samples only.

--- a/source/decisions/slot_share_test.ts
+++ b/source/decisions/slot_share_test.ts
@@ -84,3 +84,20 @@
   }
   t.is(results["load 0.3, groups of 1"]?.now.overfull, 0);
 });
+
+// The stated requirement; see KNOWN-RED.txt.
+test("no server gets a request beyond its slots and queue while another one has a free slot", async (t) => {
+  const rendezvous = await createRendezvous();
+  const overfull: Record<string, number> = {};
+  for (const load of [0.3, 0.6, 0.85]) {
+    for (const groupSize of [1, 16]) {
+      const options = { seed: SEED, nodes: 80, servers: 34, load, groupSize };
+      const model = new StaleViewModel(options, { rule: "now", rendezvous });
+      overfull[`load ${load}, groups of ${groupSize}`] = model.run().overfull;
+    }
+  }
+  t.deepEqual(
+    Object.entries(overfull).filter(([, requests]) => requests > 0),
+    [],
+  );
+});
