Split the creation of an installation's node by concern

Change: the views of the store, the limits on requests, the paths to servers, the choice of servers, the register with its clock, the duty lease, the tools of steps and the service of calls are each created by a function in a file of its own. The options of a node are in installation_node_options.ts, with the dependencies that most parts share. No change of behaviour; the tests stay as they were.

Ruled out: another order of watchers. The watchers of the tables, the register, the limits, the client and the store's time, and the background parts, were listed before and after with a stub of the adapters: the lists are the same.

--- a/source/node/create_duties.ts
+++ b/source/node/create_duties.ts
@@ -6,20 +6,13 @@
 import type { NodeRegister } from "../installation/node_register.ts";
 import type { OperatorView } from "../installation/operator_view.ts";
 import type { ServerView } from "../installation/server_view.ts";
-import type { EventLog } from "../observability/event_log.ts";
-import type { DurableTable } from "../platform/durable_table.ts";
-import type { Clock } from "../utilities/clock.ts";
 import type { InstallationAdapters } from "./installation_adapters.ts";
 import type { BackgroundPart } from "./installation_node.ts";
+import type { CommonDependencies } from "./installation_node_options.ts";
 
 /** What the duties of an installation need of the other parts of a node. */
 export interface DutyParts {
-  readonly common: {
-    readonly clock: Clock;
-    readonly log: EventLog;
-    readonly table: DurableTable;
-    readonly stopping: AbortSignal;
-  };
+  readonly common: CommonDependencies;
   readonly lease: DutyLease;
   readonly operator: OperatorView;
   readonly servers: ServerView;
