Order waiting calls of a rank by their organisations' recent use

Cause: waiting calls were ordered by rank and age alone, so the backlog of a large organisation delayed the calls of small ones and got them rejected at once, and each node shared only what waited at itself.

Ruled out: comparing all calls by use after ageing; the old backlog of a large organisation would then rise above the new calls of small ones in the same rank. Turns are taken by rank as before, and inside a rank the organisation with the least decayed use takes the turn. Also ruled out: publishing all organisations, since each node reads up to 120 heartbeats a second.

Change: RecentUse, orderFairly and countAhead decide; findNextCall and listBefore use them, so a call's place decides whether it is rejected. WorkSharing keeps use and waiting work and exchanges them in heartbeats while something waits (a new last field, at most 120 bytes). leavesSlots decides whether free slots are left to calls of other nodes that go before, for 1 s at most. Scoring calls use the rank of their organisation, as other calls do.

--- a/source/calls/call_forwarder.ts
+++ b/source/calls/call_forwarder.ts
@@ -123,8 +123,8 @@
   }
 
   async run(): Promise<CallOutcome> {
-    const { gate, retryBudget } = this.#options;
-    const { priority, isDeferrable, signal, route } = this.#call;
+    const { gate, retryBudget, clock } = this.#options;
+    const { priority, organisation, isDeferrable, signal, route } = this.#call;
     if (this.#allowedRegions?.isEmpty === true) return NO_ALLOWED_REGION;
     const hold = this.#guarded?.findHold();
     if (hold !== undefined) return toHeldOutcome(hold);
@@ -132,6 +132,7 @@
     const passed = this.#isRelayNeeded ? OPEN : await gate.pass({
       service: this.#service,
       priority,
+      organisation,
       isDeferrable,
       deadline: this.#deadline,
       signal,
@@ -142,6 +143,7 @@
       const { retryAfterMilliseconds } = passed;
       return { kind: "refused", refusal: "overloaded", retryAfterMilliseconds };
     }
+    const passedAt = passed === OPEN ? undefined : clock.monotonic();
     // The evacuation may have started while the call waited.
     if (this.#isEvacuated) return this.#refuseEvacuated();
     try {
@@ -158,7 +160,13 @@
       if (this.#attempts.possiblyExecuted === 0) {
         this.#guarded?.returnTrial();
       }
-      gate.recordEnd(this.#service);
+      gate.recordEnd(
+        this.#service,
+        passedAt === undefined ? undefined : {
+          organisation,
+          milliseconds: clock.monotonic() - passedAt,
+        },
+      );
       this.#attempts.cancel();
     }
   }
--- a/source/calls/call_gate.ts
+++ b/source/calls/call_gate.ts
@@ -5,15 +5,21 @@
 import {
   type CallDecision,
   type CallDemand,
+  countFreePlaces,
   decideCall,
   findNextCall,
+  findTurnHeir,
   listBefore,
+  toLevel,
   type WaitingCall,
 } from "../decisions/call_admission.ts";
+import type { ServiceUse } from "../decisions/fair_order.ts";
 import type { BackendServerEntry } from "../installation/backend_server_entry.ts";
 import type { ServerView } from "../installation/server_view.ts";
+import { type WaitingWork, WorkSharing } from "../installation/work_sharing.ts";
 import type { Clock } from "../utilities/clock.ts";
 import type { RandomSource } from "../utilities/random_source.ts";
+import type { CallGateReport } from "./call_gate_report.ts";
 import type { ServerCallStatistics } from "./server_call_statistics.ts";
 
 /** Interval at which waiting calls are checked, as calls of other nodes end unseen. */
@@ -25,6 +31,9 @@
   readonly random: RandomSource;
   readonly servers: ServerView;
   readonly serverStatistics: ServerCallStatistics;
+  /** What organisations use and wait for at all nodes; the gate's own calls alone if absent. */
+  readonly work?: WorkSharing;
+  readonly report?: CallGateReport;
 }
 
 /** A call that asks to be sent. */
@@ -32,6 +41,8 @@
   readonly service: string;
   /** Rank of the call's organisation or else of its route; 0 goes first. */
   readonly priority: number;
+  /** Organisation that the call counts for, if any. */
+  readonly organisation?: string | undefined;
   readonly isDeferrable: boolean;
   /** Monotonic time of the call's deadline, in milliseconds. */
   readonly deadline: number;
@@ -49,41 +60,143 @@
 
 interface Waiter extends WaitingCall {
   readonly call: GatedCall;
+  turnAt: number;
   readonly resolve: (outcome: GateOutcome) => void;
 }
 
+/** A call that was let through and has ended. */
+export interface EndedCall {
+  readonly organisation: string | undefined;
+  /** Time since it was let through. */
+  readonly milliseconds: number;
+}
+
+/** The place of a call among those that wait. */
+interface CallPlace {
+  /** Number of calls that wait at this node before the call. */
+  readonly waiting: number;
+  /** Number of calls that were let through and do not run yet. */
+  readonly sent: number;
+  /** Number of calls that wait for the service, the call included. */
+  readonly queued: number;
+  /** Number of calls that wait at other nodes and go before the call. */
+  readonly ahead: number;
+}
+
 /** Holds calls back that the servers of their service can't run yet, and rejects hopeless ones. */
 export class CallGate {
   readonly #options: CallGateOptions;
+  readonly #work: WorkSharing;
   readonly #waiting = new Map<string, Set<Waiter>>();
   #isChecking = false;
 
   /** @param options - The servers and what is known of their load. */
   constructor(options: CallGateOptions) {
     this.#options = options;
+    this.#work = options.work ?? new WorkSharing(options);
+    this.#work.addSource(() => this.#listWork());
   }
 
   /** Waits until a call may be sent, is rejected or is cancelled. */
   async pass(call: GatedCall): Promise<GateOutcome> {
+    const outcome = await this.#pass(call);
+    this.#options.report?.recordOutcome(call, outcome.kind);
+    return outcome;
+  }
+
+  /**
+   * Counts a call that has ended as use of its organisation, and sends waiting calls of the service that
+   * it has made room for.
+   */
+  recordEnd(service: string, ended?: EndedCall): void {
+    if (ended !== undefined) {
+      // The usual duration was counted when the call was let through.
+      const milliseconds = ended.milliseconds - this.#findCost(service);
+      this.#recordUse(service, ended.organisation, milliseconds);
+    }
+    this.#sendWaiting(service);
+  }
+
+  async #pass(call: GatedCall): Promise<GateOutcome> {
+    const { service, organisation = "" } = call;
+    const arrivedAt = this.#options.clock.monotonic();
+    const use = this.#toUse(service);
     const before = listBefore(
-      { ...call, arrivedAt: this.#options.clock.monotonic() },
-      this.#waiting.get(call.service) ?? [],
+      { ...call, arrivedAt },
+      this.#waiting.get(service) ?? [],
+      use,
     );
-    const waiting = this.#countCompeting(call, before);
-    const decision = this.#decide(call, { waiting, sent: 0, queued: 1 });
-    if (decision.kind === "send") return { kind: "open" };
+    const earlier =
+      before.filter(({ call: other }) =>
+        (other.organisation ?? "") === organisation
+      ).length;
+    const decision = this.#decide(call, {
+      waiting: this.#countCompeting(call, before),
+      sent: 0,
+      queued: 1,
+      ahead: this.#countAhead({ ...call, arrivedAt }, use, earlier),
+    });
+    if (decision.kind === "send") return this.#open(call);
     if (decision.kind === "reject") return { ...decision, kind: "rejected" };
     return await this.#wait(call);
   }
 
-  /** Sends waiting calls of a service that a call of this node has made room for. */
-  recordEnd(service: string): void {
-    this.#sendWaiting(service);
+  #open({ service, organisation }: GatedCall): GateOutcome {
+    this.#recordUse(service, organisation, this.#findCost(service));
+    return { kind: "open" };
+  }
+
+  #recordUse(
+    service: string,
+    organisation: string | undefined,
+    milliseconds: number,
+  ): void {
+    this.#work.recordUse(service, {
+      organisation: organisation ?? "",
+      milliseconds,
+    });
+  }
+
+  // Returns the usual slot time of a call, in milliseconds.
+  #findCost(service: string): number {
+    const { servers, serverStatistics } = this.#options;
+    return serverStatistics.meanMilliseconds(servers.ofService(service));
+  }
+
+  #toUse(service: string): ServiceUse {
+    return this.#work.toServiceUse(service, this.#findCost(service));
+  }
+
+  #countAhead(
+    call: GatedCall & Pick<WaitingCall, "arrivedAt" | "turnAt">,
+    use: ServiceUse,
+    earlier: number,
+  ): number {
+    const { service, organisation = "" } = call;
+    return this.#work.countAhead(service, {
+      level: toLevel(call, this.#options.clock.monotonic()),
+      organisation,
+      use: use.useOf(organisation) + earlier * use.costMilliseconds,
+    }, use);
+  }
+
+  *#listWork(): Generator<WaitingWork> {
+    const now = this.#options.clock.monotonic();
+    for (const [service, waiting] of this.#waiting) {
+      for (const waiter of waiting) {
+        yield {
+          service,
+          level: toLevel(waiter, now),
+          organisation: waiter.organisation ?? "",
+          isClaiming: waiter.call.allowedRegions === undefined,
+        };
+      }
+    }
   }
 
   #wait(call: GatedCall): Promise<GateOutcome> {
     const { clock } = this.#options;
-    const { service, signal, priority, isDeferrable } = call;
+    const { service, signal, priority, organisation, isDeferrable } = call;
     const waiting = this.#waiting.get(service) ?? new Set();
     this.#waiting.set(service, waiting);
     return new Promise((resolve) => {
@@ -93,8 +206,10 @@
       };
       const waiter: Waiter = {
         priority,
+        organisation,
         isDeferrable,
         arrivedAt: clock.monotonic(),
+        turnAt: clock.monotonic(),
         call,
         resolve: (outcome) => {
           waiting.delete(waiter);
@@ -125,10 +240,12 @@
     // Keys of allowed regions whose servers can take no call now.
     const blocked = new Set<string | undefined>();
     for (;;) {
+      const use = this.#toUse(service);
       const next = findNextCall(
         [...waiting].filter(({ call }) =>
           !blocked.has(call.allowedRegions?.key)
         ),
+        use,
       );
       if (next === undefined) return;
       const { call } = next;
@@ -136,11 +253,14 @@
         waiting: 0,
         sent: this.#countShares(call, sent),
         queued: this.#countCompeting(call, waiting),
+        ahead: this.#countAhead({ ...call, ...next }, use, 0),
       });
       if (decision.kind === "wait") blocked.add(call.allowedRegions?.key);
       else if (decision.kind === "send") {
         sent.push(next);
-        next.resolve({ kind: "open" });
+        next.resolve(this.#open(call));
+        const heir = findTurnHeir(next, waiting);
+        if (heir !== undefined) heir.turnAt = next.turnAt;
       } else next.resolve({ ...decision, kind: "rejected" });
     }
   }
@@ -199,17 +319,9 @@
     );
   }
 
-  #decide(
-    { service, isDeferrable, deadline, allowedRegions }: GatedCall,
-    { waiting, sent, queued }: {
-      /** Number of calls that wait before the call. */
-      readonly waiting: number;
-      /** Number of calls that were let through and do not run yet. */
-      readonly sent: number;
-      /** Number of calls that wait for the service, the call included. */
-      readonly queued: number;
-    },
-  ): CallDecision {
+  #decide(call: GatedCall, place: CallPlace): CallDecision {
+    const { service, isDeferrable, deadline, allowedRegions } = call;
+    const { waiting, sent, queued, ahead } = place;
     const { clock, random, serverStatistics } = this.#options;
     const all = this.#listServers(service, allowedRegions);
     const available = serverStatistics.filterAvailable(all);
@@ -227,22 +339,26 @@
       : usable.reduce((total, server) => total + server.slots, 0);
     const sum = (count: (server: BackendServerEntry) => number): number =>
       usable.reduce((total, server) => total + count(server), 0);
+    const load = {
+      servers: usable.length,
+      slots,
+      running: sent +
+        sum(({ identifier }) => serverStatistics.occupied(identifier)),
+      waiting,
+      meanMilliseconds: serverStatistics.meanMilliseconds(usable),
+      warmUpWaitMilliseconds: serverStatistics.getWarmUpWait(available),
+      rateWaitMilliseconds: serverStatistics.waitForRoom(available, {
+        requests: waiting + queued,
+        earlier: waiting + sent,
+      }),
+    };
+    const draw = random.next();
+    const free = countFreePlaces(load, demand);
+    const isLeft = this.#work.leavesSlots(service, { free, ahead });
     return decideCall(
-      {
-        servers: usable.length,
-        slots,
-        running: sent +
-          sum(({ identifier }) => serverStatistics.occupied(identifier)),
-        waiting,
-        meanMilliseconds: serverStatistics.meanMilliseconds(usable),
-        warmUpWaitMilliseconds: serverStatistics.getWarmUpWait(available),
-        rateWaitMilliseconds: serverStatistics.waitForRoom(available, {
-          requests: waiting + queued,
-          earlier: waiting + sent,
-        }),
-      },
+      free === 0 || isLeft ? { ...load, running: load.running + ahead } : load,
       demand,
-      random.next(),
+      draw,
     );
   }
 }
--- a/source/calls/call_gate_test.ts
+++ b/source/calls/call_gate_test.ts
@@ -4,10 +4,13 @@
 import { AllowedRegions } from "../decisions/allowed_regions.ts";
 import { ServerLimits } from "../installation/server_limits.ts";
 import { ServerView } from "../installation/server_view.ts";
+import { WorkSharing } from "../installation/work_sharing.ts";
 import { WarmUpLimits } from "../installation/warm_up_limits.ts";
 import { RecordingEventLog } from "../observability/event_log.ts";
 import { ManualClock } from "../utilities/manual_clock.ts";
 import { createRandomSource } from "../utilities/random_source.ts";
+import { CallGateReport } from "./call_gate_report.ts";
+import { NO_METRICS } from "../observability/metrics.ts";
 import { CallGate, type GatedCall, type GateOutcome } from "./call_gate.ts";
 import { ServerCallStatistics } from "./server_call_statistics.ts";
 
@@ -21,6 +24,9 @@
   /** Names of the calls that were let through, in order. */
   readonly passed: string[];
   readonly outcomes: Map<string, GateOutcome>;
+  readonly work: WorkSharing;
+  /** Counted outcomes by rank. */
+  readonly counted: string[];
   pass(name: string, more?: Partial<GatedCall>): Promise<void>;
 }
 
@@ -71,11 +77,20 @@
     }),
     isConnected: () => false,
   });
+  const work = new WorkSharing({ clock });
+  const counted: string[] = [];
   const gate = new CallGate({
     clock,
     random,
     servers,
     serverStatistics: statistics,
+    work,
+    report: new CallGateReport({
+      ...NO_METRICS,
+      count: (name, tags) => {
+        counted.push([name, ...Object.values(tags)].join(" "));
+      },
+    }),
   });
   const passed: string[] = [];
   const outcomes = new Map<string, GateOutcome>();
@@ -85,6 +100,8 @@
     statistics,
     passed,
     outcomes,
+    work,
+    counted,
     pass: async (name, more = {}) => {
       const outcome = await gate.pass({
         service: "s",
@@ -316,3 +333,95 @@
   await clock.advance(1);
   t.is(passed.length, 6);
 });
+
+// Guards against a large organisation that fills the queue of a service.
+test("a call of a small organisation passes before the backlog of a large one", async (t) => {
+  const { clock, gate, statistics, passed, pass, counted } =
+    await createFixture();
+  statistics.setRunningElsewhere(new Map([["p1", 6]]));
+  for (let index = 0; index < 20; index += 1) {
+    void pass(`large ${index}`, { organisation: "large" });
+  }
+  await clock.advance(10);
+  void pass("small", { organisation: "small" });
+  statistics.setRunningElsewhere(new Map([["p1", 4]]));
+  gate.recordEnd("s");
+  await clock.advance(1);
+  t.deepEqual(passed, ["large 0", "small"]);
+  t.deepEqual(counted, ["gated_calls 1 served", "gated_calls 1 served"]);
+});
+
+// Guards against callers that get a larger share by coming back at once or sending several times.
+test("calls that were refused and come back, or are sent several times, don't raise the share", async (t) => {
+  const { clock, gate, statistics, passed, pass } = await createFixture();
+  statistics.setRunningElsewhere(new Map([["p1", 6]]));
+  let sequence = 0;
+  const send = async (organisation: string, copies: number): Promise<void> => {
+    const deadline = clock.monotonic() + 400;
+    const calls = Array.from({ length: copies }, () => {
+      sequence += 1;
+      return pass(`${organisation} ${sequence}`, { organisation, deadline });
+    });
+    await Promise.all(calls);
+  };
+  for (let round = 0; round < 200; round += 1) {
+    void send("patient", 1);
+    void send("hasty", 5);
+    // One slot becomes free and is taken again.
+    statistics.setRunningElsewhere(new Map([["p1", 5 - passed.length]]));
+    gate.recordEnd("s");
+    await clock.advance(20);
+  }
+  const count = (name: string): number =>
+    passed.filter((each) => each.startsWith(name)).length;
+  t.true(passed.length >= 150, String(passed.length));
+  t.true(Math.abs(count("patient") - count("hasty")) <= 2);
+});
+
+const URGENT_ELSEWHERE = {
+  sequence: 1,
+  services: new Map([[
+    "s",
+    [{ level: 0, organisation: "b", waiting: 3, use: 0 }],
+  ]]),
+};
+
+// Guards against less urgent calls that take the slots for which urgent ones wait at another node.
+test("free slots are left to urgent calls that wait at another node, for a limited time", async (t) => {
+  const { clock, statistics, work, passed, pass } = await createFixture();
+  statistics.setRunningElsewhere(new Map([["p1", 4]]));
+  work.apply([{
+    node: "n2",
+    heartbeatMilliseconds: 600,
+    work: URGENT_ELSEWHERE,
+  }]);
+  const deadline = clock.monotonic() + 5000;
+  void pass("less urgent", { deadline });
+  void pass("as urgent", { priority: 0, organisation: "b", deadline });
+  await clock.advance(500);
+  t.deepEqual(passed, ["as urgent"]);
+  // Two heartbeats stay away.
+  await clock.advance(800);
+  t.deepEqual(passed, ["as urgent", "less urgent"]);
+});
+
+// Guards against slots that stay unused because the node they are left to can't use them.
+test("claims of a node that does not take the slots are ignored", async (t) => {
+  const { clock, statistics, work, passed, pass } = await createFixture();
+  statistics.setRunningElsewhere(new Map([["p1", 4]]));
+  void pass("blocker", { deadline: clock.monotonic() + 9000 });
+  t.deepEqual(passed, []);
+  await clock.advance(1);
+  const deadline = clock.monotonic() + 9000;
+  for (let sequence = 1; sequence <= 12; sequence += 1) {
+    work.apply([{
+      node: "n2",
+      heartbeatMilliseconds: 300,
+      work: { ...URGENT_ELSEWHERE, sequence },
+    }]);
+    if (sequence === 1) void pass("less urgent", { deadline });
+    await clock.advance(100);
+    if (sequence === 9) t.deepEqual(passed, ["blocker"]);
+  }
+  t.deepEqual(passed, ["blocker", "less urgent"]);
+});
--- a/source/calls/call_service.ts
+++ b/source/calls/call_service.ts
@@ -3,6 +3,7 @@
 import type { UsageMeter } from "../duties/usage_meter.ts";
 import {
   type Configuration,
+  findPriority,
   findRoute,
   type ServiceRoute,
 } from "../installation/configuration.ts";
@@ -163,15 +164,6 @@
     return this.#resolveKey(configuration, key);
   }
 
-  #findPriority(
-    route: ServiceRoute,
-    organisation: string | undefined,
-  ): number {
-    const priorities = this.#options.operator.configuration
-      ?.organisationPriorities;
-    return priorities?.get(organisation ?? "") ?? route.priority;
-  }
-
   #resolveKey(
     configuration: Configuration,
     key: string | undefined,
@@ -296,7 +288,8 @@
         route: call.relayed === undefined
           ? route
           : { ...route, maximumAttempts: 1 },
-        priority: this.#findPriority(route, organisation),
+        priority: findPriority(operator.configuration, route, organisation),
+        organisation,
         isDeferrable: false,
         mayCrashServers: true,
         ...(call.relayed === undefined
--- a/source/calls/create_call_forwarder.ts
+++ b/source/calls/create_call_forwarder.ts
@@ -1,13 +1,12 @@
 import { HedgeTiming } from "../decisions/hedge_timing.ts";
 import { RetryBudget } from "../decisions/retry_budget.ts";
 import { CallForwarder, type CallForwarderOptions } from "./call_forwarder.ts";
-import { CallGate } from "./call_gate.ts";
+import { CallGate, type CallGateOptions } from "./call_gate.ts";
 
 /** Dependencies of a call forwarder that are not its own. */
-export type ForwardingDependencies = Omit<
-  CallForwarderOptions,
-  "gate" | "retryBudget" | "hedgeTiming"
->;
+export type ForwardingDependencies =
+  & Omit<CallForwarderOptions, "gate" | "retryBudget" | "hedgeTiming">
+  & Pick<CallGateOptions, "work" | "report">;
 
 /** Creates a call forwarder with a gate and a retry budget of its own. */
 export function createCallForwarder(
--- a/source/calls/forwarded_call.ts
+++ b/source/calls/forwarded_call.ts
@@ -13,6 +13,8 @@
   readonly deadline: number;
   /** Rank of the call's organisation or else of its route; 0 goes first. */
   readonly priority: number;
+  /** Organisation that the call counts for; none for calls of public routes. */
+  readonly organisation?: string | undefined;
   /** Whether calls of the same rank that callers wait for go first. */
   readonly isDeferrable: boolean;
   /** Aborted when the caller disconnects. */
--- a/source/decisions/call_admission.ts
+++ b/source/decisions/call_admission.ts
@@ -1,3 +1,10 @@
+import {
+  AGEING_MILLISECONDS,
+  NO_USE,
+  orderFairly,
+  type ServiceUse,
+} from "./fair_order.ts";
+
 /** Number of slots of each server that deferrable calls leave free for other calls. */
 const RESERVED_SLOTS_PER_SERVER = 1;
 /** Number of calls beyond its slots that each server may get; it queues them for a short time. */
@@ -6,8 +13,6 @@
 const MINIMUM_RETRY_AFTER_MILLISECONDS = 50;
 /** Part of the wait for servers in warm-up over which the returns of refused callers are spread. */
 const WARM_UP_SPREAD = 0.2;
-/** Time of waiting that raises a call by one rank, so that no call starves. */
-const AGEING_MILLISECONDS = 4000;
 
 /** The load of a service, as far as this node knows. */
 export interface ServiceLoad {
@@ -15,7 +20,10 @@
   readonly servers: number;
   /** Number of calls that these servers run concurrently. */
   readonly slots: number;
-  /** Number of calls of all nodes that run at them. */
+  /**
+   * Number of calls of all nodes that run at them, and of those that wait at other nodes and go before
+   * the call.
+   */
   readonly running: number;
   /** Number of calls that wait at this node and go before the call. */
   readonly waiting: number;
@@ -70,9 +78,7 @@
   const { rateWaitMilliseconds } = load;
   // Without a server the caller learns so from the attempt itself.
   if (servers === 0) return { kind: "send" };
-  const limit = demand.isDeferrable
-    ? Math.max(1, slots - RESERVED_SLOTS_PER_SERVER * servers)
-    : slots + QUEUED_CALLS_PER_SERVER * servers;
+  const limit = toLimit(load, demand);
   const hasSlot = running < limit && waiting === 0;
   if (hasSlot && rateWaitMilliseconds === 0) return { kind: "send" };
   const backlog = Math.max(0, running - limit) + waiting + 1;
@@ -92,6 +98,32 @@
   };
 }
 
+/**
+ * Returns the number of calls that the servers take now.
+ * @param load - The service's load.
+ * @param demand - The call that asks.
+ * @example
+ * ```ts
+ * const free = countFreePlaces(load, { isDeferrable: false, remainingMilliseconds: 1500 });
+ * ```
+ */
+export function countFreePlaces(
+  load: ServiceLoad,
+  demand: CallDemand,
+): number {
+  return Math.max(0, toLimit(load, demand) - load.running);
+}
+
+// Returns the number of calls that may be at the servers.
+function toLimit(
+  { servers, slots }: ServiceLoad,
+  { isDeferrable }: CallDemand,
+): number {
+  return isDeferrable
+    ? Math.max(1, slots - RESERVED_SLOTS_PER_SERVER * servers)
+    : slots + QUEUED_CALLS_PER_SERVER * servers;
+}
+
 /**
  * Returns the delay after which a refused caller may return: the time that the backlog needs, half of
  * it to one and a half times it, so that the callers return one after the other.
@@ -129,50 +161,165 @@
   /** Rank of the call's organisation or else of its route; 0 goes first. */
   readonly priority: number;
   readonly isDeferrable: boolean;
+  /** Organisation that the call belongs to, if any. */
+  readonly organisation?: string | undefined;
   /** Monotonic time of the call's arrival, in milliseconds. */
   readonly arrivedAt: number;
+  /**
+   * Monotonic time from which the call's turn rises in rank; the arrival if absent. A call that goes
+   * before older ones of its rank leaves them the older turn, see `findTurnHeir`.
+   */
+  readonly turnAt?: number;
 }
 
 /**
  * Returns the waiting calls that go before a call.
- * @param call - The call.
+ *
+ * Load pattern: the backlog of a large organisation fills the queue; a call of a small one must not be
+ * rejected for it.
+ * @param call - The call, which does not wait yet.
  * @param waiting - The waiting calls.
+ * @param use - Recent use of the service by organisation.
  * @example
  * ```ts
- * const before = listBefore(call, waiting);
+ * const before = listBefore(call, waiting, use);
  * ```
  */
 export function listBefore<Call extends WaitingCall>(
   call: WaitingCall,
   waiting: Iterable<Call>,
+  use: ServiceUse = NO_USE,
 ): ReadonlyArray<Call> {
-  const order = toOrder(call);
-  return [...waiting].filter((other) => toOrder(other) <= order);
+  const others = [...waiting];
+  if (others.length === 0) return [];
+  const rank = toRank(call);
+  const sameRank = others.filter((other) => toRank(other) === rank);
+  const ordered = orderFairly<Call | WaitingCall>([...sameRank, call], use);
+  const position = ordered.indexOf(call);
+  const turns = [...sameRank, call].map(toTurn).sort((left, right) =>
+    left - right
+  );
+  const order = rank * AGEING_MILLISECONDS + (turns[position] ?? toTurn(call));
+  const isBefore = new Set(ordered.slice(0, position));
+  const turnsBefore = new Map<number, number>();
+  for (const other of others) {
+    if (toRank(other) === rank || toOrder(other) > order) continue;
+    const count = turnsBefore.get(toRank(other)) ?? 0;
+    turnsBefore.set(toRank(other), count + 1);
+  }
+  for (const [otherRank, count] of turnsBefore) {
+    const ofRank = others.filter((other) => toRank(other) === otherRank);
+    for (const other of orderFairly(ofRank, use).slice(0, count)) {
+      isBefore.add(other);
+    }
+  }
+  return others.filter((other) => isBefore.has(other));
+}
+
+interface RankHead<Call> {
+  readonly call: Call;
+  readonly use: number;
+  readonly index: number;
+  /** Order of the oldest turn of the rank. */
+  readonly order: number;
 }
 
 /**
- * Returns the call that gets the next free server: the one with the lowest rank, other calls before
- * deferrable ones of the same rank, older ones before newer ones. A call that waits rises in rank.
+ * Returns the call that gets the next free server. The rank whose turn it is goes first: the lowest
+ * one, other calls before deferrable ones of the same rank, and a rank rises while its calls wait. In
+ * the rank, the organisation with the least recent use goes first, then the older call.
  *
- * Load pattern: calls of several ranks wait at the same time and the servers are busy for long.
+ * Load pattern: calls of several ranks wait at the same time and the servers are busy for long; in
+ * each rank, a few organisations send most of the calls.
  * @returns The call; undefined when none waits.
  * @example
  * ```ts
- * const next = findNextCall(waiting);
+ * const next = findNextCall(waiting, use);
  * ```
  */
 export function findNextCall<Call extends WaitingCall>(
   waiting: ReadonlyArray<Call>,
+  use: ServiceUse = NO_USE,
+): Call | undefined {
+  const heads = new Map<number, RankHead<Call>>();
+  const uses = new Map<string, number>();
+  waiting.forEach((call, index) => {
+    const organisation = call.organisation ?? "";
+    const own = uses.get(organisation) ?? use.useOf(organisation);
+    uses.set(organisation, own);
+    const rank = toRank(call);
+    const head = heads.get(rank);
+    const order = Math.min(toOrder(call), head?.order ?? Infinity);
+    const isFirst = head === undefined || own < head.use ||
+      (own === head.use && call.arrivedAt < head.call.arrivedAt);
+    heads.set(
+      rank,
+      isFirst ? { call, use: own, index, order } : { ...head, order },
+    );
+  });
+  let next: RankHead<Call> | undefined;
+  for (const head of heads.values()) {
+    const isEarlier = next === undefined || head.order < next.order ||
+      (head.order === next.order && head.index < next.index);
+    if (isEarlier) next = head;
+  }
+  return next?.call;
+}
+
+/**
+ * Returns the waiting call that takes over the turn of a call that was sent before it; undefined when
+ * the call had the oldest turn of its rank. The ranks take turns by age, whichever organisation's call
+ * uses a turn, so that one old call does not raise all later ones of its rank.
+ * @param sent - The call that was sent.
+ * @param waiting - The calls that still wait.
+ * @example
+ * ```ts
+ * const heir = findTurnHeir(sent, waiting);
+ * ```
+ */
+export function findTurnHeir<Call extends WaitingCall>(
+  sent: WaitingCall,
+  waiting: Iterable<Call>,
 ): Call | undefined {
-  let next: Call | undefined;
+  const rank = toRank(sent);
+  let oldest: Call | undefined;
   for (const call of waiting) {
-    if (next === undefined || toOrder(call) < toOrder(next)) next = call;
+    if (toRank(call) !== rank || toTurn(call) >= toTurn(sent)) continue;
+    if (oldest === undefined || toTurn(call) < toTurn(oldest)) oldest = call;
   }
-  return next;
+  return oldest;
+}
+
+/**
+ * Returns the rank of a call after ageing, by which nodes compare their calls; a lower one goes first.
+ * @param call - The call.
+ * @param now - Current monotonic time, in milliseconds.
+ * @example
+ * ```ts
+ * const level = toLevel(call, clock.monotonic());
+ * ```
+ */
+export function toLevel(
+  call: Pick<WaitingCall, "priority" | "isDeferrable" | "arrivedAt" | "turnAt">,
+  now: number,
+): number {
+  const waited = Math.max(0, now - toTurn(call));
+  return toRank(call) - Math.floor(waited / AGEING_MILLISECONDS);
+}
+
+function toRank(
+  { priority, isDeferrable }: Pick<WaitingCall, "priority" | "isDeferrable">,
+): number {
+  return priority + (isDeferrable ? 0.5 : 0);
+}
+
+function toTurn(
+  { arrivedAt, turnAt }: Pick<WaitingCall, "arrivedAt" | "turnAt">,
+): number {
+  return turnAt ?? arrivedAt;
 }
 
-// All calls rise at the same pace, so the order of two calls never changes while they wait.
-function toOrder({ priority, isDeferrable, arrivedAt }: WaitingCall): number {
-  return (priority + (isDeferrable ? 0.5 : 0)) * AGEING_MILLISECONDS +
-    arrivedAt;
+// All calls rise at the same pace, so the order of two turns never changes while they wait.
+function toOrder(call: WaitingCall): number {
+  return toRank(call) * AGEING_MILLISECONDS + toTurn(call);
 }
--- a/source/decisions/call_admission_test.ts
+++ b/source/decisions/call_admission_test.ts
@@ -1,4 +1,5 @@
 import test from "ava";
+import fc from "fast-check";
 import {
   type CallPolicy,
   createCallLoad,
@@ -9,8 +10,11 @@
 import {
   decideCall,
   findNextCall,
+  findTurnHeir,
   listBefore,
+  toLevel,
   toRetryAfter,
+  type WaitingCall,
 } from "./call_admission.ts";
 
 const WORK_MILLISECONDS = 40;
@@ -184,3 +188,128 @@
   t.is(findNextCall([call("aged", 2, 0), call("high", 1, 5000)])?.name, "aged");
   t.is(findNextCall([]), undefined);
 });
+
+const FAIR_SEED = 12;
+
+interface NamedCall extends WaitingCall {
+  readonly name: string;
+}
+
+function createCall(name: string, more: Partial<NamedCall> = {}): NamedCall {
+  return { name, priority: 1, isDeferrable: false, arrivedAt: 0, ...more };
+}
+
+// The order before calls were shared by organisation.
+function toEarlierOrder(
+  { priority, isDeferrable, arrivedAt }: WaitingCall,
+): number {
+  return (priority + (isDeferrable ? 0.5 : 0)) * 4000 + arrivedAt;
+}
+
+test("with one organisation or none, calls go in the order of rank, kind and age alone", (t) => {
+  const anyCall = fc.record({
+    priority: fc.integer({ min: 0, max: 3 }),
+    isDeferrable: fc.boolean(),
+    arrivedAt: fc.integer({ min: 0, max: 20 }).map((each) => each * 1000),
+  });
+  const use = { useOf: () => 500, costMilliseconds: 40 };
+  fc.assert(
+    fc.property(
+      fc.array(anyCall, { maxLength: 25 }),
+      anyCall,
+      fc.constantFrom(undefined, "a"),
+      (calls, other, organisation) => {
+        const waiting = calls.map((each, index) =>
+          createCall(String(index), { ...each, organisation })
+        );
+        const call = createCall("new", {
+          ...other,
+          arrivedAt: 30_000,
+          organisation,
+        });
+        const order = toEarlierOrder(call);
+        t.deepEqual(
+          listBefore(call, waiting, use),
+          waiting.filter((each) => toEarlierOrder(each) <= order),
+        );
+        const [first] = [...waiting].sort((left, right) =>
+          toEarlierOrder(left) - toEarlierOrder(right)
+        );
+        t.is(findNextCall(waiting, use), first);
+        const rest = waiting.filter((each) => each !== first);
+        t.is(first && findTurnHeir(first, rest), undefined);
+      },
+    ),
+    { seed: FAIR_SEED },
+  );
+});
+
+// Guards against a large organisation's backlog that gets the calls of a small one rejected.
+test("a call of a small organisation is not rejected for the backlog of a large one", (t) => {
+  const backlog = Array.from(
+    { length: 400 },
+    (_unused, index) =>
+      createCall(String(index), { organisation: "large", arrivedAt: index }),
+  );
+  const use = {
+    useOf: (name: string) => (name === "large" ? 5000 : 0),
+    costMilliseconds: 40,
+  };
+  const decide = (organisation: string): string => {
+    const call = createCall("new", { organisation, arrivedAt: 500 });
+    return decideCall(
+      {
+        servers: 2,
+        slots: 12,
+        running: 16,
+        waiting: listBefore(call, backlog, use).length,
+        meanMilliseconds: 40,
+        rateWaitMilliseconds: 0,
+      },
+      { isDeferrable: false, remainingMilliseconds: 800 },
+      0.5,
+    ).kind;
+  };
+  t.is(decide("small"), "wait");
+  t.is(decide("large"), "reject");
+});
+
+test("in a rank the organisation with the least use goes first, and a more urgent rank before it", (t) => {
+  const use = {
+    useOf: (name: string) => (name === "large" ? 5000 : 10),
+    costMilliseconds: 40,
+  };
+  const large = createCall("large", { organisation: "large" });
+  const small = createCall("small", { organisation: "small", arrivedAt: 900 });
+  const urgent = createCall("urgent", {
+    organisation: "large",
+    priority: 0,
+    arrivedAt: 950,
+  });
+  t.is(findNextCall([large, small], use), small);
+  t.is(findNextCall([large, small, urgent], use), urgent);
+  const late = createCall("late", { priority: 2, arrivedAt: 1000 });
+  t.deepEqual(listBefore(late, [large, small, urgent], use).length, 3);
+});
+
+// Guards against a rank that stays ahead of a more urgent one because an old call of a large
+// organisation keeps waiting in it.
+test("each turn of a rank is used once, whichever organisation's call uses it", (t) => {
+  const use = {
+    useOf: (name: string) => (name === "large" ? 5000 : 10),
+    costMilliseconds: 40,
+  };
+  const old = createCall("old", { organisation: "large", priority: 2 });
+  const small = createCall("small", {
+    organisation: "small",
+    priority: 2,
+    arrivedAt: 5000,
+  });
+  const urgent = createCall("urgent", { priority: 1, arrivedAt: 4500 });
+  t.is(findNextCall([old, small, urgent], use), small);
+  t.is(findTurnHeir(small, [old, urgent]), old);
+  const heir = { ...old, turnAt: small.arrivedAt };
+  t.is(findNextCall([heir, urgent], use), urgent);
+  t.is(toLevel(old, 4100), 1);
+  t.is(toLevel(heir, 5100), 2);
+});
--- a/source/decisions/slot_share.ts
+++ b/source/decisions/slot_share.ts
@@ -76,3 +76,36 @@
   return free + QUEUED_REQUESTS >=
     expected + LENDING_DEVIATIONS * Math.sqrt(expected) + 1;
 }
+
+/**
+ * Longest time for which a node leaves free slots to work of other nodes that does not take them,
+ * about two heartbeats: by then the other node has used them or its heartbeat is out of date.
+ */
+const LEFT_MILLISECONDS = 1000;
+
+/** The free slots of a service and the work of other nodes that goes before this node's. */
+export interface ClaimedSlots {
+  /** Number of free slots, as far as this node knows. */
+  readonly free: number;
+  /** Number of requests that wait at other nodes and go before the next one of this node. */
+  readonly ahead: number;
+  /** Time for which this node has left free slots that were not taken, in milliseconds. */
+  readonly leftMilliseconds: number;
+}
+
+/**
+ * Whether a node leaves the free slots of a service to other nodes, whose waiting work is more urgent
+ * or belongs to organisations with less recent use.
+ *
+ * Load pattern: the urgent requests arrive at one node, the less urgent ones at 80 others that see the
+ * same free slots from heartbeats that are some hundred milliseconds old.
+ * @example
+ * ```ts
+ * const isLeft = leavesSlots({ free: 2, ahead: 5, leftMilliseconds: 100 });
+ * ```
+ */
+export function leavesSlots(
+  { free, ahead, leftMilliseconds }: ClaimedSlots,
+): boolean {
+  return ahead > 0 && free <= ahead && leftMilliseconds < LEFT_MILLISECONDS;
+}
--- a/source/durable_steps/sample_scoring.ts
+++ b/source/durable_steps/sample_scoring.ts
@@ -1,4 +1,8 @@
-import { findRoute, type ServiceRoute } from "../installation/configuration.ts";
+import {
+  findPriority,
+  findRoute,
+  type ServiceRoute,
+} from "../installation/configuration.ts";
 import type { ScoringRequest } from "./step_submission.ts";
 import type { StepTools } from "./step_tools.ts";
 
@@ -51,7 +55,8 @@
           body: scoring.body,
         },
         route,
-        priority: route.priority,
+        priority: findPriority(tools.configuration(), route, organisation),
+        organisation,
         isDeferrable: true,
         mayCrashServers: false,
         deadline: clock.monotonic() + route.timeoutMilliseconds,
--- a/source/installation/configuration.ts
+++ b/source/installation/configuration.ts
@@ -146,6 +146,25 @@
   return found;
 }
 
+/**
+ * Returns the rank of an organisation's requests of a route: its own or else the route's; 0 goes first.
+ * @param configuration - The configuration in force; undefined before the first one.
+ * @param route - The route.
+ * @param organisation - The organisation, if any.
+ * @example
+ * ```ts
+ * const priority = findPriority(configuration, route, "org-1");
+ * ```
+ */
+export function findPriority(
+  configuration: Configuration | undefined,
+  route: Pick<ServiceRoute, "priority">,
+  organisation?: string,
+): number {
+  return configuration?.organisationPriorities.get(organisation ?? "") ??
+    route.priority;
+}
+
 /**
  * Selects one of a route's services with a probability proportional to its weight.
  * @param route - The route.
--- a/source/installation/node_record.ts
+++ b/source/installation/node_record.ts
@@ -1,6 +1,7 @@
 import type { ServiceDemands } from "./demand_claims.ts";
 import type { LimitRecord } from "./server_limits.ts";
 import type { ServerStart } from "./backend_server_entry.ts";
+import type { WorkRecord } from "./work_record.ts";
 
 /** What a node publishes about itself. */
 export interface NodeDescription {
@@ -33,6 +34,8 @@
   readonly limits: ReadonlyArray<LimitRecord>;
   /** Demand for the servers of services with a warm-up; none if absent. */
   readonly demands?: ServiceDemands;
+  /** What waits and runs at the node by rank and organisation; undefined while nothing waits. */
+  readonly work?: WorkRecord | undefined;
   /**
    * Difference between the node's wall clock and the time of the store, in milliseconds; undefined
    * in the heartbeats that do not publish it.
--- a/source/installation/node_record_row.ts
+++ b/source/installation/node_record_row.ts
@@ -1,5 +1,6 @@
 import type { EngineUseRecord, NodeRecord } from "./node_record.ts";
 import { readStart, toProcessIdentity } from "./process_identity.ts";
+import { fromWorkTuple, toWorkTuple, type WorkTuple } from "./work_record.ts";
 
 /** Table of the nodes' records, each in a partition with its node's name. */
 export const NODE_TABLE = "nodes";
@@ -40,6 +41,8 @@
   storeVersion?: number,
   /** Services with a warm-up that the node uses, and whether its demand is high. */
   demands?: ReadonlyArray<readonly [service: string, isHigh: number]>,
+  /** What waits and runs by rank and organisation, while something waits. */
+  work?: WorkTuple,
 ];
 
 /** Serialises a node's record. */
@@ -84,9 +87,13 @@
   const demands = [...record.demands ?? []].map(([service, demand]) =>
     [service, Number(demand === "high")] as const
   );
-  return Buffer.from(
-    JSON.stringify(demands.length === 0 ? tuple : [...tuple, demands]),
-  );
+  const { work } = record;
+  const more = work !== undefined
+    ? [demands, toWorkTuple(work)]
+    : demands.length > 0
+    ? [demands]
+    : [];
+  return Buffer.from(JSON.stringify([...tuple, ...more]));
 }
 
 // Nodes serve callers and other nodes at the same host.
@@ -149,6 +156,7 @@
           isHigh === 1 ? "high" : "low",
         ]),
       ),
+      work: fromWorkTuple(tuple[16]),
     };
   } catch {
     // A row that this program did not write describes no node.
--- a/source/node/apply_server_news.ts
+++ b/source/node/apply_server_news.ts
@@ -8,6 +8,7 @@
 import type { ServerLimits } from "../installation/server_limits.ts";
 import type { ServerView } from "../installation/server_view.ts";
 import type { WarmUpLimits } from "../installation/warm_up_limits.ts";
+import type { WorkSharing } from "../installation/work_sharing.ts";
 
 /** Pause before the store is asked again. */
 const READ_PAUSE_MILLISECONDS = 100;
@@ -20,6 +21,7 @@
   readonly engineUseExchange: EngineUseExchange;
   readonly limits: ServerLimits;
   readonly warmUpLimits: WarmUpLimits;
+  readonly work: WorkSharing;
 }
 
 /** Applies what answers and other nodes say of servers that leave, of engines' use and of limits. */
@@ -27,7 +29,7 @@
   options: ServerNewsOptions,
 ): void {
   const { client, register, servers, engineUseExchange, limits } = options;
-  const { warmUpLimits } = options;
+  const { warmUpLimits, work } = options;
   client.watchLeaving((server) =>
     servers.markLeaving(server, { learnedFrom: "answer" })
   );
@@ -38,6 +40,8 @@
       }
     }
   });
+  // Before the use of engines, which assigns their slots.
+  register.watch(() => work.apply(register.others));
   register.watch(() => engineUseExchange.apply(register.others));
   register.watch(() => limits.apply(toLimitNews(register)));
   register.watch(() => warmUpLimits.apply(toDemandNews(register)));
--- a/source/node/create_installation_node.ts
+++ b/source/node/create_installation_node.ts
@@ -8,6 +8,7 @@
 import { StepReader } from "../durable_steps/step_reader.ts";
 import { StepRetention } from "../durable_steps/step_retention.ts";
 import { StepSupervisor } from "../durable_steps/step_supervisor.ts";
+import { WorkSharing } from "../installation/work_sharing.ts";
 import { createRendezvous } from "../membership/rendezvous.ts";
 import { MeasuredTable } from "../platform/measured_table.ts";
 import { type FollowerPace, USUAL_PACE } from "../platform/table_follower.ts";
@@ -71,8 +72,16 @@
     limits,
     serverPaths,
   });
+  const work = new WorkSharing({
+    clock,
+    onClaimIgnored: (service) => {
+      metrics.count("slot_claims_ignored", {});
+      log.emit("slotClaimIgnored", { service });
+    },
+  });
   const { register, sharedClock, usage } = createNodeRegister(options, {
     common,
+    work,
     servers,
     serverPaths,
     engineUseExchange,
@@ -88,6 +97,7 @@
     engineUseExchange,
     limits,
     warmUpLimits: warmUps.limits,
+    work,
   });
   const stored = { ...common, clock: sharedClock };
   const { leaseElector, lease } = createDutyLease(options, {
@@ -134,6 +144,7 @@
     pool,
     crashGuard,
     callRelay,
+    work,
   });
   const steps = new StepSupervisor({
     tools,
@@ -184,6 +195,7 @@
         pool,
         limits,
         warmUpLimits: warmUps.limits,
+        work,
         crashRecords,
         serverPaths,
         lease,
--- a/source/node/create_node_register.ts
+++ b/source/node/create_node_register.ts
@@ -7,6 +7,7 @@
 import type { ServerView } from "../installation/server_view.ts";
 import { SharedClock } from "../installation/shared_clock.ts";
 import type { WarmUpLimits } from "../installation/warm_up_limits.ts";
+import type { WorkSharing } from "../installation/work_sharing.ts";
 import type { InstallationNode } from "./installation_node.ts";
 import type {
   CommonDependencies,
@@ -21,6 +22,7 @@
   readonly engineUseExchange: EngineUseExchange;
   readonly limits: ServerLimits;
   readonly warmUpLimits: WarmUpLimits;
+  readonly work: WorkSharing;
   /** Returns the node; undefined until it is created. */
   readonly findNode: () => InstallationNode | undefined;
 }
@@ -46,7 +48,7 @@
   parts: NodeRegisterParts,
 ): RegisterAndClock {
   const { common, servers, serverPaths, engineUseExchange, limits } = parts;
-  const { warmUpLimits, findNode } = parts;
+  const { warmUpLimits, work, findNode } = parts;
   const sharedClock = new SharedClock({
     clock,
     otherOffsets: () =>
@@ -77,6 +79,7 @@
       leavingServers: servers.leavingWithoutEntry,
       limits: limits.toRecords(),
       demands: warmUpLimits.toDemands(),
+      work: work.toRecord(),
       wallOffset: isWallOffsetPublished(clock)
         ? sharedClock.ownOffset
         : undefined,
--- a/source/node/create_step_tools.ts
+++ b/source/node/create_step_tools.ts
@@ -1,3 +1,4 @@
+import { CallGateReport } from "../calls/call_gate_report.ts";
 import type { CallRelay } from "../calls/call_relay.ts";
 import type { CrashGuard } from "../calls/crash_guard.ts";
 import { createCallForwarder } from "../calls/create_call_forwarder.ts";
@@ -11,6 +12,7 @@
 import type { ServerLimits } from "../installation/server_limits.ts";
 import type { ServerPaths } from "../installation/server_paths.ts";
 import { ServerStarts } from "../installation/server_starts.ts";
+import type { WorkSharing } from "../installation/work_sharing.ts";
 import type { MeasuredTable } from "../platform/measured_table.ts";
 import type { FollowerPace } from "../platform/table_follower.ts";
 import type { Clock } from "../utilities/clock.ts";
@@ -37,6 +39,7 @@
   readonly serverPaths: ServerPaths;
   readonly crashGuard: CrashGuard;
   readonly callRelay: CallRelay;
+  readonly work: WorkSharing;
 }
 
 /**
@@ -47,7 +50,7 @@
  * ```
  */
 export function createStepTools(
-  { settings, adapters, log }: InstallationNodeOptions,
+  { settings, adapters, log, metrics }: InstallationNodeOptions,
   parts: StepToolParts,
 ): StepTools {
   const { common, sharedClock, random, operator, servers } = parts;
@@ -88,6 +91,8 @@
       serverStatistics: parts.statistics,
       crashGuard: parts.crashGuard,
       callRelay: parts.callRelay,
+      work: parts.work,
+      report: new CallGateReport(metrics),
     }),
     storeHealth: table.health,
     regionRules: parts.regionRules,
--- a/source/observability/events/installation_events.ts
+++ b/source/observability/events/installation_events.ts
@@ -406,6 +406,14 @@
     action: "If it repeats for one engine, check the engine",
     fields: ["server", "remainingEvents", "eventMilliseconds"],
   }),
+  slotClaimIgnored: defineEvent(9330, {
+    level: "info",
+    message:
+      "Free slots of a service were left to waiting work of other nodes, which did not take them in time; this node uses them",
+    action:
+      "If it repeats, check whether the other nodes reach the servers of the service and the store",
+    fields: ["service"],
+  }),
   weightOrderSent: defineEvent(9402, {
     level: "info",
     message: "An engine was ordered to load a weight version",
