--- a/source/calls/call_gate.ts
+++ b/source/calls/call_gate.ts
@@ -20,6 +20,7 @@
 import type { Clock } from "../utilities/clock.ts";
 import type { RandomSource } from "../utilities/random_source.ts";
 import type { CallGateReport } from "./call_gate_report.ts";
+import type { GateOutcome } from "./gate_outcome.ts";
 import type { ServerCallStatistics } from "./server_call_statistics.ts";
 
 /** Interval at which waiting calls are checked, as calls of other nodes end unseen. */
@@ -52,12 +53,6 @@
   readonly allowedRegions?: AllowedRegions | undefined;
 }
 
-/** Whether a call may be sent. */
-export type GateOutcome =
-  | { readonly kind: "open" }
-  | { readonly kind: "rejected"; readonly retryAfterMilliseconds: number }
-  | { readonly kind: "cancelled" };
-
 interface Waiter extends WaitingCall {
   readonly call: GatedCall;
   turnAt: number;
--- a/source/calls/call_gate_report.ts
+++ b/source/calls/call_gate_report.ts
@@ -1,5 +1,5 @@
 import type { Metrics } from "../observability/metrics.ts";
-import type { GateOutcome } from "./call_gate.ts";
+import type { GateOutcome } from "./gate_outcome.ts";
 
 /** Outcome of the gate as a label, and whether the call was served. */
 const RESULTS: Readonly<Record<GateOutcome["kind"], string>> = {
--- a/source/calls/call_gate_test.ts
+++ b/source/calls/call_gate_test.ts
@@ -11,7 +11,8 @@
 import { createRandomSource } from "../utilities/random_source.ts";
 import { CallGateReport } from "./call_gate_report.ts";
 import { NO_METRICS } from "../observability/metrics.ts";
-import { CallGate, type GatedCall, type GateOutcome } from "./call_gate.ts";
+import { CallGate, type GatedCall } from "./call_gate.ts";
+import type { GateOutcome } from "./gate_outcome.ts";
 import { ServerCallStatistics } from "./server_call_statistics.ts";
 
 /** Time until the other nodes would know of a node's demand. */
