Account of where the time of trainers' steps went

Change: snipepath account reads the log files of all nodes and gives for each late or failed group the time by cause, the least time that its longest text needs, sums by cause and second, and how far each trainer is behind, as text, JSON and SVG. sampleFinished and sampleUnfinished name group and times, durableStepAccepted the time since arrival, deadline and needed groups, and resultsListed (9313) is new. The field number of 9301 and 9302 was overwritten by the number of the event; it is stepNumber now.

--- a/source/durable_steps/engine_availability.ts
+++ b/source/durable_steps/engine_availability.ts
@@ -229,6 +229,16 @@
     return Math.min(Infinity, ...ends);
   }
 
+  /**
+   * Whether no engine can run a sample now, and either none has a weight version that the sample
+   * may use or one of those that have it loads the sample's model.
+   */
+  isLoadingWeights(requirements: EngineRequirements): boolean {
+    if (this.findAvailable(requirements).length > 0) return false;
+    return this.findUsable(requirements).length === 0 ||
+      this.findLoadEnd(requirements) < Infinity;
+  }
+
   /** Whether an engine can run a sample now. */
   isAvailable(
     engine: BackendServerEntry,
--- a/source/durable_steps/engine_pool.ts
+++ b/source/durable_steps/engine_pool.ts
@@ -143,6 +143,11 @@
     return this.#states.get(identifier)?.running ?? 0;
   }
 
+  /** Returns the number of samples of all nodes that run on an engine, as far as this node knows. */
+  countOccupiedSlots(engine: BackendServerEntry): number {
+    return this.#availability.countOccupiedSlots(engine);
+  }
+
   /** Usual time for one event at the engines with a recent measurement, in milliseconds. */
   get usualEventMilliseconds(): number {
     return this.#placement.usualEventMilliseconds;
@@ -337,6 +342,11 @@
     return this.#availability.findAvailable(requirements).length > 0;
   }
 
+  /** Whether no engine could run a sample with these requirements now because of weight loads. */
+  isLoadingWeights(requirements: EngineRequirements): boolean {
+    return this.#availability.isLoadingWeights(requirements);
+  }
+
   /** Decides whether a text leaves its engine for a faster one; the caller must move it then. */
   shouldMove(text: RunningText): boolean {
     return this.#placement.shouldMove(text);
--- a/source/durable_steps/sample_generation.ts
+++ b/source/durable_steps/sample_generation.ts
@@ -18,6 +18,7 @@
 import type { EnginePool } from "./engine_pool.ts";
 import type { EngineRequest, EngineRequirements } from "./engine_request.ts";
 import type { SampleText } from "./sample_text.ts";
+import { SampleTimeline } from "./sample_timeline.ts";
 import { TextContinuation } from "./text_continuation.ts";
 import type { SampleRequest } from "./step_submission.ts";
 import { ENDED } from "../utilities/ended.ts";
@@ -77,21 +78,6 @@
   readonly signal: AbortSignal;
 }
 
-/** The current activity of a sample and the number of its attempts by result. */
-export interface SampleActivity {
-  readonly doing: "waitingForRoute" | "waitingForEngine" | "asking" | "reading";
-  /** Monotonic time, in milliseconds, at which the activity started. */
-  readonly since: number;
-  /** Number of attempts, each a request for the text to one engine. */
-  readonly attempts: number;
-  /** Number of attempts that an engine refused without running them. */
-  readonly refusals: number;
-  /** Number of attempts aborted because the engine used a weight version that is not allowed. */
-  readonly unusableVersions: number;
-  /** Number of attempts aborted to continue on a faster engine. */
-  readonly moves: number;
-}
-
 type AttemptOutcome = "completed" | "retry" | "serverError" | "unprocessable";
 
 /** Generates the text of one sample, and continues an interrupted text on another engine. */
@@ -100,37 +86,20 @@
   #failures = 0;
   /** Number of attempts that were aborted since the engine sent nothing. */
   #silences = 0;
-  #attempts = 0;
-  #refusals = 0;
-  #unusableVersions = 0;
-  #moves = 0;
-  #doing: SampleActivity["doing"] = "waitingForRoute";
-  #since = 0;
-  #startedAt: number | undefined;
+  readonly #timeline: SampleTimeline;
   #avoidedEngine: string | undefined;
   readonly #continuation: TextContinuation;
 
   /** @param options - The sample, the engines and the other dependencies. */
   constructor(options: SampleGenerationOptions) {
     this.#options = options;
+    this.#timeline = new SampleTimeline(options.clock);
     this.#continuation = new TextContinuation(options);
   }
 
-  /** The current activity, or the last one after the run has ended. */
-  get activity(): SampleActivity {
-    return {
-      doing: this.#doing,
-      since: this.#since,
-      attempts: this.#attempts,
-      refusals: this.#refusals,
-      unusableVersions: this.#unusableVersions,
-      moves: this.#moves,
-    };
-  }
-
-  /** Monotonic time, in milliseconds, of the first attempt; undefined before it. */
-  get startedAt(): number | undefined {
-    return this.#startedAt;
+  /** What the sample has done so far and for how long. */
+  get timeline(): SampleTimeline {
+    return this.#timeline;
   }
 
   /** Runs until the text is complete, has failed, or the signal is aborted. */
@@ -140,17 +109,19 @@
       if (this.#options.text.isWhole) return { kind: "completed" };
       const currentRoute = route();
       if (currentRoute === undefined) {
-        this.#setActivity("waitingForRoute");
+        this.#timeline.enter("waitingForRoute");
         await clock.sleep(NO_ROUTE_PAUSE_MILLISECONDS, signal);
         continue;
       }
-      this.#setActivity("waitingForEngine");
       const request = this.#toRequest(currentRoute);
+      this.#timeline.enter(
+        pool.isLoadingWeights(request.requirements)
+          ? "waitingForWeights"
+          : "waitingForEngine",
+      );
       const engine = await this.#acquire(request);
       if (engine === undefined) continue;
-      this.#attempts += 1;
-      this.#startedAt ??= clock.monotonic();
-      this.#setActivity("asking");
+      this.#timeline.startAttempt();
       const outcome = await this.#runAttempt(engine, currentRoute);
       pool.release(engine.identifier, request);
       if (outcome === "completed") this.#options.text.isWhole = true;
@@ -200,12 +171,6 @@
     return engine;
   }
 
-  #setActivity(doing: SampleActivity["doing"]): void {
-    if (doing === this.#doing) return;
-    this.#doing = doing;
-    this.#since = this.#options.clock.monotonic();
-  }
-
   #toRequest(route: ServiceRoute): EngineRequest {
     const { sample, text, model, dueAt, group, isSpare, pool, textLengths } =
       this.#options;
@@ -308,7 +273,7 @@
       return this.#recordInterruption(identifier, failure.reason);
     }
     if (failure.cause === "refused") {
-      this.#refusals += 1;
+      this.#timeline.count("refusals");
       this.#options.pool.recordHeard(identifier);
       this.#options.pool.recordBusy(identifier, this.#options.model);
     }
@@ -332,12 +297,12 @@
     const isResumed = this.#options.text.lastEvent !== undefined;
     if (!isResumed && !this.#isUsable(answer.weightVersion, route)) {
       answer.abandon();
-      this.#unusableVersions += 1;
+      this.#timeline.count("unusableVersions");
       this.#options.pool.recordRefusal(identifier);
       return "retry";
     }
     this.#options.pool.recordStart(identifier, this.#options.model);
-    this.#setActivity("reading");
+    this.#timeline.enter("reading");
     try {
       return await this.#readEvents(engine, route, answer);
     } catch (error) {
@@ -363,7 +328,7 @@
       version = event.weightVersion ?? version;
       if (version === undefined || !this.#isUsable(version, route)) {
         answer.abandon();
-        this.#unusableVersions += 1;
+        this.#timeline.count("unusableVersions");
         pool.recordRefusal(identifier);
         return "retry";
       }
@@ -380,6 +345,7 @@
       }
       text.lastEvent = event.number;
       text.parts.push(event.text);
+      this.#timeline.recordEvent();
       if (!text.versions.includes(version)) text.versions.push(version);
       pool.recordVersion(identifier, model, version);
       const now = clock.monotonic();
@@ -393,7 +359,7 @@
       ) {
         answer.abandon();
         this.#avoidedEngine = identifier;
-        this.#moves += 1;
+        this.#timeline.count("moves");
         return "retry";
       }
     }
@@ -434,7 +400,7 @@
       remainingEvents,
       tokens: promptTokens +
         textTokens * Math.min(1, madeEvents / totalEvents),
-      moves: this.#moves,
+      moves: this.#timeline.counts.moves,
     });
   }
 
--- a/source/durable_steps/step_intake.ts
+++ b/source/durable_steps/step_intake.ts
@@ -38,6 +38,13 @@
   readonly route: ServiceRoute;
 }
 
+/** A step that is being accepted. */
+interface AcceptingStep {
+  readonly route: ServiceRoute;
+  /** Monotonic time, in milliseconds, at which the submission had been read. */
+  readonly receivedAt: number;
+}
+
 /** Dependencies of a step intake. */
 export interface StepIntakeOptions {
   readonly tools: StepTools;
@@ -71,6 +78,7 @@
    */
   async accept(step: IncomingStep): Promise<CallOutcome> {
     const { tools, readSubmission } = this.#options;
+    const receivedAt = tools.clock.monotonic();
     const submission = readSubmission(step.body);
     if (submission === undefined) {
       return { kind: "refused", refusal: "malformed" };
@@ -124,7 +132,12 @@
       owner: this.#options.chooseOwner(submission, allowed),
       submittedRegion: tools.regionRules.ownRegion,
     };
-    return await this.#commitManifest({ manifest, last, submission });
+    return await this.#commitManifest({
+      manifest,
+      last,
+      submission,
+      accepting: { route: step.route, receivedAt },
+    });
   }
 
   async #commitEarlierRows(transaction: RowTransaction): Promise<boolean> {
@@ -185,10 +198,11 @@
   // After a write without a response the store may still accept the step at any later time, so the
   // step is no longer refused.
   async #commitManifest(
-    { manifest, last, submission }: {
+    { manifest, last, submission, accepting }: {
       readonly manifest: StepManifest;
       readonly last: RowTransaction["puts"];
       readonly submission: StepSubmission;
+      readonly accepting: AcceptingStep;
     },
   ): Promise<CallOutcome> {
     const { tools } = this.#options;
@@ -220,10 +234,15 @@
             value,
             version: outcome.value.version,
           });
+          this.#logAcceptance(manifest, { submission, accepting });
         } else {
           this.#applyRows(outcome.value.rows);
           const entry = tools.stepRegistry.get(manifest.identifier);
           if (entry !== undefined) this.#checkOwner(entry, submission);
+          // An earlier write of this node took effect, though its response was lost.
+          if (entry?.manifest.upload === manifest.upload) {
+            this.#logAcceptance(manifest, { submission, accepting });
+          }
         }
         return ACCEPTED;
       }
@@ -248,11 +267,24 @@
     const manifest = readManifest(row.value);
     if (manifest === undefined) return;
     tools.stepRegistry.applyWrittenRow(row);
-    tools.log.emit("durableStepAccepted", {
-      step: manifest.identifier,
-      model: manifest.model,
-      number: manifest.step,
-      samples: manifest.total,
+  }
+
+  #logAcceptance(
+    { identifier, model, step, total }: StepManifest,
+    { submission, accepting }: {
+      readonly submission: StepSubmission;
+      readonly accepting: AcceptingStep;
+    },
+  ): void {
+    const { clock, log } = this.#options.tools;
+    log.emit("durableStepAccepted", {
+      step: identifier,
+      model,
+      stepNumber: step,
+      samples: total,
+      targetGroups: submission.targetGroups,
+      milliseconds: Math.round(clock.monotonic() - accepting.receivedAt),
+      dueMilliseconds: accepting.route.resultDeadlineMilliseconds ?? 0,
     });
   }
 }
--- a/source/durable_steps/step_run.ts
+++ b/source/durable_steps/step_run.ts
@@ -9,6 +9,7 @@
 import { SampleGeneration } from "./sample_generation.ts";
 import type { SampleText } from "./sample_text.ts";
 import type { StepManifest } from "./step_manifest.ts";
+import { StepResults } from "./step_results.ts";
 import type { SampleRequest, StepSubmission } from "./step_submission.ts";
 import type { StepTools } from "./step_tools.ts";
 import { ENDED } from "../utilities/ended.ts";
@@ -16,8 +17,6 @@
 /** Interval between saves; text generated since the last save is lost with its node. */
 const SAVE_INTERVAL_MILLISECONDS = 400;
 const STORE_RETRY_PAUSE_MILLISECONDS = 100;
-/** Time for which results are collected so that they are appended in one transaction. */
-const APPEND_DELAY_MILLISECONDS = 25;
 /** Share of a step's samples, the longest ones, that engines are asked to run first. */
 const LONG_SAMPLE_SHARE = 0.25;
 /**
@@ -45,29 +44,23 @@
 export class StepRun {
   readonly #options: StepRunOptions;
   readonly #stop = new AbortController();
-  /** Identifiers of the samples whose results are listed in the store. */
-  readonly #listedIdentifiers = new Set<string>();
-  /** Results of this run and reused results of earlier steps, also after they were listed. */
-  readonly #finishedResults: SampleResult[] = [];
+  readonly #results: StepResults;
   /** Texts of the samples that this run generates or scores, by sample identifier. */
   readonly #unfinishedTexts = new Map<string, SampleText>();
-  /** Number of listed results that this run knows, which is the position of the next result. */
-  #position = 0;
   /** Monotonic time, in milliseconds, at which the samples were started. */
   #startedAt = 0;
-  #wake = new AbortController();
 
   /** @param options - The step and the dependencies of its run. */
   constructor(options: StepRunOptions) {
     this.#options = options;
     // Each sample adds a listener for the end of the run, so the default limit is too low.
     setMaxListeners(0, this.#stop.signal);
+    this.#results = new StepResults({ ...options, signal: this.#stop.signal });
   }
 
   /** Stops the run; listed results remain in the store. */
   stop(): void {
     this.#stop.abort(ENDED);
-    this.#wake.abort(ENDED);
   }
 
   /** Whether the run has stopped. */
@@ -82,14 +75,14 @@
     if (submission === undefined) return;
     await this.#loadEarlierWork(submission);
     const open = submission.samples.filter(({ identifier }) =>
-      !this.#listedIdentifiers.has(identifier) && !this.#isFinished(identifier)
+      !this.#results.has(identifier)
     ).sort(compareLength);
     tools.log.emit("durableStepRunStarted", {
       step: manifest.identifier,
       model: manifest.model,
-      number: manifest.step,
+      stepNumber: manifest.step,
       samples: open.length,
-      listed: this.#listedIdentifiers.size,
+      listed: this.#results.listed,
     });
     this.#startedAt = tools.clock.monotonic();
     const dueAt = this.#findDueTime();
@@ -103,7 +96,7 @@
       })
     );
     const saving = this.#saveTextsPeriodically();
-    await this.#appendResults(manifest.total);
+    await this.#results.list();
     this.stop();
     await saving;
     await Promise.all(runs);
@@ -119,7 +112,7 @@
     });
     const steps = isFirstOwner ? earlier : [manifest, ...earlier];
     await Promise.all([
-      isFirstOwner ? undefined : this.#readListedResults(),
+      isFirstOwner ? undefined : this.#results.readListed(),
       ...steps.map((step) => this.#loadSavedTexts(step, submission)),
     ]);
     await Promise.all(
@@ -163,12 +156,6 @@
     return `${this.#options.manifest.model}/${sample}`;
   }
 
-  #isFinished(identifier: string): boolean {
-    return this.#finishedResults.some((result) =>
-      result.identifier === identifier
-    );
-  }
-
   async #loadSubmission(): Promise<StepSubmission | undefined> {
     const { tools, manifest } = this.#options;
     while (!this.isStopped) {
@@ -179,25 +166,6 @@
     return undefined;
   }
 
-  // Reads the results listed after the last known position.
-  async #readListedResults(): Promise<void> {
-    const { tools, manifest } = this.#options;
-    while (!this.isStopped) {
-      const outcome = await tools.results.readAll(
-        manifest.identifier,
-        this.#position,
-      );
-      if (outcome.kind === "ok") {
-        for (const { identifier } of outcome.value) {
-          this.#listedIdentifiers.add(identifier);
-        }
-        this.#position += outcome.value.length;
-        return;
-      }
-      await this.#sleep(STORE_RETRY_PAUSE_MILLISECONDS);
-    }
-  }
-
   // Reuses the listed results of an earlier step for samples that were submitted again.
   async #reuseResults(
     earlier: StepManifest,
@@ -209,13 +177,8 @@
     if (this.isStopped || outcome.kind !== "ok") return;
     for (const result of outcome.value) {
       const { identifier } = result;
-      if (!wanted.has(identifier) || this.#listedIdentifiers.has(identifier)) {
-        continue;
-      }
-      if (this.#isFinished(identifier)) continue;
-      if (this.#isReusable(result, submission)) {
-        this.#finishedResults.push(result);
-      }
+      if (!wanted.has(identifier) || this.#results.has(identifier)) continue;
+      if (this.#isReusable(result, submission)) this.#results.add(result);
     }
   }
 
@@ -265,8 +228,16 @@
     });
     const outcome = await run.run();
     const madeAt = tools.clock.monotonic();
+    const { times } = run.timeline;
+    const ended = {
+      step: manifest.identifier,
+      group: sample.group,
+      sample: identifier,
+      run,
+      text,
+    };
     if (outcome.kind === "failed") {
-      this.#addResult({ kind: "terminated", identifier }, outcome.reason);
+      this.#terminate(sample, outcome.reason);
     } else if (outcome.kind === "completed") {
       const scoring = sample.scoring === undefined
         ? undefined
@@ -277,45 +248,31 @@
           signal,
         });
       if (scoring?.kind === "failed") {
-        this.#addResult({ kind: "terminated", identifier }, "scoring failed");
+        this.#terminate(sample, "scoring failed");
       } else if (scoring?.kind !== "cancelled") {
         this.#options.texts.delete(key);
         tools.textLengths.record({
           expectedTokens: sample.expectedTokens,
           events: text.parts.length,
         });
-        this.#addResult({
-          kind: "completed",
-          identifier,
-          text: text.parts.join("\n"),
-          weightVersions: text.versions,
-          ...(scoring === undefined ? {} : { score: scoring.score }),
-        }, "completed");
+        this.#addCompleted(identifier, text, scoring?.score);
         logFinishedSample(tools, {
-          step: manifest.identifier,
-          sample: identifier,
-          run,
-          text,
+          ...ended,
           stepStartedAt: this.#startedAt,
           madeAt,
+          times,
         });
       }
     }
     lifetime.end();
     this.#unfinishedTexts.delete(identifier);
-    if (this.isStopped && !this.#isFinished(identifier)) {
-      logUnfinishedSample(tools, {
-        step: manifest.identifier,
-        sample: identifier,
-        run,
-        text,
-      });
+    if (this.isStopped && !this.#results.isFinished(identifier)) {
+      logUnfinishedSample(tools, ended);
     }
-    if (!this.isStopped && signal.aborted && !this.#isFinished(identifier)) {
-      this.#addResult(
-        { kind: "terminated", identifier },
-        "sample lifetime expired",
-      );
+    if (
+      !this.isStopped && signal.aborted && !this.#results.isFinished(identifier)
+    ) {
+      this.#terminate(sample, "sample lifetime expired");
     }
   }
 
@@ -361,49 +318,31 @@
     return text;
   }
 
-  #addResult(result: SampleResult, reason: string): void {
-    const { tools, manifest } = this.#options;
-    if (this.isStopped || this.#isFinished(result.identifier)) return;
-    if (result.kind === "terminated") {
-      tools.log.emit("sampleTerminated", {
-        step: manifest.identifier,
-        sample: result.identifier,
-        reason,
-      });
-    }
-    this.#finishedResults.push(result);
-    this.#wake.abort(ENDED);
+  #addCompleted(
+    identifier: string,
+    text: SampleText,
+    score: string | undefined,
+  ): void {
+    if (this.isStopped) return;
+    this.#results.add({
+      kind: "completed",
+      identifier,
+      text: text.parts.join("\n"),
+      weightVersions: text.versions,
+      ...(score === undefined ? {} : { score }),
+    });
   }
 
-  async #appendResults(total: number): Promise<void> {
+  #terminate({ identifier, group }: SampleRequest, reason: string): void {
     const { tools, manifest } = this.#options;
-    while (!this.isStopped && this.#listedIdentifiers.size < total) {
-      const results = this.#finishedResults.filter(({ identifier }) =>
-        !this.#listedIdentifiers.has(identifier)
-      );
-      if (results.length === 0) {
-        this.#wake = new AbortController();
-        await this.#sleep(1000);
-        await this.#sleep(APPEND_DELAY_MILLISECONDS);
-        continue;
-      }
-      const outcome = await tools.results.append(manifest.identifier, {
-        position: this.#position,
-        results,
-      });
-      if (outcome.kind === "ok" && outcome.value.kind === "appended") {
-        const { count } = outcome.value;
-        for (const { identifier } of results.slice(0, count)) {
-          this.#listedIdentifiers.add(identifier);
-        }
-        this.#position += count;
-        continue;
-      }
-      if (outcome.kind !== "ok") {
-        await this.#sleep(STORE_RETRY_PAUSE_MILLISECONDS);
-      }
-      await this.#readListedResults();
-    }
+    if (this.isStopped || this.#results.isFinished(identifier)) return;
+    tools.log.emit("sampleTerminated", {
+      step: manifest.identifier,
+      group,
+      sample: identifier,
+      reason,
+    });
+    this.#results.add({ kind: "terminated", identifier });
   }
 
   // Returns the monotonic time, in milliseconds, at which the results are due.
@@ -460,7 +399,7 @@
   }
 
   #sleep(milliseconds: number): Promise<void> {
-    return this.#options.tools.clock.sleep(milliseconds, this.#wake.signal);
+    return this.#options.tools.clock.sleep(milliseconds, this.#stop.signal);
   }
 }
 
--- a/source/observability/events/installation_events.ts
+++ b/source/observability/events/installation_events.ts
@@ -283,9 +283,18 @@
   }),
   durableStepAccepted: defineEvent(9301, {
     level: "info",
-    message: "A step was accepted and its manifest was stored",
+    message:
+      "A step was accepted and its manifest was stored; milliseconds is the time since it arrived, and its results are due dueMilliseconds after that",
     action: "",
-    fields: ["step", "model", "number", "samples"],
+    fields: [
+      "step",
+      "model",
+      "stepNumber",
+      "samples",
+      "targetGroups",
+      "milliseconds",
+      "dueMilliseconds",
+    ],
   }),
   durableStepRejected: defineEvent(9310, {
     level: "warn",
@@ -299,7 +308,7 @@
     level: "info",
     message: "The node started to run a step",
     action: "",
-    fields: ["step", "model", "number", "samples", "listed"],
+    fields: ["step", "model", "stepNumber", "samples", "listed"],
   }),
   durableStepTakenOver: defineEvent(9303, {
     level: "info",
@@ -317,7 +326,7 @@
     level: "warn",
     message: "A sample was terminated",
     action: "",
-    fields: ["step", "sample", "reason"],
+    fields: ["step", "group", "sample", "reason"],
   }),
   sampleAttemptCut: defineEvent(9306, {
     level: "info",
@@ -342,16 +351,24 @@
   sampleFinished: defineEvent(9307, {
     level: "info",
     message:
-      "A sample is complete and scored; times are milliseconds since its step started to run",
+      "A sample is complete and scored; startedAt, madeAt and scoredAt are milliseconds since its step started to run, and waited to resumed are the milliseconds spent in each state until the text was complete",
     action: "",
     fields: [
       "step",
+      "group",
       "sample",
       "startedAt",
       "madeAt",
       "scoredAt",
+      "waited",
+      "waitedForWeights",
+      "asked",
+      "generated",
+      "resumed",
       "events",
       "attempts",
+      "refusals",
+      "moves",
     ],
   }),
   stepRowsDeleted: defineEvent(9308, {
@@ -361,6 +378,14 @@
     action: "",
     fields: ["step"],
   }),
+  resultsListed: defineEvent(9313, {
+    level: "info",
+    message:
+      "Results of a step were listed in the store; milliseconds is the longest time that one of them waited for it",
+    action:
+      "If the time is often above a second, check whether the store answers slowly",
+    fields: ["step", "samples", "milliseconds"],
+  }),
   sampleUnfinished: defineEvent(9309, {
     level: "info",
     message:
@@ -368,9 +393,15 @@
     action: "",
     fields: [
       "step",
+      "group",
       "sample",
       "doing",
       "milliseconds",
+      "waited",
+      "waitedForWeights",
+      "asked",
+      "generated",
+      "resumed",
       "events",
       "attempts",
       "refusals",
--- a/source/programs/snipepath.ts
+++ b/source/programs/snipepath.ts
@@ -14,6 +14,7 @@
   subcommands,
 } from "cmd-ts";
 import { CONFIGURATION_FORMATS } from "../../platform/configuration_formats.ts";
+import { runAccount } from "../command/account_command.ts";
 import { runApply } from "../command/apply_command.ts";
 import { runCheckConfiguration } from "../command/check_configuration_command.ts";
 import {
@@ -244,6 +245,33 @@
   },
 });
 
+const account = command({
+  name: "account",
+  description:
+    "Show where the time of trainers' steps went, from the log files of all nodes",
+  args: {
+    json: NODE_OPTIONS.json,
+    logs: multioption({
+      long: "logs",
+      type: array(string),
+      description: "Log file of a node; may be repeated",
+    }),
+    picture: option({
+      long: "picture",
+      type: optional(string),
+      description: "SVG file to write, with a bar for each step",
+    }),
+  },
+  handler: async ({ json, logs, picture }) => {
+    process.exitCode = await runAccount({
+      files: logs,
+      isJson: json,
+      picture,
+      output: PROCESS_OUTPUT,
+    });
+  },
+});
+
 const giveKey = command({
   name: "give",
   description: "Create a key for an organisation and show it once",
@@ -297,6 +325,7 @@
     history,
     status,
     explain,
+    account,
     key: subcommands({
       name: "key",
       description: "Create and withdraw keys",
