Give up calls that the store lost once a later one is answered

Cause: when the store answers again after a silent outage, calls made in between hang until their own limits.

--- a/source/platform/platform_connection.ts
+++ b/source/platform/platform_connection.ts
@@ -2,6 +2,7 @@
 import type { EventLog } from "../observability/event_log.ts";
 import type { Clock } from "../utilities/clock.ts";
 import type { PlatformFailure, PlatformOutcome } from "./platform_outcome.ts";
+import type { PlatformSilence } from "./platform_silence.ts";
 import type { SendGuard } from "./send_guard.ts";
 import { ENDED } from "../utilities/ended.ts";
 
@@ -27,6 +28,11 @@
    * logged when absent.
    */
   readonly log?: EventLog;
+  /**
+   * What all connections to the platform know of an outage; without it, lost calls end at their time
+   * limit.
+   */
+  readonly silence?: PlatformSilence;
   /** Whether an answer repeats the identifier of its call; true when absent. */
   readonly echoesIdentifier?: boolean;
 }
@@ -64,6 +70,8 @@
   readonly settle: (outcome: PlatformOutcome<PlatformHttpAnswer>) => void;
   readonly finished: AbortSignal;
   readonly chunks: Buffer[];
+  /** Monotonic time, in milliseconds, at which the call was made. */
+  readonly startedAt: number;
   controller: Dispatcher.DispatchController | undefined;
   bytes: number;
   status: number;
@@ -152,6 +160,7 @@
           settle: resolve,
           finished: finish.signal,
           chunks: [],
+          startedAt: this.#options.clock.monotonic(),
           controller: undefined,
           bytes: 0,
           status: 0,
@@ -160,6 +169,7 @@
           lastActivityAt: 0,
         };
         this.#dispatch(exchange, call);
+        this.#watchForReturn(exchange);
         void this.#enforceTimeLimits(exchange, call.longPollMilliseconds ?? 0);
       },
     );
@@ -221,8 +231,10 @@
         }
       },
       onResponseEnd: () => this.#complete(exchange),
-      onResponseError: (_controller, error) =>
-        failExchange(exchange, error.message),
+      onResponseError: (_controller, error) => {
+        this.#recordSlowFailure(exchange);
+        failExchange(exchange, error.message);
+      },
     };
   }
 
@@ -236,11 +248,24 @@
       failExchange(exchange, "The answer belongs to another call");
       return;
     }
+    this.#options.silence?.recordAnswer(exchange);
     const body = Buffer.concat(exchange.chunks);
     const { status, digest } = exchange;
     exchange.settle({ kind: "ok", value: { status, digest, body } });
   }
 
+  #watchForReturn(exchange: Exchange): void {
+    const remove = this.#options.silence?.add({
+      startedAt: exchange.startedAt,
+      get isAnswered(): boolean {
+        return exchange.status !== 0;
+      },
+      giveUp: () => this.#abandon(exchange, "a later call was answered"),
+    });
+    if (remove === undefined) return;
+    exchange.finished.addEventListener("abort", remove, { once: true });
+  }
+
   async #enforceTimeLimits(
     exchange: Exchange,
     longPollMilliseconds: number,
@@ -268,7 +293,21 @@
     }
   }
 
+  // A connection that is not established within the time limit is a sign of an outage too.
+  #recordSlowFailure({ startedAt, finished }: Exchange): void {
+    const { clock, silenceMilliseconds, silence } = this.#options;
+    if (finished.aborted) return;
+    if (clock.monotonic() - startedAt >= silenceMilliseconds) {
+      silence?.recordSilence();
+    }
+  }
+
   #timeOut(exchange: Exchange, reason: string): void {
+    this.#options.silence?.recordSilence();
+    this.#abandon(exchange, reason);
+  }
+
+  #abandon(exchange: Exchange, reason: string): void {
     this.#replacePool(exchange.pool);
     const { path } = exchange;
     this.#options.log?.emit("platformSilent", { path, reason });
--- a/source/platform/platform_connection_test.ts
+++ b/source/platform/platform_connection_test.ts
@@ -6,6 +6,7 @@
 import { RecordingEventLog } from "../observability/event_log.ts";
 import { ManualClock } from "../utilities/manual_clock.ts";
 import { PlatformConnection } from "./platform_connection.ts";
+import { PlatformSilence } from "./platform_silence.ts";
 
 const SILENCE_MILLISECONDS = 1000;
 const LIST = { method: "GET", path: "/instances" } as const;
@@ -92,3 +93,36 @@
   );
   await running.close();
 });
+
+test("after an outage, a lost call ends as soon as a later call of another connection is answered", async (t) => {
+  const running = await startPlatform();
+  const clock = new ManualClock();
+  const silence = new PlatformSilence(clock);
+  const connections = [0, 1].map(() =>
+    new PlatformConnection({
+      address: `http://${running.address}`,
+      clock,
+      silenceMilliseconds: SILENCE_MILLISECONDS,
+      timeoutMilliseconds: 3 * SILENCE_MILLISECONDS,
+      silence,
+    })
+  );
+  const [following, other] = connections;
+  if (following === undefined || other === undefined) return t.fail();
+  running.faults.set({ fault: "freeze" });
+  const lost = other.call(LIST);
+  await waitForHits(running, 1);
+  await clock.advance(SILENCE_MILLISECONDS / 2);
+  const hanging = following.call({ ...LIST, longPollMilliseconds: 1000 });
+  await waitForHits(running, 2);
+  await clock.advance(SILENCE_MILLISECONDS / 2);
+  t.is((await lost).kind, "unknown");
+  running.faults.clear();
+  t.is((await other.call(LIST)).kind, "ok");
+  t.deepEqual(await hanging, {
+    kind: "unknown",
+    reason: "Call aborted: a later call was answered",
+  });
+  t.is((await following.call(LIST)).kind, "ok");
+  await running.close();
+});
--- a/source/platform/table_follower.ts
+++ b/source/platform/table_follower.ts
@@ -12,7 +12,7 @@
  * this without a newer version.
  */
 const MINIMUM_PAUSE_MILLISECONDS = 50;
-/** Maximum backoff between failed calls. */
+/** Maximum backoff between failed calls; a call that took longer has been a pause already. */
 const MAXIMUM_PAUSE_MILLISECONDS = 400;
 const PAGE_ROWS = 500;
 
@@ -89,15 +89,23 @@
         this.#confirmedAt = sentAt;
         this.#backoffMilliseconds = MINIMUM_PAUSE_MILLISECONDS;
       } else {
-        await clock.sleep(this.#backoffMilliseconds, stopping);
-        this.#backoffMilliseconds = Math.min(
-          2 * this.#backoffMilliseconds,
-          MAXIMUM_PAUSE_MILLISECONDS,
-        );
+        await this.#backOff(clock.monotonic() - sentAt.monotonic);
       }
     }
   }
 
+  async #backOff(callMilliseconds: number): Promise<void> {
+    const { clock, stopping } = this.#options;
+    if (callMilliseconds >= MAXIMUM_PAUSE_MILLISECONDS) {
+      this.#backoffMilliseconds = MINIMUM_PAUSE_MILLISECONDS;
+    }
+    await clock.sleep(this.#backoffMilliseconds, stopping);
+    this.#backoffMilliseconds = Math.min(
+      2 * this.#backoffMilliseconds,
+      MAXIMUM_PAUSE_MILLISECONDS,
+    );
+  }
+
   get #pace(): FollowerPace {
     return this.#options.pace?.() ?? USUAL_PACE;
   }
--- a/source/programs/snipepath_installation.ts
+++ b/source/programs/snipepath_installation.ts
@@ -27,6 +27,7 @@
 import { createEventLog, type EventLog } from "../observability/event_log.ts";
 import { ScrapedMetrics } from "../observability/scraped_metrics.ts";
 import { PlatformConnection } from "../platform/platform_connection.ts";
+import { PlatformSilence } from "../platform/platform_silence.ts";
 import type { Clock } from "../utilities/clock.ts";
 import { describeFault } from "../utilities/keep_running.ts";
 import { SystemClock } from "../utilities/system_clock.ts";
@@ -186,9 +187,11 @@
     timeoutMilliseconds: STORE_TIMEOUT_MILLISECONDS,
     echoesIdentifier: false,
   };
+  const silence = new PlatformSilence(clock);
   const table = new StoreTable(() =>
     new PlatformConnection({
       ...bounds,
+      silence,
       address: `http://${settings.storeAddress}`,
     })
   );
