Refuse to continue a stream whose server left unseen after a restart

Cause: after a kill of all nodes, a server that had started again under its identifier with another version and had left since was taken for unchanged, as it had no entry. Streams that it began went on at a server of the version that its old entry named.

Change: a node remembers the last entries of servers whose deletion it followed; the version of a server without an entry is certain only by such an entry.

--- a/source/installation/server_starts.ts
+++ b/source/installation/server_starts.ts
@@ -17,7 +17,7 @@
   readonly client: Pick<ServerClient, "readReport">;
   readonly limits: Pick<ServerLimits, "recordRequest">;
   readonly paths: Pick<ServerPaths, "isCutOff">;
-  readonly servers: Pick<ServerView, "servers" | "isEvacuated">;
+  readonly servers: Pick<ServerView, "servers" | "isEvacuated" | "getDeparted">;
   /**
    * Waits until a server in warm-up accepts one more request, at most for some time.
    * @returns Whether it accepts one.
@@ -111,7 +111,8 @@
 
   /**
    * Whether the software of a server may have been another one than its entry named, because the
-   * server has started again since the entry was read.
+   * server has started again since the entry was read. It may have if the server has left and this
+   * node, which may have restarted in between, did not see its last entry.
    * @param start - The start that the entry described.
    * @param softwareVersion - The version that it named.
    */
@@ -119,10 +120,11 @@
     { identifier, startedAt }: ServerStart,
     softwareVersion: string,
   ): Promise<boolean> {
-    const entry = this.#options.servers.servers.get(identifier);
-    if (entry === undefined) return false;
-    return entry.startedAt === startedAt
-      ? await this.isReplaced(entry)
-      : entry.softwareVersion !== softwareVersion;
+    const { servers } = this.#options;
+    const entry = servers.servers.get(identifier);
+    if (entry?.startedAt === startedAt) return await this.isReplaced(entry);
+    const last = entry ?? servers.getDeparted(identifier);
+    if (last?.startedAt === startedAt) return false;
+    return last?.softwareVersion !== softwareVersion;
   }
 }
--- a/source/installation/server_view.ts
+++ b/source/installation/server_view.ts
@@ -1,3 +1,4 @@
+import { LRUCache } from "lru-cache";
 import {
   type AllowedRegions,
   mayProcess,
@@ -24,6 +25,9 @@
  * each heartbeat, so without the pause this node would call the store for almost every row.
  */
 const CHANGE_PAUSE_SHARE = 0.15;
+/** Maximum number of servers that have left and whose last entry is remembered. */
+const MAXIMUM_DEPARTED_SERVERS = 2000;
+
 /** The same for nodes that get neither callers nor steps while there are others. */
 const RESERVE_CHANGE_PAUSE_SHARE = 0.3;
 /**
@@ -69,6 +73,10 @@
   /** Identifiers of servers without an entry that are retained while they may still renew it. */
   readonly #retained = new Set<string>();
   #servers = new Map<string, BackendServerEntry>();
+  /** Last entries of the servers whose entry was deleted while the entries were followed. */
+  readonly #departed = new LRUCache<string, BackendServerEntry>({
+    max: MAXIMUM_DEPARTED_SERVERS,
+  });
   /** Versions of the store at which the known entries were written, by identifier. */
   readonly #rowVersions = new Map<string, number>();
   #byService: ReadonlyMap<string, ReadonlyArray<BackendServerEntry>> =
@@ -244,6 +252,14 @@
     );
   }
 
+  /**
+   * Returns the last entry of a server that has left; undefined if this node did not follow the
+   * entries until then, so that the server may have started again without being seen.
+   */
+  getDeparted(identifier: string): BackendServerEntry | undefined {
+    return this.#departed.get(identifier);
+  }
+
   /** Registers a function that is called after each change. */
   watch(onChange: () => void): void {
     this.#watchers.push(onChange);
@@ -308,18 +324,25 @@
     this.#recordSoftwareVersions();
     for (const change of changes) {
       this.#retained.delete(change.key);
-      if (change.isDeleted) this.#servers.delete(change.key);
+      if (change.isDeleted) this.#remove(change.key);
       else this.#put(change);
     }
     this.#isLoaded = true;
     this.#regroupAndNotify();
   }
 
+  #remove(identifier: string): void {
+    const entry = this.#servers.get(identifier);
+    if (entry !== undefined) this.#departed.set(identifier, entry);
+    this.#servers.delete(identifier);
+  }
+
   #put({ key, value, version }: StoredRow): void {
     this.#rowVersions.set(key, version);
     const entry = this.#options.readRow(key, value);
     this.#retained.delete(key);
     if (entry !== undefined) {
+      this.#departed.delete(key);
       this.#servers.set(key, entry);
       return;
     }
