Load weights first where an open step has the fewest engines

Cause: the loads of a service were planned one model after the other, two engines each, and two engines at once may load.

Change: one decision plans the loads of all models (source/decisions/weight_load_plan.ts): the model whose newest open step has the smallest share of the engines that its samples fill loads first, one engine at a time; an open step gets up to twice the usual share. A step's manifest states its oldest allowed version. Running samples of all nodes count when an engine is chosen, not only those of the planning node.

--- a/source/durable_steps/step_intake.ts
+++ b/source/durable_steps/step_intake.ts
@@ -131,6 +131,7 @@
       chunks: rows.length,
       owner: this.#options.chooseOwner(submission, allowed),
       submittedRegion: tools.regionRules.ownRegion,
+      minimumVersion: submission.minimumVersion,
     };
     return await this.#commitManifest({
       manifest,
--- a/source/durable_steps/step_manifest.ts
+++ b/source/durable_steps/step_manifest.ts
@@ -22,6 +22,11 @@
    * the rows of earlier versions of the program.
    */
   readonly submittedRegion?: string;
+  /**
+   * Oldest weight version that may generate the step's samples; absent from the rows of earlier
+   * versions of the program.
+   */
+  readonly minimumVersion?: number;
 }
 
 /** Parses the value of a manifest row; returns undefined when it is malformed. */
@@ -39,7 +44,12 @@
   const { identifier, organisation, total } = json;
   const { host, path, model, upload, owner } = json;
   const texts = [host, path, model, upload, owner];
-  const numbers = [json.submittedAt, json.step, json.chunks];
+  const numbers = [
+    json.submittedAt,
+    json.step,
+    json.chunks,
+    json.minimumVersion,
+  ];
   return typeof identifier === "string" && typeof organisation === "string" &&
     typeof total === "number" &&
     texts.every((text) => text === undefined || typeof text === "string") &&
--- a/source/duties/weight_load_scheduler.ts
+++ b/source/duties/weight_load_scheduler.ts
@@ -1,6 +1,13 @@
 import type { ServerClient } from "../backends/server_client.ts";
+import {
+  type LoadableEngine,
+  type ModelDemand,
+  planWeightLoads,
+} from "../decisions/weight_load_plan.ts";
 import type { EngineUseExchange } from "../durable_steps/engine_use_exchange.ts";
 import type { EnginePool } from "../durable_steps/engine_pool.ts";
+import { findModelDemands } from "../durable_steps/find_model_demands.ts";
+import type { StepRegistry } from "../durable_steps/step_registry.ts";
 import type { BackendServerEntry } from "../installation/backend_server_entry.ts";
 import type { Configuration, Service } from "../installation/configuration.ts";
 import { needsSingleVersion } from "../installation/needs_single_version.ts";
@@ -10,7 +17,6 @@
 import type { EventLog } from "../observability/event_log.ts";
 import type { Clock } from "../utilities/clock.ts";
 import type { DutyLease } from "./duty_lease.ts";
-import { type LoadableEngine, planWeightLoads } from "./plan_weight_loads.ts";
 
 const CHECK_INTERVAL_MILLISECONDS = 100;
 /** Time without data after which a call to an engine is aborted. */
@@ -41,6 +47,8 @@
   readonly engineUseExchange: EngineUseExchange;
   readonly client: ServerClient;
   readonly lease: DutyLease;
+  /** The steps of trainers. */
+  readonly stepRegistry: Pick<StepRegistry, "entries">;
   readonly stopping: AbortSignal;
 }
 
@@ -111,31 +119,36 @@
       MINIMUM_LOADING_LIMIT,
       Math.floor(MAXIMUM_LOADING_SHARE * engines.length),
     );
-    let loading = engines.filter((engine) => this.#isLoading(engine)).length;
+    const loading = engines.filter((engine) => this.#isLoading(engine)).length;
+    const demands = this.#findDemands(service);
+    const planned = planWeightLoads(
+      engines.map((engine) => this.#toLoadable(engine, service.models)),
+      {
+        demands,
+        modelCount: service.models.length,
+        maximumLoads: limit - loading,
+      },
+    );
     const isSingleVersion = needsSingleVersion(configuration, service.name);
-    for (const model of service.models) {
+    for (const { engine: identifier, model } of planned) {
+      const engine = this.#options.servers.servers.get(identifier);
       const version = this.#options.operator.namedVersions.get(model);
-      if (version === undefined) continue;
-      const chosen = planWeightLoads(
-        engines.map((engine) => this.#toLoadable(engine, model)),
-        {
-          version,
-          modelCount: service.models.length,
-          maximumLoads: limit - loading,
-        },
-      );
-      loading += chosen.length;
-      for (const identifier of chosen) {
-        const engine = this.#options.servers.servers.get(identifier);
-        if (engine === undefined) continue;
-        void this.#orderLoad(engine, {
-          target: { model, version },
-          isSingleVersion,
-        });
-      }
+      if (engine === undefined || version === undefined) continue;
+      void this.#orderLoad(engine, {
+        target: { model, version },
+        isSingleVersion,
+      });
     }
   }
 
+  #findDemands({ models }: Service): ReadonlyArray<ModelDemand> {
+    const { operator, stepRegistry } = this.#options;
+    return findModelDemands(stepRegistry.entries, {
+      models,
+      namedVersions: operator.namedVersions,
+    });
+  }
+
   // Returns the time until an engine in warm-up accepts one more request, and asks for a share of them.
   #getWarmUpWait({ identifier }: BackendServerEntry): number {
     const { limits } = this.#options;
@@ -144,17 +157,28 @@
     return wait;
   }
 
-  #toLoadable(engine: BackendServerEntry, model: string): LoadableEngine {
+  #toLoadable(
+    engine: BackendServerEntry,
+    models: ReadonlyArray<string>,
+  ): LoadableEngine {
     const { pool, clock } = this.#options;
     const state = this.#getState(engine);
     const { loading } = state;
+    const versions = models.flatMap((model) => {
+      const version = pool.getVersion(engine, model);
+      if (version === undefined) return [];
+      const loadingVersion = loading?.model === model
+        ? loading.version
+        : undefined;
+      return [[model, { version, loadingVersion }]] as const;
+    });
     return {
       identifier: engine.identifier,
-      version: pool.getVersion(engine, model),
-      loadingVersion: loading?.model === model ? loading.version : undefined,
+      slots: engine.slots,
+      models: new Map(versions),
       isAvailable: !this.#isLoading(engine) &&
         clock.monotonic() >= state.nextOrderAt,
-      runningRequests: pool.running(engine.identifier),
+      runningRequests: pool.countOccupiedSlots(engine),
     };
   }
 
--- a/source/duties/weight_load_scheduler_test.ts
+++ b/source/duties/weight_load_scheduler_test.ts
@@ -103,6 +103,7 @@
       recordLoad: () => {},
     } as unknown as EngineUseExchange,
     client,
+    stepRegistry: { entries: [] },
     lease: {
       getHeldDuty: () => DUTY,
       isStillHeld: () => true,
--- a/source/node/create_installation_node.ts
+++ b/source/node/create_installation_node.ts
@@ -228,6 +228,7 @@
         engineUseExchange,
         client,
         lease,
+        stepRegistry: tools.stepRegistry,
       }),
       ...duties,
     ],
