--- a/source/decisions/weight_load_plan.ts
+++ b/source/decisions/weight_load_plan.ts
@@ -45,13 +45,16 @@
   readonly maximumLoads: number;
 }
 
+/**
+ * Least supply of a model whose open step has its engines. Its next step needs the newest version,
+ * but no sample waits for it yet.
+ */
+const MINIMUM_IDLE_SUPPLY = 0.5;
+
 interface Candidate {
   readonly demand: ModelDemand;
   readonly engine: LoadableEngine;
-  /**
-   * Below 1, the share of the engines that the open step needs and has; from 1 on, the same for the
-   * engines that should have the newest version.
-   */
+  /** Share of the engines that the model needs and has; the model with the least loads first. */
   readonly supply: number;
 }
 
@@ -120,7 +123,8 @@
   demand: ModelDemand,
   modelCount: number,
 ): ReadonlyArray<Candidate> {
-  const { version, minimumVersion } = demand;
+  const { version } = demand;
+  const minimumVersion = Math.max(demand.minimumVersion, version - 1);
   const serving = engines.filter(({ models }) => models.has(demand.model));
   const share = Math.floor(serving.length / Math.max(1, modelCount));
   const target = Math.max(1, Math.min(share, Math.ceil(serving.length / 2)));
@@ -141,7 +145,9 @@
     findLeastLoaded(serving, demand, (loaded) => loaded < version - 1) ??
       findSpare(serving, demand);
   if (engine === undefined) return [];
-  return [{ demand, engine, supply: 1 + upToDate / target }];
+  const supply = MINIMUM_IDLE_SUPPLY +
+    (1 - MINIMUM_IDLE_SUPPLY) * upToDate / target;
+  return [{ demand, engine, supply }];
 }
 
 // Returns the number of engines whose slots the samples of the newest open step fill.
