--- a/source/decisions/weight_load_plan.ts
+++ b/source/decisions/weight_load_plan.ts
@@ -45,16 +45,13 @@
   readonly maximumLoads: number;
 }
 
-/**
- * Least supply of a model whose open step has its engines. Its next step needs the newest version,
- * but no sample waits for it yet.
- */
-const MINIMUM_IDLE_SUPPLY = 0.5;
-
 interface Candidate {
   readonly demand: ModelDemand;
   readonly engine: LoadableEngine;
-  /** Share of the engines that the model needs and has; the model with the least loads first. */
+  /**
+   * Below 1, the share of the engines that the open step needs and has; from 1 on, the same for the
+   * engines that should have the newest version.
+   */
   readonly supply: number;
 }
 
@@ -123,8 +120,7 @@
   demand: ModelDemand,
   modelCount: number,
 ): ReadonlyArray<Candidate> {
-  const { version } = demand;
-  const minimumVersion = Math.max(demand.minimumVersion, version - 1);
+  const { version, minimumVersion } = demand;
   const serving = engines.filter(({ models }) => models.has(demand.model));
   const share = Math.floor(serving.length / Math.max(1, modelCount));
   const target = Math.max(1, Math.min(share, Math.ceil(serving.length / 2)));
@@ -145,9 +141,7 @@
     findLeastLoaded(serving, demand, (loaded) => loaded < version - 1) ??
       findSpare(serving, demand);
   if (engine === undefined) return [];
-  const supply = MINIMUM_IDLE_SUPPLY +
-    (1 - MINIMUM_IDLE_SUPPLY) * upToDate / target;
-  return [{ demand, engine, supply }];
+  return [{ demand, engine, supply: 1 + upToDate / target }];
 }
 
 // Returns the number of engines whose slots the samples of the newest open step fill.
--- a/source/durable_steps/step_reader.ts
+++ b/source/durable_steps/step_reader.ts
@@ -1,5 +1,4 @@
 import { LRUCache } from "lru-cache";
-import { toPollInterval } from "../decisions/result_poll.ts";
 import type { SampleResult } from "./sample_result.ts";
 import {
   hasManifest,
@@ -8,6 +7,7 @@
 } from "./step_registry.ts";
 import type { StepTools } from "./step_tools.ts";
 
+const POLL_INTERVAL_MILLISECONDS = 120;
 const RETRY_PAUSE_MILLISECONDS = 60;
 /** Time for which ending a step is retried; a trainer waits 4 s at most for the acknowledgement. */
 const END_RETRY_LIMIT_MILLISECONDS = 2500;
@@ -68,10 +68,6 @@
     if (found.kind !== "read") return found;
     const { manifest } = found.value;
     const until = clock.monotonic() + options.waitMilliseconds;
-    const interval = toPollInterval({
-      position: options.position,
-      total: manifest.total,
-    });
     for (;;) {
       const results = await this.#readFrom(
         manifest.identifier,
@@ -80,13 +76,13 @@
       if (results === undefined) return { kind: "unavailable" };
       const isEnough = results.length > 0 ||
         options.position >= manifest.total ||
-        clock.monotonic() + interval > until ||
+        clock.monotonic() + POLL_INTERVAL_MILLISECONDS > until ||
         options.signal.aborted;
       if (isEnough) {
         const value = { total: manifest.total, results: limitSize(results) };
         return { kind: "read", value };
       }
-      await clock.sleep(interval, options.signal);
+      await clock.sleep(POLL_INTERVAL_MILLISECONDS, options.signal);
     }
   }
 
