--- a/source/decisions/engine_move.ts
+++ b/source/decisions/engine_move.ts
@@ -16,11 +16,8 @@
 const GAIN_SHARE = 0.6;
 /** The same share for an engine that became much slower than it usually is. */
 const SLOWED_GAIN_SHARE = 0.25;
-/**
- * Multiple of its usual time per event from which on an engine has become slow. One long gap between
- * two events raises its recent time less than that.
- */
-const SLOWED_FACTOR = 1.75;
+/** Multiple of its usual time per event from which on an engine has become slow. */
+const SLOWED_FACTOR = 2.5;
 /** Time between two moves of one node, in which the first one has taken its new slot. */
 const MOVE_INTERVAL_MILLISECONDS = 50;
 
@@ -49,7 +46,7 @@
 /**
  * Decides whether a text leaves its engine to be continued at a faster one.
  *
- * Load pattern: engines differ for good in their speed, and some become 2 to 8 times slower for a
+ * Load pattern: engines differ for good in their speed, and some become 4 to 8 times slower for a
  * while. Each move ends a run and has the next engine read the whole text again, so texts move only
  * from an engine of which much time is left, and one after the other, as a free slot is enough for
  * one text.
