--- a/source/durable_steps/engine_availability.ts
+++ b/source/durable_steps/engine_availability.ts
@@ -258,6 +258,26 @@
     return Math.max(stored, state?.getReportedVersion(model) ?? 0);
   }
 
+  /** Returns the newest known version of a model on an engine; 0 if none is known. */
+  getKnownVersion(identifier: string, model: string): number {
+    const { servers, states } = this.#options;
+    const engine = servers.servers.get(identifier);
+    const version = engine === undefined
+      ? undefined
+      : this.getVersion(engine, model);
+    return version ?? states.get(identifier)?.getReportedVersion(model) ?? 0;
+  }
+
+  /**
+   * Returns the number of samples of an engine's only model that other nodes run on it; 0 for an engine
+   * with several models, as the records of other nodes do not tell the model of their runs.
+   */
+  countModelRunsElsewhere(identifier: string): number {
+    const { servers } = this.#options;
+    const models = servers.servers.get(identifier)?.weightVersions.size;
+    return models === 1 ? this.#runningElsewhere.get(identifier) ?? 0 : 0;
+  }
+
   /**
    * Returns the difference between the fullest and the emptiest engine that can run samples, as a
    * share of their slots; 0 without engines.
--- a/source/durable_steps/engine_request.ts
+++ b/source/durable_steps/engine_request.ts
@@ -30,3 +30,24 @@
   /** Identifier of an engine that is used only if no other is available. */
   readonly avoidedEngine: string | undefined;
 }
+
+/**
+ * Returns a text that is equal for requirements that the same engines meet.
+ * @param requirements - The requirements of a sample.
+ * @example
+ * ```ts
+ * toRequirementsKey(requirements); // "engines/m/3///"
+ * ```
+ */
+export function toRequirementsKey(requirements: EngineRequirements): string {
+  const { service, model, minimumVersion, exactVersion, softwareVersion } =
+    requirements;
+  return [
+    service,
+    model,
+    minimumVersion,
+    exactVersion ?? "",
+    softwareVersion ?? "",
+    requirements.allowedRegions?.key ?? "",
+  ].join("/");
+}
--- a/source/durable_steps/find_earlier_steps.ts
+++ b/source/durable_steps/find_earlier_steps.ts
@@ -12,7 +12,7 @@
  * @param step - The step that is about to run.
  */
 export function findEarlierSteps(
-  tools: StepTools,
+  tools: Pick<StepTools, "stepRegistry" | "submissionStore">,
   step: {
     readonly manifest: StepManifest;
     readonly submission: StepSubmission;
--- a/source/durable_steps/sample_generation.ts
+++ b/source/durable_steps/sample_generation.ts
@@ -15,6 +15,11 @@
 import type { ServerView } from "../installation/server_view.ts";
 import type { EventLog } from "../observability/event_log.ts";
 import type { Clock } from "../utilities/clock.ts";
+import {
+  createEngineRequest,
+  createRunningText,
+  type GeneratedSample,
+} from "./create_engine_request.ts";
 import type { EnginePool } from "./engine_pool.ts";
 import type { EngineRequest, EngineRequirements } from "./engine_request.ts";
 import type { SampleText } from "./sample_text.ts";
@@ -24,14 +29,10 @@
 import { ENDED } from "../utilities/ended.ts";
 
 const NO_ROUTE_PAUSE_MILLISECONDS = 200;
-/** Expected time from the end of a text until its result is scored and listed. */
-const SCORING_MILLISECONDS = 300;
 /** Interval at which an interrupted text is checked for having to begin anew. */
 const CONTINUATION_CHECK_MILLISECONDS = 100;
 /** Number of events between two checks for a faster engine. */
 const EVENTS_BETWEEN_SPEED_CHECKS = 4;
-/** Least share of a text's events that are left, as estimates of its length are often exceeded. */
-const EXCEEDED_SHARE = 0.5;
 
 /** The result of generating a text. */
 export type GenerationOutcome =
@@ -172,37 +173,20 @@
   }
 
   #toRequest(route: ServiceRoute): EngineRequest {
-    const { sample, text, model, dueAt, group, isSpare, pool, textLengths } =
-      this.#options;
-    const expectedEvents = textLengths.expectEvents({
-      expectedTokens: sample.expectedTokens,
-      maximumTokens: sample.maximumTokens,
-      madeEvents: text.parts.length,
-    });
-    const scoringMilliseconds = sample.scoring === undefined
-      ? 0
-      : SCORING_MILLISECONDS;
-    const shared = sample.promptParts.slice(0, -1);
-    return {
-      requirements: this.#getRequirements(route),
-      urgency: {
-        dueAt,
-        expectedMilliseconds: expectedEvents * pool.usualEventMilliseconds +
-          scoringMilliseconds,
-        group,
-        trainer: model,
-        isSpare,
-      },
-      expectedEvents,
-      expectedTokens: textLengths.expectTokens({
-        expectedTokens: sample.expectedTokens,
-        maximumTokens: sample.maximumTokens,
-        madeEvents: 0,
-      }) + sample.promptParts.reduce((sum, { tokens }) => sum + tokens, 0),
-      prompt: shared.map(({ identifier }) => identifier).join("/"),
-      promptTokens: shared.reduce((sum, { tokens }) => sum + tokens, 0),
+    const { dueAt, group, isSpare, pool } = this.#options;
+    return createEngineRequest(this.#describe(route), {
+      dueAt,
+      group,
+      isSpare,
+      eventMilliseconds: pool.usualEventMilliseconds,
       avoidedEngine: this.#avoidedEngine,
-    };
+    });
+  }
+
+  #describe(route: ServiceRoute): GeneratedSample {
+    const { sample, text, textLengths } = this.#options;
+    const requirements = this.#getRequirements(route);
+    return { sample, text, requirements, textLengths };
   }
 
   #getRequirements(route: ServiceRoute): EngineRequirements {
@@ -380,28 +364,11 @@
     engine: BackendServerEntry,
     route: ServiceRoute,
   ): boolean {
-    const { sample, text, textLengths, pool } = this.#options;
-    const { expectedTokens, maximumTokens } = sample;
-    const length = { expectedTokens, maximumTokens };
-    const madeEvents = text.parts.length;
-    const remainingEvents = Math.max(
-      textLengths.expectEvents({ ...length, madeEvents }),
-      EXCEEDED_SHARE * madeEvents,
-    );
-    const totalEvents = textLengths.expectEvents({ ...length, madeEvents: 0 });
-    const textTokens = textLengths.expectTokens({ ...length, madeEvents: 0 });
-    const promptTokens = sample.promptParts.reduce(
-      (sum, { tokens }) => sum + tokens,
-      0,
-    );
-    return pool.shouldMove({
+    const running = createRunningText(this.#describe(route), {
       engine: engine.identifier,
-      requirements: this.#getRequirements(route),
-      remainingEvents,
-      tokens: promptTokens +
-        textTokens * Math.min(1, madeEvents / totalEvents),
       moves: this.#timeline.counts.moves,
     });
+    return this.#options.pool.shouldMove(running);
   }
 
   #isUsable(version: number | undefined, route: ServiceRoute): boolean {
--- a/source/durable_steps/step_run.ts
+++ b/source/durable_steps/step_run.ts
@@ -1,8 +1,8 @@
-import { selectSpareGroups } from "../decisions/spare_groups.ts";
 import { setMaxListeners } from "node:events";
 import type { LRUCache } from "lru-cache";
 import { findRoute, type ServiceRoute } from "../installation/configuration.ts";
 import { findEarlierSteps } from "./find_earlier_steps.ts";
+import { findSpareGroups } from "./find_spare_groups.ts";
 import { logFinishedSample, logUnfinishedSample } from "./log_samples.ts";
 import { type ReadSignature, scoreSample } from "./sample_scoring.ts";
 import type { SampleResult } from "./sample_result.ts";
@@ -86,7 +86,11 @@
     });
     this.#startedAt = tools.clock.monotonic();
     const dueAt = this.#findDueTime();
-    const spareGroups = this.#findSpareGroups(submission, open);
+    const spareGroups = findSpareGroups(tools, {
+      manifest,
+      submission,
+      openSamples: new Set(open.map(({ identifier }) => identifier)),
+    });
     const runs = open.map((sample, index) =>
       this.#runSample(sample, {
         submission,
@@ -353,34 +357,6 @@
     return tools.clock.monotonic() + deadline - age;
   }
 
-  // Returns the groups that the trainer does not wait for. A group that was submitted before is
-  // always waited for, and so is any group while an earlier submission is not known.
-  #findSpareGroups(
-    submission: StepSubmission,
-    open: ReadonlyArray<SampleRequest>,
-  ): ReadonlySet<string> {
-    const { tools, manifest } = this.#options;
-    const earlier = findEarlierSteps(tools, { manifest, submission })
-      .map(({ identifier }) => tools.submissionStore.getCached(identifier));
-    if (earlier.includes(undefined)) return new Set();
-    const repeated = earlier.flatMap((each) => each?.samples ?? []);
-    return selectSpareGroups(
-      submission.samples.map((sample) => ({
-        group: sample.group,
-        expectedEvents: tools.textLengths.expectEvents({
-          expectedTokens: sample.expectedTokens,
-          maximumTokens: sample.maximumTokens,
-          madeEvents: 0,
-        }),
-        isOpen: open.includes(sample),
-      })),
-      {
-        targetGroups: submission.targetGroups,
-        requiredGroups: new Set(repeated.map(({ group }) => group)),
-      },
-    );
-  }
-
   #findRoute(): ServiceRoute | undefined {
     const { tools, manifest } = this.#options;
     const configuration = tools.configuration();
