Let calls that the store holds go on after an outage

Change: a held call is given up only if nothing was answered since it was made, and only within 1.5 s of a call that went unanswered to its limit. A replay asserts that no held call is given up after all loops have an answer; without the condition two tests fail.

--- a/source/platform/platform_connection.ts
+++ b/source/platform/platform_connection.ts
@@ -169,7 +169,7 @@
           lastActivityAt: 0,
         };
         this.#dispatch(exchange, call);
-        this.#watchForReturn(exchange);
+        this.#watchForReturn(exchange, call);
         void this.#enforceTimeLimits(exchange, call.longPollMilliseconds ?? 0);
       },
     );
@@ -254,9 +254,13 @@
     exchange.settle({ kind: "ok", value: { status, digest, body } });
   }
 
-  #watchForReturn(exchange: Exchange): void {
+  #watchForReturn(
+    exchange: Exchange,
+    { longPollMilliseconds = 0 }: PlatformCall,
+  ): void {
     const remove = this.#options.silence?.add({
       startedAt: exchange.startedAt,
+      isHeld: longPollMilliseconds > 0,
       get isAnswered(): boolean {
         return exchange.status !== 0;
       },
--- a/source/platform/platform_silence.ts
+++ b/source/platform/platform_silence.ts
@@ -1,12 +1,8 @@
-import { isOvertaken } from "../decisions/overtaken_call.ts";
+import { isOvertaken, type WaitingCall } from "../decisions/overtaken_call.ts";
 import type { Clock } from "../utilities/clock.ts";
 
 /** A call that waits for an answer. */
-export interface PendingCall {
-  /** Monotonic time, in milliseconds, at which the call was made. */
-  readonly startedAt: number;
-  /** Whether a part of the answer has arrived. */
-  readonly isAnswered: boolean;
+export interface PendingCall extends WaitingCall {
   /** Ends the call as lost. */
   readonly giveUp: () => void;
 }
@@ -19,6 +15,7 @@
   readonly #clock: Clock;
   readonly #pending = new Set<PendingCall>();
   #lastSilenceAt = -Infinity;
+  #lastAnswerAt = -Infinity;
 
   /** @param clock - Measures the age of calls. */
   constructor(clock: Clock) {
@@ -45,7 +42,9 @@
       now: this.#clock.monotonic(),
       lastSilenceAt: this.#lastSilenceAt,
       answeredStartedAt: startedAt,
+      previousAnswerAt: this.#lastAnswerAt,
     };
+    this.#lastAnswerAt = evidence.now;
     for (const call of [...this.#pending]) {
       if (isOvertaken(call, evidence)) call.giveUp();
     }
