--- a/source/command/step_account_picture.ts
+++ b/source/command/step_account_picture.ts
@@ -85,7 +85,11 @@
         { orient: "bottom", scale: "x", title: "seconds", grid: true },
         { orient: "left", scale: "y", title: "trainer" },
       ],
-      legends: [{ fill: "colour", title: "time until the last group" }],
+      legends: [{
+        fill: "colour",
+        title: "time until the last group",
+        titleLimit: 300,
+      }],
       marks: [
         {
           type: "rect",
--- a/source/observability/step_account.ts
+++ b/source/observability/step_account.ts
@@ -147,7 +147,7 @@
         groups: ofSecond.length,
         byCause: sumTimes(ofSecond.map(({ spent }) => spent)),
       }),
-    ),
+    ).sort((left, right) => left.second - right.second),
     timely: groups.length - missed.length,
     late: count(missed, ({ outcome }) => outcome === "late"),
     failed: count(missed, ({ outcome }) => outcome === "failed"),
