--- a/review/1/run.mjs
+++ b/review/1/run.mjs
@@ -70,7 +70,7 @@
         "content-length": "0",
       }).end();
     }
-    const late = toLateAnswer(socket, name);
+    const late = toLateAnswer(socket, name, identifier);
     if (late !== undefined) {
       record.add(`${identifier} sends its refusal of ${name} again, late`);
       socket.write(late);
@@ -103,8 +103,12 @@
     let lateAnswers = 0;
     /** Whether a server may send one late answer in this round. */
     let mayBeLate = false;
-    const toLateAnswer = (socket, name) => {
+    /** The one server that sends late answers. */
+    let lateServer;
+    const toLateAnswer = (socket, name, identifier) => {
       if (!mayBeLate || socket.refused !== name) return;
+      lateServer ??= identifier;
+      if (lateServer !== identifier) return;
       mayBeLate = false;
       lateAnswers += 1;
       return [
--- a/review/3/run.mjs
+++ b/review/3/run.mjs
@@ -14,8 +14,8 @@
 const GROUP_SIZE = 4;
 const EVENTS = 20;
 const EVENT_MILLISECONDS = 150;
-/** Number of engines by service. */
-const ENGINES = { former: 1, other: 3 };
+/** Number of engines by service; the one that leaves is a share of 0.125. */
+const ENGINES = { former: 1, other: 7 };
 /** Longer than `config_apply_ms`. */
 const DRAIN_AFTER_MILLISECONDS = 2500;
 /** An engine serves for `drain_ms` and some seconds longer, so that all its runs end. */
