Log which weight versions made a sample and what an earlier run had made

Three causes were possible: the text is shared with the run of an earlier step, results of an earlier step are listed again, or a saved text is loaded from the store. Event 9307 did not tell them apart. It now has the versions and takenEvents, the events that the text had when the run began.

--- a/source/durable_steps/log_samples.ts
+++ b/source/durable_steps/log_samples.ts
@@ -18,6 +18,8 @@
 export interface FinishedSample extends EndedSample {
   readonly stepStartedAt: number;
   readonly madeAt: number;
+  /** Number of events that an earlier run had generated when this one began. */
+  readonly takenEvents: number;
   /** Where the time went until the text was complete. */
   readonly times: SampleTimes;
 }
@@ -33,12 +35,15 @@
   finished: FinishedSample,
 ): void {
   const { step, group, sample, run, text, madeAt, stepStartedAt } = finished;
+  const { takenEvents } = finished;
   const { attempts, refusals, moves } = run.timeline.counts;
   const since = (moment: number): number => Math.round(moment - stepStartedAt);
   log.emit("sampleFinished", {
     step,
     group,
     sample,
+    versions: text.versions.join(" "),
+    takenEvents,
     startedAt: since(run.timeline.startedAt ?? madeAt),
     madeAt: since(madeAt),
     scoredAt: since(clock.monotonic()),
--- a/source/durable_steps/step_run.ts
+++ b/source/durable_steps/step_run.ts
@@ -212,6 +212,7 @@
     const { signal } = lifetime;
     const key = this.#toTextKey(identifier);
     const text = this.#getText(key, placement.submission);
+    const takenEvents = text.parts.length;
     this.#unfinishedTexts.set(identifier, text);
     const run = new SampleGeneration({
       ...tools,
@@ -262,6 +263,7 @@
         this.#addCompleted(identifier, text, scoring?.score);
         logFinishedSample(tools, {
           ...ended,
+          takenEvents,
           stepStartedAt: this.#startedAt,
           madeAt,
           times,
--- a/source/observability/events/installation_events.ts
+++ b/source/observability/events/installation_events.ts
@@ -351,12 +351,14 @@
   sampleFinished: defineEvent(9307, {
     level: "info",
     message:
-      "A sample is complete and scored; startedAt, madeAt and scoredAt are milliseconds since its step started to run, and waited to resumed are the milliseconds spent in each state until the text was complete",
+      "A sample is complete and scored; startedAt, madeAt and scoredAt are milliseconds since its step started to run, and waited to resumed are the milliseconds spent in each state until the text was complete; takenEvents of its events came from an earlier run",
     action: "",
     fields: [
       "step",
       "group",
       "sample",
+      "versions",
+      "takenEvents",
       "startedAt",
       "madeAt",
       "scoredAt",
