Give each run of a sample its own text, and check versions where a result is listed

Cause: the runs of two steps held one mutable text by model and sample. Its versions were compared with the bound of the later step only when that run began and the text had no event; the earlier run went on writing it.

Change: a run begins with a copy (SampleTexts). mayUseVersions decides for the text that a run begins with, for each event and when the result is listed; an unusable text is generated again (event 9314). Same cause elsewhere: texts were shared across organisations and emptied under another run, the number of saved events was kept by sample, not by step, and a sample kept the lifetime of the configuration in force at its begin.

--- a/source/durable_steps/progress_store.ts
+++ b/source/durable_steps/progress_store.ts
@@ -25,8 +25,8 @@
 export class ProgressStore {
   readonly #table: DurableTable;
   readonly #maximumTextBytes: number;
-  /** Number of events at the last save of a text, by sample identifier. */
-  readonly #saved = new Map<string, number>();
+  /** Number of events at the last save of each text, by step and sample identifier. */
+  readonly #saved = new Map<string, Map<string, number>>();
 
   /**
    * @param table - The store.
@@ -44,16 +44,17 @@
     options: { readonly minimumNewEvents?: number } = {},
   ): Promise<void> {
     const minimum = options.minimumNewEvents ?? MINIMUM_NEW_EVENTS;
+    const savedEvents = this.#getSaved(step);
     let puts: RowTransaction["puts"][number][] = [];
     let bytes = 0;
     for (const [sample, text] of texts) {
       const events = text.parts.length;
-      const saved = this.#saved.get(sample) ?? 0;
+      const saved = savedEvents.get(sample) ?? 0;
       // A text that began anew is shorter than its saved state, which another version wrote.
       const newEvents = events < saved ? events : events - saved;
       if (newEvents < minimum) continue;
       const value = Buffer.from(JSON.stringify(text));
-      this.#saved.set(sample, events);
+      savedEvents.set(sample, events);
       if (value.length > this.#maximumTextBytes) continue;
       if (
         puts.length >= MAXIMUM_TRANSACTION_ROWS ||
@@ -73,6 +74,20 @@
     if (puts.length > 0) await this.#table.commit({ conditions: [], puts });
   }
 
+  /** Forgets what was saved of a step whose run has ended; its rows stay. */
+  forget(step: string): void {
+    this.#saved.delete(step);
+  }
+
+  #getSaved(step: string): Map<string, number> {
+    let saved = this.#saved.get(step);
+    if (saved === undefined) {
+      saved = new Map();
+      this.#saved.set(step, saved);
+    }
+    return saved;
+  }
+
   /**
    * Loads the last saved texts of a step; stops at the first read that the store does not answer.
    */
--- a/source/durable_steps/sample_generation.ts
+++ b/source/durable_steps/sample_generation.ts
@@ -9,6 +9,7 @@
   toFailureCause,
 } from "../backends/http_exchange.ts";
 import { toIdleLimit } from "../decisions/idle_limit.ts";
+import { mayUseVersions } from "../decisions/weight_version_bound.ts";
 import type { BackendServerEntry } from "../installation/backend_server_entry.ts";
 import type { ServiceRoute } from "../installation/configuration.ts";
 import type { ServerStarts } from "../installation/server_starts.ts";
@@ -42,6 +43,8 @@
    * status 500.
    */
   | { readonly kind: "failed"; readonly reason: string }
+  /** The step may not use the weight versions of the text, since its route has changed. */
+  | { readonly kind: "unusable" }
   | { readonly kind: "cancelled" };
 
 /** The sample and the dependencies of its generation. */
@@ -114,6 +117,7 @@
         await clock.sleep(NO_ROUTE_PAUSE_MILLISECONDS, signal);
         continue;
       }
+      if (!this.#isUsableText(currentRoute)) return { kind: "unusable" };
       const request = this.#toRequest(currentRoute);
       this.#timeline.enter(
         pool.isLoadingWeights(request.requirements)
@@ -372,10 +376,18 @@
   }
 
   #isUsable(version: number | undefined, route: ServiceRoute): boolean {
+    return version !== undefined && this.#isUsableText(route, version);
+  }
+
+  // Whether the step may use the text, with an event of another version if one is given.
+  #isUsableText(
+    { isSingleVersion }: ServiceRoute,
+    version?: number,
+  ): boolean {
     const { text, minimumVersion } = this.#options;
-    if (version === undefined || version < minimumVersion) return false;
-    const [first] = text.versions;
-    return !route.isSingleVersion || first === undefined || first === version;
+    const versions = new Set(text.versions);
+    if (version !== undefined) versions.add(version);
+    return mayUseVersions([...versions], { minimumVersion, isSingleVersion });
   }
 
   #recordInterruption(identifier: string, reason: string): AttemptOutcome {
--- a/source/durable_steps/sample_text.ts
+++ b/source/durable_steps/sample_text.ts
@@ -1,6 +1,6 @@
 import type { ServerStart } from "../installation/backend_server_entry.ts";
 
-/** The text of a sample as generated so far. */
+/** The text of a sample as generated so far; only the run that holds it changes it. */
 export interface SampleText {
   readonly parts: string[];
   /** Weight versions that generated the text, in the order of their first event. */
@@ -14,3 +14,20 @@
   /** Whether the text is complete. */
   isWhole: boolean;
 }
+
+/** Creates a text without events. */
+export function createSampleText(): SampleText {
+  return {
+    parts: [],
+    versions: [],
+    softwareVersion: undefined,
+    begunBy: undefined,
+    lastEvent: undefined,
+    isWhole: false,
+  };
+}
+
+/** Copies a text, so that it can be continued apart from the original. */
+export function copySampleText(text: Readonly<SampleText>): SampleText {
+  return { ...text, parts: [...text.parts], versions: [...text.versions] };
+}
--- a/source/durable_steps/step_run.ts
+++ b/source/durable_steps/step_run.ts
@@ -1,13 +1,21 @@
 import { setMaxListeners } from "node:events";
-import type { LRUCache } from "lru-cache";
+import {
+  mayUseVersions,
+  type WeightVersionBound,
+} from "../decisions/weight_version_bound.ts";
 import { findRoute, type ServiceRoute } from "../installation/configuration.ts";
 import { findEarlierSteps } from "./find_earlier_steps.ts";
 import { findSpareGroups } from "./find_spare_groups.ts";
 import { logFinishedSample, logUnfinishedSample } from "./log_samples.ts";
 import { type ReadSignature, scoreSample } from "./sample_scoring.ts";
+import {
+  createSampleLifetime,
+  type SampleLifetime,
+} from "./sample_lifetime.ts";
 import type { SampleResult } from "./sample_result.ts";
 import { SampleGeneration } from "./sample_generation.ts";
 import type { SampleText } from "./sample_text.ts";
+import type { SampleTexts } from "./sample_texts.ts";
 import type { StepManifest } from "./step_manifest.ts";
 import { StepResults } from "./step_results.ts";
 import type { SampleRequest, StepSubmission } from "./step_submission.ts";
@@ -24,6 +32,8 @@
  * sample is terminated too early.
  */
 const CLOCK_MARGIN_MILLISECONDS = 2500;
+/** Longest time that a timer takes. */
+const MAXIMUM_LIFETIME_MILLISECONDS = 0x7fff_ffff;
 
 /** The step to run and the dependencies of its run. */
 export interface StepRunOptions {
@@ -34,8 +44,23 @@
   /** Whether no other process has owned the step. */
   readonly isFirstOwner: boolean;
   readonly readSignature: ReadSignature;
-  /** Texts that this node has started or loaded, by model and sample. */
-  readonly texts: LRUCache<string, SampleText>;
+  /** Texts of the runs on this node. */
+  readonly texts: SampleTexts;
+}
+
+/** A sample's place in its step. */
+interface SamplePlacement {
+  readonly submission: StepSubmission;
+  readonly dueAt: number;
+  readonly isSpare: boolean;
+  readonly isLong: boolean;
+}
+
+/** A text with weight versions that its step may not list. */
+interface UnusableText {
+  readonly text: SampleText;
+  readonly placement: SamplePlacement;
+  readonly lifetime: SampleLifetime;
 }
 
 /**
@@ -47,6 +72,8 @@
   readonly #results: StepResults;
   /** Texts of the samples that this run generates or scores, by sample identifier. */
   readonly #unfinishedTexts = new Map<string, SampleText>();
+  /** Texts that were loaded from the store, by sample identifier. */
+  readonly #loadedTexts = new Map<string, SampleText[]>();
   /** Monotonic time, in milliseconds, at which the samples were started. */
   #startedAt = 0;
 
@@ -104,6 +131,7 @@
     this.stop();
     await saving;
     await Promise.all(runs);
+    tools.progress.forget(manifest.identifier);
   }
 
   // Loads saved texts and results of this step and of earlier steps. The first owner skips the
@@ -146,20 +174,16 @@
     { identifier, owner }: StepManifest,
     submission: StepSubmission,
   ): Promise<void> {
-    const { tools, nodeStart, texts } = this.#options;
+    const { tools, nodeStart } = this.#options;
     if (owner === nodeStart) return;
     const wanted = new Set(submission.samples.map((each) => each.identifier));
     for (const [sample, text] of await tools.progress.load(identifier)) {
-      const key = this.#toTextKey(sample);
-      const known = texts.get(key)?.parts.length ?? 0;
-      if (wanted.has(sample) && text.parts.length > known) texts.set(key, text);
+      if (!wanted.has(sample)) continue;
+      const known = this.#loadedTexts.get(sample) ?? [];
+      this.#loadedTexts.set(sample, [...known, text]);
     }
   }
 
-  #toTextKey(sample: string): string {
-    return `${this.#options.manifest.model}/${sample}`;
-  }
-
   async #loadSubmission(): Promise<StepSubmission | undefined> {
     const { tools, manifest } = this.#options;
     while (!this.isStopped) {
@@ -187,31 +211,32 @@
   }
 
   #isReusable(result: SampleResult, submission: StepSubmission): boolean {
-    if (result.kind !== "completed") return false;
-    const { weightVersions } = result;
-    if (this.#findRoute()?.isSingleVersion && weightVersions.length > 1) {
-      return false;
-    }
-    return weightVersions.every((version) =>
-      version >= submission.minimumVersion
-    );
+    return result.kind === "completed" &&
+      mayUseVersions(result.weightVersions, this.#findBound(submission));
+  }
+
+  #findBound({ minimumVersion }: StepSubmission): WeightVersionBound {
+    const isSingleVersion = this.#findRoute()?.isSingleVersion ?? false;
+    return { minimumVersion, isSingleVersion };
   }
 
   async #runSample(
     sample: SampleRequest,
-    placement: {
-      readonly submission: StepSubmission;
-      readonly dueAt: number;
-      readonly isSpare: boolean;
-      readonly isLong: boolean;
-    },
+    placement: SamplePlacement,
   ): Promise<void> {
     const { tools, manifest, readSignature } = this.#options;
     const { identifier } = sample;
-    const lifetime = this.#createLifetimeSignal();
+    const lifetime = createSampleLifetime(
+      this.#stop.signal,
+      () => this.#getRemainingMilliseconds(),
+    );
     const { signal } = lifetime;
-    const key = this.#toTextKey(identifier);
-    const text = this.#getText(key, placement.submission);
+    const textOwner = { manifest, sample: identifier };
+    const text = this.#options.texts.take(textOwner, {
+      bound: this.#findBound(placement.submission),
+      loaded: this.#loadedTexts.get(identifier) ?? [],
+    });
+    this.#loadedTexts.delete(identifier);
     const takenEvents = text.parts.length;
     this.#unfinishedTexts.set(identifier, text);
     const run = new SampleGeneration({
@@ -241,8 +266,11 @@
       run,
       text,
     };
+    const again = { text, placement, lifetime };
     if (outcome.kind === "failed") {
       this.#terminate(sample, outcome.reason);
+    } else if (outcome.kind === "unusable") {
+      return await this.#runSampleAgain(sample, again);
     } else if (outcome.kind === "completed") {
       const scoring = sample.scoring === undefined
         ? undefined
@@ -254,8 +282,10 @@
         });
       if (scoring?.kind === "failed") {
         this.#terminate(sample, "scoring failed");
+      } else if (!this.#mayUse(text, placement.submission)) {
+        return await this.#runSampleAgain(sample, again);
       } else if (scoring?.kind !== "cancelled") {
-        this.#options.texts.delete(key);
+        this.#options.texts.forget(textOwner, text);
         tools.textLengths.record({
           expectedTokens: sample.expectedTokens,
           events: text.parts.length,
@@ -282,46 +312,26 @@
     }
   }
 
-  // Creates a signal that is aborted when the run stops or the sample's lifetime expires.
-  #createLifetimeSignal(): {
-    readonly signal: AbortSignal;
-    readonly end: () => void;
-  } {
-    const controller = new AbortController();
-    const { signal } = this.#stop;
-    const onStop = (): void => controller.abort(ENDED);
-    signal.addEventListener("abort", onStop, { once: true });
-    if (signal.aborted) controller.abort(ENDED);
-    const timer = setTimeout(
-      () => controller.abort(ENDED),
-      Math.max(0, this.#getRemainingMilliseconds()),
-    );
-    const end = (): void => {
-      clearTimeout(timer);
-      signal.removeEventListener("abort", onStop);
-    };
-    return { signal: controller.signal, end };
+  // Generates a text again that this step may not list: each event was checked when it came, but the
+  // route may have changed since.
+  async #runSampleAgain(
+    sample: SampleRequest,
+    { text, placement, lifetime }: UnusableText,
+  ): Promise<void> {
+    const { tools, manifest, texts } = this.#options;
+    tools.log.emit("textVersionsUnusable", {
+      step: manifest.identifier,
+      sample: sample.identifier,
+      versions: text.versions.join(" "),
+      minimumVersion: placement.submission.minimumVersion,
+    });
+    lifetime.end();
+    texts.forget({ manifest, sample: sample.identifier }, text);
+    await this.#runSample(sample, placement);
   }
 
-  // Continues a text from an earlier run if this step may use all of its weight versions.
-  #getText(key: string, submission: StepSubmission): SampleText {
-    const cached = this.#options.texts.get(key);
-    const isUsable = cached !== undefined &&
-      cached.versions.every((version) =>
-        version >= submission.minimumVersion
-      ) &&
-      !(this.#findRoute()?.isSingleVersion && cached.versions.length > 1);
-    if (cached !== undefined && isUsable) return cached;
-    const text: SampleText = {
-      parts: [],
-      versions: [],
-      softwareVersion: undefined,
-      begunBy: undefined,
-      lastEvent: undefined,
-      isWhole: false,
-    };
-    this.#options.texts.set(key, text);
-    return text;
+  #mayUse({ versions }: SampleText, submission: StepSubmission): boolean {
+    return mayUseVersions(versions, this.#findBound(submission));
   }
 
   #addCompleted(
@@ -334,7 +344,7 @@
       kind: "completed",
       identifier,
       text: text.parts.join("\n"),
-      weightVersions: text.versions,
+      weightVersions: [...text.versions],
       ...(score === undefined ? {} : { score }),
     });
   }
@@ -373,7 +383,7 @@
     const remaining = manifest.submittedAt + lifetime +
       CLOCK_MARGIN_MILLISECONDS -
       tools.clock.wall();
-    return Math.min(remaining, 0x7fff_ffff);
+    return Math.min(remaining, MAXIMUM_LIFETIME_MILLISECONDS);
   }
 
   #sleep(milliseconds: number): Promise<void> {
--- a/source/durable_steps/step_supervisor.ts
+++ b/source/durable_steps/step_supervisor.ts
@@ -7,7 +7,7 @@
 import { selectHighCapacityNodes } from "../installation/select_high_capacity_nodes.ts";
 import type { Rendezvous } from "../membership/rendezvous.ts";
 import type { ReadSignature } from "./sample_scoring.ts";
-import type { SampleText } from "./sample_text.ts";
+import { SampleTexts } from "./sample_texts.ts";
 import { selectOwnerCandidates } from "./step_owner_choice.ts";
 import { hasManifest, type StepEntry } from "./step_registry.ts";
 import { StepRun } from "./step_run.ts";
@@ -22,8 +22,6 @@
  * selects, or a restarted process of the owner's node, takes over the owner's steps.
  */
 const EXCLUSIVE_TAKEOVER_MILLISECONDS = 2000;
-/** Maximum number of texts kept in memory; a later step may request the same samples. */
-const MAXIMUM_CACHED_TEXTS = 4000;
 /**
  * Time after a step's submission from which no node takes the step over. It exceeds the 40 s that
  * installations allow for a sample.
@@ -66,9 +64,7 @@
   readonly #orphanedSince = new Map<string, number>();
   /** Identifiers of the steps that this node is taking over. */
   readonly #pendingTakeOvers = new Set<string>();
-  readonly #texts = new LRUCache<string, SampleText>({
-    max: MAXIMUM_CACHED_TEXTS,
-  });
+  readonly #texts = new SampleTexts();
   /** Identifiers of the steps without an owner that were logged, as no running node may own them. */
   readonly #loggedUnownable = new LRUCache<string, true>({
     max: MAXIMUM_LOGGED_STEPS,
--- a/source/observability/events/installation_events.ts
+++ b/source/observability/events/installation_events.ts
@@ -348,6 +348,14 @@
     action: "If it repeats, replace the engines more slowly",
     fields: ["sample", "softwareVersion", "events"],
   }),
+  textVersionsUnusable: defineEvent(9314, {
+    level: "warn",
+    message:
+      "A complete text has weight versions that its step may not list; it is generated again",
+    action:
+      "If the route was not made single_version just before, report the event as a bug",
+    fields: ["step", "sample", "versions", "minimumVersion"],
+  }),
   sampleFinished: defineEvent(9307, {
     level: "info",
     message:
