Report samples that wait long for an engine

Three causes were possible: they wait with the requirements of the former route, the engines of the new service are not usable or not free, or the samples have left the queue. No log line told them apart. Event 9323 and the metric sample_long_waits now name, for each set of requirements, the samples that have waited for 5 s, their service, and how many of its engines are usable and available.

--- a/source/durable_steps/engine_availability.ts
+++ b/source/durable_steps/engine_availability.ts
@@ -207,6 +207,21 @@
     );
   }
 
+  /** Counts the engines of a sample's service: all, those that it may use, those that could run it now. */
+  countEngines(
+    requirements: EngineRequirements,
+  ): {
+    readonly engines: number;
+    readonly usable: number;
+    readonly available: number;
+  } {
+    return {
+      engines: this.#ofService(requirements).length,
+      usable: this.findUsable(requirements).length,
+      available: this.findAvailable(requirements).length,
+    };
+  }
+
   /** Returns the engines whose weights, software and region a sample may use, free or not. */
   findUsable(
     requirements: EngineRequirements,
--- a/source/durable_steps/engine_pool.ts
+++ b/source/durable_steps/engine_pool.ts
@@ -16,6 +16,7 @@
 import type { EnginePoolOptions } from "./engine_pool_options.ts";
 import { EngineStallWatch, type WatchedRun } from "./engine_stall_watch.ts";
 import { EngineStates } from "./engine_states.ts";
+import { LongWaitReport } from "./long_wait_report.ts";
 import type { EngineUseReport } from "./engine_use_report.ts";
 
 /** Time of a run that is assumed before the first one. */
@@ -24,6 +25,8 @@
 const RUN_WEIGHT = 0.05;
 interface EngineWaiter extends QueuedSample<EngineRequirements> {
   readonly request: EngineRequest;
+  /** Monotonic time, in milliseconds, since which the sample waits. */
+  readonly waitsSince: number;
   readonly resolve: (engine: BackendServerEntry | undefined) => void;
 }
 
@@ -44,6 +47,7 @@
   readonly #groups: GroupPlanner<EngineWaiter>;
   readonly #timer: AssignmentTimer;
   readonly #stallWatch: EngineStallWatch;
+  readonly #longWaits: LongWaitReport;
   /**
    * @param clock - Measures backoffs and event times.
    * @param engines - The registered engines and what is known of them.
@@ -81,6 +85,12 @@
       loads: this.#loads,
       assign: () => this.#assignEngines(),
     });
+    this.#longWaits = new LongWaitReport({
+      clock,
+      availability: this.#availability,
+      report: engines.report,
+      listWaiting: () => this.#queue.samples,
+    });
     this.#finishesRunsBeforeLoads = engines.finishesRunsBeforeLoads ??
       (() => false);
     this.#placement = new EnginePlacement({
@@ -153,6 +163,7 @@
         requirements,
         requirementsKey: toRequirementsKey(requirements),
         request,
+        waitsSince: this.#clock.monotonic(),
         resolve: (engine) => {
           signal.removeEventListener("abort", onAbort);
           resolve(engine);
@@ -352,7 +363,10 @@
       const next = this.#queue.take((requirements) =>
         this.#availability.findCandidates(requirements).length > 0
       );
-      if (next === undefined) return this.#timer.plan(this.#queue);
+      if (next === undefined) {
+        this.#longWaits.check();
+        return this.#timer.plan(this.#queue);
+      }
       const engine = this.#placement.choose(next.request);
       if (engine !== undefined) this.#start(next, engine);
     }
--- a/source/durable_steps/engine_use_report.ts
+++ b/source/durable_steps/engine_use_report.ts
@@ -15,6 +15,23 @@
   readonly refusals: number;
 }
 
+/** Samples with equal requirements that have waited long, and the engines of their service. */
+export interface LongWait {
+  readonly service: string;
+  readonly model: string;
+  readonly minimumVersion: number;
+  /** Number of samples. */
+  readonly samples: number;
+  /** Longest wait, in milliseconds. */
+  readonly milliseconds: number;
+  /** Number of engines of the service. */
+  readonly engines: number;
+  /** Number of those whose weights, software and region the samples may use. */
+  readonly usable: number;
+  /** Number of those that could run one of the samples now. */
+  readonly available: number;
+}
+
 /** Reports how this node uses the engines, as metrics and events. */
 export class EngineUseReport {
   readonly #metrics: Metrics;
@@ -54,6 +71,15 @@
     });
   }
 
+  /** Reports samples that have waited long for an engine. */
+  recordLongWait(wait: LongWait): void {
+    this.#metrics.count("sample_long_waits", { service: wait.service });
+    this.#log.emit("samplesWaitLong", {
+      ...wait,
+      milliseconds: Math.round(wait.milliseconds),
+    });
+  }
+
   /** Reports that an engine has loaded an ordered version. */
   recordLoad(
     { engine, model, version, milliseconds, refusals }: SeenLoad,
--- a/source/observability/events/installation_events.ts
+++ b/source/observability/events/installation_events.ts
@@ -447,6 +447,23 @@
     action: "If it repeats for one engine, check the engine",
     fields: ["server", "remainingEvents", "eventMilliseconds"],
   }),
+  samplesWaitLong: defineEvent(9323, {
+    level: "warn",
+    message:
+      "Samples have waited for an engine for five seconds or more; usable counts the engines of the service whose weights, software and region they may use, available those of them that are free",
+    action:
+      "Without engines, check the route and the servers of its service; without usable ones, their weights; with available ones, report the event as a bug",
+    fields: [
+      "service",
+      "model",
+      "minimumVersion",
+      "samples",
+      "milliseconds",
+      "engines",
+      "usable",
+      "available",
+    ],
+  }),
   slotClaimIgnored: defineEvent(9330, {
     level: "info",
     message:
