End waits whose requirements a new configuration has changed

Cause: waits in the engine pool and in the gate of calls keep the requirements that were read when they began; only new lists of regions ended them.

Change: a request can be asked whether it would ask otherwise now, and each change of the operator's table ends the outdated waits, and only those. Each attempt of a call or of a scoring call follows the route (event 9221); a call that may have run does not pass the gate again. The due time, the watch for stalled engines and moves to faster engines follow the route in force too. RegionRules.takeChange had no other use and is gone: its test now counts the events of changed lists and reads the lists after each change, and the test of restarted waits also requires that waits with equal requirements go on.

--- a/source/calls/call_forwarder.ts
+++ b/source/calls/call_forwarder.ts
@@ -6,7 +6,10 @@
 import type { RetryBudget } from "../decisions/retry_budget.ts";
 import type { CallGate } from "./call_gate.ts";
 import type { ServerAnswer, ServerClient } from "../backends/server_client.ts";
-import { selectService } from "../installation/configuration.ts";
+import {
+  selectService,
+  type ServiceRoute,
+} from "../installation/configuration.ts";
 import type { ServerView } from "../installation/server_view.ts";
 import type { EventLog } from "../observability/event_log.ts";
 import type { Clock } from "../utilities/clock.ts";
@@ -73,20 +76,27 @@
   async forward(call: ForwardedCall): Promise<CallOutcome> {
     return await new ForwardingRun(this.#options, call).run();
   }
+
+  /** Lets waiting calls ask again whose service or regions a new configuration has changed. */
+  restartOutdatedWaits(): void {
+    this.#options.gate.restartOutdatedWaits();
+  }
 }
 
 class ForwardingRun {
   readonly #options: CallForwarderOptions;
   readonly #call: ForwardedCall;
-  readonly #service: string;
+  #service: string;
   readonly #startedAt: number;
   readonly #deadline: number;
   readonly #guarded: GuardedCall | undefined;
-  readonly #candidates: ServerCandidates;
+  #candidates: ServerCandidates;
   readonly #attempts: AttemptSet;
   readonly #sender: AttemptSender;
   /** Number of attempts through other nodes. */
   #relayCount = 0;
+  /** Whether the first attempt was counted in the budget for retries. */
+  #isCounted = false;
   #retryPauseMilliseconds = RETRY_PAUSE_MILLISECONDS;
   /**
    * Result to report when no attempt succeeds; a response with a 5xx status replaces any other
@@ -101,12 +111,7 @@
       selectService(call.route, options.random.next());
     this.#startedAt = options.clock.monotonic();
     this.#attempts = new AttemptSet(options.clock, call.signal);
-    this.#candidates = new ServerCandidates({
-      ...options,
-      service: this.#service,
-      origin: call.origin,
-      findAllowedRegions: () => this.#allowedRegions,
-    });
+    this.#candidates = this.#createCandidates();
     this.#guarded = call.mayCrashServers
       ? options.crashGuard.watch(call.request, this.#service)
       : undefined;
@@ -123,21 +128,38 @@
   }
 
   async run(): Promise<CallOutcome> {
-    const { gate, retryBudget, clock } = this.#options;
-    const { priority, organisation, isDeferrable, signal, route } = this.#call;
+    for (;;) {
+      const outcome = await this.#runAtService();
+      if (outcome !== undefined) return outcome;
+      this.#followRoute();
+    }
+  }
+
+  // Forwards the call to the servers of its service; returns undefined when no server has run it and it
+  // must ask again, as its route has moved to other services or may use other regions.
+  async #runAtService(): Promise<CallOutcome | undefined> {
+    const { gate, clock } = this.#options;
+    const { priority, organisation, isDeferrable, signal } = this.#call;
+    const allowedRegions = this.#allowedRegions;
+    const service = this.#service;
     if (this.#allowedRegions?.isEmpty === true) return NO_ALLOWED_REGION;
     const hold = this.#guarded?.findHold();
     if (hold !== undefined) return toHeldOutcome(hold);
     if (this.#isEvacuated) return this.#refuseEvacuated();
     const passed = this.#isRelayNeeded ? OPEN : await gate.pass({
-      service: this.#service,
+      service,
       priority,
       organisation,
       isDeferrable,
       deadline: this.#deadline,
       signal,
-      allowedRegions: this.#allowedRegions,
+      allowedRegions,
+      waitsSince: this.#startedAt,
+      isOutdated: () =>
+        this.#hasRouteMoved ||
+        this.#allowedRegions?.key !== allowedRegions?.key,
     });
+    if (passed.kind === "outdated") return undefined;
     if (passed.kind === "cancelled") return { kind: "abandoned" };
     if (passed.kind === "rejected") {
       const { retryAfterMilliseconds } = passed;
@@ -154,14 +176,13 @@
       if (admission?.kind === "held") {
         return toHeldOutcome(admission.retryAfterMilliseconds);
       }
-      retryBudget.recordFirstAttempt(route.name);
       return await this.#runAttempts();
     } finally {
       if (this.#attempts.possiblyExecuted === 0) {
         this.#guarded?.returnTrial();
       }
       gate.recordEnd(
-        this.#service,
+        service,
         passedAt === undefined ? undefined : {
           organisation,
           milliseconds: clock.monotonic() - passedAt,
@@ -171,8 +192,13 @@
     }
   }
 
-  async #runAttempts(): Promise<CallOutcome> {
-    const { clock } = this.#options;
+  async #runAttempts(): Promise<CallOutcome | undefined> {
+    const { clock, retryBudget } = this.#options;
+    if (this.#hasRouteMoved) return undefined;
+    if (!this.#isCounted) {
+      this.#isCounted = true;
+      retryBudget.recordFirstAttempt(this.#call.route.name);
+    }
     let hedgeAt = this.#startAttempt();
     for (;;) {
       if (this.#call.signal.aborted) return { kind: "abandoned" };
@@ -188,6 +214,10 @@
         if (!this.#isRelayNeeded && !this.#candidates.hasUntried) {
           await this.#attempts.wait(this.#nextRetryPause());
         }
+        if (this.#hasRouteMoved) {
+          if (this.#attempts.possiblyExecuted === 0) return undefined;
+          this.#followRoute();
+        }
         hedgeAt = this.#startAttempt();
       } else if (now >= hedgeAt) {
         hedgeAt = await this.#startHedge();
@@ -199,6 +229,47 @@
     }
   }
 
+  #createCandidates(): ServerCandidates {
+    return new ServerCandidates({
+      ...this.#options,
+      service: this.#service,
+      origin: this.#call.origin,
+      findAllowedRegions: () => this.#allowedRegions,
+    });
+  }
+
+  // Whether the route that is in force does not use the call's service.
+  get #hasRouteMoved(): boolean {
+    return this.#findNewRoute() !== undefined;
+  }
+
+  // Returns the route that is in force if it has moved to other services. A stream goes on at the
+  // service that began it.
+  #findNewRoute(): ServiceRoute | undefined {
+    const { origin, route: known, findRoute } = this.#call;
+    if (origin !== undefined) return undefined;
+    const route = findRoute?.();
+    if (route === undefined || route.kind !== known.kind) return undefined;
+    const isUsed = route.services.some(({ service }) =>
+      service === this.#service
+    );
+    return isUsed ? undefined : route;
+  }
+
+  #followRoute(): void {
+    const route = this.#findNewRoute();
+    if (route === undefined) return;
+    const former = this.#service;
+    this.#service = selectService(route, this.#options.random.next());
+    this.#candidates = this.#createCandidates();
+    this.#guarded?.moveTo(this.#service);
+    this.#options.log.emit("callMoved", {
+      request: this.#call.request.identifier,
+      former,
+      service: this.#service,
+    });
+  }
+
   get #isEvacuated(): boolean {
     const { servers } = this.#options;
     return servers.isServiceEvacuated(this.#service, this.#allowedRegions);
@@ -222,7 +293,9 @@
   async #startHedge(): Promise<number> {
     const { callRelay } = this.#options;
     if (callRelay.isQuietSince(this.#startedAt)) await callRelay.check();
-    if (this.#attempts.hasResult || !this.#mayHedge()) return Infinity;
+    if (this.#attempts.hasResult) return Infinity;
+    this.#followRoute();
+    if (!this.#mayHedge()) return Infinity;
     return this.#startAttempt();
   }
 
--- a/source/calls/call_forwarder_test.ts
+++ b/source/calls/call_forwarder_test.ts
@@ -54,7 +54,7 @@
     identifier,
     startedAt: 0,
     softwareVersion: "v1",
-    service: "s",
+    service: identifier.startsWith("moved") ? "moved" : "s",
     address: `${identifier}:80`,
     failureDomain: "a",
     slots: 4,
@@ -111,6 +111,8 @@
     readonly isCutOffKnown?: boolean;
     /** Guard of calls that crash servers; one without records if absent. */
     readonly crashGuard?: CrashGuard;
+    /** Returns the service of the route that is in force; "s" if absent. */
+    readonly findService?: () => string;
     /** Clock that is advanced while the call is forwarded; the system's clock if absent. */
     readonly clock?: ManualClock;
   } = {},
@@ -149,6 +151,11 @@
     }),
   });
   const startedAt = clock.monotonic();
+  const { findService = (): string => "s" } = options;
+  const route = toRoute(
+    options.kind ?? "idempotent",
+    options.maximumAttempts ?? 3,
+  );
   const forwarding = forwarder.forward({
     request: {
       identifier: "q",
@@ -158,7 +165,11 @@
       headers: {},
       body: Buffer.alloc(0),
     },
-    route: toRoute(options.kind ?? "idempotent", options.maximumAttempts ?? 3),
+    route,
+    findRoute: () => ({
+      ...route,
+      services: [{ service: findService(), weight: 1 }],
+    }),
     priority: 1,
     isDeferrable: false,
     mayCrashServers: true,
@@ -392,3 +403,37 @@
   await forward([], { cutOff, crashGuard, isCutOffKnown: true });
   t.deepEqual(claims, []);
 });
+
+// Guards against retries at the service that the route had before, whose servers may be gone.
+for (
+  const { kind, answer, expected, sent } of [
+    { kind: "idempotent", answer: "unknown", expected: "200 good", sent: 2 },
+    { kind: "nonIdempotent", answer: "notRun", expected: "200 good", sent: 2 },
+    {
+      kind: "nonIdempotent",
+      answer: "unknown",
+      expected: "serverFailed",
+      sent: 1,
+    },
+  ] as const
+) {
+  test(`after the answer ${answer}, a call of kind ${kind} goes on at the service to which its route has moved: ${expected}`, async (t) => {
+    let service = "s";
+    const asked: string[] = [];
+    const result = await forward([{ kind: answer }, GOOD_ANSWER], {
+      servers: ["a", "moved-1"],
+      kind,
+      findService: () => {
+        asked.push(service);
+        const current = service;
+        service = "moved";
+        return current;
+      },
+    });
+    t.is(describe(result), expected);
+    t.deepEqual(
+      result.client.requestedServers,
+      ["a", "moved-1"].slice(0, sent),
+    );
+  });
+}
--- a/source/calls/call_gate.ts
+++ b/source/calls/call_gate.ts
@@ -51,6 +51,10 @@
   readonly signal: AbortSignal;
   /** Regions in which the call may be processed; any if absent. */
   readonly allowedRegions?: AllowedRegions | undefined;
+  /** Monotonic time, in milliseconds, from which the call waits; now if absent. */
+  readonly waitsSince?: number;
+  /** Whether the service or the regions have changed since the call asked. */
+  readonly isOutdated?: () => boolean;
 }
 
 interface Waiter extends WaitingCall {
@@ -112,9 +116,27 @@
     this.#sendWaiting(service);
   }
 
+  /**
+   * Ends the waits of calls that may use other servers now than when they asked, so that they ask
+   * again.
+   */
+  restartOutdatedWaits(): void {
+    for (const waiting of this.#waiting.values()) {
+      for (const waiter of [...waiting]) {
+        if (waiter.call.isOutdated?.() === true) {
+          waiter.resolve({ kind: "outdated" });
+        }
+      }
+    }
+  }
+
+  #findArrival({ waitsSince }: GatedCall): number {
+    return waitsSince ?? this.#options.clock.monotonic();
+  }
+
   async #pass(call: GatedCall): Promise<GateOutcome> {
     const { service, organisation = "" } = call;
-    const arrivedAt = this.#options.clock.monotonic();
+    const arrivedAt = this.#findArrival(call);
     const use = this.#toUse(service);
     const before = listBefore(
       { ...call, arrivedAt },
@@ -190,7 +212,6 @@
   }
 
   #wait(call: GatedCall): Promise<GateOutcome> {
-    const { clock } = this.#options;
     const { service, signal, priority, organisation, isDeferrable } = call;
     const waiting = this.#waiting.get(service) ?? new Set();
     this.#waiting.set(service, waiting);
@@ -203,8 +224,8 @@
         priority,
         organisation,
         isDeferrable,
-        arrivedAt: clock.monotonic(),
-        turnAt: clock.monotonic(),
+        arrivedAt: this.#findArrival(call),
+        turnAt: this.#findArrival(call),
         call,
         resolve: (outcome) => {
           waiting.delete(waiter);
--- a/source/calls/call_gate_report.ts
+++ b/source/calls/call_gate_report.ts
@@ -5,6 +5,7 @@
 const RESULTS: Readonly<Record<GateOutcome["kind"], string>> = {
   open: "served",
   rejected: "refused",
+  outdated: "outdated",
   cancelled: "cancelled",
 };
 
--- a/source/calls/call_gate_test.ts
+++ b/source/calls/call_gate_test.ts
@@ -170,6 +170,30 @@
   t.deepEqual(passed, ["one"]);
 });
 
+// Guards against calls that wait for servers which a new configuration no longer allows them.
+test("outdated waits end, and keep their turn when they ask again", async (t) => {
+  const { clock, gate, statistics, passed, outcomes, pass, counted } =
+    await createFixture();
+  statistics.setRunningElsewhere(new Map([["p1", 6]]));
+  let isOutdated = false;
+  void pass("moved", { isOutdated: () => isOutdated });
+  await clock.advance(5);
+  void pass("other", { isOutdated: () => false });
+  await clock.advance(5);
+  gate.restartOutdatedWaits();
+  await clock.advance(0);
+  t.is(outcomes.size, 0);
+  isOutdated = true;
+  gate.restartOutdatedWaits();
+  await clock.advance(0);
+  t.deepEqual([...outcomes], [["moved", { kind: "outdated" }]]);
+  t.deepEqual(counted, ["gated_calls 1 outdated"]);
+  void pass("moved", { waitsSince: 0 });
+  statistics.setRunningElsewhere(new Map([["p1", 5]]));
+  await clock.advance(30);
+  t.is(passed[0], "moved");
+});
+
 function allow(...names: ReadonlyArray<string>): AllowedRegions {
   return new AllowedRegions(new Set(names), (failureDomain) => failureDomain);
 }
--- a/source/calls/call_service.ts
+++ b/source/calls/call_service.ts
@@ -219,6 +219,12 @@
     };
   }
 
+  #findRoute({ host, target }: IncomingCall): ServiceRoute | undefined {
+    const { configuration } = this.#options.operator;
+    if (configuration === undefined) return undefined;
+    return findRoute(configuration, host, target.split("?")[0] ?? "");
+  }
+
   #findAllowedRegions(
     { host, target }: IncomingCall,
     { organisation }: CallTarget,
@@ -288,6 +294,7 @@
         route: call.relayed === undefined
           ? route
           : { ...route, maximumAttempts: 1 },
+        findRoute: () => this.#findRoute(call),
         priority: findPriority(operator.configuration, route, organisation),
         organisation,
         isDeferrable: false,
--- a/source/calls/crash_guard.ts
+++ b/source/calls/crash_guard.ts
@@ -53,7 +53,7 @@
 export class GuardedCall {
   readonly #options: CrashGuardOptions;
   readonly #request: Omit<ServerRequest, "budgetMilliseconds">;
-  readonly #service: string;
+  #service: string;
   /** Time of the trial that the call has; undefined if it has none. */
   #triedAt: number | undefined;
   #computedContent: string | undefined;
@@ -73,6 +73,11 @@
     this.#service = service;
   }
 
+  /** Sends the call to another service from now on. */
+  moveTo(service: string): void {
+    this.#service = service;
+  }
+
   /** Whether servers have ended under calls with the same content, so that it must not be hedged. */
   get isSuspect(): boolean {
     const { records } = this.#options;
--- a/source/calls/forwarded_call.ts
+++ b/source/calls/forwarded_call.ts
@@ -8,7 +8,13 @@
 /** A call to forward to a backend server. */
 export interface ForwardedCall {
   readonly request: Omit<ServerRequest, "budgetMilliseconds">;
+  /** The route when the call arrived; its time limits and kind hold for the whole call. */
   readonly route: ServiceRoute;
+  /**
+   * Returns the route that is in force now, undefined for none; asked before each attempt and while the
+   * call waits, as the route may move to other services. Always the same route if absent.
+   */
+  readonly findRoute?: () => ServiceRoute | undefined;
   /** The caller's deadline, in milliseconds on the monotonic clock. */
   readonly deadline: number;
   /** Rank of the call's organisation or else of its route; 0 goes first. */
--- a/source/calls/gate_outcome.ts
+++ b/source/calls/gate_outcome.ts
@@ -2,4 +2,6 @@
 export type GateOutcome =
   | { readonly kind: "open" }
   | { readonly kind: "rejected"; readonly retryAfterMilliseconds: number }
+  /** The call must ask again, as it may use other servers now. */
+  | { readonly kind: "outdated" }
   | { readonly kind: "cancelled" };
--- a/source/durable_steps/create_engine_request.ts
+++ b/source/durable_steps/create_engine_request.ts
@@ -30,6 +30,8 @@
   readonly eventMilliseconds: number;
   /** Identifier of an engine that is used only if no other is available. */
   readonly avoidedEngine: string | undefined;
+  /** Whether the sample would ask otherwise now. */
+  readonly isOutdated: () => boolean;
 }
 
 /**
@@ -45,7 +47,8 @@
   { sample, text, requirements, textLengths }: GeneratedSample,
   options: EngineRequestOptions,
 ): EngineRequest {
-  const { dueAt, group, isSpare, eventMilliseconds, avoidedEngine } = options;
+  const { dueAt, group, isSpare, eventMilliseconds } = options;
+  const { avoidedEngine, isOutdated } = options;
   const expectedEvents = textLengths.expectEvents({
     ...toLength(sample),
     madeEvents: text.parts.length,
@@ -70,6 +73,7 @@
     prompt: shared.map(({ identifier }) => identifier).join("/"),
     promptTokens: shared.reduce((sum, { tokens }) => sum + tokens, 0),
     avoidedEngine,
+    isOutdated,
   };
 }
 
--- a/source/durable_steps/engine_pool.ts
+++ b/source/durable_steps/engine_pool.ts
@@ -181,11 +181,12 @@
   }
 
   /**
-   * Ends all waits without an engine, so that their samples ask again with the requirements that are
-   * in force.
+   * Ends the waits of samples that would ask otherwise now, so that they ask again with the
+   * requirements that are in force.
    */
-  restartWaits(): void {
+  restartOutdatedWaits(): void {
     for (const waiter of this.#queue.samples) {
+      if (waiter.request.isOutdated?.() !== true) continue;
       this.#queue.remove(waiter);
       waiter.resolve(undefined);
     }
--- a/source/durable_steps/engine_pool_test.ts
+++ b/source/durable_steps/engine_pool_test.ts
@@ -210,7 +210,7 @@
   for (const engine of ["e1", "e2"]) {
     pool.watchRun({
       engine,
-      requirements: createRequest("", {}).requirements,
+      findRequirements: () => createRequest("", {}).requirements,
       onStalled: () => stalled.push(engine),
     });
   }
@@ -244,18 +244,33 @@
   t.deepEqual(started.at(-1), "r3 e1");
 });
 
-// Guards against a sample that waits for good for engines of the earlier lists.
-test("restarted waits end without an engine", async (t) => {
+// Guards against a sample that waits for good for engines of an earlier configuration.
+test("outdated waits end without an engine, and the others go on", async (t) => {
   const { clock, pool } = await createFixture("e1");
   const request = createRequest("r", { allowedRegions: allow("e9") });
-  const engines = [1, 2].map(() =>
-    pool.acquire(request, new AbortController().signal)
-  );
+  const outdated = new Set([0, 1, 2]);
+  const ended: number[] = [];
+  const engines = [0, 1, 2, 3].map(async (index) => {
+    const isOutdated = (): boolean => outdated.has(index);
+    const engine = await pool.acquire(
+      { ...request, ...(index < 2 ? { isOutdated } : {}) },
+      new AbortController().signal,
+    );
+    ended.push(index);
+    return engine;
+  });
+  await clock.advance(1);
+  t.is(pool.waiting, 4);
+  outdated.delete(1);
+  pool.restartOutdatedWaits();
+  t.is(await engines[0], undefined);
   await clock.advance(1);
+  t.deepEqual(ended, [0]);
+  t.is(pool.waiting, 3);
+  outdated.add(1);
+  pool.restartOutdatedWaits();
+  t.is(await engines[1], undefined);
   t.is(pool.waiting, 2);
-  pool.restartWaits();
-  t.deepEqual(await Promise.all(engines), [undefined, undefined]);
-  t.is(pool.waiting, 0);
 });
 
 test("only engines of allowed regions count as available and faster", async (t) => {
--- a/source/durable_steps/engine_stall_watch.ts
+++ b/source/durable_steps/engine_stall_watch.ts
@@ -15,7 +15,8 @@
 /** A run whose engine may stall. */
 export interface WatchedRun {
   readonly engine: string;
-  readonly requirements: EngineRequirements;
+  /** Returns what the run would require of another engine now; undefined without a route. */
+  readonly findRequirements: () => EngineRequirements | undefined;
   /** Called when the engine stalls while another one could go on with the run. */
   readonly onStalled: () => void;
 }
@@ -90,7 +91,9 @@
     if (stalled.length === 0) return;
     for (const run of [...this.#runs]) {
       if (!stalled.includes(run.engine)) continue;
-      const isReplaceable = findAvailable(run.requirements).some((engine) =>
+      const requirements = run.findRequirements();
+      if (requirements === undefined) continue;
+      const isReplaceable = findAvailable(requirements).some((engine) =>
         !stalled.includes(engine.identifier)
       );
       if (isReplaceable) run.onStalled();
--- a/source/durable_steps/sample_generation.ts
+++ b/source/durable_steps/sample_generation.ts
@@ -22,7 +22,11 @@
   type GeneratedSample,
 } from "./create_engine_request.ts";
 import type { EnginePool } from "./engine_pool.ts";
-import type { EngineRequest, EngineRequirements } from "./engine_request.ts";
+import {
+  type EngineRequest,
+  type EngineRequirements,
+  toRequirementsKey,
+} from "./engine_request.ts";
 import type { SampleText } from "./sample_text.ts";
 import { SampleTimeline } from "./sample_timeline.ts";
 import { TextContinuation } from "./text_continuation.ts";
@@ -61,8 +65,8 @@
   readonly organisation: string;
   readonly model: string;
   readonly minimumVersion: number;
-  /** Monotonic time, in milliseconds, at which the results of the step are due. */
-  readonly dueAt: number;
+  /** Returns the monotonic time, in milliseconds, at which the results of the step are due. */
+  readonly findDueTime: () => number;
   /** Identifies the sample's group among those of all steps. */
   readonly group: string;
   /** Whether the trainer waits for other groups instead of this sample's. */
@@ -177,16 +181,35 @@
   }
 
   #toRequest(route: ServiceRoute): EngineRequest {
-    const { dueAt, group, isSpare, pool } = this.#options;
-    return createEngineRequest(this.#describe(route), {
+    const { findDueTime, group, isSpare, pool } = this.#options;
+    const dueAt = findDueTime();
+    const generated = this.#describe(route);
+    const key = toRequirementsKey(generated.requirements);
+    return createEngineRequest(generated, {
       dueAt,
       group,
       isSpare,
       eventMilliseconds: pool.usualEventMilliseconds,
       avoidedEngine: this.#avoidedEngine,
+      isOutdated: () => {
+        const requirements = this.#findRequirements();
+        return requirements === undefined || findDueTime() !== dueAt ||
+          toRequirementsKey(requirements) !== key;
+      },
     });
   }
 
+  // Returns the requirements under the route that is in force; undefined without one.
+  #findRequirements(): EngineRequirements | undefined {
+    const route = this.#options.route();
+    return route === undefined ? undefined : this.#getRequirements(route);
+  }
+
+  // Whether the route that is in force sends samples to an engine's service.
+  #isRouted({ service }: BackendServerEntry): boolean {
+    return this.#findRequirements()?.service === service;
+  }
+
   #describe(route: ServiceRoute): GeneratedSample {
     const { sample, text, textLengths } = this.#options;
     const requirements = this.#getRequirements(route);
@@ -217,7 +240,7 @@
     this.#options.signal.addEventListener("abort", onCancel, { once: true });
     const endWatch = pool.watchRun({
       engine: identifier,
-      requirements: this.#getRequirements(route),
+      findRequirements: () => this.#findRequirements(),
       onStalled: () => controller.abort(ENDED),
     });
     try {
@@ -239,7 +262,7 @@
           pool.usualEventMilliseconds,
         ),
         mayStart: () =>
-          servers.isServing(identifier) &&
+          servers.isServing(identifier) && this.#isRouted(engine) &&
           mayProcess(this.#options.findAllowedRegions?.(), engine),
       });
       pool.recordResponse(identifier);
--- a/source/durable_steps/sample_generation_test.ts
+++ b/source/durable_steps/sample_generation_test.ts
@@ -96,7 +96,7 @@
     organisation: "o",
     model: "m",
     minimumVersion: 5,
-    dueAt: clock.monotonic() + 5000,
+    findDueTime: () => 5000,
     group: "s/g",
     isSpare: false,
     textLengths: new TextLengthEstimate(),
--- a/source/durable_steps/sample_scoring.ts
+++ b/source/durable_steps/sample_scoring.ts
@@ -55,6 +55,7 @@
           body: scoring.body,
         },
         route,
+        findRoute: () => findScoringRoute(tools, scoring),
         priority: findPriority(tools.configuration(), route, organisation),
         organisation,
         isDeferrable: true,
--- a/source/durable_steps/step_run.ts
+++ b/source/durable_steps/step_run.ts
@@ -51,7 +51,6 @@
 /** A sample's place in its step. */
 interface SamplePlacement {
   readonly submission: StepSubmission;
-  readonly dueAt: number;
   readonly isSpare: boolean;
   readonly isLong: boolean;
 }
@@ -74,6 +73,8 @@
   readonly #unfinishedTexts = new Map<string, SampleText>();
   /** Texts that were loaded from the store, by sample identifier. */
   readonly #loadedTexts = new Map<string, SampleText[]>();
+  /** Monotonic time, in milliseconds, at which the step was submitted. */
+  #submittedAt: number | undefined;
   /** Monotonic time, in milliseconds, at which the samples were started. */
   #startedAt = 0;
 
@@ -112,7 +113,6 @@
       listed: this.#results.listed,
     });
     this.#startedAt = tools.clock.monotonic();
-    const dueAt = this.#findDueTime();
     const spareGroups = findSpareGroups(tools, {
       manifest,
       submission,
@@ -121,7 +121,6 @@
     const runs = open.map((sample, index) =>
       this.#runSample(sample, {
         submission,
-        dueAt,
         isSpare: spareGroups.has(sample.group),
         isLong: index < LONG_SAMPLE_SHARE * open.length,
       })
@@ -247,7 +246,7 @@
       organisation: manifest.organisation,
       model: manifest.model,
       minimumVersion: placement.submission.minimumVersion,
-      dueAt: placement.dueAt,
+      findDueTime: () => this.#findDueTime(),
       group: `${manifest.identifier}/${sample.group}`,
       isSpare: placement.isSpare,
       isLong: placement.isLong,
@@ -361,12 +360,15 @@
     this.#results.add({ kind: "terminated", identifier });
   }
 
-  // Returns the monotonic time, in milliseconds, at which the results are due.
+  // Returns the monotonic time, in milliseconds, at which the results are due under the route in force.
   #findDueTime(): number {
     const { tools, manifest } = this.#options;
+    const { clock } = tools;
+    // Read once, so that a step of the wall clock does not change the order of samples.
+    this.#submittedAt ??= clock.monotonic() -
+      (clock.wall() - manifest.submittedAt);
     const deadline = this.#findRoute()?.resultDeadlineMilliseconds ?? 0;
-    const age = tools.clock.wall() - manifest.submittedAt;
-    return tools.clock.monotonic() + deadline - age;
+    return this.#submittedAt + deadline;
   }
 
   #findRoute(): ServiceRoute | undefined {
--- a/source/installation/region_rules.ts
+++ b/source/installation/region_rules.ts
@@ -47,8 +47,6 @@
   #listCount = 0;
   /** The lists of the configuration as text, to detect changes. */
   #lists = NO_LISTS;
-  /** The same at the last call of `takeChange`. */
-  #takenLists = NO_LISTS;
   /** Allowed regions by route and organisation. */
   readonly #known = new Map<string, AllowedRegions | undefined>();
   readonly #loggedDomains = new Set<string>();
@@ -74,14 +72,6 @@
     return this.#listCount;
   }
 
-  /** Whether lists are in force that differ from those at the last call. */
-  takeChange(): boolean {
-    this.#adopt();
-    const hasChanged = this.#takenLists !== this.#lists;
-    this.#takenLists = this.#lists;
-    return hasChanged;
-  }
-
   /** Returns the region of a failure domain; undefined when the settings do not name it. */
   readonly regionOf = (failureDomain: string): string | undefined => {
     const { settings, log } = this.#options;
--- a/source/installation/region_rules_test.ts
+++ b/source/installation/region_rules_test.ts
@@ -88,7 +88,6 @@
   adopt({});
   t.is(rules.find({ host: "h", path: "/a/1", organisation: "o" }), undefined);
   t.is(rules.listCount, 0);
-  t.false(rules.takeChange());
   t.is(nameNodes(rules, "h", "south"), "n1 s1 own x");
   t.deepEqual(log.events, []);
 });
@@ -111,15 +110,18 @@
   adopt({ route: ["north"] });
   const request = { host: "h", path: "/a/1", organisation: undefined };
   t.is(rules.find(request)?.key, '["north"]');
-  t.true(rules.takeChange(), "though it was found before");
-  t.false(rules.takeChange());
+  t.is(log.events.length, 1);
+  t.is(rules.find(request)?.key, '["north"]');
+  t.is(log.events.length, 1);
   adopt({ route: ["north"] });
-  t.false(rules.takeChange(), "the lists are the same");
+  t.is(rules.find(request)?.key, '["north"]');
+  t.is(log.events.length, 1, "the lists are the same");
   adopt({ route: ["south"] });
-  t.is(rules.find(request)?.key, '["south"]');
+  t.is(rules.find(request)?.key, '["south"]', "though it was found before");
+  t.is(log.events.length, 2);
   adopt({});
-  t.true(rules.takeChange());
   t.is(rules.find(request), undefined);
+  t.is(log.events.length, 3);
   t.deepEqual(
     log.events.map(({ name, fields }) => [name, fields["version"]]),
     [
--- a/source/node/create_installation_node.ts
+++ b/source/node/create_installation_node.ts
@@ -146,6 +146,7 @@
     callRelay,
     work,
   });
+  operator.watch(() => tools.forwarder.restartOutdatedWaits());
   const steps = new StepSupervisor({
     tools,
     register,
--- a/source/node/create_server_choice.ts
+++ b/source/node/create_server_choice.ts
@@ -40,7 +40,7 @@
   { settings, adapters, clock, log, metrics }: InstallationNodeOptions,
   parts: ServerChoiceParts,
 ): ServerChoice {
-  const { random, rendezvous, operator, regionRules, servers, limits } = parts;
+  const { random, rendezvous, operator, servers, limits } = parts;
   const { serverPaths } = parts;
   const { client } = adapters;
   const sharing = new SlotSharing({
@@ -73,9 +73,7 @@
     },
     onQuiet: () => void serverPaths.check(),
   });
-  operator.watch(() => {
-    if (regionRules.takeChange()) pool.restartWaits();
-  });
+  operator.watch(() => pool.restartOutdatedWaits());
   const engineUseExchange = new EngineUseExchange(clock, {
     pool,
     statistics,
--- a/source/observability/events/installation_events.ts
+++ b/source/observability/events/installation_events.ts
@@ -269,6 +269,13 @@
       "If callers need these calls, raise the grace period above the timeouts of their routes",
     fields: ["answered"],
   }),
+  callMoved: defineEvent(9221, {
+    level: "info",
+    message:
+      "The route of a call that was not answered yet has moved; the call goes on at the new service",
+    action: "",
+    fields: ["request", "former", "service"],
+  }),
   callEnded: defineEvent(9202, {
     level: "info",
     message: "A call ended without a server's answer",
