Start only calls at a draining node that end before it stops

Cause: a draining node started whatever arrived and ended what still ran.

Change: decideDrainAdmission decides for each call that arrives during a drain, from the time left, the limit of the call, whether it may be repeated and the recent durations of its route. Refused calls get a true 503 at once. Calls that wait for a server at the end of the drain get 503 instead of 504, and reads of results wait no longer than the node.

--- a/source/calls/call_forwarder.ts
+++ b/source/calls/call_forwarder.ts
@@ -20,6 +20,7 @@
 import type { ForwardedCall } from "./forwarded_call.ts";
 import {
   NO_ALLOWED_REGION,
+  STOPPING,
   toAnsweredOutcome,
   toEvacuatedOutcome,
   toHeldOutcome,
@@ -77,6 +78,11 @@
     return await new ForwardingRun(this.#options, call).run();
   }
 
+  /** Refuses the calls that wait, as the node is about to stop. */
+  stopWaits(): void {
+    this.#options.gate.stop();
+  }
+
   /** Lets waiting calls ask again whose service or regions a new configuration has changed. */
   restartOutdatedWaits(): void {
     this.#options.gate.restartOutdatedWaits();
@@ -160,6 +166,7 @@
         this.#allowedRegions?.key !== allowedRegions?.key,
     });
     if (passed.kind === "outdated") return undefined;
+    if (passed.kind === "stopping") return STOPPING;
     if (passed.kind === "cancelled") return { kind: "abandoned" };
     if (passed.kind === "rejected") {
       const { retryAfterMilliseconds } = passed;
--- a/source/calls/call_gate.ts
+++ b/source/calls/call_gate.ts
@@ -130,6 +130,13 @@
     }
   }
 
+  /** Ends all waits, as the node is about to stop; the calls were not sent. */
+  stop(): void {
+    for (const waiting of this.#waiting.values()) {
+      for (const waiter of [...waiting]) waiter.resolve({ kind: "stopping" });
+    }
+  }
+
   #findArrival({ waitsSince }: GatedCall): number {
     return waitsSince ?? this.#options.clock.monotonic();
   }
--- a/source/calls/call_gate_report.ts
+++ b/source/calls/call_gate_report.ts
@@ -6,6 +6,7 @@
   open: "served",
   rejected: "refused",
   outdated: "outdated",
+  stopping: "refused",
   cancelled: "cancelled",
 };
 
--- a/source/calls/call_service.ts
+++ b/source/calls/call_service.ts
@@ -14,6 +14,7 @@
 import type { Clock } from "../utilities/clock.ts";
 import type { CallForwarder } from "./call_forwarder.ts";
 import type { CallOutcome } from "./call_outcome.ts";
+import type { DrainAdmission } from "./drain_admission.ts";
 import type { StreamOrigins } from "./stream_origins.ts";
 import type { ServerStarts } from "../installation/server_starts.ts";
 import {
@@ -90,6 +91,7 @@
   readonly serverStarts: Pick<ServerStarts, "mayHaveChanged">;
   readonly intake: StepIntake;
   readonly usage: UsageMeter;
+  readonly drainAdmission: DrainAdmission;
   readonly metrics: Metrics;
 }
 
@@ -131,6 +133,28 @@
         ? { kind: "refused", refusal: "unknownRoute" }
         : STALE_KEYS;
     }
+    const refusal = this.#options.drainAdmission.findRefusal(
+      route,
+      toDeadline(call, route),
+    );
+    if (refusal !== undefined) return refusal;
+    const since = this.#options.clock.monotonic();
+    const outcome = await this.#serveRoute(call, {
+      configuration,
+      route,
+      path,
+    });
+    return this.#measure(outcome, { route, since });
+  }
+
+  async #serveRoute(
+    call: IncomingCall,
+    { configuration, route, path }: {
+      readonly configuration: Configuration;
+      readonly route: ServiceRoute;
+      readonly path: string;
+    },
+  ): Promise<CallOutcome> {
     if (route.isPublic || configuration.organisationsByKey === undefined) {
       return await this.#forward(call, { route, organisation: undefined });
     }
@@ -154,6 +178,26 @@
     return await this.#forward(call, { route, organisation });
   }
 
+  // Records how long the calls of a route take that are answered completely.
+  #measure(
+    outcome: CallOutcome,
+    { route, since }: {
+      readonly route: ServiceRoute;
+      readonly since: number;
+    },
+  ): CallOutcome {
+    const { drainAdmission } = this.#options;
+    if (outcome.kind === "answered") {
+      drainAdmission.recordDuration(route, since);
+    }
+    if (outcome.kind !== "streaming") return outcome;
+    const body = watchEnd(
+      outcome.body,
+      () => drainAdmission.recordDuration(route, since),
+    );
+    return { ...outcome, body };
+  }
+
   /**
    * Finds the organisation of a key for calls that run nothing and so need no fresh view of the
    * keys.
@@ -307,8 +351,10 @@
             },
           }
           : {}),
-        deadline: call.arrivedAt +
-          (call.budgetMilliseconds ?? route.timeoutMilliseconds),
+        deadline: Math.min(
+          toDeadline(call, route),
+          this.#options.drainAdmission.endsAt,
+        ),
         signal: call.signal,
         onAnswered: () => entry?.count(),
         findAllowedRegions: () => this.#findAllowedRegions(call, target),
@@ -320,6 +366,25 @@
   }
 }
 
+// Returns the monotonic time, in milliseconds, until which a call may run.
+function toDeadline(
+  { arrivedAt, budgetMilliseconds }: IncomingCall,
+  { kind, timeoutMilliseconds }: ServiceRoute,
+): number {
+  const budget = budgetMilliseconds ?? timeoutMilliseconds;
+  // The timeout of a route of streams does not limit the time until their last event.
+  return arrivedAt +
+    (kind === "streaming" ? budget : Math.min(budget, timeoutMilliseconds));
+}
+
+async function* watchEnd(
+  body: AsyncIterable<Buffer>,
+  onEnd: () => void,
+): AsyncGenerator<Buffer> {
+  yield* body;
+  onEnd();
+}
+
 function describeOutcome(outcome: CallOutcome): string {
   if (outcome.kind === "refused") return outcome.refusal;
   if (outcome.kind === "unknown") return outcome.reason;
--- a/source/calls/forwarding_outcomes.ts
+++ b/source/calls/forwarding_outcomes.ts
@@ -19,6 +19,16 @@
   retryAfterMilliseconds: NO_REGION_RETRY_MILLISECONDS,
 };
 
+/** Delay after which a caller may send a request again that a node did not start before its end. */
+const STOPPING_RETRY_MILLISECONDS = 100;
+
+/** Outcome of a request that a node did not send before its end. */
+export const STOPPING = {
+  kind: "refused",
+  refusal: "stopping",
+  retryAfterMilliseconds: STOPPING_RETRY_MILLISECONDS,
+} as const;
+
 /** Returns the outcome of a call that is held because calls with its content crash servers. */
 export function toHeldOutcome(retryAfterMilliseconds: number): CallOutcome {
   return { kind: "refused", refusal: "crashesServers", retryAfterMilliseconds };
--- a/source/decisions/hedge_timing.ts
+++ b/source/decisions/hedge_timing.ts
@@ -1,8 +1,7 @@
 import { getQuantile } from "./quantile.ts";
+import { RecentDurations } from "./recent_durations.ts";
 
 const HEDGED_QUANTILE = 0.95;
-/** Number of recent durations of a route that the quantile is taken of. */
-const MAXIMUM_DURATIONS = 64;
 /** Number of durations below which the quantile is not used. */
 const MINIMUM_DURATIONS = 20;
 /** Share of the latency target after which a call is hedged while its durations are not known. */
@@ -24,17 +23,11 @@
  * ```
  */
 export class HedgeTiming {
-  readonly #durations = new Map<string, number[]>();
+  readonly #durations = new RecentDurations();
 
   /** Records the duration of an answered call of a route, in milliseconds. */
   record(route: string, milliseconds: number): void {
-    let durations = this.#durations.get(route);
-    if (durations === undefined) {
-      durations = [];
-      this.#durations.set(route, durations);
-    }
-    durations.push(milliseconds);
-    if (durations.length > MAXIMUM_DURATIONS) durations.shift();
+    this.#durations.record(route, milliseconds);
   }
 
   /**
@@ -43,7 +36,7 @@
    * @param targetMilliseconds - Latency target of the route.
    */
   delayMilliseconds(route: string, targetMilliseconds: number): number {
-    const durations = this.#durations.get(route) ?? [];
+    const durations = this.#durations.get(route);
     if (durations.length < MINIMUM_DURATIONS) {
       return UNKNOWN_DELAY_SHARE * targetMilliseconds;
     }
--- a/source/node/create_call_service.ts
+++ b/source/node/create_call_service.ts
@@ -1,4 +1,5 @@
 import { CallService } from "../calls/call_service.ts";
+import type { DrainAdmission } from "../calls/drain_admission.ts";
 import type { StreamOrigins } from "../calls/stream_origins.ts";
 import type { UsageMeter } from "../duties/usage_meter.ts";
 import { StepAdmissionControl } from "../durable_steps/step_admission_control.ts";
@@ -18,6 +19,7 @@
   readonly rendezvous: Rendezvous;
   readonly streamOrigins: StreamOrigins;
   readonly usage: UsageMeter;
+  readonly drainAdmission: DrainAdmission;
 }
 
 /**
@@ -32,6 +34,7 @@
   parts: CallServiceParts,
 ): CallService {
   const { tools, operator, register, rendezvous, streamOrigins, usage } = parts;
+  const { drainAdmission } = parts;
   const ownerChoice = new StepOwnerChoice({
     ...tools,
     register,
@@ -48,6 +51,7 @@
     serverStarts: tools.serverStarts,
     streamOrigins,
     usage,
+    drainAdmission,
     metrics,
     intake: new StepIntake({
       tools,
--- a/source/node/create_installation_node.ts
+++ b/source/node/create_installation_node.ts
@@ -3,6 +3,7 @@
 import { CrashDetector } from "../calls/crash_detector.ts";
 import { CrashGuard } from "../calls/crash_guard.ts";
 import { CrashRecords } from "../calls/crash_records.ts";
+import { DrainAdmission } from "../calls/drain_admission.ts";
 import { StreamOrigins } from "../calls/stream_origins.ts";
 import { WeightLoadScheduler } from "../duties/weight_load_scheduler.ts";
 import { StepReader } from "../durable_steps/step_reader.ts";
@@ -161,6 +162,12 @@
     storeHealth: table.health,
     lease,
   });
+  const drainAdmission = new DrainAdmission({
+    clock,
+    random,
+    metrics,
+    hasOtherNodes: () => register.others.some(({ isServing }) => isServing),
+  });
   const calls = createCallService(options, {
     tools,
     operator,
@@ -168,6 +175,7 @@
     rendezvous,
     streamOrigins,
     usage,
+    drainAdmission,
   });
   const duties = createDuties(options, {
     common: stored,
@@ -182,6 +190,9 @@
     servers,
     register,
     storeHealth: table.health,
+    clock,
+    drainAdmission,
+    stopWaitingCalls: () => tools.forwarder.stopWaits(),
     calls,
     steps,
     reader: new StepReader(tools),
--- a/source/node/installation_node.ts
+++ b/source/node/installation_node.ts
@@ -1,5 +1,6 @@
 import { selectAddressedNodes } from "../decisions/caller_addresses.ts";
 import type { CallService } from "../calls/call_service.ts";
+import type { DrainAdmission } from "../calls/drain_admission.ts";
 import type { StepSupervisor } from "../durable_steps/step_supervisor.ts";
 import type { StepReader } from "../durable_steps/step_reader.ts";
 import type { NodeRegister } from "../installation/node_register.ts";
@@ -27,6 +28,10 @@
   readonly register: NodeRegister;
   readonly regionRules: Pick<RegionRules, "selectNamed">;
   readonly storeHealth: Pick<StoreHealth, "isUnreachable">;
+  readonly clock: Pick<Clock, "monotonic">;
+  readonly drainAdmission: Pick<DrainAdmission, "start" | "endsAt">;
+  /** Refuses the calls that wait to be sent. */
+  readonly stopWaitingCalls: () => void;
   readonly calls: CallService;
   readonly steps: StepSupervisor;
   readonly reader: StepReader;
@@ -73,6 +78,12 @@
     return this.#isDraining;
   }
 
+  /** Time until calls that still run are ended, in milliseconds; Infinity unless the node drains. */
+  get remainingMilliseconds(): number {
+    const { drainAdmission, clock } = this.parts;
+    return Math.max(0, drainAdmission.endsAt - clock.monotonic());
+  }
+
   /** Whether the node takes new callers. */
   get isReady(): boolean {
     return !this.#isDraining && this.missing.length === 0;
@@ -136,10 +147,13 @@
 
   /**
    * Starts to drain: stops takeovers of steps and sends a heartbeat, from which other nodes learn
-   * to remove this node from address lists. Running and late calls are still served.
+   * to remove this node from address lists. Running calls are still served, and late ones that end in
+   * time.
+   * @param milliseconds - Time until calls that still run are ended.
    */
-  async startDrain(): Promise<void> {
+  async startDrain(milliseconds: number): Promise<void> {
     this.#isDraining = true;
+    this.parts.drainAdmission.start(milliseconds);
     this.parts.steps.stopTakeOvers();
     await this.parts.register.sendHeartbeat();
   }
--- a/source/programs/snipepath_installation.ts
+++ b/source/programs/snipepath_installation.ts
@@ -120,6 +120,9 @@
   void reportWaiting(node, { clock, log });
   await Promise.race([stopped, running]);
   await drain({ node, entry, settings, clock, log });
+  node.parts.stopWaitingCalls();
+  // Lets the refusals of these calls be sent.
+  await clock.sleep(DRAIN_CHECK_MILLISECONDS);
   const answered = entry.answerUnfinished();
   const cut = await flush(entry, clock);
   if (answered > 0) log.emit("callsEndedByStop", { answered });
@@ -291,9 +294,12 @@
     running: entry.running,
     steps: steps.running,
   });
-  await node.startDrain();
-  const deadline = startedAt + settings.bounds.graceMilliseconds -
-    EXIT_MARGIN_MILLISECONDS;
+  const drainMilliseconds = Math.max(
+    0,
+    settings.bounds.graceMilliseconds - EXIT_MARGIN_MILLISECONDS,
+  );
+  const deadline = startedAt + drainMilliseconds;
+  await node.startDrain(drainMilliseconds);
   const cachedAddressesUntil = startedAt + CACHED_ADDRESS_MILLISECONDS;
   let isHandedOver = false;
   for (;;) {
