Log refusals of calls that may run once

Three causes were possible: a server runs what it has refused, the node takes an answer for that of another send, or a hedge sends a second copy. Refusals by servers were not logged. Event 9222 names each for such a call.

--- a/source/calls/attempt_sender.ts
+++ b/source/calls/attempt_sender.ts
@@ -69,6 +69,7 @@
         reason,
       });
     }
+    this.#logRefusal(server, result);
     await this.#options.guarded?.recordEnd(server, result);
     return result;
   }
@@ -94,6 +95,16 @@
     return result;
   }
 
+  #logRefusal({ identifier }: BackendServerEntry, result: AttemptResult): void {
+    const { log, call } = this.#options;
+    if (result.kind !== "notRun" || !result.isRefused) return;
+    if (call.route.kind !== "nonIdempotent") return;
+    log.emit("callNotRun", {
+      request: call.request.identifier,
+      server: identifier,
+    });
+  }
+
   #watchStream(
     server: BackendServerEntry,
     result: AttemptResult,
--- a/source/observability/events/installation_events.ts
+++ b/source/observability/events/installation_events.ts
@@ -276,6 +276,13 @@
     action: "",
     fields: ["request", "former", "service"],
   }),
+  callNotRun: defineEvent(9222, {
+    level: "info",
+    message:
+      "A server said that it did not run a call which may run once; the call may be sent again",
+    action: "",
+    fields: ["request", "server"],
+  }),
   callEnded: defineEvent(9202, {
     level: "info",
     message: "A call ended without a server's answer",
