Tell the sends of a request apart by their order on the connection

Cause: an answer names a request, not one send of it, and the node sent the request again on the same connection.

Change: after an answer that was no refusal, the next send with the identifier gets a new connection. After refusals it may use a kept one; if it is refused again and may run once only, a request that every server refuses with 421 follows on the same connection in the same tick, and its answer shows whether the refusal was true. The test of RecentIdentifiers expected that a request sent again needs nothing; it now requires one of three answers for each case.

--- a/source/backends/http_exchange.ts
+++ b/source/backends/http_exchange.ts
@@ -6,9 +6,10 @@
 import type { ExchangeOptions } from "./engine_client.ts";
 import { ExchangeError } from "./exchange_error.ts";
 import type { FailureCause } from "./failure_cause.ts";
-import type {
-  SendState,
-  TrackedRequestOptions,
+import {
+  type SendState,
+  type TrackedRequestOptions,
+  trackSends,
 } from "./send_tracking_handler.ts";
 import { InactivityTimer } from "./inactivity_timer.ts";
 
@@ -23,6 +24,25 @@
   readonly body?: string | Buffer | Readable;
   /** Whether the request must open a new connection. */
   readonly newConnection?: boolean;
+  /** What shows whether the answer belongs to this send; absent if its head shows it. */
+  readonly check?: AnswerCheck;
+}
+
+/**
+ * A request that is sent behind another one whose answer is in doubt. A server answers the requests of
+ * a connection in their order, so the answer to the check shows whether there is another answer before.
+ */
+export interface AnswerCheck {
+  readonly method: string;
+  readonly path: string;
+  readonly headers: Readonly<Record<string, string>>;
+  /** Whether an answer with this head is in doubt. */
+  readonly isDoubtful: (
+    status: number,
+    headers: IncomingHttpHeaders,
+  ) => boolean;
+  /** Whether this is the head of another answer to the request that is checked. */
+  readonly isOtherAnswer: (headers: IncomingHttpHeaders) => boolean;
 }
 
 /** An exchange that ended without a usable answer. */
@@ -47,6 +67,8 @@
   readonly body: AsyncIterable<Buffer>;
   /** Closes the connection unless the answer was read to its end. */
   readonly abandon: () => void;
+  /** The next answer on the connection, if this one is in doubt. */
+  readonly next?: Promise<ExchangeAnswer | ExchangeFailure>;
 }
 
 /** Dependencies of exchanges. */
@@ -86,6 +108,8 @@
   readonly #abortController = new AbortController();
   readonly #inactivityTimer: InactivityTimer;
   readonly #sendState: SendState;
+  /** Head of the answer to the check, if there is a check. */
+  #checkHead: Promise<Dispatcher.ResponseData> | undefined;
   readonly #cancel = (): void => this.#abort("cancelled", "Cancelled");
 
   constructor(
@@ -97,7 +121,11 @@
     this.#request = request;
     this.#callerSignal = options.signal;
     const mayStart = options.mayStart ?? ((): boolean => true);
-    this.#sendState = { started: false, mayStart };
+    this.#sendState = {
+      started: false,
+      mayStart,
+      onHead: (status, headers) => this.#startCheck(status, headers),
+    };
     this.#inactivityTimer = new InactivityTimer({
       clock: context.clock,
       silenceMilliseconds: options.silenceMilliseconds,
@@ -110,7 +138,10 @@
     try {
       const head = await Promise.race([this.#send(), this.#waitForAbort()]);
       this.#inactivityTimer.recordActivity();
-      return this.#toAnswer(head);
+      if (this.#checkHead === undefined) return this.#toAnswer(head);
+      // The connection is free for the next answer once the one in doubt was read.
+      void head.body.dump().catch(() => {});
+      return { ...this.#toAnswer(head), next: this.#readNext(this.#checkHead) };
     } catch (error) {
       this.#release();
       this.#abortController.abort(error);
@@ -174,6 +205,43 @@
     return { kind: "notRun", reason, cause };
   }
 
+  // Sends the check in the tick in which the head is read, so that it is the next request on the
+  // connection.
+  #startCheck(status: number, headers: IncomingHttpHeaders): void {
+    const { check, address } = this.#request;
+    const { connection } = this.#sendState;
+    if (check === undefined || connection === undefined) return;
+    if (!check.isDoubtful(status, headers)) return;
+    const { closes } = connection;
+    const options: TrackedRequestOptions & Dispatcher.RequestOptions = {
+      method: check.method as Dispatcher.HttpMethod,
+      path: check.path,
+      headers: { ...check.headers },
+      signal: this.#abortController.signal,
+      sendState: {
+        started: false,
+        mayStart: () => connection.closes === closes,
+        // The answer to the check is still to come, so no other request may use the connection.
+        onHead: (_status, next) => {
+          if (check.isOtherAnswer(next)) this.#context.pools.retire(address);
+        },
+      },
+    };
+    this.#checkHead = connection.compose(trackSends).request(options);
+    this.#checkHead.catch(() => {});
+  }
+
+  async #readNext(
+    head: Promise<Dispatcher.ResponseData>,
+  ): Promise<ExchangeAnswer | ExchangeFailure> {
+    try {
+      return this.#toAnswer(await Promise.race([head, this.#waitForAbort()]));
+    } catch (error) {
+      this.#release();
+      return this.#toFailure(error);
+    }
+  }
+
   #toAnswer(head: Dispatcher.ResponseData): ExchangeAnswer {
     return {
       kind: "answered",
--- a/source/backends/recent_identifiers_test.ts
+++ b/source/backends/recent_identifiers_test.ts
@@ -1,54 +1,45 @@
 import test from "ava";
-import { RecentIdentifiers } from "./recent_identifiers.ts";
+import { RecentIdentifiers, type SendDoubt } from "./recent_identifiers.ts";
 
-const REQUEST = {
-  identifier: "1",
-  organisation: "a",
-  method: "POST",
-  path: "/calls/1",
-  body: Buffer.from("body"),
-};
+const SERVER = "server:1";
 
 const CASES: ReadonlyArray<{
   readonly title: string;
-  readonly change: Partial<typeof REQUEST>;
+  readonly identifier?: string;
   readonly address?: string;
-  readonly expected: boolean;
+  readonly isRefused?: boolean;
+  readonly expected: SendDoubt;
 }> = [
-  { title: "the same request again", change: {}, expected: false },
+  { title: "an identifier that was sent before", expected: "ofAll" },
   {
-    title: "a request with another identifier",
-    change: { identifier: "2", path: "/calls/2" },
-    expected: false,
+    title: "an identifier that was refused",
+    isRefused: true,
+    expected: "ofRefusals",
   },
+  { title: "another identifier", identifier: "2", expected: "none" },
   {
-    title: "the identifier of another organisation",
-    change: { organisation: "b" },
-    expected: true,
-  },
-  {
-    title: "the identifier of a request for another path",
-    change: { path: "/calls/2" },
-    expected: true,
-  },
-  {
-    title: "the identifier of a request with another body",
-    change: { body: Buffer.alloc(0) },
-    expected: true,
-  },
-  {
-    title: "the identifier of a request to another server",
-    change: { organisation: "b" },
+    title: "an identifier that was sent to another server",
     address: "other:1",
-    expected: false,
+    expected: "none",
   },
 ];
 
-for (const { title, change, address = "server:1", expected } of CASES) {
-  const verb = expected ? "counts" : "does not count";
-  test(`${title} ${verb} as reused`, (t) => {
+for (const { title, expected, ...options } of CASES) {
+  const { identifier = "1", address = SERVER, isRefused = false } = options;
+  test(`the doubt about ${title} is ${expected}`, (t) => {
     const identifiers = new RecentIdentifiers();
-    t.false(identifiers.record("server:1", REQUEST));
-    t.is(identifiers.record(address, { ...REQUEST, ...change }), expected);
+    t.is(identifiers.recordSend(SERVER, "1"), "none");
+    if (isRefused) identifiers.recordRefusal(SERVER, "1");
+    t.is(identifiers.recordSend(address, identifier), expected);
   });
 }
+
+test("any response is in doubt once a send was not refused", (t) => {
+  const identifiers = new RecentIdentifiers();
+  t.is(identifiers.recordSend(SERVER, "1"), "none");
+  identifiers.recordRefusal(SERVER, "1");
+  t.is(identifiers.recordSend(SERVER, "1"), "ofRefusals");
+  t.is(identifiers.recordSend(SERVER, "1"), "ofAll", "the second one runs");
+  identifiers.recordRefusal(SERVER, "1");
+  t.is(identifiers.recordSend(SERVER, "1"), "ofAll");
+});
--- a/source/backends/send_tracking_handler.ts
+++ b/source/backends/send_tracking_handler.ts
@@ -1,12 +1,20 @@
-import type { Dispatcher } from "undici";
+import { Client, type Dispatcher } from "undici";
 import { ExchangeError } from "./exchange_error.ts";
 
+type Controller = Dispatcher.DispatchController;
+type Handler = Dispatcher.DispatchHandler;
+type Headers = Parameters<NonNullable<Handler["onResponseStart"]>>[2];
+
 /** Records whether bytes of a request may have left this process. */
 export interface SendState {
   /** True from just before the first byte is handed to a socket. */
   started: boolean;
   /** Called in the tick that writes the first byte; false aborts the request. */
   readonly mayStart: () => boolean;
+  /** The connection that the request was sent on; undefined before. */
+  connection?: TrackedConnection;
+  /** Called with the head of the response in the tick in which it is read. */
+  readonly onHead?: (status: number, headers: Headers) => void;
 }
 
 /** Options of a request whose send state is recorded. */
@@ -14,10 +22,6 @@
   readonly sendState?: SendState;
 }
 
-type Controller = Dispatcher.DispatchController;
-type Handler = Dispatcher.DispatchHandler;
-type Headers = Parameters<NonNullable<Handler["onResponseStart"]>>[2];
-
 /**
  * Interceptor that updates the send state of each request that has one.
  * @param dispatch - Next dispatch function in the interceptor chain.
@@ -36,6 +40,37 @@
   };
 }
 
+/** One connection, which each request that is sent on it learns; it is opened again when it closes. */
+export class TrackedConnection extends Client {
+  #closes = 0;
+
+  /**
+   * @param origin - Scheme, host and port.
+   * @param options - Timeouts and other options of undici's client.
+   */
+  constructor(origin: URL, options: Client.Options) {
+    super(origin, options);
+    this.on("disconnect", () => {
+      this.#closes += 1;
+    });
+  }
+
+  /** Number of times that the connection was closed. */
+  get closes(): number {
+    return this.#closes;
+  }
+
+  /** Sends a request, after those that were sent before. */
+  override dispatch(
+    options: Dispatcher.DispatchOptions,
+    handler: Handler,
+  ): boolean {
+    const state = (options as TrackedRequestOptions).sendState;
+    if (state !== undefined) state.connection = this;
+    return super.dispatch(options, handler);
+  }
+}
+
 class SendTrackingHandler implements Handler {
   readonly #inner: Handler;
   readonly #state: SendState;
@@ -67,6 +102,7 @@
     headers: Headers,
     message?: string,
   ): void {
+    this.#state.onHead?.(status, headers);
     this.#inner.onResponseStart?.(controller, status, headers, message);
   }
 
--- a/source/backends/server_client.ts
+++ b/source/backends/server_client.ts
@@ -17,6 +17,8 @@
   readonly body: Buffer;
   /** Organisation that the caller's key belongs to; absent for a request without a key. */
   readonly organisation?: string;
+  /** Whether the request may run more than once without harm; it must not if absent. */
+  readonly mayRunTwice?: boolean;
   /** Time limit for the answer. */
   readonly budgetMilliseconds?: number;
   /** Whether the engine should run the request before others in the engine's queue. */
--- a/source/calls/attempt_sender.ts
+++ b/source/calls/attempt_sender.ts
@@ -123,7 +123,11 @@
     const remaining = deadline - clock.monotonic();
     const answer = await client.open(
       server,
-      { ...call.request, budgetMilliseconds: remaining },
+      {
+        ...call.request,
+        mayRunTwice: call.route.kind === "idempotent",
+        budgetMilliseconds: remaining,
+      },
       {
         signal,
         silenceMilliseconds: Math.max(1, remaining),
