Let no stream go on by a view of the servers that may be out of date

Reported: streams of a new software version went on at another version at a node that was out of step while its engines joined. It can happen here if the stream was not recorded: the node infers the only version that it has seen, and counts as up to date for up to 2.2 s after it stood still or its connection to the store went silent.

Change: before it infers a version the node reads the changes until now on a call of its own. Servers that join and leave between two reads, and a lost history, make the versions unknown for 60 s. Records in the next period are found.

--- a/source/calls/call_service.ts
+++ b/source/calls/call_service.ts
@@ -288,6 +288,13 @@
       organisation,
     });
     const origin = finding.kind === "found" ? finding.origin : undefined;
+    const isServing = origin !== undefined &&
+      servers.ofService(origin.service).some(({ softwareVersion }) =>
+        softwareVersion === origin.softwareVersion
+      );
+    // This node may be out of step, and not know of servers that began the stream.
+    const isConfirmed = isServing || finding.kind === "unreadable" ||
+      await servers.confirm();
     const allowed = this.#findAllowedRegions(call, target);
     return decideStreamContinuation(finding, {
       isOriginDoubtful: origin?.server !== undefined &&
@@ -303,7 +310,9 @@
             .map((server) => server.softwareVersion),
         ),
       seen: (service) =>
-        servers.softwareVersionsSeen(service, STREAM_LIFETIME_MILLISECONDS),
+        isConfirmed
+          ? servers.softwareVersionsSeen(service, STREAM_LIFETIME_MILLISECONDS)
+          : undefined,
     });
   }
 
--- a/source/calls/stream_origins.ts
+++ b/source/calls/stream_origins.ts
@@ -16,6 +16,8 @@
 const PARTITIONS = 16;
 /** Length of a period; records are found in the period of their beginning and in the next one. */
 const PERIOD_MILLISECONDS = 300_000;
+/** Longer than the clock difference of two nodes, of which one may have stood still. */
+const CLOCK_MARGIN_MILLISECONDS = 10_000;
 const CLEANING_INTERVAL_MILLISECONDS = 60_000;
 /** Maximum number of streams whose beginning this node remembers. */
 const MAXIMUM_REMEMBERED = 10_000;
@@ -76,10 +78,11 @@
     if (origin !== undefined) return { kind: "found", origin };
     if (this.#options.storeHealth.isHanging) return { kind: "unreadable" };
     const period = this.#period;
-    const findings = await Promise.all([
-      this.#read(name, period),
-      this.#read(name, period - 1),
-    ]);
+    const findings = await Promise.all(
+      [period, period - 1, ...this.#listNextPeriods()].map((each) =>
+        this.#read(name, each)
+      ),
+    );
     return findings.find(({ kind }) => kind === "found") ??
       findings.find(({ kind }) => kind === "unreadable") ??
       { kind: "absent" };
@@ -103,6 +106,15 @@
     }
   }
 
+  // Another node, whose clock is ahead, may have recorded a stream in the next period already.
+  #listNextPeriods(): ReadonlyArray<number> {
+    const ahead = Math.floor(
+      (this.#options.clock.wall() + CLOCK_MARGIN_MILLISECONDS) /
+        PERIOD_MILLISECONDS,
+    );
+    return ahead > this.#period ? [ahead] : [];
+  }
+
   get #period(): number {
     return Math.floor(this.#options.clock.wall() / PERIOD_MILLISECONDS);
   }
--- a/source/installation/server_view.ts
+++ b/source/installation/server_view.ts
@@ -16,6 +16,7 @@
   BackendServerEntry,
   ServerStart,
 } from "./backend_server_entry.ts";
+import { ENDED } from "../utilities/ended.ts";
 import { EvacuationLog } from "./evacuation_log.ts";
 import { type LeavingNotice, LeavingServers } from "./leaving_servers.ts";
 import { SoftwareVersionsSeen } from "./software_versions_seen.ts";
@@ -36,6 +37,9 @@
  */
 const RETENTION_MILLISECONDS = 1900;
 
+/** Time limit of a read of the changes until now; a slow store answers within about 300 ms. */
+const CONFIRMATION_MILLISECONDS = 400;
+
 /** Dependencies of a server view. */
 export interface ServerViewOptions {
   readonly clock: Clock;
@@ -265,6 +269,21 @@
     this.#watchers.push(onChange);
   }
 
+  /**
+   * Reads the entries until now, within a short time.
+   * @returns Whether the view includes all changes that were made before.
+   */
+  async confirm(): Promise<boolean> {
+    const { clock } = this.#options;
+    const limit = new AbortController();
+    const isConfirmed = await Promise.race([
+      this.#follower.confirm(),
+      clock.sleep(CONFIRMATION_MILLISECONDS, limit.signal).then(() => false),
+    ]);
+    limit.abort(ENDED);
+    return isConfirmed;
+  }
+
   /** Follows the entries until the node stops. */
   async run(): Promise<void> {
     await this.#follower.run();
@@ -286,14 +305,13 @@
   // Replaces the servers by a snapshot. Entries may expire while the store is unreachable, so after
   // an outage servers without an entry are retained for some time in which they may renew it.
   #replace(rows: ReadonlyArray<StoredRow>): void {
-    this.#recordSoftwareVersions();
     const previous = this.#servers;
+    const now = this.#options.clock.monotonic();
+    this.#versionsSeen.record(previous.values(), now);
     this.#servers = new Map();
     for (const row of rows) this.#put(row);
-    this.#followedSince = Math.min(
-      this.#followedSince,
-      this.#options.clock.monotonic(),
-    );
+    // Servers that came and left since the last read are not known.
+    this.#followedSince = now;
     this.#isLoaded = true;
     if (this.#mustRetainMissingServers) {
       this.#mustRetainMissingServers = false;
@@ -321,8 +339,9 @@
   }
 
   #apply(changes: ReadonlyArray<RowChange>): void {
-    this.#recordSoftwareVersions();
     for (const change of changes) {
+      // Each change may remove a server that the one before has added.
+      this.#recordSoftwareVersions(change.key);
       this.#retained.delete(change.key);
       if (change.isDeleted) this.#remove(change.key);
       else this.#put(change);
@@ -334,6 +353,8 @@
   #remove(identifier: string): void {
     const entry = this.#servers.get(identifier);
     if (entry !== undefined) this.#departed.set(identifier, entry);
+    // The store need not return the entry of a server that came and left between two reads.
+    else this.#followedSince = this.#options.clock.monotonic();
     this.#servers.delete(identifier);
   }
 
@@ -372,10 +393,12 @@
     );
   }
 
-  // Called before each change, as the servers that it removes were present until then.
-  #recordSoftwareVersions(): void {
+  // Called before each change, as the server that it removes was present until then.
+  #recordSoftwareVersions(identifier: string): void {
+    const server = this.#servers.get(identifier);
+    if (server === undefined) return;
     const now = this.#options.clock.monotonic();
-    this.#versionsSeen.record(this.#servers.values(), now);
+    this.#versionsSeen.record([server], now);
   }
 
   #logMalformed(key: string): void {
--- a/source/platform/table_follower.ts
+++ b/source/platform/table_follower.ts
@@ -1,6 +1,11 @@
 import { takeTimeStamp, type TimeStamp } from "../control/time_stamp.ts";
 import type { Clock } from "../utilities/clock.ts";
-import type { DurableTable, RowChange, StoredRow } from "./durable_table.ts";
+import type {
+  DurableTable,
+  RowChange,
+  StoredRow,
+  TableChanges,
+} from "./durable_table.ts";
 
 /**
  * Time for which the store holds a call that waits for changes, unless the options state another;
@@ -76,6 +81,25 @@
     return this.#confirmedAt;
   }
 
+  /**
+   * Reads the changes until now on a call of its own, as the call that waits for them may hang or this
+   * process may have stood still.
+   * @returns Whether the copy includes all changes that were made before.
+   */
+  async confirm(): Promise<boolean> {
+    const { clock, table, name } = this.#options;
+    const after = this.#version;
+    if (after === undefined) return false;
+    const sentAt = takeTimeStamp(clock);
+    const outcome = await table.follow(name, { after, waitMilliseconds: 0 });
+    if (outcome.kind !== "ok" || outcome.value.kind === "expired") return false;
+    // Meanwhile all rows may have to be read again.
+    if (this.#version === undefined) return false;
+    this.#applyChanges(outcome.value);
+    this.#confirmedAt = sentAt;
+    return true;
+  }
+
   /** Follows the table until the node stops. */
   async run(): Promise<void> {
     const { clock, stopping } = this.#options;
@@ -135,7 +159,7 @@
   }
 
   async #readChanges(after: number): Promise<string | undefined> {
-    const { clock, table, name, onChanges } = this.#options;
+    const { clock, table, name } = this.#options;
     const askedAt = clock.monotonic();
     const outcome = await table.follow(name, {
       after,
@@ -151,8 +175,7 @@
       return await this.#readAll();
     }
     const { changes, version } = outcome.value;
-    this.#version = Math.max(after, version);
-    if (changes.length > 0) onChanges(changes);
+    this.#applyChanges(outcome.value);
     await this.#pauseAfterAnswer(changes.length > 0, {
       hasAdvanced: version > after,
       askedAt,
@@ -160,6 +183,19 @@
     return undefined;
   }
 
+  // Two calls may return the same changes, which are applied once and in order.
+  #applyChanges(
+    { changes, version }: Omit<
+      Extract<TableChanges, { kind: "changes" }>,
+      "kind"
+    >,
+  ): void {
+    const known = this.#version ?? 0;
+    const news = changes.filter((change) => change.version > known);
+    this.#version = Math.max(known, version);
+    if (news.length > 0) this.#options.onChanges(news);
+  }
+
   // Pauses after changes, if the options ask for it, and after an immediate answer without a newer
   // version, so that the loop does not poll the store continuously.
   async #pauseAfterAnswer(
