Decode each row of a followed table apart, with ranges for its numbers

Reported: one odd entry among those of the engines (deeply nested, a number too large, a port out of range) ended the machines that read the list, or they stopped following it. Here the processes went on, but a configuration with version 1e300 kept all later ones out of force, rows of nodes with odd numbers did not let the test of malformed rows end, servers with port 99999 or 1e12 slots were used, and a decoder that throws lost the rows behind the odd one.

Change: MalformedRows decodes row by row, leaves bad ones out and logs them, at most 20 in a minute (event 9103 for rows of nodes). All numbers and addresses have ranges. A follower whose receiver throws reads all rows again.

--- a/source/calls/crash_record_row.ts
+++ b/source/calls/crash_record_row.ts
@@ -1,4 +1,5 @@
 import type { CrashRecord } from "../decisions/crash_suspicion.ts";
+import { isCount, isUnixTime } from "../utilities/number_ranges.ts";
 
 type RecordTuple = readonly [
   crashes: ReadonlyArray<readonly [string, number, number]>,
@@ -23,13 +24,10 @@
       value.toString(),
     ) as RecordTuple;
     const areCrashes = crashes.every(([server, startedAt, at]) =>
-      typeof server === "string" && typeof startedAt === "number" &&
-      typeof at === "number"
+      typeof server === "string" && isUnixTime(startedAt) && isUnixTime(at)
     );
     if (!areCrashes) return undefined;
-    if (typeof trials !== "number" || typeof triedAt !== "number") {
-      return undefined;
-    }
+    if (!isCount(trials) || !isUnixTime(triedAt)) return undefined;
     return {
       crashes: crashes.map(([server, startedAt, at]) => ({
         server,
--- a/source/calls/crash_records.ts
+++ b/source/calls/crash_records.ts
@@ -8,6 +8,7 @@
   removeTrial,
   type SuspectDecision,
 } from "../decisions/crash_suspicion.ts";
+import { MalformedRows } from "../installation/malformed_rows.ts";
 import type { DutyLease } from "../duties/duty_lease.ts";
 import type { BackendServerEntry } from "../installation/backend_server_entry.ts";
 import type { EventLog } from "../observability/event_log.ts";
@@ -71,6 +72,7 @@
 export class CrashRecords {
   readonly #options: CrashRecordsOptions;
   readonly #follower: TableFollower;
+  readonly #malformed: MalformedRows;
   /** Records by content, as the store has them. */
   readonly #saved = new Map<string, SavedRecord>();
   /** Changes by content that this node has not saved yet. */
@@ -79,7 +81,11 @@
   /** @param options - The store, the clock and the duty lease. */
   constructor(options: CrashRecordsOptions) {
     this.#options = options;
-    const { clock, table, stopping, pace } = options;
+    const { clock, log, table, stopping, pace } = options;
+    this.#malformed = new MalformedRows({
+      clock,
+      log: (content) => log.emit("crashRecordMalformed", { content }),
+    });
     this.#follower = new TableFollower({
       clock,
       table,
@@ -264,10 +270,7 @@
   }
 
   #put({ key, value, version }: StoredRow): void {
-    const record = readCrashRecord(value);
-    if (record === undefined) {
-      this.#options.log.emit("crashRecordMalformed", { content: key });
-    }
+    const record = this.#malformed.decode(key, () => readCrashRecord(value));
     this.#saved.set(key, { record: record ?? NO_CRASHES, version });
   }
 
--- a/source/calls/stream_origins.ts
+++ b/source/calls/stream_origins.ts
@@ -10,6 +10,7 @@
 import type { DurableTable } from "../platform/durable_table.ts";
 import type { StoreHealth } from "../platform/store_health.ts";
 import type { Clock } from "../utilities/clock.ts";
+import { isUnixTime } from "../utilities/number_ranges.ts";
 
 const TABLE = "streams";
 /** Number of partitions, so that the records of many streams do not wait for each other. */
@@ -176,7 +177,9 @@
   try {
     const json = JSON.parse(value.toString()) as OriginRecord;
     const isRecord = Array.isArray(json) && typeof json[0] === "string" &&
-      typeof json[1] === "string";
+      typeof json[1] === "string" &&
+      (json[2] === undefined || typeof json[2] === "string") &&
+      (json[3] === undefined || isUnixTime(json[3]));
     return isRecord ? json : undefined;
   } catch {
     return undefined;
--- a/source/durable_steps/progress_store.ts
+++ b/source/durable_steps/progress_store.ts
@@ -2,6 +2,7 @@
   DurableTable,
   RowTransaction,
 } from "../platform/durable_table.ts";
+import { isCount, isUnixTime } from "../utilities/number_ranges.ts";
 import type { SampleText } from "./sample_text.ts";
 import { STEP_TABLE } from "./step_manifest.ts";
 
@@ -115,9 +116,21 @@
 function readText(value: Buffer): SampleText | undefined {
   try {
     const json = JSON.parse(value.toString()) as SampleText | null;
-    const isText = Array.isArray(json?.parts) && Array.isArray(json?.versions);
-    return isText ? json ?? undefined : undefined;
+    return json !== null && isSampleText(json) ? json : undefined;
   } catch {
     return undefined;
   }
 }
+
+function isSampleText(
+  { parts, versions, softwareVersion, begunBy, lastEvent, isWhole }: SampleText,
+): boolean {
+  const isBeginning = begunBy === undefined ||
+    (typeof begunBy.identifier === "string" && isUnixTime(begunBy.startedAt));
+  return Array.isArray(parts) &&
+    parts.every((part) => typeof part === "string") &&
+    Array.isArray(versions) && versions.every((version) => isCount(version)) &&
+    (softwareVersion === undefined || typeof softwareVersion === "string") &&
+    isBeginning && (lastEvent === undefined || isCount(lastEvent)) &&
+    typeof isWhole === "boolean";
+}
--- a/source/durable_steps/step_manifest.ts
+++ b/source/durable_steps/step_manifest.ts
@@ -1,3 +1,5 @@
+import { isCount, isUnixTime } from "../utilities/number_ranges.ts";
+
 /** The stored description of a step, without its submission. */
 export interface StepManifest {
   readonly identifier: string;
@@ -29,6 +31,10 @@
   readonly minimumVersion?: number;
 }
 
+/** More samples and rows than the body of a submission can have. */
+const MAXIMUM_SAMPLES = 10_000_000;
+const MAXIMUM_CHUNKS = 1_000_000;
+
 /** Parses the value of a manifest row; returns undefined when it is malformed. */
 export function readManifest(value: Buffer): StepManifest | undefined {
   try {
@@ -41,21 +47,15 @@
 
 function isManifest(json: Partial<StepManifest> | null): json is StepManifest {
   if (json === null || typeof json !== "object") return false;
-  const { identifier, organisation, total } = json;
-  const { host, path, model, upload, owner } = json;
-  const texts = [host, path, model, upload, owner];
-  const numbers = [
-    json.submittedAt,
-    json.step,
-    json.chunks,
-    json.minimumVersion,
-  ];
-  return typeof identifier === "string" && typeof organisation === "string" &&
-    typeof total === "number" &&
-    texts.every((text) => text === undefined || typeof text === "string") &&
-    numbers.every((number) =>
-      number === undefined || typeof number === "number"
-    );
+  const { identifier, organisation, host, path, model, upload, owner } = json;
+  const { submittedRegion, minimumVersion } = json;
+  const texts = [identifier, organisation, host, path, model, upload, owner];
+  return texts.every((text) => typeof text === "string") &&
+    isUnixTime(json.submittedAt) && isCount(json.step) &&
+    isCount(json.total, MAXIMUM_SAMPLES) &&
+    isCount(json.chunks, MAXIMUM_CHUNKS) &&
+    (submittedRegion === undefined || typeof submittedRegion === "string") &&
+    (minimumVersion === undefined || isCount(minimumVersion));
 }
 
 /** Partition of the manifest, owner, end and submission rows; no other component writes to it. */
--- a/source/durable_steps/step_registry.ts
+++ b/source/durable_steps/step_registry.ts
@@ -1,3 +1,4 @@
+import { MalformedRows } from "../installation/malformed_rows.ts";
 import type { EventLog } from "../observability/event_log.ts";
 import type {
   DurableTable,
@@ -47,11 +48,16 @@
   readonly #follower: TableFollower;
   readonly #entries = new Map<string, StepEntry>();
   readonly #watchers: (() => void)[] = [];
+  readonly #malformed: MalformedRows;
 
   /** @param options - The store and the other dependencies. */
   constructor(options: StepRegistryOptions) {
     this.#options = options;
     const { clock, log, table, stopping } = options;
+    this.#malformed = new MalformedRows({
+      clock,
+      log: (key) => log.emit("rowMalformed", { table: STEP_TABLE.steps, key }),
+    });
     this.#follower = new TableFollower({
       clock,
       table,
@@ -148,7 +154,7 @@
     const { identifier, kind } = parsed;
     const entry = this.#entries.get(identifier);
     if (kind === "manifest") {
-      const manifest = readManifest(value);
+      const manifest = this.#malformed.decode(key, () => readManifest(value));
       // Ignores a malformed manifest and one that was read before.
       if (manifest === undefined || entry?.manifest.total === manifest.total) {
         return;
--- a/source/durable_steps/step_supervisor.ts
+++ b/source/durable_steps/step_supervisor.ts
@@ -233,7 +233,8 @@
 
   #isExpired({ manifest }: StepEntry): boolean {
     const age = this.#options.tools.clock.wall() - manifest.submittedAt;
-    return age > MAXIMUM_TAKEOVER_AGE_MILLISECONDS;
+    // Another program may have written a manifest with a time to come.
+    return Math.abs(age) > MAXIMUM_TAKEOVER_AGE_MILLISECONDS;
   }
 
   // Whether rendezvous hashing selects this node for a step; also true when no node serves.
--- a/source/duties/server_replacer.ts
+++ b/source/duties/server_replacer.ts
@@ -8,6 +8,7 @@
 import type { Clock } from "../utilities/clock.ts";
 import type { DutyClient } from "./duty_client.ts";
 import type { DutyLease } from "./duty_lease.ts";
+import { isCount } from "../utilities/number_ranges.ts";
 
 const TABLE = "orders";
 const CHECK_INTERVAL_MILLISECONDS = 500;
@@ -177,7 +178,10 @@
 // Returns undefined for a row that this program did not write; the service then gets no orders.
 function readTargets(value: Buffer): Targets | undefined {
   try {
-    return asObject(JSON.parse(value.toString())) as Targets | undefined;
+    const targets = asObject(JSON.parse(value.toString())) ?? {};
+    return Object.values(targets).every((count) => isCount(count))
+      ? targets as Targets
+      : undefined;
   } catch {
     return undefined;
   }
--- a/source/duties/usage_window_reporter.ts
+++ b/source/duties/usage_window_reporter.ts
@@ -5,6 +5,7 @@
 import type { DutyClient } from "./duty_client.ts";
 import type { DutyLease } from "./duty_lease.ts";
 import { USAGE_TABLE, type UsageCounts } from "./usage_meter.ts";
+import { isCount } from "../utilities/number_ranges.ts";
 
 const CHECK_INTERVAL_MILLISECONDS = 500;
 /**
@@ -209,7 +210,7 @@
   try {
     const counts = asObject(JSON.parse(value.toString())) ?? {};
     return Object.fromEntries(
-      Object.entries(counts).filter(([, count]) => typeof count === "number"),
+      Object.entries(counts).filter(([, count]) => isCount(count)),
     ) as UsageCounts;
   } catch {
     return {};
--- a/source/installation/known_nodes.ts
+++ b/source/installation/known_nodes.ts
@@ -4,6 +4,7 @@
   isOlderHeartbeat,
 } from "../decisions/heartbeat_age.ts";
 import type { RowChange } from "../platform/durable_table.ts";
+import type { MalformedRows } from "./malformed_rows.ts";
 import type { NodeRecord } from "./node_record.ts";
 import { readNodeRecord } from "./node_record_row.ts";
 
@@ -41,6 +42,12 @@
   /** Nodes by name. */
   readonly #nodes = new Map<string, KnownNode>();
   readonly #heartbeatAge = new HeartbeatAge();
+  readonly #malformed: MalformedRows;
+
+  /** @param malformed - Decodes the rows and logs those that can't be decoded. */
+  constructor(malformed: MalformedRows) {
+    this.#malformed = malformed;
+  }
 
   /** Records of all nodes, also of lost ones. */
   get records(): ReadonlyArray<NodeRecord> {
@@ -96,12 +103,15 @@
    * @returns The heartbeat; undefined if there is none, or one that is older than the known one.
    */
   apply(change: RowChange, now: number): NodeRecord | undefined {
-    const { key, value, version, isDeleted } = change;
+    const { key, version, isDeleted } = change;
     if (isDeleted) {
       this.#nodes.delete(key);
       return undefined;
     }
-    const record = readNodeRecord(key, value);
+    const record = this.#malformed.decode(
+      key,
+      () => readHeartbeat(change),
+    );
     if (record === undefined) return undefined;
     const knownNode = this.#nodes.get(key);
     const known = knownNode?.record;
@@ -158,3 +168,12 @@
     return silent.map(([node, { version }]) => ({ node, version }));
   }
 }
+
+// A heartbeat that names a later version of the store than its own row would make all others count as
+// older.
+function readHeartbeat(
+  { key, value, version }: RowChange,
+): NodeRecord | undefined {
+  const record = readNodeRecord(key, value);
+  return (record?.storeVersion ?? 0) > version ? undefined : record;
+}
--- a/source/installation/node_record_row.ts
+++ b/source/installation/node_record_row.ts
@@ -1,4 +1,10 @@
 import type { EngineUseRecord, NodeRecord } from "./node_record.ts";
+import {
+  isAddress,
+  isBetween,
+  isCount,
+  isUnixTime,
+} from "../utilities/number_ranges.ts";
 import { readStart, toProcessIdentity } from "./process_identity.ts";
 import { fromWorkTuple, toWorkTuple, type WorkTuple } from "./work_record.ts";
 
@@ -9,6 +15,10 @@
 const NO_WINDOW = -1;
 /** Version before that of any state of the store. */
 const NO_VERSION = 0;
+const MAXIMUM_PORT = 65_535;
+/** More cores than a node can have, and a longer interval between heartbeats than nodes choose. */
+const MAXIMUM_PROCESSOR_SHARE = 10_000;
+const MAXIMUM_HEARTBEAT_MILLISECONDS = 600_000;
 /** Port of a node that does not serve other nodes. */
 const NO_PORT = 0;
 
@@ -169,31 +179,39 @@
 function isRecordTuple(tuple: RecordTuple): boolean {
   const [start, failureDomain, share, address, , heartbeat] = tuple;
   const [window, , wallOffset] = tuple.slice(7);
-  const [leaving, limits, , port] = tuple.slice(10);
+  const [leaving, limits, , port, storeVersion] = tuple.slice(10);
   return [start, failureDomain, address].every(isText) &&
-    [share, heartbeat].every(isNumber) &&
     isEngineUse(tuple[6] ?? undefined) &&
-    [window, wallOffset, port].every(isOptionalNumber) &&
+    isBetween(share, { maximum: MAXIMUM_PROCESSOR_SHARE }) &&
+    isBetween(heartbeat, {
+      minimum: 1,
+      maximum: MAXIMUM_HEARTBEAT_MILLISECONDS,
+    }) &&
+    isAddress(address) &&
+    isOptional(window, (value) => isCount(value) || value === NO_WINDOW) &&
+    isOptional(wallOffset, isWallOffset) &&
+    isOptional(port, (value) => isCount(value, MAXIMUM_PORT)) &&
+    isOptional(storeVersion, isCount) &&
     areRows(
       leaving,
-      ([identifier, startedAt]) => isText(identifier) && isNumber(startedAt),
+      ([identifier, startedAt]) => isText(identifier) && isUnixTime(startedAt),
     ) &&
     areRows(
       limits,
       ([identifier, startedAt, limit, demand]) =>
-        isText(identifier) && [startedAt, limit].every(isNumber) &&
-        isOptionalNumber(demand),
+        isText(identifier) && isUnixTime(startedAt) && isAmount(limit) &&
+        isOptional(demand, isAmount),
     );
 }
 
 function isEngineUse(use: EngineUseRecord | undefined): boolean {
   if (use === undefined) return true;
-  return Object.values(use.running).every(isNumber) &&
+  return Object.values(use.running).every((count) => isCount(count)) &&
     Array.isArray(use.loads) &&
     areRows(
       use.loads,
       ([engine, model, version]) =>
-        isText(engine) && isText(model) && isNumber(version),
+        isText(engine) && isText(model) && isCount(version),
     );
 }
 
@@ -210,10 +228,18 @@
   return typeof value === "string";
 }
 
-function isNumber(value: unknown): boolean {
-  return typeof value === "number";
+function isAmount(value: unknown): boolean {
+  return isBetween(value, { maximum: Number.MAX_SAFE_INTEGER });
 }
 
-function isOptionalNumber(value: unknown): boolean {
-  return value === undefined || value === null || isNumber(value);
+function isWallOffset(value: unknown): boolean {
+  const maximum = Number.MAX_SAFE_INTEGER;
+  return isBetween(value, { minimum: -maximum, maximum });
+}
+
+function isOptional(
+  value: unknown,
+  isValid: (value: unknown) => boolean,
+): boolean {
+  return value === undefined || value === null || isValid(value);
 }
--- a/source/installation/node_register.ts
+++ b/source/installation/node_register.ts
@@ -7,6 +7,7 @@
   toHeartbeatInterval,
   toInterval,
 } from "./heartbeat_pace.ts";
+import { MalformedRows } from "./malformed_rows.ts";
 import { KnownNodes } from "./known_nodes.ts";
 import type {
   HeartbeatRead,
@@ -66,7 +67,7 @@
  */
 export class NodeRegister {
   readonly #options: NodeRegisterOptions;
-  readonly #knownNodes = new KnownNodes();
+  readonly #knownNodes: KnownNodes;
   readonly #watchers: (() => void)[] = [];
   readonly #startLog: NodeStartLog;
   #others: ReadonlyArray<NodeRecord> = [];
@@ -87,7 +88,14 @@
   /** @param options - The store and this node's record. */
   constructor(options: NodeRegisterOptions) {
     this.#options = options;
-    this.#startLog = new NodeStartLog(options.log);
+    const { clock, log } = options;
+    this.#startLog = new NodeStartLog(log);
+    this.#knownNodes = new KnownNodes(
+      new MalformedRows({
+        clock,
+        log: (key) => log.emit("rowMalformed", { table: NODE_TABLE, key }),
+      }),
+    );
   }
 
   /** Whether the register was followed long enough to know all running nodes. */
--- a/source/installation/operator_view.ts
+++ b/source/installation/operator_view.ts
@@ -7,6 +7,7 @@
 } from "../platform/table_follower.ts";
 import type { Clock } from "../utilities/clock.ts";
 import type { Configuration } from "./configuration.ts";
+import { MalformedRows } from "./malformed_rows.ts";
 
 /** The content of one row of the operator's table. */
 export type OperatorRow =
@@ -67,12 +68,17 @@
   /** Versions of the store at which evacuations ended, by failure domain. */
   readonly #evacuationEnds = new Map<string, number>();
   readonly #watchers: (() => void)[] = [];
+  readonly #malformed: MalformedRows;
   #configuration: Configuration | undefined;
 
   /** @param options - The store and the parser of its rows. */
   constructor(options: OperatorViewOptions) {
     this.#options = options;
     const { clock, log, table, tableName, stopping } = options;
+    this.#malformed = new MalformedRows({
+      clock,
+      log: (key) => log.emit("operatorRowMalformed", { key }),
+    });
     this.#follower = new TableFollower({
       clock,
       table,
@@ -169,11 +175,12 @@
   }
 
   #applyRow({ key, value }: RowChange): void {
-    const { readRow, log } = this.#options;
-    const row = readRow(key, value);
-    if (row.kind === "malformed") {
-      log.emit("operatorRowMalformed", { key });
-    } else if (row.kind === "namedVersion") {
+    const row = this.#malformed.decode(key, () => {
+      const read = this.#options.readRow(key, value);
+      return read.kind === "malformed" ? undefined : read;
+    });
+    if (row === undefined) return;
+    if (row.kind === "namedVersion") {
       const known = this.#versions.get(row.model) ?? 0;
       this.#versions.set(row.model, Math.max(known, row.version));
     } else if (row.kind === "configuration") {
--- a/source/installation/server_view.ts
+++ b/source/installation/server_view.ts
@@ -19,6 +19,7 @@
 import { ENDED } from "../utilities/ended.ts";
 import { EvacuationLog } from "./evacuation_log.ts";
 import { type LeavingNotice, LeavingServers } from "./leaving_servers.ts";
+import { MalformedRows } from "./malformed_rows.ts";
 import { SoftwareVersionsSeen } from "./software_versions_seen.ts";
 
 /**
@@ -71,7 +72,7 @@
 export class ServerView {
   readonly #options: ServerViewOptions;
   readonly #watchers: (() => void)[] = [];
-  readonly #loggedMalformed = new Set<string>();
+  readonly #malformed: MalformedRows;
   readonly #follower: TableFollower;
   readonly #leaving: LeavingServers;
   /** Identifiers of servers without an entry that are retained while they may still renew it. */
@@ -102,7 +103,12 @@
     this.#options = options;
     this.#leaving = new LeavingServers(options.log);
     this.#evacuationLog = new EvacuationLog(options.log);
-    const { clock, table, tableName, stopping, drainMilliseconds } = options;
+    const { clock, log, table, tableName, stopping } = options;
+    const { drainMilliseconds } = options;
+    this.#malformed = new MalformedRows({
+      clock,
+      log: (key) => log.emit("serverEntryMalformed", { key }),
+    });
     this.#follower = new TableFollower({
       clock,
       table,
@@ -360,7 +366,10 @@
 
   #put({ key, value, version }: StoredRow): void {
     this.#rowVersions.set(key, version);
-    const entry = this.#options.readRow(key, value);
+    const entry = this.#malformed.decode(
+      key,
+      () => this.#options.readRow(key, value),
+    );
     this.#retained.delete(key);
     if (entry !== undefined) {
       this.#departed.delete(key);
@@ -368,7 +377,6 @@
       return;
     }
     this.#servers.delete(key);
-    this.#logMalformed(key);
   }
 
   #regroupAndNotify(): void {
@@ -400,12 +408,6 @@
     const now = this.#options.clock.monotonic();
     this.#versionsSeen.record([server], now);
   }
-
-  #logMalformed(key: string): void {
-    if (this.#loggedMalformed.has(key)) return;
-    this.#loggedMalformed.add(key);
-    this.#options.log.emit("serverEntryMalformed", { key });
-  }
 }
 
 function groupByService(
--- a/source/observability/events/installation_events.ts
+++ b/source/observability/events/installation_events.ts
@@ -65,6 +65,13 @@
     action: "Find the program that wrote the entry",
     fields: ["key"],
   }),
+  rowMalformed: defineEvent(9103, {
+    level: "warn",
+    message:
+      "A row that nodes write for each other is malformed and is left out; at most 20 rows of a table are named in a minute",
+    action: "Find the program that wrote the row",
+    fields: ["table", "key"],
+  }),
   configurationInForce: defineEvent(9106, {
     level: "info",
     message: "A configuration took effect",
--- a/source/platform/table_follower.ts
+++ b/source/platform/table_follower.ts
@@ -193,7 +193,14 @@
     const known = this.#version ?? 0;
     const news = changes.filter((change) => change.version > known);
     this.#version = Math.max(known, version);
-    if (news.length > 0) this.#options.onChanges(news);
+    if (news.length === 0) return;
+    try {
+      this.#options.onChanges(news);
+    } catch (error) {
+      // The changes behind a fault must not be lost, so all rows are read again.
+      this.#version = undefined;
+      throw error;
+    }
   }
 
   // Pauses after changes, if the options ask for it, and after an immediate answer without a newer
--- a/source/utilities/system_clock.ts
+++ b/source/utilities/system_clock.ts
@@ -1,6 +1,9 @@
 import { performance } from "node:perf_hooks";
 import type { Clock } from "./clock.ts";
 
+/** Longest time that a timer takes; a longer one ends at once. */
+const MAXIMUM_TIMER_MILLISECONDS = 0x7fff_ffff;
+
 /**
  * Clock of the operating system.
  * @example
@@ -28,7 +31,10 @@
   sleep(milliseconds: number, signal?: AbortSignal): Promise<void> {
     if (signal?.aborted) return Promise.resolve();
     return new Promise((resolve) => {
-      const timer = setTimeout(finish, milliseconds);
+      const timer = setTimeout(
+        finish,
+        Math.min(milliseconds, MAXIMUM_TIMER_MILLISECONDS),
+      );
       signal?.addEventListener("abort", finish, { once: true });
       function finish(): void {
         clearTimeout(timer);
