Take no answer of another type for the end of a text

Reported: after a stream broke off, the error of the next engine stood in the stream, or the stream ended as if it were complete. Callers' streams can't show it, since no node goes on with a stream within one response. Texts of samples could: a 200 of type application/json without a body counted as the end of the text, which was listed with three of six events.

Change: an answer that names another type than text/event-stream interrupts the text.

Test: platform/stream_after_error_test, eight answers for streams and texts; one of 16 fails on the code before, all pass now.

--- a/source/durable_steps/sample_generation.ts
+++ b/source/durable_steps/sample_generation.ts
@@ -34,6 +34,7 @@
 import { ENDED } from "../utilities/ended.ts";
 
 const NO_ROUTE_PAUSE_MILLISECONDS = 200;
+const EVENT_STREAM_TYPE = "text/event-stream";
 /** Interval at which an interrupted text is checked for having to begin anew. */
 const CONTINUATION_CHECK_MILLISECONDS = 100;
 /** Number of events between two checks for a faster engine. */
@@ -303,6 +304,11 @@
       if (answer.status === 422) return "unprocessable";
       return this.#recordInterruption(identifier, `status ${answer.status}`);
     }
+    // Without an event, an error would pass for the end of the text.
+    if (!isEventStream(answer)) {
+      answer.abandon();
+      return this.#recordInterruption(identifier, "answer is no event stream");
+    }
     // An engine that is asked to continue after the final event of a text generates no event, so it
     // reports no version.
     const isResumed = this.#options.text.lastEvent !== undefined;
@@ -427,3 +433,9 @@
     return "retry";
   }
 }
+
+// A server need not name the type of a stream.
+function isEventStream({ headers }: ServerAnswer): boolean {
+  const type = headers["content-type"];
+  return type === undefined || type.startsWith(EVENT_STREAM_TYPE);
+}
