Keep a waiting sample in the queue until it has an engine

Cause: the search for the engines of one kind of sample changed the answer to the next search, and the pool searched again for a sample that it had taken off the queue.

Change: a search changes nothing, the engine is chosen among those that were found, and only then does the sample leave the queue.

--- a/source/decisions/sample_queue.ts
+++ b/source/decisions/sample_queue.ts
@@ -116,15 +116,25 @@
    */
   take(
     canRun: (requirements: Requirements) => boolean,
+  ): Sample | undefined {
+    const next = this.findNext(canRun);
+    if (next !== undefined) this.remove(next);
+    return next;
+  }
+
+  /**
+   * Returns the sample that an engine should run next, which waits on; undefined when it can run none.
+   * @param canRun - Whether the engine can run samples with these requirements.
+   */
+  findNext(
+    canRun: (requirements: Requirements) => boolean,
   ): Sample | undefined {
     const lanes = [...this.#lanes.values()].filter(({ timely, deferred }) => {
       const first = timely[0] ?? deferred[0];
       return first !== undefined && canRun(first.requirements);
     });
-    const next = findMostUrgent(lanes.map(({ timely }) => timely[0])) ??
+    return findMostUrgent(lanes.map(({ timely }) => timely[0])) ??
       findMostUrgent(lanes.map(({ deferred }) => deferred[0]));
-    if (next !== undefined) this.remove(next);
-    return next;
   }
 
   /** Selects again which groups are deferred, for the engines' current capacity. */
--- a/source/durable_steps/engine_availability.ts
+++ b/source/durable_steps/engine_availability.ts
@@ -118,9 +118,33 @@
     return this.#blockedSince.size > 0;
   }
 
+  /** Records that samples wait, as they have found no engine. */
+  recordBlocked(requirements: ReadonlyArray<EngineRequirements>): void {
+    const now = this.#options.clock.monotonic();
+    for (const each of requirements) {
+      const { sharing } = this.#options;
+      const key = toBlockedKey(each);
+      const isShared = sharing !== undefined &&
+        sharing.countNodes(each.service) > 1;
+      if (isShared && !this.#blockedSince.has(key)) {
+        this.#blockedSince.set(key, now);
+      }
+    }
+  }
+
+  /** Records that a sample gets an engine; those that have found none wait anew if it has a share. */
+  recordAssigned(requirements: EngineRequirements): void {
+    const { sharing } = this.#options;
+    const key = toBlockedKey(requirements);
+    if (sharing === undefined || !this.#blockedSince.has(key)) return;
+    const available = this.findAvailable(requirements);
+    const unblocked = this.#findUnblocked(available, { requirements, sharing });
+    if (unblocked.length > 0) this.#blockedSince.delete(key);
+  }
+
   // Whether samples have found no slot of this node's share for a while.
-  #isBlocked({ service, model }: EngineRequirements): boolean {
-    const since = this.#blockedSince.get(`${service}/${model}`);
+  #isBlocked(requirements: EngineRequirements): boolean {
+    const since = this.#blockedSince.get(toBlockedKey(requirements));
     return since !== undefined &&
       this.#options.clock.monotonic() - since >= BLOCKED_MILLISECONDS;
   }
@@ -132,8 +156,21 @@
       readonly sharing: SlotSharing;
     },
   ): ReadonlyArray<CandidateEngine> {
-    const { service, model } = requirements;
-    const key = `${service}/${model}`;
+    const unblocked = this.#findUnblocked(available, { requirements, sharing });
+    if (unblocked.length > 0) return unblocked;
+    if (!this.#isBlocked(requirements)) return [];
+    return (available.length > 0 ? available : this.#findDoubtful(requirements))
+      .map(toShared);
+  }
+
+  // Returns the engines that a sample may be sent to whether or not it has waited.
+  #findUnblocked(
+    available: ReadonlyArray<BackendServerEntry>,
+    { requirements, sharing }: {
+      readonly requirements: EngineRequirements;
+      readonly sharing: SlotSharing;
+    },
+  ): ReadonlyArray<CandidateEngine> {
     const isOwn = (engine: BackendServerEntry, queue: number): boolean =>
       sharing.isWithinShare(
         { ...engine, slots: engine.slots + queue },
@@ -153,19 +190,11 @@
       : this.#findDoubtful(requirements).filter((engine) =>
         isOwn(engine, QUEUED_REQUESTS)
       );
-    if (own.length > 0 || lent.length > 0 || queued.length > 0) {
-      this.#blockedSince.delete(key);
-      return [
-        ...own.map(toUnshared),
-        ...lent.map(toShared),
-        ...queued.map(toUnshared),
-      ];
-    }
-    const now = this.#options.clock.monotonic();
-    if (!this.#blockedSince.has(key)) this.#blockedSince.set(key, now);
-    if (!this.#isBlocked(requirements)) return [];
-    return (available.length > 0 ? available : this.#findDoubtful(requirements))
-      .map(toShared);
+    return [
+      ...own.map(toUnshared),
+      ...lent.map(toShared),
+      ...queued.map(toUnshared),
+    ];
   }
 
   // Returns the engines that may have a slot, though they have refused requests, loaded weights or
@@ -386,6 +415,10 @@
   }
 }
 
+function toBlockedKey({ service, model }: EngineRequirements): string {
+  return `${service}/${model}`;
+}
+
 function toUnshared(engine: BackendServerEntry): CandidateEngine {
   return { engine, isShared: false };
 }
--- a/source/durable_steps/engine_placement.ts
+++ b/source/durable_steps/engine_placement.ts
@@ -8,7 +8,10 @@
 import type { SlotSharing } from "../installation/slot_sharing.ts";
 import type { Rendezvous } from "../membership/rendezvous.ts";
 import type { Clock } from "../utilities/clock.ts";
-import type { EngineAvailability } from "./engine_availability.ts";
+import type {
+  CandidateEngine,
+  EngineAvailability,
+} from "./engine_availability.ts";
 import type { EngineRequest, EngineRequirements } from "./engine_request.ts";
 import type { EngineUseReport } from "./engine_use_report.ts";
 import type { EngineState } from "./engine_state.ts";
@@ -91,15 +94,15 @@
     this.#prompts.forget(engine);
   }
 
-  /** Selects the engine for a request; undefined when none can run it now. */
-  choose(request: EngineRequest): BackendServerEntry | undefined {
-    const { availability } = this.#options;
-    const candidates = availability.findCandidates(request.requirements).map(
-      ({ engine, isShared }) => {
-        const candidate = this.#toCandidate(engine, request);
-        return isShared ? spread(candidate) : candidate;
-      },
-    );
+  /** Selects one of the engines that a request may be sent to; undefined without any. */
+  choose(
+    request: EngineRequest,
+    engines: ReadonlyArray<CandidateEngine>,
+  ): BackendServerEntry | undefined {
+    const candidates = engines.map(({ engine, isShared }) => {
+      const candidate = this.#toCandidate(engine, request);
+      return isShared ? spread(candidate) : candidate;
+    });
     return chooseEngine(candidates, {
       expectedEvents: request.expectedEvents,
       promptTokens: request.promptTokens,
--- a/source/durable_steps/engine_pool.ts
+++ b/source/durable_steps/engine_pool.ts
@@ -4,7 +4,10 @@
 import type { ServerView } from "../installation/server_view.ts";
 import type { Clock } from "../utilities/clock.ts";
 import { AssignmentTimer } from "./assignment_timer.ts";
-import { EngineAvailability } from "./engine_availability.ts";
+import {
+  type CandidateEngine,
+  EngineAvailability,
+} from "./engine_availability.ts";
 import { EnginePlacement, type RunningText } from "./engine_placement.ts";
 import { EngineLoads, type ExpectedLoad } from "./engine_loads.ts";
 import {
@@ -30,6 +33,12 @@
   readonly resolve: (engine: BackendServerEntry | undefined) => void;
 }
 
+/** A sample and the engine that it gets. */
+interface Assignment {
+  readonly waiter: EngineWaiter;
+  readonly engine: BackendServerEntry;
+}
+
 /** Assigns engine slots to samples. */
 export class EnginePool {
   readonly #clock: Clock;
@@ -361,18 +370,35 @@
   #assignEngines(): void {
     this.#groups.plan();
     while (this.#queue.size > 0) {
-      const next = this.#queue.take((requirements) =>
-        this.#availability.findCandidates(requirements).length > 0
-      );
+      const next = this.#findNext();
       if (next === undefined) {
+        this.#availability.recordBlocked(this.#queue.requirements);
         this.#longWaits.check();
         return this.#timer.plan(this.#queue);
       }
-      const engine = this.#placement.choose(next.request);
-      if (engine !== undefined) this.#start(next, engine);
+      const { waiter, engine } = next;
+      this.#availability.recordAssigned(waiter.requirements);
+      this.#queue.remove(waiter);
+      this.#start(waiter, engine);
     }
   }
 
+  // Returns the most urgent sample that finds an engine. A sample leaves the queue only with one.
+  #findNext(): Assignment | undefined {
+    const found = new Map<string, ReadonlyArray<CandidateEngine>>();
+    const waiter = this.#queue.findNext((requirements) => {
+      const candidates = this.#availability.findCandidates(requirements);
+      found.set(toRequirementsKey(requirements), candidates);
+      return candidates.length > 0;
+    });
+    if (waiter === undefined) return undefined;
+    const engine = this.#placement.choose(
+      waiter.request,
+      found.get(waiter.requirementsKey) ?? [],
+    );
+    return engine === undefined ? undefined : { waiter, engine };
+  }
+
   // Assigns the free slots of one engine; other engines have no slot that a waiting sample can use.
   #fill(engine: BackendServerEntry): void {
     if (this.#queue.size === 0) return;
