Divide the samples of a split route among its services

SampleRequirements holds what a sample requires. Calls of a split route leave out services without servers.

--- a/source/calls/call_forwarder.ts
+++ b/source/calls/call_forwarder.ts
@@ -114,7 +114,7 @@
     this.#options = options;
     this.#call = call;
     this.#service = call.origin?.service ??
-      selectService(call.route, options.random.next());
+      this.#selectService(call.route);
     this.#startedAt = options.clock.monotonic();
     this.#attempts = new AttemptSet(options.clock, call.signal);
     this.#candidates = this.#createCandidates();
@@ -263,11 +263,20 @@
     return isUsed ? undefined : route;
   }
 
+  #selectService(route: ServiceRoute): string {
+    const { random, servers } = this.#options;
+    return selectService(
+      route,
+      random.next(),
+      (service) => servers.ofService(service).length > 0,
+    );
+  }
+
   #followRoute(): void {
     const route = this.#findNewRoute();
     if (route === undefined) return;
     const former = this.#service;
-    this.#service = selectService(route, this.#options.random.next());
+    this.#service = this.#selectService(route);
     this.#candidates = this.#createCandidates();
     this.#guarded?.moveTo(this.#service);
     this.#options.log.emit("callMoved", {
--- a/source/calls/call_forwarder_test.ts
+++ b/source/calls/call_forwarder_test.ts
@@ -423,6 +423,7 @@
     const result = await forward([{ kind: answer }, GOOD_ANSWER], {
       servers: ["a", "moved-1"],
       kind,
+      clock: new ManualClock(),
       findService: () => {
         asked.push(service);
         const current = service;
--- a/source/durable_steps/create_engine_request.ts
+++ b/source/durable_steps/create_engine_request.ts
@@ -30,6 +30,8 @@
   readonly eventMilliseconds: number;
   /** Identifier of an engine that is used only if no other is available. */
   readonly avoidedEngine: string | undefined;
+  /** Monotonic time, in milliseconds, since which the sample waits. */
+  readonly waitsSince: number;
   /** Whether the sample would ask otherwise now. */
   readonly isOutdated: () => boolean;
 }
@@ -48,7 +50,7 @@
   options: EngineRequestOptions,
 ): EngineRequest {
   const { dueAt, group, isSpare, eventMilliseconds } = options;
-  const { avoidedEngine, isOutdated } = options;
+  const { avoidedEngine, waitsSince, isOutdated } = options;
   const expectedEvents = textLengths.expectEvents({
     ...toLength(sample),
     madeEvents: text.parts.length,
@@ -73,6 +75,7 @@
     prompt: shared.map(({ identifier }) => identifier).join("/"),
     promptTokens: shared.reduce((sum, { tokens }) => sum + tokens, 0),
     avoidedEngine,
+    waitsSince,
     isOutdated,
   };
 }
--- a/source/durable_steps/engine_pool.ts
+++ b/source/durable_steps/engine_pool.ts
@@ -172,7 +172,7 @@
         requirements,
         requirementsKey: toRequirementsKey(requirements),
         request,
-        waitsSince: this.#clock.monotonic(),
+        waitsSince: request.waitsSince ?? this.#clock.monotonic(),
         resolve: (engine) => {
           signal.removeEventListener("abort", onAbort);
           resolve(engine);
@@ -342,6 +342,13 @@
     return this.#availability.getVersion(engine, model);
   }
 
+  /** Whether an engine may run a sample with these requirements, free or not. */
+  hasUsable(requirements: EngineRequirements): boolean {
+    return this.#availability.findUsable(requirements).some(({ identifier }) =>
+      this.#servers.isServing(identifier)
+    );
+  }
+
   /** Whether an engine could run a sample with these requirements now. */
   hasAvailable(requirements: EngineRequirements): boolean {
     return this.#availability.findAvailable(requirements).length > 0;
--- a/source/durable_steps/engine_request.ts
+++ b/source/durable_steps/engine_request.ts
@@ -29,6 +29,8 @@
   readonly promptTokens: number;
   /** Identifier of an engine that is used only if no other is available. */
   readonly avoidedEngine: string | undefined;
+  /** Monotonic time, in milliseconds, since which the sample waits; now if absent. */
+  readonly waitsSince?: number;
   /** Whether the sample would ask otherwise now, as the configuration has changed; never if absent. */
   readonly isOutdated?: () => boolean;
 }
--- a/source/durable_steps/sample_generation.ts
+++ b/source/durable_steps/sample_generation.ts
@@ -27,6 +27,7 @@
   type EngineRequirements,
   toRequirementsKey,
 } from "./engine_request.ts";
+import { SampleRequirements } from "./sample_requirements.ts";
 import type { SampleText } from "./sample_text.ts";
 import { SampleTimeline } from "./sample_timeline.ts";
 import { TextContinuation } from "./text_continuation.ts";
@@ -37,6 +38,8 @@
 const EVENT_STREAM_TYPE = "text/event-stream";
 /** Interval at which an interrupted text is checked for having to begin anew. */
 const CONTINUATION_CHECK_MILLISECONDS = 100;
+/** Interval at which a sample of a split route may choose another service. */
+const SPLIT_CHECK_MILLISECONDS = 500;
 /** Number of events between two checks for a faster engine. */
 const EVENTS_BETWEEN_SPEED_CHECKS = 4;
 
@@ -82,6 +85,8 @@
    * absent.
    */
   readonly findAllowedRegions?: () => AllowedRegions | undefined;
+  /** Number from 0 up to but not including 1 that divides samples among services, equal in a group. */
+  readonly draw: number;
   /** Returns the remaining lifetime of the sample in milliseconds. */
   readonly remainingMilliseconds: () => number;
   readonly signal: AbortSignal;
@@ -98,12 +103,14 @@
   readonly #timeline: SampleTimeline;
   #avoidedEngine: string | undefined;
   readonly #continuation: TextContinuation;
+  readonly #requirements: SampleRequirements;
 
   /** @param options - The sample, the engines and the other dependencies. */
   constructor(options: SampleGenerationOptions) {
     this.#options = options;
     this.#timeline = new SampleTimeline(options.clock);
     this.#continuation = new TextContinuation(options);
+    this.#requirements = new SampleRequirements(options);
   }
 
   /** What the sample has done so far and for how long. */
@@ -129,8 +136,9 @@
           ? "waitingForWeights"
           : "waitingForEngine",
       );
-      const engine = await this.#acquire(request);
+      const engine = await this.#acquire(request, currentRoute);
       if (engine === undefined) continue;
+      this.#requirements.recordStart(engine.service);
       this.#timeline.startAttempt();
       const outcome = await this.#runAttempt(engine, currentRoute);
       pool.release(engine.identifier, request);
@@ -149,10 +157,13 @@
   // Waits for an engine; returns undefined when the wait must be started again.
   async #acquire(
     request: EngineRequest,
+    { services }: ServiceRoute,
   ): Promise<BackendServerEntry | undefined> {
     const { pool, signal, text } = this.#options;
     if (text.lastEvent === undefined) {
-      return await pool.acquire(request, signal);
+      return services.length > 1
+        ? await this.#acquireWithin(request, SPLIT_CHECK_MILLISECONDS)
+        : await pool.acquire(request, signal);
     }
     const mustRestart = await this.#continuation.mustRestart(
       request.requirements,
@@ -184,51 +195,28 @@
   #toRequest(route: ServiceRoute): EngineRequest {
     const { findDueTime, group, isSpare, pool } = this.#options;
     const dueAt = findDueTime();
-    const generated = this.#describe(route);
-    const key = toRequirementsKey(generated.requirements);
-    return createEngineRequest(generated, {
+    const requirements = this.#requirements.choose(route);
+    const key = toRequirementsKey(requirements);
+    return createEngineRequest(this.#describe(requirements), {
       dueAt,
       group,
       isSpare,
       eventMilliseconds: pool.usualEventMilliseconds,
       avoidedEngine: this.#avoidedEngine,
+      waitsSince: this.#requirements.waitsSince,
       isOutdated: () => {
-        const requirements = this.#findRequirements();
-        return requirements === undefined || findDueTime() !== dueAt ||
-          toRequirementsKey(requirements) !== key;
+        const current = this.#requirements.find();
+        return current === undefined || findDueTime() !== dueAt ||
+          toRequirementsKey(current) !== key;
       },
     });
   }
 
-  // Returns the requirements under the route that is in force; undefined without one.
-  #findRequirements(): EngineRequirements | undefined {
-    const route = this.#options.route();
-    return route === undefined ? undefined : this.#getRequirements(route);
-  }
-
-  // Whether the route that is in force sends samples to an engine's service.
-  #isRouted({ service }: BackendServerEntry): boolean {
-    return this.#findRequirements()?.service === service;
-  }
-
-  #describe(route: ServiceRoute): GeneratedSample {
+  #describe(requirements: EngineRequirements): GeneratedSample {
     const { sample, text, textLengths } = this.#options;
-    const requirements = this.#getRequirements(route);
     return { sample, text, requirements, textLengths };
   }
 
-  #getRequirements(route: ServiceRoute): EngineRequirements {
-    const { text, model, minimumVersion } = this.#options;
-    return {
-      service: route.services[0]?.service ?? "",
-      model,
-      minimumVersion,
-      exactVersion: route.isSingleVersion ? text.versions[0] : undefined,
-      softwareVersion: text.softwareVersion,
-      allowedRegions: this.#options.findAllowedRegions?.(),
-    };
-  }
-
   async #runAttempt(
     engine: BackendServerEntry,
     route: ServiceRoute,
@@ -241,7 +229,7 @@
     this.#options.signal.addEventListener("abort", onCancel, { once: true });
     const endWatch = pool.watchRun({
       engine: identifier,
-      findRequirements: () => this.#findRequirements(),
+      findRequirements: () => this.#requirements.find(),
       onStalled: () => controller.abort(ENDED),
     });
     try {
@@ -263,7 +251,8 @@
           pool.usualEventMilliseconds,
         ),
         mayStart: () =>
-          servers.isServing(identifier) && this.#isRouted(engine) &&
+          servers.isServing(identifier) &&
+          this.#requirements.isRouted(engine.service) &&
           mayProcess(this.#options.findAllowedRegions?.(), engine),
       });
       pool.recordResponse(identifier);
@@ -372,7 +361,7 @@
       events += 1;
       if (
         events % EVENTS_BETWEEN_SPEED_CHECKS === 0 &&
-        this.#shouldChangeEngine(engine, route)
+        this.#shouldChangeEngine(engine)
       ) {
         answer.abandon();
         this.#avoidedEngine = identifier;
@@ -393,11 +382,10 @@
     return "serverError";
   }
 
-  #shouldChangeEngine(
-    engine: BackendServerEntry,
-    route: ServiceRoute,
-  ): boolean {
-    const running = createRunningText(this.#describe(route), {
+  #shouldChangeEngine(engine: BackendServerEntry): boolean {
+    const requirements = this.#requirements.find();
+    if (requirements === undefined) return false;
+    const running = createRunningText(this.#describe(requirements), {
       engine: engine.identifier,
       moves: this.#timeline.counts.moves,
     });
--- a/source/durable_steps/sample_generation_test.ts
+++ b/source/durable_steps/sample_generation_test.ts
@@ -101,6 +101,7 @@
     isSpare: false,
     textLengths: new TextLengthEstimate(),
     isLong: false,
+    draw: 0,
     route: () => ROUTE,
     remainingMilliseconds: () => 10_000,
     signal,
--- a/source/durable_steps/step_admission_control.ts
+++ b/source/durable_steps/step_admission_control.ts
@@ -33,16 +33,18 @@
   ): StepDecision {
     const { clock, random, servers, pool, textLengths } = this.#tools;
     const now = clock.wall();
-    const service = route.services[0]?.service ?? "";
-    const isEvacuated = servers.isServiceEvacuated(service, allowed);
+    const services = route.services.filter(({ weight }) => weight > 0)
+      .map(({ service }) => service);
+    const isEvacuated = services.length > 0 &&
+      services.every((service) => servers.isServiceEvacuated(service, allowed));
     const decision = decideStep({
       now,
       open: this.#listOpenSteps(now - route.sampleLifetimeMilliseconds, {
-        service,
+        services,
         allowed,
       }),
       samples: submission.samples.length,
-      slots: this.#countSlots(service, [allowed]),
+      slots: this.#countSlots(services, [allowed]),
       evacuationRetryMilliseconds: isEvacuated
         ? toEvacuationRetry(random.next())
         : undefined,
@@ -59,10 +61,11 @@
   }
 
   #countSlots(
-    service: string,
+    services: ReadonlyArray<string>,
     rules: ReadonlyArray<AllowedRegions | undefined>,
   ): number {
-    return this.#tools.servers.ofService(service)
+    return [...new Set(services)]
+      .flatMap((service) => this.#tools.servers.ofService(service))
       .filter((engine) => rules.every((each) => mayProcess(each, engine)))
       .reduce((sum, { slots }) => sum + slots, 0);
   }
@@ -72,8 +75,8 @@
   // counts that the new step may use.
   #listOpenSteps(
     since: number,
-    { service, allowed }: {
-      readonly service: string;
+    { services, allowed }: {
+      readonly services: ReadonlyArray<string>;
       readonly allowed: AllowedRegions | undefined;
     },
   ): ReadonlyArray<{ submittedAt: number; samples: number }> {
@@ -81,8 +84,8 @@
     const shares = new Map<string | undefined, number>([[allowed?.key, 1]]);
     const toShare = (other: AllowedRegions | undefined): number => {
       const share = shares.get(other?.key) ??
-        this.#countSlots(service, [allowed, other]) /
-          Math.max(1, this.#countSlots(service, [other]));
+        this.#countSlots(services, [allowed, other]) /
+          Math.max(1, this.#countSlots(services, [other]));
       shares.set(other?.key, share);
       return share;
     };
--- a/source/durable_steps/step_reader_test.ts
+++ b/source/durable_steps/step_reader_test.ts
@@ -1,4 +1,5 @@
 import test from "ava";
+import { createStepManifest } from "../../stand_ins/installation/create_step_manifest.ts";
 import { createStepTools } from "../../stand_ins/installation/create_step_tools.ts";
 import { MemoryDurableTable } from "../../stand_ins/installation/memory_durable_table.ts";
 import { toStepRowPlace } from "./step_registry.ts";
@@ -11,11 +12,7 @@
 
 async function createTableWithResults(): Promise<MemoryDurableTable> {
   const table = new MemoryDurableTable();
-  const manifest = {
-    identifier: "s1",
-    organisation: "o",
-    total: RESULT_COUNT + 1,
-  };
+  const manifest = createStepManifest({ total: RESULT_COUNT + 1 });
   await table.commit({
     conditions: [],
     puts: [{
--- a/source/durable_steps/step_run.ts
+++ b/source/durable_steps/step_run.ts
@@ -71,6 +71,8 @@
   readonly #results: StepResults;
   /** Texts of the samples that this run generates or scores, by sample identifier. */
   readonly #unfinishedTexts = new Map<string, SampleText>();
+  /** Numbers that divide the groups among the services of a split route. */
+  readonly #draws = new Map<string, number>();
   /** Texts that were loaded from the store, by sample identifier. */
   readonly #loadedTexts = new Map<string, SampleText[]>();
   /** Monotonic time, in milliseconds, at which the step was submitted. */
@@ -250,6 +252,7 @@
       group: `${manifest.identifier}/${sample.group}`,
       isSpare: placement.isSpare,
       isLong: placement.isLong,
+      draw: this.#drawFor(sample),
       route: () => this.#findRoute(),
       findAllowedRegions: () => tools.regionRules.find(manifest),
       remainingMilliseconds: () => this.#getRemainingMilliseconds(),
@@ -329,6 +332,12 @@
     await this.#runSample(sample, placement);
   }
 
+  #drawFor({ group }: SampleRequest): number {
+    const draw = this.#draws.get(group) ?? this.#options.tools.random.next();
+    this.#draws.set(group, draw);
+    return draw;
+  }
+
   #mayUse({ versions }: SampleText, submission: StepSubmission): boolean {
     return mayUseVersions(versions, this.#findBound(submission));
   }
--- a/source/durable_steps/store_unreachable_test.ts
+++ b/source/durable_steps/store_unreachable_test.ts
@@ -1,4 +1,5 @@
 import test from "ava";
+import { createStepManifest } from "../../stand_ins/installation/create_step_manifest.ts";
 import { createStepTools } from "../../stand_ins/installation/create_step_tools.ts";
 import { MemoryDurableTable } from "../../stand_ins/installation/memory_durable_table.ts";
 import { toStepRowPlace } from "./step_registry.ts";
@@ -75,7 +76,7 @@
     ...createStepTools(table),
     storeHealth,
   };
-  const manifest = { identifier: "s1", organisation: "o", total: 2 };
+  const manifest = createStepManifest();
   await table.commit({
     conditions: [],
     puts: [{
--- a/source/installation/configuration.ts
+++ b/source/installation/configuration.ts
@@ -1,3 +1,5 @@
+import { selectShare } from "../decisions/service_choice.ts";
+
 /** How a route's requests are served, and whether they may be retried. */
 export type RouteKind =
   | "idempotent"
@@ -169,13 +171,17 @@
  * Selects one of a route's services with a probability proportional to its weight.
  * @param route - The route.
  * @param draw - Random number from 0 up to but not including 1.
+ * @param isServing - Whether a service has servers; one without is selected only if all are.
  */
-export function selectService(route: ServiceRoute, draw: number): string {
-  const total = route.services.reduce((sum, { weight }) => sum + weight, 0);
-  let remaining = draw * total;
-  for (const { service, weight } of route.services) {
-    remaining -= weight;
-    if (remaining < 0) return service;
-  }
-  return route.services.at(-1)?.service ?? "";
+export function selectService(
+  route: ServiceRoute,
+  draw: number,
+  isServing: (service: string) => boolean = () => true,
+): string {
+  const { services } = route;
+  const serving = services.filter(({ service, weight }) =>
+    weight > 0 && isServing(service)
+  );
+  const eligible = serving.length > 0 ? serving : services;
+  return selectShare(eligible, draw)?.service ?? "";
 }
