--- a/source/calls/call_service.ts
+++ b/source/calls/call_service.ts
@@ -13,6 +13,7 @@
 import type { Metrics } from "../observability/metrics.ts";
 import type { Clock } from "../utilities/clock.ts";
 import type { CallForwarder } from "./call_forwarder.ts";
+import type { IncomingCall } from "./incoming_call.ts";
 import type { CallOutcome } from "./call_outcome.ts";
 import type { DrainAdmission } from "./drain_admission.ts";
 import type { StreamOrigins } from "./stream_origins.ts";
@@ -34,38 +35,6 @@
 /** Time for which streams last at most and their callers may take them up. */
 const STREAM_LIFETIME_MILLISECONDS = 60_000;
 
-/** A request that a caller sent to this node. */
-export interface IncomingCall {
-  readonly identifier: string;
-  readonly method: string;
-  /** Path and query. */
-  readonly target: string;
-  readonly host: string;
-  /** API key that the caller sent; undefined when it sent none. */
-  readonly key: string | undefined;
-  /** Headers to forward to the backend server. */
-  readonly headers: Readonly<Record<string, string>>;
-  readonly body: Buffer;
-  /** Time from arrival to the caller's deadline; undefined when the caller set none. */
-  readonly budgetMilliseconds: number | undefined;
-  /**
-   * Number of the last event that the caller received of an interrupted stream; undefined when it
-   * resumes none.
-   */
-  readonly afterEvent: number | undefined;
-  /** Identifier of the request that brought the first event of that stream; empty if not named. */
-  readonly resumedRequest: string;
-  /** Time of arrival, in milliseconds on the monotonic clock. */
-  readonly arrivedAt: number;
-  /** Set for a call that another node sent because it does not reach the servers. */
-  readonly relayed: {
-    /** Version of the configuration that the other node has applied. */
-    readonly minimumConfiguration: number;
-  } | undefined;
-  /** Aborted when the caller disconnects. */
-  readonly signal: AbortSignal;
-}
-
 /** The organisation that owns a key, or why the call is refused. */
 export type KeyOutcome =
   | { readonly kind: "organisation"; readonly organisation: string }
--- a/source/calls/create_call_forwarder.ts
+++ b/source/calls/create_call_forwarder.ts
@@ -1,6 +1,7 @@
 import { HedgeTiming } from "../decisions/hedge_timing.ts";
 import { RetryBudget } from "../decisions/retry_budget.ts";
-import { CallForwarder, type CallForwarderOptions } from "./call_forwarder.ts";
+import { CallForwarder } from "./call_forwarder.ts";
+import type { CallForwarderOptions } from "./call_forwarder_options.ts";
 import { CallGate, type CallGateOptions } from "./call_gate.ts";
 
 /** Dependencies of a call forwarder that are not its own. */
--- a/source/durable_steps/engine_availability.ts
+++ b/source/durable_steps/engine_availability.ts
@@ -1,21 +1,17 @@
 import { mayProcess } from "../decisions/allowed_regions.ts";
 import {
-  BLOCKED_MILLISECONDS,
   isLent,
   QUEUED_REQUESTS,
   VIEW_AGE_MILLISECONDS,
 } from "../decisions/slot_share.ts";
 import type { BackendServerEntry } from "../installation/backend_server_entry.ts";
-import type { ServerLimits } from "../installation/server_limits.ts";
-import type { ServerView } from "../installation/server_view.ts";
 import type {
   ServerRequests,
   SlotSharing,
 } from "../installation/slot_sharing.ts";
-import type { Clock } from "../utilities/clock.ts";
-import type { EngineLoads } from "./engine_loads.ts";
+import { BlockedSamples } from "./blocked_samples.ts";
+import type { EngineAvailabilityOptions } from "./engine_availability_options.ts";
 import type { EngineRequirements } from "./engine_request.ts";
-import type { EngineState } from "./engine_state.ts";
 
 /**
  * Maximum number of requests beyond its slots that an engine may get from all nodes together,
@@ -23,21 +19,6 @@
  */
 const MAXIMUM_EXCESS_REQUESTS = 1;
 
-/** What is known of the engines. */
-export interface EngineAvailabilityOptions {
-  readonly clock: Clock;
-  readonly servers: ServerView;
-  readonly limits: ServerLimits;
-  /** States of the engines that this node has used, by identifier. */
-  readonly states: ReadonlyMap<string, EngineState>;
-  /** Loads of weights that nodes ordered. */
-  readonly loads: EngineLoads;
-  /** Divides the free slots between the nodes; without it, all belong to this one. */
-  readonly sharing: SlotSharing | undefined;
-  /** Returns the usual time of a run, in milliseconds. */
-  readonly usualRunMilliseconds: () => number;
-}
-
 /** An engine that a waiting sample may be sent to. */
 export interface CandidateEngine {
   readonly engine: BackendServerEntry;
@@ -49,12 +30,12 @@
 export class EngineAvailability {
   readonly #options: EngineAvailabilityOptions;
   #runningElsewhere: ReadonlyMap<string, number> = new Map();
-  /** Time since which samples have found no slot of this node's share, by service and model. */
-  readonly #blockedSince = new Map<string, number>();
+  readonly #blocked: BlockedSamples;
 
   /** @param options - The registered engines, their limits and this node's use of them. */
   constructor(options: EngineAvailabilityOptions) {
     this.#options = options;
+    this.#blocked = new BlockedSamples(options.clock);
   }
 
   /** Number of samples that other nodes run on each engine. */
@@ -115,38 +96,24 @@
 
   /** Whether samples wait for a slot of this node's share. */
   get isWaitingForShare(): boolean {
-    return this.#blockedSince.size > 0;
+    return this.#blocked.size > 0;
   }
 
   /** Records that samples wait, as they have found no engine. */
   recordBlocked(requirements: ReadonlyArray<EngineRequirements>): void {
-    const now = this.#options.clock.monotonic();
     for (const each of requirements) {
-      const { sharing } = this.#options;
-      const key = toBlockedKey(each);
-      const isShared = sharing !== undefined &&
-        sharing.countNodes(each.service) > 1;
-      if (isShared && !this.#blockedSince.has(key)) {
-        this.#blockedSince.set(key, now);
-      }
+      const nodes = this.#options.sharing?.countNodes(each.service) ?? 1;
+      if (nodes > 1) this.#blocked.add(each);
     }
   }
 
   /** Records that a sample gets an engine; those that have found none wait anew if it has a share. */
   recordAssigned(requirements: EngineRequirements): void {
     const { sharing } = this.#options;
-    const key = toBlockedKey(requirements);
-    if (sharing === undefined || !this.#blockedSince.has(key)) return;
+    if (sharing === undefined || !this.#blocked.has(requirements)) return;
     const available = this.findAvailable(requirements);
     const unblocked = this.#findUnblocked(available, { requirements, sharing });
-    if (unblocked.length > 0) this.#blockedSince.delete(key);
-  }
-
-  // Whether samples have found no slot of this node's share for a while.
-  #isBlocked(requirements: EngineRequirements): boolean {
-    const since = this.#blockedSince.get(toBlockedKey(requirements));
-    return since !== undefined &&
-      this.#options.clock.monotonic() - since >= BLOCKED_MILLISECONDS;
+    if (unblocked.length > 0) this.#blocked.delete(requirements);
   }
 
   #findShared(
@@ -158,7 +125,7 @@
   ): ReadonlyArray<CandidateEngine> {
     const unblocked = this.#findUnblocked(available, { requirements, sharing });
     if (unblocked.length > 0) return unblocked;
-    if (!this.#isBlocked(requirements)) return [];
+    if (!this.#blocked.mayUseAny(requirements)) return [];
     return (available.length > 0 ? available : this.#findDoubtful(requirements))
       .map(toShared);
   }
@@ -415,10 +382,6 @@
   }
 }
 
-function toBlockedKey({ service, model }: EngineRequirements): string {
-  return `${service}/${model}`;
-}
-
 function toUnshared(engine: BackendServerEntry): CandidateEngine {
   return { engine, isShared: false };
 }
--- a/source/durable_steps/engine_pool.ts
+++ b/source/durable_steps/engine_pool.ts
@@ -1,43 +1,23 @@
-import { type QueuedSample, SampleQueue } from "../decisions/sample_queue.ts";
 import type { BackendServerEntry } from "../installation/backend_server_entry.ts";
 import type { ServerLimits } from "../installation/server_limits.ts";
 import type { ServerView } from "../installation/server_view.ts";
 import type { Clock } from "../utilities/clock.ts";
 import { AssignmentTimer } from "./assignment_timer.ts";
-import {
-  type CandidateEngine,
-  EngineAvailability,
-} from "./engine_availability.ts";
+import { EngineAvailability } from "./engine_availability.ts";
 import { EnginePlacement, type RunningText } from "./engine_placement.ts";
 import { EngineLoads, type ExpectedLoad } from "./engine_loads.ts";
 import {
   type EngineRequest,
   type EngineRequirements,
-  toRequirementsKey,
 } from "./engine_request.ts";
 import { GroupPlanner } from "./group_planner.ts";
 import type { EnginePoolOptions } from "./engine_pool_options.ts";
 import { EngineStallWatch, type WatchedRun } from "./engine_stall_watch.ts";
 import { EngineStates } from "./engine_states.ts";
+import { UsualRunTime } from "./usual_run_time.ts";
 import { LongWaitReport } from "./long_wait_report.ts";
 import type { EngineUseReport } from "./engine_use_report.ts";
-
-/** Time of a run that is assumed before the first one. */
-const INITIAL_RUN_MILLISECONDS = 1000;
-/** Weight of a new run in the moving average of the expected time of runs. */
-const RUN_WEIGHT = 0.05;
-interface EngineWaiter extends QueuedSample<EngineRequirements> {
-  readonly request: EngineRequest;
-  /** Monotonic time, in milliseconds, since which the sample waits. */
-  readonly waitsSince: number;
-  readonly resolve: (engine: BackendServerEntry | undefined) => void;
-}
-
-/** A sample and the engine that it gets. */
-interface Assignment {
-  readonly waiter: EngineWaiter;
-  readonly engine: BackendServerEntry;
-}
+import { type EngineWaiter, WaitingSamples } from "./waiting_samples.ts";
 
 /** Assigns engine slots to samples. */
 export class EnginePool {
@@ -45,12 +25,12 @@
   readonly #servers: ServerView;
   readonly #limits: ServerLimits;
   readonly #states = new EngineStates();
-  readonly #queue = new SampleQueue<EngineRequirements, EngineWaiter>();
+  readonly #queue: WaitingSamples;
   readonly #placement: EnginePlacement;
   readonly #availability: EngineAvailability;
   readonly #loads: EngineLoads;
   readonly #report: EngineUseReport | undefined;
-  #usualRunMilliseconds = INITIAL_RUN_MILLISECONDS;
+  readonly #usualRun = new UsualRunTime();
   readonly #finishesRunsBeforeLoads: (service: string) => boolean;
   #isAssignmentScheduled = false;
   readonly #groups: GroupPlanner<EngineWaiter>;
@@ -64,6 +44,7 @@
   constructor(clock: Clock, engines: EnginePoolOptions) {
     const { servers, limits } = engines;
     this.#clock = clock;
+    this.#queue = new WaitingSamples(clock);
     this.#servers = servers;
     this.#limits = limits;
     this.#report = engines.report;
@@ -80,7 +61,7 @@
       states: this.#states.all,
       loads: this.#loads,
       sharing: engines.sharing,
-      usualRunMilliseconds: () => this.#usualRunMilliseconds,
+      usualRunMilliseconds: () => this.#usualRun.milliseconds,
     });
     this.#groups = new GroupPlanner({
       clock,
@@ -164,28 +145,12 @@
     request: EngineRequest,
     signal: AbortSignal,
   ): Promise<BackendServerEntry | undefined> {
-    if (signal.aborted) return Promise.resolve(undefined);
-    return new Promise((resolve) => {
-      const { requirements, urgency } = request;
-      const waiter: EngineWaiter = {
-        urgency,
-        requirements,
-        requirementsKey: toRequirementsKey(requirements),
-        request,
-        waitsSince: request.waitsSince ?? this.#clock.monotonic(),
-        resolve: (engine) => {
-          signal.removeEventListener("abort", onAbort);
-          resolve(engine);
-        },
-      };
-      const onAbort = (): void => {
-        this.#queue.remove(waiter);
-        resolve(undefined);
-      };
-      signal.addEventListener("abort", onAbort, { once: true });
-      this.#queue.add(waiter);
-      this.#groups.renew();
-      this.#scheduleAssignment();
+    return this.#queue.wait(request, {
+      signal,
+      onAdded: () => {
+        this.#groups.renew();
+        this.#scheduleAssignment();
+      },
     });
   }
 
@@ -194,11 +159,7 @@
    * requirements that are in force.
    */
   restartOutdatedWaits(): void {
-    for (const waiter of this.#queue.samples) {
-      if (waiter.request.isOutdated?.() !== true) continue;
-      this.#queue.remove(waiter);
-      waiter.resolve(undefined);
-    }
+    this.#queue.endOutdated();
   }
 
   /**
@@ -377,7 +338,10 @@
   #assignEngines(): void {
     this.#groups.plan();
     while (this.#queue.size > 0) {
-      const next = this.#findNext();
+      const next = this.#queue.findAssignment({
+        findCandidates: (each) => this.#availability.findCandidates(each),
+        choose: (request, found) => this.#placement.choose(request, found),
+      });
       if (next === undefined) {
         this.#availability.recordBlocked(this.#queue.requirements);
         this.#longWaits.check();
@@ -390,22 +354,6 @@
     }
   }
 
-  // Returns the most urgent sample that finds an engine. A sample leaves the queue only with one.
-  #findNext(): Assignment | undefined {
-    const found = new Map<string, ReadonlyArray<CandidateEngine>>();
-    const waiter = this.#queue.findNext((requirements) => {
-      const candidates = this.#availability.findCandidates(requirements);
-      found.set(toRequirementsKey(requirements), candidates);
-      return candidates.length > 0;
-    });
-    if (waiter === undefined) return undefined;
-    const engine = this.#placement.choose(
-      waiter.request,
-      found.get(waiter.requirementsKey) ?? [],
-    );
-    return engine === undefined ? undefined : { waiter, engine };
-  }
-
   // Assigns the free slots of one engine; other engines have no slot that a waiting sample can use.
   #fill(engine: BackendServerEntry): void {
     if (this.#queue.size === 0) return;
@@ -427,8 +375,7 @@
     state.unanswered += 1;
     this.#report?.recordRequest();
     this.#limits.recordRequest(engine.identifier);
-    this.#usualRunMilliseconds += RUN_WEIGHT *
-      (waiter.urgency.expectedMilliseconds - this.#usualRunMilliseconds);
+    this.#usualRun.record(waiter.urgency.expectedMilliseconds);
     this.#groups.recordStart(waiter.request);
     this.#loads.recordRequest(engine.identifier, waiter.request);
     this.#placement.recordPrompt(engine.identifier, waiter.request.prompt);
--- a/source/durable_steps/step_run.ts
+++ b/source/durable_steps/step_run.ts
@@ -4,7 +4,7 @@
   type WeightVersionBound,
 } from "../decisions/weight_version_bound.ts";
 import { findRoute, type ServiceRoute } from "../installation/configuration.ts";
-import { findEarlierSteps } from "./find_earlier_steps.ts";
+import { type EarlierTexts, loadEarlierWork } from "./load_earlier_work.ts";
 import { findSpareGroups } from "./find_spare_groups.ts";
 import { logFinishedSample, logUnfinishedSample } from "./log_samples.ts";
 import { type ReadSignature, scoreSample } from "./sample_scoring.ts";
@@ -12,7 +12,6 @@
   createSampleLifetime,
   type SampleLifetime,
 } from "./sample_lifetime.ts";
-import type { SampleResult } from "./sample_result.ts";
 import { SampleGeneration } from "./sample_generation.ts";
 import type { SampleText } from "./sample_text.ts";
 import type { SampleTexts } from "./sample_texts.ts";
@@ -74,7 +73,7 @@
   /** Numbers that divide the groups among the services of a split route. */
   readonly #draws = new Map<string, number>();
   /** Texts that were loaded from the store, by sample identifier. */
-  readonly #loadedTexts = new Map<string, SampleText[]>();
+  #earlierTexts: EarlierTexts = new Map();
   /** Monotonic time, in milliseconds, at which the step was submitted. */
   #submittedAt: number | undefined;
   /** Monotonic time, in milliseconds, at which the samples were started. */
@@ -103,7 +102,13 @@
     const { tools, manifest } = this.#options;
     const submission = await this.#loadSubmission();
     if (submission === undefined) return;
-    await this.#loadEarlierWork(submission);
+    this.#earlierTexts = await loadEarlierWork({
+      ...this.#options,
+      results: this.#results,
+      submission,
+      bound: () => this.#findBound(submission),
+      signal: this.#stop.signal,
+    });
     const open = submission.samples.filter(({ identifier }) =>
       !this.#results.has(identifier)
     ).sort(compareLength);
@@ -135,24 +140,6 @@
     tools.progress.forget(manifest.identifier);
   }
 
-  // Loads saved texts and results of this step and of earlier steps. The first owner skips the
-  // step's own rows, because no process has written any.
-  async #loadEarlierWork(submission: StepSubmission): Promise<void> {
-    const { manifest, isFirstOwner } = this.#options;
-    const earlier = findEarlierSteps(this.#options.tools, {
-      manifest,
-      submission,
-    });
-    const steps = isFirstOwner ? earlier : [manifest, ...earlier];
-    await Promise.all([
-      isFirstOwner ? undefined : this.#results.readListed(),
-      ...steps.map((step) => this.#loadSavedTexts(step, submission)),
-    ]);
-    await Promise.all(
-      earlier.map((step) => this.#reuseResults(step, submission)),
-    );
-  }
-
   /** Saves all unfinished texts that have new events. */
   async saveTexts(): Promise<void> {
     const { tools, manifest } = this.#options;
@@ -170,21 +157,6 @@
     }
   }
 
-  // Loads the texts that another node saved, so that this node continues them.
-  async #loadSavedTexts(
-    { identifier, owner }: StepManifest,
-    submission: StepSubmission,
-  ): Promise<void> {
-    const { tools, nodeStart } = this.#options;
-    if (owner === nodeStart) return;
-    const wanted = new Set(submission.samples.map((each) => each.identifier));
-    for (const [sample, text] of await tools.progress.load(identifier)) {
-      if (!wanted.has(sample)) continue;
-      const known = this.#loadedTexts.get(sample) ?? [];
-      this.#loadedTexts.set(sample, [...known, text]);
-    }
-  }
-
   async #loadSubmission(): Promise<StepSubmission | undefined> {
     const { tools, manifest } = this.#options;
     while (!this.isStopped) {
@@ -195,27 +167,6 @@
     return undefined;
   }
 
-  // Reuses the listed results of an earlier step for samples that were submitted again.
-  async #reuseResults(
-    earlier: StepManifest,
-    submission: StepSubmission,
-  ): Promise<void> {
-    const { tools } = this.#options;
-    const wanted = new Set(submission.samples.map((each) => each.identifier));
-    const outcome = await tools.results.readAll(earlier.identifier, 0);
-    if (this.isStopped || outcome.kind !== "ok") return;
-    for (const result of outcome.value) {
-      const { identifier } = result;
-      if (!wanted.has(identifier) || this.#results.has(identifier)) continue;
-      if (this.#isReusable(result, submission)) this.#results.add(result);
-    }
-  }
-
-  #isReusable(result: SampleResult, submission: StepSubmission): boolean {
-    return result.kind === "completed" &&
-      mayUseVersions(result.weightVersions, this.#findBound(submission));
-  }
-
   #findBound({ minimumVersion }: StepSubmission): WeightVersionBound {
     const isSingleVersion = this.#findRoute()?.isSingleVersion ?? false;
     return { minimumVersion, isSingleVersion };
@@ -235,9 +186,9 @@
     const textOwner = { manifest, sample: identifier };
     const text = this.#options.texts.take(textOwner, {
       bound: this.#findBound(placement.submission),
-      loaded: this.#loadedTexts.get(identifier) ?? [],
+      loaded: this.#earlierTexts.get(identifier) ?? [],
     });
-    this.#loadedTexts.delete(identifier);
+    this.#earlierTexts.delete(identifier);
     const takenEvents = text.parts.length;
     this.#unfinishedTexts.set(identifier, text);
     const run = new SampleGeneration({
--- a/source/installation/server_view.ts
+++ b/source/installation/server_view.ts
@@ -4,14 +4,8 @@
   mayProcess,
 } from "../decisions/allowed_regions.ts";
 import { isServiceEvacuated } from "../decisions/evacuation.ts";
-import type { EventLog } from "../observability/event_log.ts";
-import type {
-  DurableTable,
-  RowChange,
-  StoredRow,
-} from "../platform/durable_table.ts";
+import type { RowChange, StoredRow } from "../platform/durable_table.ts";
 import { TableFollower, USUAL_PACE } from "../platform/table_follower.ts";
-import type { Clock } from "../utilities/clock.ts";
 import type {
   BackendServerEntry,
   ServerStart,
@@ -20,6 +14,7 @@
 import { EvacuationLog } from "./evacuation_log.ts";
 import { type LeavingNotice, LeavingServers } from "./leaving_servers.ts";
 import { MalformedRows } from "./malformed_rows.ts";
+import type { ServerViewOptions } from "./server_view_options.ts";
 import { SoftwareVersionsSeen } from "./software_versions_seen.ts";
 
 /**
@@ -41,25 +36,6 @@
 /** Time limit of a read of the changes until now; a slow store answers within about 300 ms. */
 const CONFIRMATION_MILLISECONDS = 400;
 
-/** Dependencies of a server view. */
-export interface ServerViewOptions {
-  readonly clock: Clock;
-  readonly log: EventLog;
-  readonly table: DurableTable;
-  /** Name of the table in which servers register. */
-  readonly tableName: string;
-  /** Parses an entry; returns undefined when it is malformed. */
-  readonly readRow: (
-    key: string,
-    value: Buffer,
-  ) => BackendServerEntry | undefined;
-  /** Time from a server's notice that it drains until it must get no new requests. */
-  readonly drainMilliseconds: number;
-  /** Whether this node gets neither callers nor steps at present; false if absent. */
-  readonly isInReserve?: () => boolean;
-  readonly stopping: AbortSignal;
-}
-
 /**
  * Tracks the backend servers that are registered in the store.
  * @example
