Pass on the bytes that arrived before a connection broke off

Cause: undici drops the bytes of a body that were not read yet when its connection ends.

Change: UnreadBytes keeps them; a body yields them before it throws.

--- a/source/backends/http_exchange.ts
+++ b/source/backends/http_exchange.ts
@@ -12,6 +12,7 @@
   trackSends,
 } from "./send_tracking_handler.ts";
 import { InactivityTimer } from "./inactivity_timer.ts";
+import { UnreadBytes } from "./unread_bytes.ts";
 
 /** One request to a backend server. */
 export interface ExchangeRequest {
@@ -108,6 +109,8 @@
   readonly #abortController = new AbortController();
   readonly #inactivityTimer: InactivityTimer;
   readonly #sendState: SendState;
+  readonly #unread = new UnreadBytes();
+  readonly #nextUnread = new UnreadBytes();
   /** Head of the answer to the check, if there is a check. */
   #checkHead: Promise<Dispatcher.ResponseData> | undefined;
   readonly #cancel = (): void => this.#abort("cancelled", "Cancelled");
@@ -124,6 +127,7 @@
     this.#sendState = {
       started: false,
       mayStart,
+      unread: this.#unread,
       onHead: (status, headers) => this.#startCheck(status, headers),
     };
     this.#inactivityTimer = new InactivityTimer({
@@ -138,10 +142,11 @@
     try {
       const head = await Promise.race([this.#send(), this.#waitForAbort()]);
       this.#inactivityTimer.recordActivity();
-      if (this.#checkHead === undefined) return this.#toAnswer(head);
+      const answer = this.#toAnswer(head, this.#unread);
+      if (this.#checkHead === undefined) return answer;
       // The connection is free for the next answer once the one in doubt was read.
       void head.body.dump().catch(() => {});
-      return { ...this.#toAnswer(head), next: this.#readNext(this.#checkHead) };
+      return { ...answer, next: this.#readNext(this.#checkHead) };
     } catch (error) {
       this.#release();
       this.#abortController.abort(error);
@@ -221,6 +226,7 @@
       sendState: {
         started: false,
         mayStart: () => connection.closes === closes,
+        unread: this.#nextUnread,
         // The answer to the check is still to come, so no other request may use the connection.
         onHead: (_status, next) => {
           if (check.isOtherAnswer(next)) this.#context.pools.retire(address);
@@ -235,30 +241,44 @@
     head: Promise<Dispatcher.ResponseData>,
   ): Promise<ExchangeAnswer | ExchangeFailure> {
     try {
-      return this.#toAnswer(await Promise.race([head, this.#waitForAbort()]));
+      const next = await Promise.race([head, this.#waitForAbort()]);
+      return this.#toAnswer(next, this.#nextUnread);
     } catch (error) {
       this.#release();
       return this.#toFailure(error);
     }
   }
 
-  #toAnswer(head: Dispatcher.ResponseData): ExchangeAnswer {
+  #toAnswer(
+    head: Dispatcher.ResponseData,
+    unread: UnreadBytes,
+  ): ExchangeAnswer {
     return {
       kind: "answered",
       status: head.statusCode,
       headers: head.headers,
-      body: this.#readBody(head.body),
+      body: this.#readBody(head.body, unread),
       abandon: () => this.#abort("cancelled", "Answer abandoned"),
     };
   }
 
-  async *#readBody(body: Readable): AsyncGenerator<Buffer> {
+  async *#readBody(
+    body: Readable,
+    unread: UnreadBytes,
+  ): AsyncGenerator<Buffer> {
     try {
       for await (const chunk of body) {
+        const bytes = chunk as Buffer;
+        unread.remove(bytes.length);
         this.#inactivityTimer.pause();
-        yield chunk as Buffer;
+        yield bytes;
         this.#inactivityTimer.resume();
       }
+    } catch (error) {
+      const rest = unread.takeAll();
+      const isCut = !(error instanceof ExchangeError);
+      if (isCut && rest.length > 0) yield rest;
+      throw error;
     } finally {
       this.#release();
     }
--- a/source/backends/send_tracking_handler.ts
+++ b/source/backends/send_tracking_handler.ts
@@ -1,5 +1,6 @@
 import { Client, type Dispatcher } from "undici";
 import { ExchangeError } from "./exchange_error.ts";
+import type { UnreadBytes } from "./unread_bytes.ts";
 
 type Controller = Dispatcher.DispatchController;
 type Handler = Dispatcher.DispatchHandler;
@@ -13,6 +14,8 @@
   readonly mayStart: () => boolean;
   /** The connection that the request was sent on; undefined before. */
   connection?: TrackedConnection;
+  /** Bytes of the response's body that were read and not passed on. */
+  readonly unread?: UnreadBytes;
   /** Called with the head of the response in the tick in which it is read. */
   readonly onHead?: (status: number, headers: Headers) => void;
 }
@@ -107,6 +110,7 @@
   }
 
   onResponseData(controller: Controller, chunk: Buffer): void {
+    this.#state.unread?.add(chunk);
     this.#inner.onResponseData?.(controller, chunk);
   }
 
