--- a/source/backends/recent_identifiers.ts
+++ b/source/backends/recent_identifiers.ts
@@ -3,7 +3,7 @@
 /** Time after a request in which a second copy of its response may still arrive. */
 const MEMORY_MILLISECONDS = 60_000;
 /** Maximum number of requests that are remembered; beyond it, the oldest is forgotten. */
-const MAXIMUM_REMEMBERED = 20_000;
+const MAXIMUM_REMEMBERED = 10_000;
 
 /** What earlier sends of a request mean for the response to the next one. */
 export type SendDoubt =
