--- a/source/durable_steps/sample_text.ts
+++ b/source/durable_steps/sample_text.ts
@@ -15,7 +15,13 @@
   isWhole: boolean;
 }
 
-/** Creates a text without events. */
+/**
+ * Creates a text without events.
+ * @example
+ * ```ts
+ * const text = createSampleText();
+ * ```
+ */
 export function createSampleText(): SampleText {
   return {
     parts: [],
@@ -27,7 +33,14 @@
   };
 }
 
-/** Copies a text, so that it can be continued apart from the original. */
+/**
+ * Copies a text, so that it can be continued apart from the original.
+ * @param text - The text, which another run may go on changing.
+ * @example
+ * ```ts
+ * const own = copySampleText(known);
+ * ```
+ */
 export function copySampleText(text: Readonly<SampleText>): SampleText {
   return { ...text, parts: [...text.parts], versions: [...text.versions] };
 }
--- a/source/utilities/number_ranges.ts
+++ b/source/utilities/number_ranges.ts
@@ -24,6 +24,11 @@
  * Whether a value is a finite number of a limited size.
  * @param value - Any value.
  * @param limits - The smallest and the largest number that are allowed.
+ * @example
+ * ```ts
+ * isBetween(0.5, { maximum: 1 }); // true
+ * isBetween(NaN, { maximum: 1 }); // false
+ * ```
  */
 export function isBetween(
   value: unknown,
@@ -35,7 +40,14 @@
   return typeof value === "number" && value >= minimum && value <= maximum;
 }
 
-/** Whether a value is a time in milliseconds since the Unix epoch. */
+/**
+ * Whether a value is a time in milliseconds since the Unix epoch.
+ * @param value - Any value.
+ * @example
+ * ```ts
+ * isUnixTime(Date.now()); // true
+ * ```
+ */
 export function isUnixTime(value: unknown): value is number {
   return isBetween(value, { maximum: LATEST_TIME_MILLISECONDS });
 }
