--- a/source/durable_steps/sample_generation.ts
+++ b/source/durable_steps/sample_generation.ts
@@ -121,7 +121,7 @@
     const mustRestart = await this.#continuation.mustRestart(
       request.requirements,
     );
-    // After the abort, the run of a later step may already be continuing the text.
+    // A run that has been stopped discards nothing of its text, which a later run may copy.
     if (signal.aborted) return undefined;
     if (mustRestart) {
       this.#continuation.restart();
@@ -282,7 +282,7 @@
     let readAt = clock.monotonic();
     let events = 0;
     for await (const event of client.readEvents(answer.body)) {
-      // After the abort, the run of a later step may already be continuing the text.
+      // A run that has been stopped adds nothing more to its text.
       if (signal.aborted) return "retry";
       version = event.weightVersion ?? version;
       if (version === undefined || !this.#isUsable(version, route)) {
