Leave out differences of clocks that give no date

A process that a run of malformed_rows_test on the code before had left was still at work 80 minutes later, with 4224 s of processor time. Its stack, read with the inspector, showed the cause that gives only as "did not let the test end": two rows of nodes with an infinite difference of their clocks made the agreed time infinite, and with it the loop of UsageWindowReporter over the windows that are due.

The ranges of exclude infinite differences, but not one of 9e15 ms. Change: SharedClock uses only differences that give a date.

--- a/source/installation/shared_clock.ts
+++ b/source/installation/shared_clock.ts
@@ -1,4 +1,5 @@
 import type { Clock } from "../utilities/clock.ts";
+import { isUnixTime } from "../utilities/number_ranges.ts";
 
 /** Number of answers of the store from which its time is derived. */
 const MAXIMUM_STORE_OFFSETS = 32;
@@ -48,11 +49,15 @@
   wall(): number {
     const own = this.ownOffset;
     if (own === undefined) return this.#options.clock.wall();
-    const offsets = [own, ...this.#options.otherOffsets()];
+    const storeTime = this.#storeTime();
+    const others = this.#options.otherOffsets().filter((offset) =>
+      isUnixTime(storeTime + offset)
+    );
+    const offsets = [own, ...others];
     if (offsets.length < MINIMUM_CLOCKS) return this.#options.clock.wall();
     offsets.sort((left, right) => left - right);
     const median = offsets[offsets.length >> 1] ?? own;
-    return this.#storeTime() + median;
+    return storeTime + median;
   }
 
   /**
--- a/source/installation/shared_clock_test.ts
+++ b/source/installation/shared_clock_test.ts
@@ -65,3 +65,13 @@
   own.stepWall(700);
   t.is(shared.wall(), START + 700);
 });
+
+for (const offset of [9e15, -9e15, Infinity]) {
+  // Guards against a time that is no date: counting from it, loops do not end.
+  test(`an offset of ${offset} ms in the rows of most nodes does not change the time`, (t) => {
+    const { shared, others } = createFixture();
+    others.splice(0, others.length, offset, offset, offset);
+    shared.recordStoreTime(5000);
+    t.is(shared.wall(), START);
+  });
+}
