Delete rows by the time that elapsed, not by a wall clock that steps

Cause: rows were deleted by the difference of two wall times. And the reports waited until the counts of every window in between were deleted, one read of the store after the other.

Change: createDeletionTime gives the wall time, but not later than the time at the start and what has elapsed since; the four deletions by age use it.

The deletion of crash records has no test of its own.

--- a/source/calls/crash_records.ts
+++ b/source/calls/crash_records.ts
@@ -23,6 +23,7 @@
   TableFollower,
 } from "../platform/table_follower.ts";
 import type { Clock } from "../utilities/clock.ts";
+import { createDeletionTime } from "../utilities/deletion_time.ts";
 import { keepAllRunning } from "../utilities/keep_running.ts";
 import { readCrashRecord, writeCrashRecord } from "./crash_record_row.ts";
 
@@ -71,6 +72,7 @@
  */
 export class CrashRecords {
   readonly #options: CrashRecordsOptions;
+  readonly #deletionTime: () => number;
   readonly #follower: TableFollower;
   readonly #malformed: MalformedRows;
   /** Records by content, as the store has them. */
@@ -82,6 +84,7 @@
   constructor(options: CrashRecordsOptions) {
     this.#options = options;
     const { clock, log, table, stopping, pace } = options;
+    this.#deletionTime = createDeletionTime(clock);
     this.#malformed = new MalformedRows({
       clock,
       log: (content) => log.emit("crashRecordMalformed", { content }),
@@ -285,7 +288,7 @@
     while (!stopping.aborted) {
       await clock.sleep(CLEANING_INTERVAL_MILLISECONDS, stopping);
       if (lease.getHeldDuty() === undefined) continue;
-      const now = clock.wall();
+      const now = this.#deletionTime();
       const old = [...this.#saved].filter(([, { record }]) =>
         isForgotten(record, now)
       );
--- a/source/calls/stream_origins.ts
+++ b/source/calls/stream_origins.ts
@@ -10,6 +10,7 @@
 import type { DurableTable } from "../platform/durable_table.ts";
 import type { StoreHealth } from "../platform/store_health.ts";
 import type { Clock } from "../utilities/clock.ts";
+import { createDeletionTime } from "../utilities/deletion_time.ts";
 import { isUnixTime } from "../utilities/number_ranges.ts";
 
 const TABLE = "streams";
@@ -56,6 +57,7 @@
  */
 export class StreamOrigins {
   readonly #options: StreamOriginsOptions;
+  readonly #deletionTime: () => number;
   readonly #remembered = new LRUCache<string, StreamOrigin>({
     max: MAXIMUM_REMEMBERED,
   });
@@ -63,6 +65,7 @@
   /** @param options - The store, the clock and the duty lease. */
   constructor(options: StreamOriginsOptions) {
     this.#options = options;
+    this.#deletionTime = createDeletionTime(options.clock);
   }
 
   /** Records the origin of a stream; the stream does not wait for the store. */
@@ -100,7 +103,8 @@
 
   /** Deletes the records of streams that began before the previous period. */
   async deleteOld(): Promise<void> {
-    const to = toKey(this.#period - 1, "");
+    const period = Math.floor(this.#deletionTime() / PERIOD_MILLISECONDS);
+    const to = toKey(period - 1, "");
     for (let partition = 0; partition < PARTITIONS; partition += 1) {
       const range = { table: TABLE, partition: String(partition), to };
       if (!await deleteRange(this.#options.table, range)) return;
--- a/source/calls/stream_origins_test.ts
+++ b/source/calls/stream_origins_test.ts
@@ -12,6 +12,7 @@
   server: { identifier: "e1", startedAt: 7 },
 };
 const FOUND: StreamOriginFinding = { kind: "found", origin: ORIGIN };
+const DAY_MILLISECONDS = 86_400_000;
 const PERIOD_MILLISECONDS = 300_000;
 
 interface Fixture {
@@ -92,6 +93,18 @@
   t.is(await countRecords(table), 1);
 });
 
+// Guards against the loss of recent records when the wall clock steps forward.
+test("a step of the time by a day deletes no records", async (t) => {
+  const { clock, createNode } = createFixture();
+  const node = createNode();
+  node.record(REQUEST, ORIGIN);
+  await clock.advance(1);
+  clock.stepWall(DAY_MILLISECONDS);
+  await node.deleteOld();
+  clock.stepWall(-DAY_MILLISECONDS);
+  t.deepEqual(await createNode().find(REQUEST), FOUND);
+});
+
 test("a stream does not wait for a store whose calls hang", async (t) => {
   const { clock, createNode } = createFixture();
   createNode().record(REQUEST, ORIGIN);
--- a/source/durable_steps/step_retention.ts
+++ b/source/durable_steps/step_retention.ts
@@ -3,6 +3,7 @@
 import { deleteRange, deleteRows } from "../platform/delete_rows.ts";
 import type { DurableTable } from "../platform/durable_table.ts";
 import type { Clock } from "../utilities/clock.ts";
+import { createDeletionTime } from "../utilities/deletion_time.ts";
 import {
   hasManifest,
   type StepRegistry,
@@ -36,10 +37,12 @@
 /** Deletes the rows of steps past their retention period while this node holds the duty lease. */
 export class StepRetention {
   readonly #options: StepRetentionOptions;
+  readonly #deletionTime: () => number;
 
   /** @param options - The store, the retention period and the other dependencies. */
   constructor(options: StepRetentionOptions) {
     this.#options = options;
+    this.#deletionTime = createDeletionTime(options.clock);
   }
 
   /** Deletes expired steps periodically until the node stops. */
@@ -54,7 +57,6 @@
   /** Deletes all rows of ended steps past their retention period; open steps keep their rows. */
   async deleteExpired(): Promise<void> {
     const {
-      clock,
       stepRegistry: registry,
       retentionMilliseconds: retention,
       log,
@@ -63,7 +65,7 @@
     for (const entry of [...registry.entries]) {
       if (!hasManifest(entry) || !entry.isEnded) continue;
       const { manifest } = entry;
-      if (clock.wall() - manifest.submittedAt < maximumAge) continue;
+      if (this.#deletionTime() - manifest.submittedAt < maximumAge) continue;
       const isDone = await this.#deleteStep(manifest);
       if (!isDone) return;
       log.emit("stepRowsDeleted", { step: manifest.identifier });
--- a/source/durable_steps/step_retention_test.ts
+++ b/source/durable_steps/step_retention_test.ts
@@ -4,6 +4,7 @@
 import { DutyLease } from "../duties/duty_lease.ts";
 import { LeaseElector } from "../control/lease_elector.ts";
 import { LeaseTable } from "../duties/lease_table.ts";
+import type { Clock } from "../utilities/clock.ts";
 import { createRandomSource } from "../utilities/random_source.ts";
 import { toStepRowPlace } from "./step_registry.ts";
 import type { StepManifest } from "./step_manifest.ts";
@@ -102,3 +103,25 @@
   t.is(results.kind === "ok" ? results.value.rows.length : -1, 0);
   stopping.abort();
 });
+
+// Guards against the loss of results that callers still list when the wall clock steps forward.
+test("a step of the time by a day deletes no results", async (t) => {
+  const table = new MemoryDurableTable();
+  const stopping = new AbortController();
+  t.teardown(() => stopping.abort());
+  const tools = createStepTools(table, stopping.signal);
+  let step = 0;
+  const clock: Clock = {
+    monotonic: () => tools.clock.monotonic(),
+    sleep: (...wait) => tools.clock.sleep(...wait),
+    wall: () => tools.clock.wall() + step,
+  };
+  await putStep(table, { identifier: "new", submittedAt: Date.now() }, true);
+  void tools.stepRegistry.run();
+  await tools.clock.sleep(50);
+  const retention = createRetention({ ...tools, clock }, stopping.signal);
+  step = DAY_MILLISECONDS;
+  await retention.deleteExpired();
+  const results = await table.read("results", { partition: "new" });
+  t.is(results.kind === "ok" ? results.value.rows.length : -1, 1);
+});
--- a/source/duties/usage_window_reporter.ts
+++ b/source/duties/usage_window_reporter.ts
@@ -2,6 +2,7 @@
 import type { DurableTable, StoredRow } from "../platform/durable_table.ts";
 import { asObject } from "../platform/platform_answer.ts";
 import type { Clock } from "../utilities/clock.ts";
+import { createDeletionTime } from "../utilities/deletion_time.ts";
 import type { DutyClient } from "./duty_client.ts";
 import type { DutyLease } from "./duty_lease.ts";
 import { USAGE_TABLE, type UsageCounts } from "./usage_meter.ts";
@@ -61,12 +62,14 @@
   readonly #options: UsageWindowReporterOptions;
   /** Indexes of the windows that need no report by this node. */
   readonly #reported = new Set<number>();
+  readonly #deletionTime: () => number;
   /** Index of the last window whose counts this node has deleted. */
   #deletedThrough: number | undefined;
 
   /** @param options - The store, the duty lease and the other dependencies. */
   constructor(options: UsageWindowReporterOptions) {
     this.#options = options;
+    this.#deletionTime = createDeletionTime(options.clock);
   }
 
   /** Reports windows while this node holds the duty lease, until the node stops. */
@@ -96,7 +99,8 @@
     for (let window = earliest; window <= last; window += 1) {
       if (!this.#reported.has(window)) await this.#report(window);
     }
-    await this.#deleteExpired(last);
+    const lastElapsed = Math.floor(this.#deletionTime() / windowMilliseconds);
+    await this.#deleteExpired(Math.min(last, lastElapsed));
   }
 
   // Deletes the counts of expired windows in order. A new lease holder starts at the oldest window
--- a/source/duties/usage_window_reporter_test.ts
+++ b/source/duties/usage_window_reporter_test.ts
@@ -9,6 +9,8 @@
 
 const WINDOW_MILLISECONDS = 5000;
 const REPORT_DEADLINE_MILLISECONDS = 10_000;
+const READ_MILLISECONDS = 2;
+const DAY_MILLISECONDS = 86_400_000;
 
 interface Fixture {
   readonly clock: ManualClock;
@@ -131,6 +133,41 @@
   t.true(await fixture.countRows(window + 20) > 0);
 });
 
+// Guards against reports that wait until the counts of all windows in between are deleted, and
+// against the loss of counts that were not reported yet.
+for (const days of [1, 30, 10_000]) {
+  test(`a step of the time by ${days} days and back does not hold back or lose reports`, async (t) => {
+    const fixture = createFixture();
+    const { clock, table, reports } = fixture;
+    const stop = fixture.startHolder();
+    await clock.advance(2 * WINDOW_MILLISECONDS);
+    const read = table.read.bind(table);
+    table.read = async (...query) => {
+      await clock.sleep(READ_MILLISECONDS);
+      return read(...query);
+    };
+    const before = Math.floor(clock.wall() / WINDOW_MILLISECONDS);
+    await fixture.save(before, { a: 2 });
+    clock.stepWall(days * DAY_MILLISECONDS);
+    await clock.advance(2 * REPORT_DEADLINE_MILLISECONDS);
+    clock.stepWall(-days * DAY_MILLISECONDS);
+    const window = Math.floor(clock.wall() / WINDOW_MILLISECONDS);
+    await fixture.save(window, { a: 3 });
+    await clock.advance(WINDOW_MILLISECONDS + REPORT_DEADLINE_MILLISECONDS);
+    const inTime = reports.filter((report) =>
+      [before, window].includes(report.window)
+    );
+    await clock.advance(180_000);
+    table.read = read;
+    stop();
+    t.deepEqual(inTime, [
+      { window: before, counts: { a: 2 } },
+      { window, counts: { a: 3 } },
+    ]);
+    t.is(await fixture.countRows(window), 0);
+  });
+}
+
 test("a window that all nodes have settled is reported before a long outage of the store", async (t) => {
   const fixture = createFixture();
   const { clock, table, window, reports } = fixture;
