--- a/scripts/run_checks.mjs
+++ b/scripts/run_checks.mjs
@@ -35,8 +35,11 @@
     .map((line) => line.slice("test: ".length).trim());
 }
 
-function runTests(knownFaults) {
-  const result = run("npx", ["ava", "--tap"], {
+// Tests that measure a process run after all others, one file after the other.
+const TEST_RUNS = [[], ["--config", "ava_alone.config.mjs"]];
+
+function runTests(knownFaults, testArguments) {
+  const result = run("npx", ["ava", "--tap", ...testArguments], {
     env: { ...process.env, FORCE_COLOR: "0" },
   });
   let passed = 0;
@@ -68,10 +71,15 @@
 const outcomes = CHECKS.map(runCheck);
 const checksPassed = outcomes.filter((passed) => passed).length;
 const checksFailed = outcomes.length - checksPassed;
+const knownFaults = readKnownFaults();
 const tests = checksFailed === 0
-  ? runTests(readKnownFaults())
-  : { passed: 0, failed: 0, known: [] };
-for (const title of tests.known) console.log(`known fault: ${title}`);
-const failed = checksFailed + tests.failed;
-console.log(`${checksPassed + tests.passed} passed, ${failed} failed`);
+  ? TEST_RUNS.map((testArguments) => runTests(knownFaults, testArguments))
+  : [];
+for (const title of tests.flatMap(({ known }) => known)) {
+  console.log(`known fault: ${title}`);
+}
+const sum = (counts) => counts.reduce((total, count) => total + count, 0);
+const failed = sum([checksFailed, ...tests.map((each) => each.failed)]);
+const passed = sum([checksPassed, ...tests.map((each) => each.passed)]);
+console.log(`${passed} passed, ${failed} failed`);
 process.exitCode = failed === 0 ? 0 : 1;
--- a/stand_ins/installation/test_installation.ts
+++ b/stand_ins/installation/test_installation.ts
@@ -22,6 +22,7 @@
 export const IDLE_MILLISECONDS = 5000;
 /** Event that a node logs once it listens on all its addresses. */
 const STARTED_EVENT = "installationNodeStarted";
+const METRICS_PORT = 9464;
 const MAXIMUM_PROBLEM_CHARACTERS = 2000;
 
 /** A node that runs in its own process. */
@@ -34,6 +35,10 @@
   /** HOST:PORT of address lookups. */
   readonly directory: string;
   readonly process: ChildProcess;
+  /** HOST:PORT at which other nodes are served; undefined without an address of its own. */
+  readonly peer: string | undefined;
+  /** HOST:PORT of metrics; undefined without an address of its own. */
+  readonly metrics: string | undefined;
   /** Path of the settings file. */
   readonly settingsPath: string;
   /** Returns what the process has logged so far. */
@@ -117,12 +122,28 @@
   readonly bounds?: Readonly<Record<string, number>>;
   /** Fields of all routes that differ from those of other tests. */
   readonly route?: Readonly<Record<string, unknown>>;
+  /** Limits of the nodes' operators and of their processes that differ from those of other tests. */
+  readonly machine?: MachineOptions;
+  /** Largest body that callers may send, in bytes; 1,000,000 if absent. */
+  readonly bodyBytes?: number;
   /** Called with each node's process before it is ready. */
   readonly onSpawned?: (node: InstallationNode) => void;
   /** Proxy through which nodes reach the store; none if absent. */
   readonly storeProxy?: RawProxy;
 }
 
+/** What a node's machine and command give it. */
+export interface MachineOptions {
+  /** Memory of the machine in MB. */
+  readonly memoryMegabytes: number;
+  /** Number of descriptors that the process may open. */
+  readonly descriptors: number;
+  /** Arguments of Node.js. */
+  readonly nodeArguments: ReadonlyArray<string>;
+  /** Loopback address of the machine, at which it serves other nodes and metrics. */
+  readonly ip: string;
+}
+
 const ONE_DOMAIN: RegionLayout = {
   regions: {},
   engines: ["a", "a", "a", "a"],
@@ -217,6 +238,7 @@
       dutyAddress: duties.address,
       bounds: options.bounds ?? {},
       onSpawned: options.onSpawned ?? (() => {}),
+      machine: options.machine,
       failureDomain,
       regions,
     });
@@ -376,7 +398,7 @@
     ],
     limits: {
       "max_header_bytes": 16_384,
-      "max_body_bytes": 1_000_000,
+      "max_body_bytes": options.bodyBytes ?? 1_000_000,
       "header_timeout_ms": 3000,
       "idle_timeout_ms": IDLE_MILLISECONDS,
     },
@@ -396,6 +418,7 @@
   readonly failureDomain: string;
   readonly regions: RegionLayout["regions"];
   readonly onSpawned: (node: InstallationNode) => void;
+  readonly machine: MachineOptions | undefined;
 }
 
 // Another process may bind a port after it was chosen and before the node binds it. The start is
@@ -417,11 +440,13 @@
   name: string,
   settings: NodeSettings,
 ): Promise<InstallationNode | { readonly problem: string }> {
-  const [front, ready, directory] = await Promise.all([
+  const [front, ready, directory, internal] = await Promise.all([
+    findFreePort(),
     findFreePort(),
     findFreePort(),
     findFreePort(),
   ]);
+  const { machine } = settings;
   const listen = {
     front: `127.0.0.1:${front}`,
     ready: `127.0.0.1:${ready}`,
@@ -436,6 +461,14 @@
       region: settings.regions[settings.failureDomain] ?? "r",
       zones: settings.regions,
       listen,
+      ...(machine === undefined ? {} : {
+        ip: machine.ip,
+        "internal_ports": [internal, internal],
+        limits: {
+          "memory_mb": machine.memoryMegabytes,
+          "max_fds": machine.descriptors,
+        },
+      }),
       bounds: {
         "report_window_s": 1,
         "usage_late_s": 2,
@@ -448,7 +481,8 @@
       cloud: { address: settings.dutyAddress, duties: ["usage_report"] },
     }),
   );
-  const childProcess = spawn(process.execPath, [PROGRAM], {
+  const nodeArguments = [...machine?.nodeArguments ?? [], PROGRAM];
+  const childProcess = spawn(process.execPath, nodeArguments, {
     env: { ...process.env, SNIPEPATH_SETTINGS: path },
     stdio: ["ignore", "ignore", "pipe"],
   });
@@ -459,6 +493,8 @@
     caller: listen.front,
     ready: listen.ready,
     directory: listen.directory,
+    peer: machine && `${machine.ip}:${internal}`,
+    metrics: machine && `${machine.ip}:${METRICS_PORT}`,
     process: childProcess,
     settingsPath: path,
     readLog: () => output.join(""),
