Let samples choose a service anew when their route is split

Callers saw: a step whose route is split while its samples wait stands still when the engines of the former service leave or it gets weight 0; none of the eight samples reached an engine while three were idle (LOST).

Cause: a wait on a route with one service has no time limit, and the check for outdated waits compared the requirements at the chosen service, which stay the same while the route still names it; see docs/incidents/waits-at-a-service-of-a-split-route.md.

Change: a wait is outdated when the services of its route or their weights have changed; a service without weight gets no sample.

--- a/source/durable_steps/sample_generation.ts
+++ b/source/durable_steps/sample_generation.ts
@@ -160,7 +160,7 @@
       isOutdated: () => {
         const current = this.#requirements.find();
         return current === undefined || findDueTime() !== dueAt ||
-          toRequirementsKey(current) !== key;
+          this.#requirements.isOutdated || toRequirementsKey(current) !== key;
       },
     });
   }
--- a/source/durable_steps/sample_requirements.ts
+++ b/source/durable_steps/sample_requirements.ts
@@ -30,6 +30,7 @@
   #service: string | undefined;
   #begunAt: string | undefined;
   #waitsSince: number | undefined;
+  #shares = "";
 
   /** @param options - The sample and the engines. */
   constructor(options: SampleRequirementsOptions) {
@@ -46,6 +47,7 @@
     const { clock, pool, draw, text } = this.#options;
     const now = clock.monotonic();
     this.#waitsSince ??= now;
+    this.#shares = toSharesKey(route);
     const [first, ...others] = route.services;
     this.#service = others.length === 0 ? first?.service : chooseService(
       route.services.map(({ service, weight }) => {
@@ -79,11 +81,19 @@
     return this.#at(share?.service ?? "", route);
   }
 
+  /** Whether the services of the route or their weights have changed since the last choice. */
+  get isOutdated(): boolean {
+    const route = this.#options.route();
+    return route === undefined || toSharesKey(route) !== this.#shares;
+  }
+
   /** Whether the route that is in force sends samples to a service. */
   isRouted(service: string): boolean {
-    return this.#options.route()?.services.some((share) =>
+    const services = this.#options.route()?.services ?? [];
+    const weighted = services.filter(({ weight }) => weight > 0);
+    return (weighted.length > 0 ? weighted : services).some((share) =>
       share.service === service
-    ) === true;
+    );
   }
 
   /** Records that the sample has got an engine of a service. */
@@ -104,3 +114,7 @@
     };
   }
 }
+
+function toSharesKey({ services }: ServiceRoute): string {
+  return services.map(({ service, weight }) => `${service}=${weight}`).join();
+}
