Let calls leave a service of a split route whose servers have left

Callers saw: calls that wait for a slot of one service of a split route are refused when its servers leave, while another service has free slots.

Cause: the service is drawn once; only its removal from the route ended the wait. Which services have servers was asked without the call's allowed regions.

Change: mustLeaveService decides whether a call chooses anew: its service has no weight any more, or no server that the call may use while another one has.

--- a/source/calls/forwarding_run.ts
+++ b/source/calls/forwarding_run.ts
@@ -1,7 +1,11 @@
 import type { AttemptResult } from "./attempt_result.ts";
 import { AttemptSender } from "./attempt_sender.ts";
 import { type AttemptRun, AttemptSet } from "./attempt_set.ts";
-import type { AllowedRegions } from "../decisions/allowed_regions.ts";
+import {
+  type AllowedRegions,
+  mayProcess,
+} from "../decisions/allowed_regions.ts";
+import { mustLeaveService } from "../decisions/service_choice.ts";
 import type { ServerAnswer } from "../backends/server_client.ts";
 import {
   selectService,
@@ -21,7 +25,6 @@
   toUnrunOutcome,
 } from "./forwarding_outcomes.ts";
 import { ServerCandidates } from "./server_candidates.ts";
-
 import type { CallForwarderOptions } from "./call_forwarder_options.ts";
 
 /** Pause before the first repeated attempt when every server was tried. */
@@ -123,12 +126,16 @@
     if (passed.kind === "stopping") return STOPPING;
     if (passed.kind === "cancelled") return { kind: "abandoned" };
     if (passed.kind === "rejected") {
+      // Another service of the route may have servers.
+      if (this.#hasRouteMoved) return undefined;
       const { retryAfterMilliseconds } = passed;
       return { kind: "refused", refusal: "overloaded", retryAfterMilliseconds };
     }
     const passedAt = passed === OPEN ? undefined : clock.monotonic();
     // The evacuation may have started while the call waited.
-    if (this.#isEvacuated) return this.#refuseEvacuated();
+    if (this.#isEvacuated && !this.#hasRouteMoved) {
+      return this.#refuseEvacuated();
+    }
     try {
       // The node that forwards a call claims the trial itself.
       const admission = this.#isRelayNeeded
@@ -199,30 +206,32 @@
     });
   }
 
-  // Whether the route that is in force does not use the call's service.
+  // Whether the route that is in force does not use the call's service, or another one in its place.
   get #hasRouteMoved(): boolean {
     return this.#findNewRoute() !== undefined;
   }
 
-  // Returns the route that is in force if it has moved to other services. A stream goes on at the
-  // service that began it.
+  // Returns the route that is in force if the call must choose one of its services anew. A stream goes
+  // on at the service that began it.
   #findNewRoute(): ServiceRoute | undefined {
     const { origin, route: known, findRoute } = this.#call;
     if (origin !== undefined) return undefined;
     const route = findRoute?.();
     if (route === undefined || route.kind !== known.kind) return undefined;
-    const isUsed = route.services.some(({ service }) =>
-      service === this.#service
-    );
-    return isUsed ? undefined : route;
+    const isUsable = (service: string) => this.#isServing(service);
+    const wait = { current: this.#service, isUsable };
+    return mustLeaveService(route.services, wait) ? route : undefined;
   }
 
   #selectService(route: ServiceRoute): string {
-    const { random, servers } = this.#options;
-    return selectService(
-      route,
-      random.next(),
-      (service) => servers.ofService(service).length > 0,
+    const draw = this.#options.random.next();
+    return selectService(route, draw, (each) => this.#isServing(each));
+  }
+
+  #isServing(service: string): boolean {
+    const allowed = this.#allowedRegions;
+    return this.#options.servers.ofService(service).some((server) =>
+      mayProcess(allowed, server)
     );
   }
 
--- a/source/decisions/service_choice.ts
+++ b/source/decisions/service_choice.ts
@@ -38,6 +38,35 @@
   return shares.at(-1);
 }
 
+/**
+ * Whether a request that waits at a service of its route must choose anew.
+ *
+ * Load pattern: a configuration splits the route, takes a service's weight away, or the servers of one
+ * service leave, while requests wait for a slot there.
+ * @param services - The services of the route that is in force.
+ * @param wait - The service at which the request waits, and which services have usable servers.
+ * @returns Whether the route gives the service nothing any more, or it has no usable server while
+ * another one has.
+ * @example
+ * ```ts
+ * const services = [{ service: "a", weight: 0 }, { service: "b", weight: 1 }];
+ * mustLeaveService(services, { current: "a", isUsable: () => true }); // true
+ * ```
+ */
+export function mustLeaveService(
+  services: ReadonlyArray<Pick<SplitService, "service" | "weight">>,
+  { current, isUsable }: {
+    readonly current: string;
+    readonly isUsable: (service: string) => boolean;
+  },
+): boolean {
+  const weighted = services.filter(({ weight }) => weight > 0);
+  const eligible = weighted.length > 0 ? weighted : services;
+  if (!eligible.some(({ service }) => service === current)) return true;
+  return !isUsable(current) &&
+    eligible.some(({ service }) => isUsable(service));
+}
+
 /**
  * Chooses the service at which a sample of a split route waits for an engine.
  *
--- a/source/decisions/service_choice_test.ts
+++ b/source/decisions/service_choice_test.ts
@@ -2,6 +2,7 @@
 import fc from "fast-check";
 import {
   chooseService,
+  mustLeaveService,
   selectShare,
   type SplitService,
 } from "./service_choice.ts";
@@ -128,3 +129,48 @@
   }
   t.is(selectShare([], 0.5), undefined);
 });
+
+const LEAVING_CASES: ReadonlyArray<{
+  readonly title: string;
+  readonly services: ReadonlyArray<SplitService>;
+  readonly expected: boolean;
+}> = [
+  {
+    title: "stays where its route still sends requests",
+    services: [toService("a", 1), toService("b", 99)],
+    expected: false,
+  },
+  {
+    title: "leaves a service that the route does not name",
+    services: [toService("b", 1)],
+    expected: true,
+  },
+  {
+    title: "leaves a service without weight",
+    services: [toService("a", 0), toService("b", 1)],
+    expected: true,
+  },
+  {
+    title: "leaves a service without servers for another one",
+    services: [toService("a", 9, GONE), toService("b", 1)],
+    expected: true,
+  },
+  {
+    title: "stays while no service of its route has servers",
+    services: [toService("a", 9, GONE), toService("b", 1, GONE)],
+    expected: false,
+  },
+  {
+    title: "stays while no service has a weight",
+    services: [toService("a", 0), toService("b", 0)],
+    expected: false,
+  },
+];
+
+for (const { title, services, expected } of LEAVING_CASES) {
+  test(`a request that waits ${title}`, (t) => {
+    const isUsable = (name: string): boolean =>
+      services.some((each) => each.service === name && each.isUsable);
+    t.is(mustLeaveService(services, { current: "a", isUsable }), expected);
+  });
+}
