Tell a reset connection from a closed one at the end of a response

Change: such a response fails if the address of the peer is gone at its end, which it is after a reset only.

--- a/source/backends/connection_pools.ts
+++ b/source/backends/connection_pools.ts
@@ -1,6 +1,10 @@
 import { LRUCache } from "lru-cache";
-import { buildConnector, type Client, type Dispatcher, Pool } from "undici";
-import { TrackedConnection, trackSends } from "./send_tracking_handler.ts";
+import { buildConnector, type Dispatcher, Pool } from "undici";
+import {
+  TrackedConnection,
+  type TrackedConnectionOptions,
+  trackSends,
+} from "./send_tracking_handler.ts";
 
 /** Maximum number of pools in a cache; beyond it, the least recently used pool is closed. */
 const MAXIMUM_POOLS = 2_000;
@@ -104,7 +108,7 @@
     maxHeaderSize: MAXIMUM_HEADER_BYTES,
     pipelining: options.newConnection ? 0 : 1,
     factory: (origin, clientOptions) =>
-      new TrackedConnection(origin, clientOptions as Client.Options),
+      new TrackedConnection(origin, clientOptions as TrackedConnectionOptions),
   });
   return { pool, dispatcher: pool.compose(trackSends) };
 }
--- a/source/backends/send_tracking_handler.ts
+++ b/source/backends/send_tracking_handler.ts
@@ -1,4 +1,5 @@
-import { Client, type Dispatcher } from "undici";
+import type { Socket } from "node:net";
+import { type buildConnector, Client, type Dispatcher } from "undici";
 import { ExchangeError } from "./exchange_error.ts";
 import type { UnreadBytes } from "./unread_bytes.ts";
 
@@ -43,16 +44,33 @@
   };
 }
 
+/** Options of a connection; undici's pool passes its connector on as a function. */
+export interface TrackedConnectionOptions
+  extends Omit<Client.Options, "connect"> {
+  readonly connect: buildConnector.connector;
+}
+
 /** One connection, which each request that is sent on it learns; it is opened again when it closes. */
 export class TrackedConnection extends Client {
   #closes = 0;
+  #socket: Socket | undefined;
 
   /**
    * @param origin - Scheme, host and port.
    * @param options - Timeouts and other options of undici's client.
    */
-  constructor(origin: URL, options: Client.Options) {
-    super(origin, options);
+  constructor(
+    origin: URL,
+    { connect, ...options }: TrackedConnectionOptions,
+  ) {
+    super(origin, {
+      ...options,
+      connect: (target, callback) =>
+        connect(target, (...result) => {
+          this.#socket = result[1] ?? undefined;
+          callback(...result);
+        }),
+    });
     this.on("disconnect", () => {
       this.#closes += 1;
     });
@@ -63,6 +81,15 @@
     return this.#closes;
   }
 
+  /**
+   * Whether the server has reset the connection. When the bytes before a reset and the reset itself are
+   * read at once, libuv reports the end of the stream; only the address of the peer is gone then.
+   */
+  get isReset(): boolean {
+    return this.#socket !== undefined &&
+      this.#socket.remoteAddress === undefined;
+  }
+
   /** Sends a request, after those that were sent before. */
   override dispatch(
     options: Dispatcher.DispatchOptions,
@@ -77,6 +104,8 @@
 class SendTrackingHandler implements Handler {
   readonly #inner: Handler;
   readonly #state: SendState;
+  /** Whether the end of the response is the end of its connection. */
+  #endsWithConnection = false;
 
   constructor(inner: Handler, state: SendState) {
     this.#inner = inner;
@@ -105,6 +134,8 @@
     headers: Headers,
     message?: string,
   ): void {
+    this.#endsWithConnection = headers["content-length"] === undefined &&
+      headers["transfer-encoding"] === undefined;
     this.#state.onHead?.(status, headers);
     this.#inner.onResponseStart?.(controller, status, headers, message);
   }
@@ -115,6 +146,10 @@
   }
 
   onResponseEnd(controller: Controller, trailers: Headers): void {
+    if (this.#endsWithConnection && this.#state.connection?.isReset === true) {
+      controller.abort(new ExchangeError("cut", "Connection was reset"));
+      return;
+    }
     this.#inner.onResponseEnd?.(controller, trailers);
   }
 
