--- a/stand_ins/installation/test_installation.ts
+++ b/stand_ins/installation/test_installation.ts
@@ -60,6 +60,8 @@
   /** Bodies of the usage reports received, in order. */
   readonly usageReports: ReadonlyArray<string>;
   readonly startNode: (name: string) => Promise<InstallationNode>;
+  /** Starts a node whose machine has another address than the machine options say. */
+  readonly startNodeAt: (ip: string, name: string) => Promise<InstallationNode>;
   /** Starts a node in a failure domain of the layout. */
   readonly startNodeIn: (
     failureDomain: string,
@@ -231,14 +233,16 @@
   const start = async (
     name: string,
     failureDomain: string,
+    ip?: string,
   ): Promise<InstallationNode> => {
     const { regions } = layout;
+    const { machine } = options;
     const node = await startNode(name, {
       storeAddress: options.storeProxy?.address ?? store.address,
       dutyAddress: duties.address,
       bounds: options.bounds ?? {},
       onSpawned: options.onSpawned ?? (() => {}),
-      machine: options.machine,
+      machine: machine && { ...machine, ip: ip ?? machine.ip },
       failureDomain,
       regions,
     });
@@ -254,6 +258,7 @@
     plainLimit,
     usageReports,
     startNode: (name) => start(name, "a"),
+    startNodeAt: (ip, name) => start(name, "a", ip),
     startNodeIn: (failureDomain, name) => start(name, failureDomain),
     allowRegions: (lists) => {
       version += 1;
