Bound what a node holds for all its clients by the memory of its instance

Callers saw: a process that ends, and their requests with it, when clients send bodies that stop short of their end, or tiny chunks, or do not read answers.

Cause: each part had a limit of its own or none; nothing counted the sum, the key was looked at after the body, and each chunk of a byte woke a reader.

ClientMemory counts requests, bodies and answers toward one sum that follows from the instance's memory; decideGrowth says who gives way: a body without progress, then one of an organisation over its share, else the body waits unread, and is refused as not run after 2 s. Bodies are copied into blocks and end 10 s after their last byte. Route and key come before the body. Connections have a limit by address. Buffers of large bodies are collected before they exceed the instance's memory.

--- a/source/calls/call_outcome.ts
+++ b/source/calls/call_outcome.ts
@@ -16,6 +16,8 @@
   | "tooLarge"
   /** The request's body was not received by the deadline. */
   | "lateBody"
+  /** The node has no memory for the request, whose body it has not read to its end. */
+  | "noMemory"
   /** The node stops and does not start the request. */
   | "stopping"
   /** The request can't be parsed. */
--- a/source/calls/call_service.ts
+++ b/source/calls/call_service.ts
@@ -13,6 +13,11 @@
 import type { Metrics } from "../observability/metrics.ts";
 import type { Clock } from "../utilities/clock.ts";
 import type { CallForwarder } from "./call_forwarder.ts";
+import {
+  CallerIdentity,
+  NOT_CONFIGURED,
+  STALE_KEYS,
+} from "./caller_identity.ts";
 import type { IncomingCall } from "./incoming_call.ts";
 import type { CallOutcome } from "./call_outcome.ts";
 import type { DrainAdmission } from "./drain_admission.ts";
@@ -28,22 +33,11 @@
   type StreamOrigin,
 } from "../decisions/stream_continuation.ts";
 
-const NOT_CONFIGURED_RETRY_MILLISECONDS = 300;
-const STALE_KEYS_RETRY_MILLISECONDS = 400;
 /** Delay after which a stream may be taken up again; servers restart within seconds. */
 const STREAM_RETRY_MILLISECONDS = 400;
 /** Time for which streams last at most and their callers may take them up. */
 const STREAM_LIFETIME_MILLISECONDS = 60_000;
 
-/** The organisation that owns a key, or why the call is refused. */
-export type KeyOutcome =
-  | { readonly kind: "organisation"; readonly organisation: string }
-  | {
-    readonly kind: "refused";
-    readonly refusal: "unknownKey" | "staleKeys" | "notConfigured";
-    readonly retryAfterMilliseconds?: number;
-  };
-
 interface CallTarget {
   readonly route: ServiceRoute;
   readonly organisation: string | undefined;
@@ -66,11 +60,14 @@
 
 /** Serves callers according to the configuration in force. */
 export class CallService {
+  /** Finds whose calls these are. */
+  readonly identity: CallerIdentity;
   readonly #options: CallServiceOptions;
 
   /** @param options - The configuration and the parts that run calls. */
   constructor(options: CallServiceOptions) {
     this.#options = options;
+    this.identity = new CallerIdentity(options.operator);
   }
 
   /** Serves one call and records its outcome and duration as metrics. */
@@ -96,12 +93,7 @@
     if (configuration.version < minimum) return NOT_CONFIGURED;
     const path = call.target.split("?")[0] ?? "";
     const route = findRoute(configuration, call.host, path);
-    if (route === undefined) {
-      // A node that can't reach the store may have missed a new route, so the caller should retry.
-      return this.#options.operator.isKeyViewFresh()
-        ? { kind: "refused", refusal: "unknownRoute" }
-        : STALE_KEYS;
-    }
+    if (route === undefined) return this.identity.refuseUnknownRoute();
     const refusal = this.#options.drainAdmission.findRefusal(
       route,
       toDeadline(call, route),
@@ -127,7 +119,7 @@
     if (route.isPublic || configuration.organisationsByKey === undefined) {
       return await this.#forward(call, { route, organisation: undefined });
     }
-    const key = this.#resolveKey(configuration, call.key);
+    const key = this.identity.resolveKey(configuration, call.key);
     if (key.kind === "refused") return key;
     const { organisation } = key;
     // Calls run only on a fresh view of the keys, so that no call runs with a withdrawn key.
@@ -167,30 +159,6 @@
     return { ...outcome, body };
   }
 
-  /**
-   * Finds the organisation of a key for calls that run nothing and so need no fresh view of the
-   * keys.
-   */
-  identifyOrganisation(key: string | undefined): KeyOutcome {
-    const { configuration } = this.#options.operator;
-    if (configuration === undefined) return NOT_CONFIGURED;
-    return this.#resolveKey(configuration, key);
-  }
-
-  #resolveKey(
-    configuration: Configuration,
-    key: string | undefined,
-  ): KeyOutcome {
-    const organisation = configuration.organisationsByKey?.get(key ?? "");
-    if (organisation !== undefined) {
-      return { kind: "organisation", organisation };
-    }
-    // The key may have been created after this node last read the store.
-    return this.#options.operator.isKeyViewFresh()
-      ? { kind: "refused", refusal: "unknownKey" }
-      : STALE_KEYS;
-  }
-
   async #forward(
     call: IncomingCall,
     target: CallTarget,
@@ -368,15 +336,3 @@
   if (outcome.kind === "unknown") return outcome.reason;
   return "status" in outcome ? String(outcome.status) : "";
 }
-
-const NOT_CONFIGURED = {
-  kind: "refused",
-  refusal: "notConfigured",
-  retryAfterMilliseconds: NOT_CONFIGURED_RETRY_MILLISECONDS,
-} as const;
-
-const STALE_KEYS = {
-  kind: "refused",
-  refusal: "staleKeys",
-  retryAfterMilliseconds: STALE_KEYS_RETRY_MILLISECONDS,
-} as const;
--- a/source/calls/forwarding_outcomes.ts
+++ b/source/calls/forwarding_outcomes.ts
@@ -29,6 +29,16 @@
   retryAfterMilliseconds: STOPPING_RETRY_MILLISECONDS,
 } as const;
 
+/** Delay after which a caller may return whose request the node had no memory for. */
+const NO_MEMORY_RETRY_MILLISECONDS = 1000;
+
+/** Outcome of a request that a node has not read to its end, as it has no memory for it. */
+export const NO_MEMORY = {
+  kind: "refused",
+  refusal: "noMemory",
+  retryAfterMilliseconds: NO_MEMORY_RETRY_MILLISECONDS,
+} as const;
+
 /** Returns the outcome of a call that is held because calls with its content crash servers. */
 export function toHeldOutcome(retryAfterMilliseconds: number): CallOutcome {
   return { kind: "refused", refusal: "crashesServers", retryAfterMilliseconds };
--- a/source/installation/installation_settings.ts
+++ b/source/installation/installation_settings.ts
@@ -8,6 +8,10 @@
   readonly regions: ReadonlyMap<string, string>;
   /** Processor capacity that the node may use, in cores of reference speed. */
   readonly processorShare: number;
+  /** Memory of the instance in bytes, beyond which the process is killed. */
+  readonly memoryBytes: number;
+  /** Number of descriptors that the process may open. */
+  readonly descriptors: number;
   /** HOST:PORT that callers connect to. */
   readonly callerAddress: string;
   /** HOST:PORT at which other nodes are served; undefined when the node serves none. */
--- a/source/node/create_installation_node.ts
+++ b/source/node/create_installation_node.ts
@@ -15,6 +15,7 @@
 import { type FollowerPace, USUAL_PACE } from "../platform/table_follower.ts";
 import { createRandomSource } from "../utilities/random_source.ts";
 import { applyServerNews, restoreServerNews } from "./apply_server_news.ts";
+import { createClientMemory } from "./create_client_memory.ts";
 import { createCallService } from "./create_call_service.ts";
 import { createDuties } from "./create_duties.ts";
 import { createDutyLease } from "./create_duty_lease.ts";
@@ -184,7 +185,13 @@
     servers,
     register,
   });
+  const { clientMemory, clientLimits, memoryWatch } = createClientMemory(
+    options,
+  );
   const node = new InstallationNode({
+    metrics,
+    clientMemory,
+    clientLimits,
     operator,
     regionRules,
     servers,
@@ -211,11 +218,14 @@
         crashRecords,
         serverPaths,
         lease,
+        clientMemory,
+        clientLimits,
       }),
     supervision: { clock, log, stopping },
     restore: () =>
       restoreServerNews({ ...common, node: settings.node, servers }),
     background: [
+      memoryWatch,
       operator,
       servers,
       register,
--- a/source/node/installation_gauges.ts
+++ b/source/node/installation_gauges.ts
@@ -1,3 +1,5 @@
+import type { ClientMemory } from "../client_memory/client_memory.ts";
+import type { ClientMemoryLimits } from "../decisions/client_memory.ts";
 import type { CrashRecords } from "../calls/crash_records.ts";
 import type { DutyLease } from "../duties/duty_lease.ts";
 import type { EnginePool } from "../durable_steps/engine_pool.ts";
@@ -27,6 +29,8 @@
   readonly crashRecords: Pick<CrashRecords, "size">;
   readonly serverPaths: Pick<ServerPaths, "isCutOff">;
   readonly lease: DutyLease;
+  readonly clientMemory: Pick<ClientMemory, "usedBytes" | "waiting">;
+  readonly clientLimits: ClientMemoryLimits;
 }
 
 /** Number of organisations whose use has a series of its own. */
@@ -41,6 +45,10 @@
   const { crashRecords, serverPaths, regionRules, warmUpLimits, work } =
     options;
   const age = operator.ageMilliseconds() ?? -1;
+  const { clientMemory, clientLimits } = options;
+  metrics.gauge("client_memory_bytes", clientMemory.usedBytes, {});
+  metrics.gauge("client_memory_limit_bytes", clientLimits.sumBytes, {});
+  metrics.gauge("client_bodies_waiting", clientMemory.waiting, {});
   metrics.gauge("operator_view_age_milliseconds", age, {});
   metrics.gauge("key_view_fresh", Number(operator.isKeyViewFresh()), {});
   const version = operator.configuration?.version ?? -1;
--- a/source/node/installation_node.ts
+++ b/source/node/installation_node.ts
@@ -1,5 +1,8 @@
 import { selectAddressedNodes } from "../decisions/caller_addresses.ts";
 import type { CallService } from "../calls/call_service.ts";
+import type { ClientMemory } from "../client_memory/client_memory.ts";
+import type { ClientMemoryLimits } from "../decisions/client_memory.ts";
+import type { Metrics } from "../observability/metrics.ts";
 import type { DrainAdmission } from "../calls/drain_admission.ts";
 import type { StepSupervisor } from "../durable_steps/step_supervisor.ts";
 import type { StepReader } from "../durable_steps/step_reader.ts";
@@ -30,6 +33,10 @@
   readonly storeHealth: Pick<StoreHealth, "isUnreachable">;
   readonly clock: Pick<Clock, "monotonic">;
   readonly drainAdmission: Pick<DrainAdmission, "start" | "endsAt">;
+  readonly metrics: Metrics;
+  /** Counts the memory that clients hold. */
+  readonly clientMemory: ClientMemory;
+  readonly clientLimits: ClientMemoryLimits;
   /** Refuses the calls that wait to be sent. */
   readonly stopWaitingCalls: () => void;
   readonly calls: CallService;
--- a/source/observability/events/installation_events.ts
+++ b/source/observability/events/installation_events.ts
@@ -33,6 +33,37 @@
     action: "",
     fields: ["cut"],
   }),
+  clientMemoryFull: defineEvent(9007, {
+    level: "warn",
+    message:
+      "Requests were ended to make room for others; the fields are those of the last one, ended counts all since the last event",
+    action:
+      "Check which organisation sends large or stalled bodies; if all are ordinary, give the instances more memory",
+    fields: [
+      "ended",
+      "state",
+      "organisation",
+      "bytes",
+      "usedBytes",
+      "limitBytes",
+    ],
+  }),
+  memoryShort: defineEvent(9008, {
+    level: "warn",
+    message:
+      "The resident memory is close to that of the instance; garbage was collected",
+    action:
+      "If it repeats and afterBytes stays close to limitBytes, give the instances more memory",
+    fields: ["residentBytes", "afterBytes", "limitBytes", "milliseconds"],
+  }),
+  connectionsFull: defineEvent(9009, {
+    level: "warn",
+    message:
+      "Connections without a running request were closed to make room for new ones; closed counts all since the last event",
+    action:
+      "Check who opens so many connections; if all are ordinary callers, add instances",
+    fields: ["address", "closed", "limit"],
+  }),
   settingsRead: defineEvent(9004, {
     level: "info",
     message: "The settings file was reloaded",
