--- a/source/backends/connection_pools.ts
+++ b/source/backends/connection_pools.ts
@@ -10,7 +10,7 @@
 const MAXIMUM_POOLS = 2_000;
 const CONNECT_TIMEOUT_MILLISECONDS = 2_000;
 const KEEP_ALIVE_MILLISECONDS = 3_000;
-/** Largest head or trailer of a response; a header of two bytes takes a hundred times its size until then. */
+/** Largest head or trailer of a response; each name and value is an object, however short. */
 const MAXIMUM_HEADER_BYTES = 8 * 1024;
 
 /** Timeouts of connections; the defaults apply to servers whose own timeouts are unknown. */
